--- /dev/null
+++ b/src/coltsfootarch/config/parser.py
@@ -0,0 +1,48 @@
+"""Makes a checked `Register` from TOML text."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from coltsfootarch.config import checker
+from coltsfootarch.config import consistency
+from coltsfootarch.config import register
+from coltsfootarch.config import schema
+
+# Stands in for a refused `[rules]`, so that it causes no further findings.
+REFUSED_RULES = register.Rules(resume_secret="00")
+
+
+def parse(text: str, file: str = "register.toml") -> register.Register:
+    """Parses a register document.
+
+    Args:
+        text: TOML text.
+        file: Name of the document in errors.
+
+    Returns:
+        The register, with the defaults of `register` filled in.
+
+    Raises:
+        InvalidDocumentError: With every problem found; nothing of the document
+            is used.
+    """
+    document = checker.Checker(file)
+    entries = document.read_document(document.load(text), schema.TABLES)
+    parsed = register.Register(
+        availability_zones=by_name(entries["availability_zone"]),
+        hosts=by_name(entries["host"]),
+        services=by_name(entries["service"]),
+        upstreams=by_name(entries["upstream"]),
+        client_accounts=by_name(entries["client_account"]),
+        rules=entries["rules"] or REFUSED_RULES,
+    )
+    for finding in consistency.findings(parsed):
+        document.report(*finding)
+    document.finish()
+    return parsed
+
+
+def by_name(entries: list[Any]) -> dict[str, Any]:
+    """Returns the entries by their `name`."""
+    return {entry.name: entry for entry in entries}
--- /dev/null
+++ b/src/coltsfootarch/config/settings.py
@@ -0,0 +1,175 @@
+"""Settings of one gateway process, in TOML."""
+
+from __future__ import annotations
+
+import datetime
+import enum
+from typing import NamedTuple
+
+from coltsfootarch import results
+from coltsfootarch.config import checker
+from coltsfootarch.config import kinds
+from coltsfootarch.config import schema
+
+# A renewal that fails once must leave time for another one.
+MIN_RENEWALS_PER_LEASE = 2
+
+
+class LogLevel(enum.Enum):
+    """Least severe level that is logged."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+class Lease(NamedTuple):
+    """Timing of host sessions.
+
+    Attributes:
+        renew_interval: Time between two renewals.
+        validity: Time that a session is valid after a renewal was sent.
+    """
+
+    renew_interval: datetime.timedelta = datetime.timedelta(seconds=2)
+    validity: datetime.timedelta = datetime.timedelta(seconds=6)
+
+
+class Queue(NamedTuple):
+    """Limits of waiting requests on this host.
+
+    Attributes:
+        max_requests: Requests that wait at once.
+        max_requests_per_account: Requests of one client account that wait at
+            once.
+        max_connections: Connections of callers at once.
+    """
+
+    max_requests: int = 512
+    max_requests_per_account: int = 128
+    max_connections: int = 2048
+
+
+class Settings(NamedTuple):
+    """Settings of one gateway process.
+
+    Attributes:
+        name: Name of the host in the register.
+        availability_zone: Availability zone that it runs in.
+        listen: Address ("ip:port") for callers.
+        peer: Address ("ip:port") for other hosts.
+        table_service: Address of the platform's table service.
+        object_store: Address of the platform's object store.
+        host_list: Address of the platform's list of hosts.
+        statsd: Address of a statsd daemon; empty for no metrics.
+        log_level: Least severe level that is logged.
+        lease: Timing of host sessions.
+        queue: Limits of waiting requests.
+    """
+
+    name: str
+    availability_zone: str
+    listen: str
+    peer: str
+    table_service: str
+    object_store: str
+    host_list: str
+    statsd: str = ""
+    log_level: LogLevel = LogLevel.INFO
+    lease: Lease = Lease()
+    queue: Queue = Queue()
+
+
+F = checker.Field
+ADDRESS = kinds.Address()
+COUNT = kinds.Whole(1, 1_000_000)
+
+LEASE = checker.Table(
+    "lease",
+    Lease,
+    (
+        F(
+            "renew_interval",
+            kinds.Duration("100ms", "1m"),
+            "Time between two renewals of the host's session.",
+        ),
+        F(
+            "validity",
+            kinds.Duration("300ms", "10m"),
+            "Time that a session is valid after a renewal was sent; more than "
+            "twice `renew_interval` and the same on all hosts.",
+        ),
+    ),
+    many=False,
+)
+
+QUEUE = checker.Table(
+    "queue",
+    Queue,
+    (
+        F("max_requests", COUNT, "Requests that wait at once on this host."),
+        F(
+            "max_requests_per_account",
+            COUNT,
+            "Requests of one client account that wait at once on this host.",
+        ),
+        F("max_connections", COUNT, "Connections of callers at once."),
+    ),
+    many=False,
+)
+
+GATEWAY = checker.Table(
+    "gateway",
+    Settings,
+    (
+        F("name", schema.NAME, "Name of the host in the register.", True),
+        F(
+            "availability_zone",
+            schema.NAME,
+            "Availability zone that the host runs in.",
+            True,
+        ),
+        F("listen", ADDRESS, "Address for callers.", True),
+        F("peer", ADDRESS, "Address for other hosts.", True),
+        F("table_service", ADDRESS, "The platform's table service.", True),
+        F("object_store", ADDRESS, "The platform's object store.", True),
+        F("host_list", ADDRESS, "The platform's list of hosts.", True),
+        F("statsd", ADDRESS, "A statsd daemon; no metrics without it."),
+        F(
+            "log_level",
+            kinds.Choice(LogLevel),
+            "Least severe level that is logged.",
+        ),
+    ),
+    many=False,
+)
+
+TABLES = (GATEWAY, LEASE, QUEUE)
+
+
+def parse(text: str, file: str = "gateway.toml") -> Settings:
+    """Parses a settings document.
+
+    Args:
+        text: TOML text.
+        file: Name of the document in errors.
+
+    Raises:
+        InvalidDocumentError: With every problem found.
+    """
+    document = checker.Checker(file)
+    entries = document.read_document(document.load(text), TABLES)
+    lease: Lease | None = entries["lease"]
+    if lease and (
+        lease.validity <= MIN_RENEWALS_PER_LEASE * lease.renew_interval
+    ):
+        document.report(
+            results.WRONG_VALUE,
+            "[lease]",
+            "validity",
+            "must be more than twice renew_interval",
+        )
+    document.finish()
+    settings: Settings = entries["gateway"]
+    return settings._replace(lease=entries["lease"], queue=entries["queue"])
--- a/src/coltsfootarch/results.py
+++ b/src/coltsfootarch/results.py
@@ -55,7 +55,7 @@
     "body-too-large",
     413,
     _NOT_RUN,
-    "The body exceeds `limits.max_body_bytes`.",
+    "The body exceeds `rules.max_body_bytes`.",
 )
 UNKNOWN_ROUTE = ResultCode(
     1004, "unknown-route", 404, _NOT_RUN, "No service has this path."
--- /dev/null
+++ b/tests/config/test_kinds.py
@@ -0,0 +1,64 @@
+"""Guards against values that are read as something the operator didn't mean."""
+
+from __future__ import annotations
+
+import datetime
+
+import pytest
+
+from coltsfootarch import errors
+from coltsfootarch import results
+from coltsfootarch.config import kinds
+
+DURATION = kinds.Duration("1ms", "1h")
+TYPE = results.WRONG_TYPE
+VALUE = results.WRONG_VALUE
+
+
+@pytest.mark.parametrize(
+    ("kind", "value", "expected"),
+    [
+        (DURATION, "1.4s", datetime.timedelta(seconds=1.4)),
+        (DURATION, "65ms", datetime.timedelta(milliseconds=65)),
+        (DURATION, "10m", datetime.timedelta(minutes=10)),
+        (kinds.ByteRate(1, 1e12), "10Gbit/s", 1.25e9),
+        (kinds.ByteRate(1, 1e12), "1.25GB/s", 1.25e9),
+        (kinds.ByteRate(1, 1e12), 5, 5.0),
+        (kinds.Address(), "[::1]:80", "[::1]:80"),
+    ],
+)
+def test_accepted_values_are_converted(kind, value, expected):
+    assert kind.read(value) == expected
+
+
+@pytest.mark.parametrize(
+    ("kind", "value", "code"),
+    [
+        (DURATION, 5, TYPE),
+        (DURATION, True, TYPE),
+        (DURATION, "5", VALUE),
+        (DURATION, "5 s", VALUE),
+        (DURATION, "5s\n", VALUE),
+        (DURATION, "5sec", VALUE),
+        (DURATION, "2h", VALUE),
+        (DURATION, "999999999d", VALUE),
+        (kinds.Whole(0, 9), True, TYPE),
+        (kinds.Whole(0, 9), 1.0, TYPE),
+        (kinds.Whole(0, 9), 10, VALUE),
+        (kinds.Number(0, 9), float("nan"), VALUE),
+        (kinds.Number(0, 9), float("inf"), VALUE),
+        (kinds.Number(0, 9), False, TYPE),
+        (kinds.ByteRate(1, 1e12), "10Gbit", VALUE),
+        (kinds.Flag(), "true", TYPE),
+        (kinds.Address(), "localhost:80", VALUE),
+        (kinds.Address(), "127.0.0.1", VALUE),
+        (kinds.Address(), "127.0.0.1:0", VALUE),
+        (kinds.Address(), "127.0.0.1:65536", VALUE),
+        (kinds.Address(), "::1:80", VALUE),
+    ],
+)
+def test_other_values_are_refused_with_their_code(kind, value, code):
+    with pytest.raises(errors.ConfigurationError) as caught:
+        kind.read(value)
+
+    assert caught.value.code == code
