--- /dev/null
+++ b/src/coltsfootarch/config/routes.py
@@ -0,0 +1,172 @@
+"""Routes derived from the register.
+
+Operators write no routes. A plain service is reached by its path prefix, a
+model service by the model that the request names.
+"""
+
+from __future__ import annotations
+
+import re
+import urllib.parse
+from typing import NamedTuple
+
+from coltsfootarch import errors
+from coltsfootarch import results
+from coltsfootarch.config import consistency
+from coltsfootarch.config import register as registers
+
+COMPLETIONS_PATH = "/v1/completions"
+COMPLETIONS_METHOD = "POST"
+COMPLETIONS_ATTEMPTS = registers.CallRule._field_defaults["max_attempts"]
+
+# Characters that RFC 3986 allows in a path, with complete percent escapes.
+# The semicolon is left out, because some upstreams cut a segment there.
+PATH = re.compile(r"/(?:[A-Za-z0-9._~!$&'()*+,=:@/-]|%[0-9A-Fa-f]{2})*")
+# Separators and dots in encoded form, also encoded twice: an upstream that
+# decodes before it resolves the path would see another path than was checked.
+HIDDEN = re.compile(r"%(?:25)*(?:2f|5c|2e|00)", re.IGNORECASE)
+
+
+class Route(NamedTuple):
+    """Where a request goes and how it may be treated.
+
+    Attributes:
+        service: The service.
+        path: Path below the service's prefix, still percent-encoded, with a
+            leading slash; the whole path for a model service.
+        idempotent: Whether it may be sent more than once.
+        open: Whether it needs no key.
+        max_attempts: Attempts in all; 1 for a non-idempotent request.
+    """
+
+    service: registers.Service
+    path: str
+    idempotent: bool
+    open: bool
+    max_attempts: int
+
+
+class RouteTable:
+    """The routes of one register.
+
+    Args:
+        register: A checked register.
+    """
+
+    def __init__(self, register: registers.Register) -> None:
+        services = register.services.values()
+        self.models = {
+            service.model: service
+            for service in services
+            if service.kind is registers.ServiceKind.MODEL
+        }
+        plain = [
+            service
+            for service in services
+            if service.kind is registers.ServiceKind.PLAIN
+        ]
+        # The longest prefix wins.
+        self.plain = sorted(
+            plain, key=lambda service: len(service.path_prefix), reverse=True
+        )
+        self.calls: dict[str, list[registers.CallRule]] = {}
+        for call in register.rules.calls:
+            self.calls.setdefault(call.service, []).append(call)
+
+    def match(self, method: str, path: str, model: str | None = None) -> Route:
+        """Returns the route of a request.
+
+        Args:
+            method: HTTP method.
+            path: Path as sent, percent-encoded, without the query.
+            model: Value of `model` in the body; only used for completions.
+
+        Raises:
+            RefusedError: Code UNKNOWN_ROUTE or UNKNOWN_MODEL.
+        """
+        check_path(path)
+        if path == COMPLETIONS_PATH:
+            return self.match_model(method, model)
+        for service in self.plain:
+            prefix = service.path_prefix
+            if path == prefix or path.startswith(f"{prefix}/"):
+                return self.match_call(service, method, path[len(prefix) :])
+        raise errors.RefusedError(results.UNKNOWN_ROUTE)
+
+    def match_model(self, method: str, model: str | None) -> Route:
+        """Returns the route of a completion."""
+        if method.upper() != COMPLETIONS_METHOD:
+            raise errors.RefusedError(results.UNKNOWN_ROUTE)
+        service = self.models.get(model or "")
+        if service is None:
+            raise errors.RefusedError(results.UNKNOWN_MODEL)
+        return Route(
+            service,
+            COMPLETIONS_PATH,
+            idempotent=True,
+            open=False,
+            max_attempts=COMPLETIONS_ATTEMPTS,
+        )
+
+    def match_call(
+        self, service: registers.Service, method: str, path: str
+    ) -> Route:
+        """Returns the route of a call of a plain service."""
+        below = path or "/"
+        call = self.first_rule(service, method.upper(), below)
+        idempotent = method.upper() in consistency.SAFE_METHODS
+        if call is None:
+            attempts = registers.CallRule._field_defaults["max_attempts"]
+            return Route(
+                service, below, idempotent, False, attempts if idempotent else 1
+            )
+        if call.idempotent is not None:
+            idempotent = call.idempotent
+        attempts = call.max_attempts if idempotent else 1
+        return Route(service, below, idempotent, call.open, attempts)
+
+    def first_rule(
+        self, service: registers.Service, method: str, path: str
+    ) -> registers.CallRule | None:
+        """Returns the first rule that matches a call."""
+        # Rules hold for the path that the upstream sees after decoding.
+        decoded = urllib.parse.unquote(path)
+        for call in self.calls.get(service.name, ()):
+            if call.method in ("*", method) and matches(call.path, decoded):
+                return call
+        return None
+
+
+def check_path(path: str) -> None:
+    """Refuses paths that an upstream could resolve to another path.
+
+    Raises:
+        RefusedError: Code UNKNOWN_ROUTE.
+    """
+    if (
+        PATH.fullmatch(path) is None
+        or HIDDEN.search(path) is not None
+        or "//" in path
+        or not {".", ".."}.isdisjoint(path.split("/"))
+        or not is_utf8(path)
+    ):
+        raise errors.RefusedError(
+            results.UNKNOWN_ROUTE, "The path is not in normal form."
+        )
+
+
+def is_utf8(path: str) -> bool:
+    """Returns whether the decoded path is valid UTF-8."""
+    try:
+        urllib.parse.unquote(path, errors="strict")
+    except UnicodeDecodeError:
+        return False
+    return True
+
+
+def matches(pattern: str, path: str) -> bool:
+    """Returns whether a rule's path matches; a trailing slash is ignored."""
+    if pattern.endswith("*"):
+        stem = pattern[:-1]
+        return path.startswith(stem) or f"{path}/" == stem
+    return path.rstrip("/") == pattern.rstrip("/")
