Add committed versions, the version in force and keys

The tracker never applies a lower version, confirms its version before new work and takes a peer's confirmation only as of the instant at which it asked.

--- /dev/null
+++ b/src/coltsfootarch/config/editor.py
@@ -0,0 +1,209 @@
+"""Adds and removes one key entry in the register's TOML text.
+
+The rest of the text, comments included, stays as the operator wrote it. Each
+edit is verified by parsing the text again: exactly the one entry may differ.
+"""
+
+from __future__ import annotations
+
+import copy
+import re
+import tomllib
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import NamedTuple
+
+from coltsfootarch import errors
+
+if TYPE_CHECKING:
+    from coltsfootarch.config import register as registers
+
+ACCOUNT_HEADER = re.compile(r"\s*\[\[\s*client_account\s*\]\]\s*(#.*)?")
+KEY_HEADER = re.compile(r"\s*\[\[\s*client_account\s*\.\s*key\s*\]\]\s*(#.*)?")
+ANY_HEADER = re.compile(r"\s*\[.*")
+BLANK_OR_COMMENT = re.compile(r"\s*(#.*)?")
+
+
+class Section(NamedTuple):
+    """Lines of one table.
+
+    Attributes:
+        start: Index of the header's line.
+        end: Index after the last line that belongs to the table. Blank lines
+            and comments after it belong to what follows.
+    """
+
+    start: int
+    end: int
+
+
+def add_key(document: str, account: str, key: registers.Key) -> str:
+    """Returns the document with a key added to an account.
+
+    Args:
+        document: TOML text of a register.
+        account: Name of the client account.
+        key: The key to add.
+
+    Raises:
+        ConfigurationError: No such account, or the text is written in a way
+            that can't be edited safely.
+    """
+    before = tomllib.loads(document)
+    expected = copy.deepcopy(before)
+    entry = find_account(expected, account)
+    entry.setdefault("key", []).append(key._asdict())
+    lines = document.split("\n")
+    newline = "\r" if lines[0].endswith("\r") else ""
+    added = [
+        "",
+        "[[client_account.key]]",
+        *(f'{name} = "{value}"' for name, value in key._asdict().items()),
+    ]
+    for section in sections(lines, ACCOUNT_HEADER):
+        if account_name(lines, section) == account:
+            end = end_of_keys(lines, section)
+            lines[end:end] = [f"{line}{newline}" for line in added]
+            return verified("\n".join(lines), expected)
+    raise not_editable(f'[[client_account]] "{account}"')
+
+
+def remove_key(document: str, key_id: str) -> str:
+    """Returns the document without a key.
+
+    Args:
+        document: TOML text of a register.
+        key_id: Public part of the key.
+
+    Raises:
+        ConfigurationError: No account has the key, or the text is written in
+            a way that can't be edited safely.
+    """
+    expected = tomllib.loads(document)
+    remove_entry(expected, key_id)
+    lines = document.split("\n")
+    for section in sections(lines, KEY_HEADER):
+        body = read_section(lines, section).get("client_account", {})
+        if body.get("key", [{}])[0].get("key_id") != key_id:
+            continue
+        start = section.start
+        if start > 0 and not lines[start - 1].strip():
+            start -= 1
+        del lines[start : section.end]
+        return verified("\n".join(lines), expected)
+    raise not_editable(f'[[client_account.key]] with key_id = "{key_id}"')
+
+
+def sections(lines: list[str], header: re.Pattern[str]) -> list[Section]:
+    """Returns the tables with a header, in the order of the text."""
+    starts = [
+        index for index, line in enumerate(lines) if ANY_HEADER.fullmatch(line)
+    ]
+    if not starts:
+        return []
+    ends = [*starts[1:], len(lines)]
+    return [
+        Section(start, trimmed_end(lines, start, end))
+        for start, end in zip(starts, ends, strict=True)
+        if header.fullmatch(lines[start])
+    ]
+
+
+def trimmed_end(lines: list[str], start: int, end: int) -> int:
+    """Returns `end` without the blank lines and comments before it."""
+    while end > start + 1 and BLANK_OR_COMMENT.fullmatch(lines[end - 1]):
+        end -= 1
+    return end
+
+
+def end_of_keys(lines: list[str], account: Section) -> int:
+    """Returns the end of an account together with its keys."""
+    end = account.end
+    for index in range(account.end, len(lines)):
+        if KEY_HEADER.fullmatch(lines[index]):
+            following = sections(lines[index:], KEY_HEADER)[0]
+            end = index + following.end
+        elif ANY_HEADER.fullmatch(lines[index]):
+            break
+    return end
+
+
+def read_section(lines: list[str], section: Section) -> dict[str, Any]:
+    """Returns the parsed lines of one table; empty if they don't parse."""
+    text = "\n".join(lines[section.start : section.end])
+    try:
+        # The last line may end with a carriage return.
+        return tomllib.loads(f"{text}\n")
+    except ValueError:
+        return {}
+
+
+def account_name(lines: list[str], section: Section) -> str | None:
+    """Returns the name of an account's table."""
+    found = read_section(lines, section).get("client_account")
+    return found[0].get("name") if found else None
+
+
+def find_account(document: dict[str, Any], account: str) -> dict[str, Any]:
+    """Returns the parsed entry of an account.
+
+    Raises:
+        ConfigurationError: No such account.
+    """
+    entries: list[dict[str, Any]] = document.get("client_account", [])
+    for entry in entries:
+        if entry.get("name") == account:
+            return entry
+    names = ", ".join(str(entry.get("name")) for entry in entries) or "none"
+    raise errors.ConfigurationError(
+        f'no [[client_account]] has the name "{account}"; accepted: {names}'
+    )
+
+
+class UnknownKeyIdError(errors.ConfigurationError):
+    """No client account has the key."""
+
+
+def remove_entry(document: dict[str, Any], key_id: str) -> None:
+    """Removes a key from a parsed document.
+
+    Raises:
+        UnknownKeyIdError: No account has the key.
+    """
+    for entry in document.get("client_account", []):
+        keys = entry.get("key", [])
+        remaining = [key for key in keys if key.get("key_id") != key_id]
+        if len(remaining) == len(keys):
+            continue
+        entry["key"] = remaining
+        if not remaining:
+            del entry["key"]
+        return
+    raise UnknownKeyIdError(
+        f'no [[client_account.key]] has key_id = "{key_id}"; it may have been '
+        "withdrawn already"
+    )
+
+
+def verified(document: str, expected: dict[str, Any]) -> str:
+    """Returns the edited document if it means exactly what is expected.
+
+    Raises:
+        ConfigurationError: The edit changed something else.
+    """
+    try:
+        found = tomllib.loads(document)
+    except ValueError:
+        found = {}
+    if found != expected:
+        raise not_editable("the entry")
+    return document
+
+
+def not_editable(what: str) -> errors.ConfigurationError:
+    """Returns the error for a text that can't be edited by lines."""
+    return errors.ConfigurationError(
+        f"{what} can't be edited in the register's text; write accounts and "
+        "keys as [[client_account]] and [[client_account.key]] tables, or edit "
+        "the register by hand and use `config apply`"
+    )
--- /dev/null
+++ b/src/coltsfootarch/config/tracker.py
@@ -0,0 +1,335 @@
+"""The configuration version in force on this host."""
+
+from __future__ import annotations
+
+import datetime
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+import structlog
+from gevent import lock
+
+from coltsfootarch import errors
+from coltsfootarch import results
+from coltsfootarch.config import parser
+from coltsfootarch.config import register as registers
+from coltsfootarch.config import routes as route_tables
+from coltsfootarch.config import versions
+
+if TYPE_CHECKING:
+    from coltsfootarch import clock as clocks
+    from coltsfootarch.platform import tables
+    from coltsfootarch.protocol import messages
+
+POLL_INTERVAL = datetime.timedelta(seconds=2)
+# Time limits of the table service's client and of a question to peers add up
+# to less than this.
+LONGEST_ATTEMPT = datetime.timedelta(seconds=5)
+ATTEMPTS = 2
+NEVER = -1.0
+
+Listener = Callable[[registers.Register], None]
+Parse = Callable[[str, str], registers.Register]
+AskPeers = Callable[[], "messages.ConfigReply | None"]
+
+log = structlog.get_logger(__name__)
+
+
+class InForce(NamedTuple):
+    """A version with everything derived from it; replaced as a whole.
+
+    Attributes:
+        version: Number of the version.
+        document: Its TOML text.
+        register: The parsed document.
+        routes: Routes derived from it.
+    """
+
+    version: int
+    document: str
+    register: registers.Register
+    routes: route_tables.RouteTable
+
+
+class ConfigTracker:
+    """Follows the committed versions and never goes back to a lower one.
+
+    A confirmation is the knowledge that at some instant no version above the
+    one in force existed. Its instant is the one before the question was sent,
+    so that an answer that waited while this host was paused doesn't count as
+    recent.
+
+    Args:
+        clock: Clock of this host.
+        service: Table service.
+        ask_peers: Asks zone peers for their version; None if there are none.
+        poll_interval: Time between two polls of the table service.
+        parse: Parses a document; `background.parse` in a process that serves.
+
+    Attributes:
+        refused_documents: Number of committed documents that did not parse.
+        failed_polls: Number of polls that the table service did not answer.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        service: tables.TableService,
+        ask_peers: AskPeers | None = None,
+        poll_interval: datetime.timedelta = POLL_INTERVAL,
+        parse: Parse = parser.parse,
+    ) -> None:
+        self.clock = clock
+        self.service = service
+        self.ask_peers = ask_peers
+        self.poll_interval = poll_interval.total_seconds()
+        self.parse = parse
+        self.listeners: list[Listener] = []
+        self.refused_documents = 0
+        self.failed_polls = 0
+        self.in_force: InForce | None = None
+        self.confirmed_at: float | None = None
+        self.polled_at: float | None = None
+        self.failed_at: float | None = None
+        self.refused: tuple[int, str] | None = None
+        self.confirming = lock.BoundedSemaphore(1)
+
+    @property
+    def version(self) -> int:
+        """Version in force; 0 if there is none yet."""
+        return self.in_force.version if self.in_force else 0
+
+    @property
+    def document(self) -> str:
+        """TOML text in force, for peers; empty if there is none yet."""
+        return self.in_force.document if self.in_force else ""
+
+    @property
+    def register(self) -> registers.Register:
+        """Register in force.
+
+        Raises:
+            RefusedError: Code NO_CONFIGURATION.
+        """
+        return self.current().register
+
+    @property
+    def routes(self) -> route_tables.RouteTable:
+        """Routes in force.
+
+        Raises:
+            RefusedError: Code NO_CONFIGURATION.
+        """
+        return self.current().routes
+
+    def current(self) -> InForce:
+        """Returns the version in force.
+
+        Raises:
+            RefusedError: Code NO_CONFIGURATION.
+        """
+        if self.in_force is None:
+            raise errors.RefusedError(results.NO_CONFIGURATION)
+        return self.in_force
+
+    def confirmed_age(self) -> float:
+        """Returns the seconds since the last confirmation, -1 if never."""
+        if self.confirmed_at is None:
+            return NEVER
+        return max(self.clock.monotonic() - self.confirmed_at, 0.0)
+
+    def is_fresh(self) -> bool:
+        """Returns whether the last confirmation is recent enough."""
+        if self.in_force is None or self.confirmed_at is None:
+            return False
+        limit = self.in_force.register.rules.freshness.total_seconds()
+        return self.confirmed_age() <= limit
+
+    def tick(self) -> None:
+        """Polls the table service when the poll interval has passed."""
+        if self.polled_at is not None:
+            waited = self.clock.monotonic() - self.polled_at
+            if waited < self.poll_interval:
+                return
+        self.confirm()
+
+    def confirm(self) -> bool:
+        """Confirms the version with the table service; applies a newer one.
+
+        Returns:
+            Whether the newest version is in force and was so when the table
+            service was asked.
+        """
+        asked_at = self.clock.monotonic()
+        self.polled_at = asked_at
+        try:
+            head = self.read_head()
+            if head > self.version:
+                self.fetch(head)
+        except errors.TableUnavailableError:
+            self.failed_polls += 1
+            return False
+        except errors.ConfigurationError as error:
+            self.refuse(None, error)
+            return False
+        if self.in_force is None or self.version < head:
+            return False
+        self.note_confirmation(asked_at)
+        return True
+
+    def ensure_fresh(self) -> bool:
+        """Confirms the version if the last confirmation is too old.
+
+        Called before new work starts. Concurrent callers share one attempt,
+        and after a failed one the next follows only after the poll interval,
+        so that requests don't wait for an unreachable table service.
+
+        Returns:
+            Whether the confirmation is recent. If not, the newest known
+            version stays in force.
+        """
+        if self.is_fresh():
+            return True
+        with self.confirming:
+            if self.is_fresh():
+                return True
+            if self.failed_recently():
+                return False
+            for _ in range(ATTEMPTS):
+                started = self.clock.monotonic()
+                if self.confirm() or self.confirm_with_peers():
+                    return self.is_fresh()
+                if not self.was_paused_since(started):
+                    break
+            self.failed_at = self.clock.monotonic()
+            return False
+
+    def was_paused_since(self, started: float) -> bool:
+        """Returns whether an attempt took longer than its time limits allow.
+
+        Such an attempt failed because of the pause and says nothing about the
+        table service, so it is repeated at once.
+        """
+        elapsed = self.clock.monotonic() - started
+        return elapsed > LONGEST_ATTEMPT.total_seconds()
+
+    def failed_recently(self) -> bool:
+        """Returns whether an attempt failed within the poll interval."""
+        if self.failed_at is None:
+            return False
+        return self.clock.monotonic() - self.failed_at < self.poll_interval
+
+    def confirm_with_peers(self) -> bool:
+        """Confirms the version with a zone peer.
+
+        Returns:
+            Whether the last confirmation is now recent enough.
+        """
+        if self.ask_peers is None:
+            return False
+        asked_at = self.clock.monotonic()
+        reply = self.ask_peers()
+        if reply is None:
+            return False
+        self.offer(reply.version, reply.document, reply.confirmed_age, asked_at)
+        return self.is_fresh()
+
+    def offer(
+        self,
+        version: int,
+        document: str,
+        confirmed_age: float,
+        asked_at: float | None = None,
+    ) -> bool:
+        """Takes over a peer's version if it is newer.
+
+        Args:
+            version: Version in force on the peer.
+            document: Its TOML text; may be empty if it is not newer.
+            confirmed_age: Seconds since the peer's last confirmation; negative
+                if never.
+            asked_at: Monotonic instant at which the peer was asked. Without
+                it the offer confirms nothing, because nobody knows how long
+                it was under way.
+
+        Returns:
+            Whether the version was applied.
+        """
+        applied = False
+        if version > self.version and document:
+            applied = self.apply(version, document)
+        confirms = asked_at is not None and confirmed_age >= 0
+        if confirms and self.in_force and version <= self.version:
+            # No version above the peer's existed then, so none above this.
+            self.note_confirmation((asked_at or 0.0) - confirmed_age)
+        return applied
+
+    def read_head(self) -> int:
+        """Returns the committed version, 0 if there is none."""
+        row = self.service.get(versions.HEADS_TABLE, versions.HEADS_KEY)
+        return 0 if row is None else versions.decode_head(row.value)
+
+    def fetch(self, version: int) -> None:
+        """Reads and applies a committed version."""
+        key = versions.version_key(version)
+        row = self.service.get(versions.TABLE, key)
+        if row is None:
+            self.refuse(
+                version,
+                errors.ConfigurationError(f"version {version} is missing"),
+            )
+            return
+        try:
+            stored = versions.decode_version(row.value)
+        except errors.ConfigurationError as error:
+            self.refuse(version, error)
+            return
+        self.apply(version, stored.document)
+
+    def apply(self, version: int, document: str) -> bool:
+        """Puts a version in force unless it is refused or not newer."""
+        candidate = (version, versions.digest_of(document))
+        if candidate == self.refused:
+            return False
+        try:
+            register = self.parse(document, f"version {version}")
+        except errors.ConfigurationError as error:
+            self.refused = candidate
+            self.refuse(version, error)
+            return False
+        routes = route_tables.RouteTable(register)
+        if version <= self.version:
+            return False
+        self.in_force = InForce(version, document, register, routes)
+        log.info("configuration in force", version=version)
+        self.notify(version, register)
+        return True
+
+    def notify(self, version: int, register: registers.Register) -> None:
+        """Calls the listeners, unless a newer version came in between."""
+        for listener in list(self.listeners):
+            if self.version != version:
+                return
+            try:
+                listener(register)
+            except Exception:
+                log.exception("configuration listener failed", version=version)
+
+    def refuse(
+        self, version: int | None, error: errors.ConfigurationError
+    ) -> None:
+        """Counts and logs a document that is not put in force."""
+        self.refused_documents += 1
+        log.error(
+            "configuration refused",
+            version=version,
+            running_version=self.version,
+            code=error.code.number,
+            reason=error.message,
+        )
+
+    def note_confirmation(self, instant: float) -> None:
+        """Records that no newer version existed at an instant."""
+        if self.confirmed_at is None or instant > self.confirmed_at:
+            self.confirmed_at = instant
--- /dev/null
+++ b/src/coltsfootarch/keys/authenticator.py
@@ -0,0 +1,65 @@
+"""Checks keys against the configuration in force."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from coltsfootarch import errors
+from coltsfootarch import results
+from coltsfootarch.config import register as registers
+from coltsfootarch.keys import ring as rings
+
+if TYPE_CHECKING:
+    from coltsfootarch.config import tracker as trackers
+
+
+class Authenticator:
+    """Authenticates each request with the newest register known.
+
+    Args:
+        tracker: Configuration in force on this host.
+    """
+
+    def __init__(self, tracker: trackers.ConfigTracker) -> None:
+        self.tracker = tracker
+        self.register: registers.Register | None = None
+        self.ring: rings.KeyRing | None = None
+
+    def authenticate(self, header: str | None) -> rings.Caller:
+        """Returns the caller of a request.
+
+        Confirms the configuration first if that was too long ago, which may
+        wait for the table service or a peer.
+
+        Args:
+            header: Value of the `Authorization` header; None if there is none.
+
+        Raises:
+            RefusedError: Code MISSING_KEY, INVALID_KEY, KEY_UNCONFIRMED or
+                NO_CONFIGURATION.
+        """
+        self.tracker.ensure_fresh()
+        ring = self.current_ring()
+        if not self.is_confirmed():
+            raise errors.RefusedError(results.KEY_UNCONFIRMED)
+        return ring.authenticate(header)
+
+    def is_valid(self, key_id: str) -> bool:
+        """Returns whether the key of a request in progress is still valid."""
+        return self.current_ring().is_valid(key_id)
+
+    def is_confirmed(self) -> bool:
+        """Returns whether the rules let keys be accepted now."""
+        rules = self.tracker.register.rules
+        if rules.unconfirmed_keys is registers.UnconfirmedKeys.SERVE:
+            return True
+        age = self.tracker.confirmed_age()
+        return 0 <= age <= rules.unconfirmed_after.total_seconds()
+
+    def current_ring(self) -> rings.KeyRing:
+        """Returns the key ring of the register in force."""
+        register = self.tracker.register
+        if self.ring is None or self.register is not register:
+            self.ring = rings.KeyRing(register)
+            self.register = register
+        return self.ring
--- /dev/null
+++ b/src/coltsfootarch/keys/format.py
@@ -0,0 +1,78 @@
+"""Format of callers' keys: `cfa_<key id>_<secret>`.
+
+The register holds the key id, a salt and a digest. The secret is shown once,
+when the key is issued.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import re
+import secrets
+from typing import NamedTuple
+
+from coltsfootarch.config import register as registers
+
+PREFIX = "cfa"
+KEY_ID_BYTES = 6
+SECRET_BYTES = 32
+SALT_BYTES = 16
+KEY = re.compile(r"cfa_([0-9a-z]{4,32})_([0-9A-Za-z]{16,128})")
+
+
+class IssuedKey(NamedTuple):
+    """A new key.
+
+    Attributes:
+        account: Client account that it belongs to.
+        text: The whole key; show it once and store it nowhere.
+        key: What the register stores.
+    """
+
+    account: str
+    text: str
+    key: registers.Key
+
+
+class ParsedKey(NamedTuple):
+    """The parts of a key that a caller sent."""
+
+    key_id: str
+    secret: str
+
+
+def issue(account: str) -> IssuedKey:
+    """Returns a new random key for a client account."""
+    key_id = secrets.token_hex(KEY_ID_BYTES)
+    secret = secrets.token_hex(SECRET_BYTES)
+    salt = secrets.token_hex(SALT_BYTES)
+    key = registers.Key(key_id, salt, digest_of(salt, secret))
+    return IssuedKey(account, f"{PREFIX}_{key_id}_{secret}", key)
+
+
+def parse(text: str) -> ParsedKey | None:
+    """Returns the parts of a key, or None if it has another format."""
+    match = KEY.fullmatch(text)
+    return None if match is None else ParsedKey(match[1], match[2])
+
+
+def digest_of(salt: str, secret: str) -> str:
+    """Returns the SHA-256 of the salt's bytes and the secret.
+
+    The secret is random and long, so that a fast digest is enough: there is
+    no list of likely secrets to try.
+
+    Args:
+        salt: Salt in hexadecimal.
+        secret: Last part of the key.
+
+    Returns:
+        64 hexadecimal digits.
+    """
+    return hashlib.sha256(bytes.fromhex(salt) + secret.encode()).hexdigest()
+
+
+def is_match(key: registers.Key, secret: str) -> bool:
+    """Returns whether a secret belongs to a key, in constant time."""
+    return hmac.compare_digest(key.digest, digest_of(key.salt, secret))
--- /dev/null
+++ b/src/coltsfootarch/keys/operations.py
@@ -0,0 +1,101 @@
+"""Issues and withdraws keys by edits of the register."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from coltsfootarch.config import editor
+from coltsfootarch.config import versions
+from coltsfootarch.keys import format as formats
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from coltsfootarch.config import repository as repositories
+
+# An edit of one key does not depend on other edits, so it is repeated on the
+# version that won.
+COMMIT_ATTEMPTS = 5
+ISSUE_ACTION = "key.issue"
+WITHDRAW_ACTION = "key.withdraw"
+
+
+class Issue(NamedTuple):
+    """Result of issuing a key.
+
+    Attributes:
+        issued: The key; its text is not stored anywhere.
+        version: Configuration version that holds it.
+    """
+
+    issued: formats.IssuedKey
+    version: int
+
+
+class KeyOperator:
+    """Changes keys in the committed register.
+
+    Args:
+        repository: Committed versions.
+        author: Operator for the audit trail.
+    """
+
+    def __init__(
+        self, repository: repositories.ConfigRepository, author: str
+    ) -> None:
+        self.repository = repository
+        self.author = author
+
+    def issue(self, account: str) -> Issue:
+        """Adds a new key to a client account.
+
+        Raises:
+            ConfigurationError: No such account, or the text can't be edited.
+            VersionConflictError: Other commits were first, several times.
+            TableUnavailableError: Nothing was committed.
+            TableOutcomeUnknownError: The key may have been added.
+        """
+        issued = formats.issue(account)
+        version = self.edit(
+            lambda document: editor.add_key(document, account, issued.key),
+            f"key {issued.key.key_id} of {account}",
+            ISSUE_ACTION,
+        )
+        return Issue(issued, version)
+
+    def withdraw(self, key_id: str) -> int:
+        """Removes a key and returns the version without it.
+
+        Raises:
+            UnknownKeyIdError: No account has the key.
+            ConfigurationError: The text can't be edited.
+            VersionConflictError: Other commits were first, several times.
+            TableUnavailableError: Nothing was committed.
+            TableOutcomeUnknownError: The key may have been removed.
+        """
+        return self.edit(
+            lambda document: editor.remove_key(document, key_id),
+            f"key {key_id}",
+            WITHDRAW_ACTION,
+        )
+
+    def edit(
+        self, change: Callable[[str], str], comment: str, action: str
+    ) -> int:
+        """Commits a change of the newest document; returns its version."""
+        attempts = COMMIT_ATTEMPTS
+        while True:
+            head = self.repository.head()
+            document = self.repository.read(head).document
+            changed = change(document)
+            attempts -= 1
+            try:
+                stored = self.repository.commit(
+                    changed, self.author, comment, head, action
+                )
+            except versions.VersionConflictError:
+                if not attempts:
+                    raise
+            else:
+                return stored.version
--- /dev/null
+++ b/tests/config/fleets.py
@@ -0,0 +1,52 @@
+"""An operator and hosts that follow one table service."""
+
+from __future__ import annotations
+
+import datetime
+
+from coltsfootarch.config import repository
+from coltsfootarch.config import tracker
+from coltsfootarch.keys import format as formats
+from coltsfootarch.platform import tables
+from coltsfootarch.zone import records
+from tests.config import documents
+from tests.fakes import tables as fake
+
+
+class Fleet:
+    """One table service, an operator and hosts that follow it."""
+
+    def __init__(self, clock, rules=""):
+        self.clock = clock
+        self.shared = fake.FakeTables()
+        self.client = self.shared.client()
+        self.repository = repository.ConfigRepository(self.client, clock)
+        self.issued = formats.issue("clinic")
+        self.header = f"Bearer {self.issued.text}"
+        document = documents.small("first", [self.issued.key], rules)
+        self.repository.commit(document, "ana", "start", 0)
+
+    def operator(self):
+        client = self.shared.client()
+        return client, repository.ConfigRepository(client, self.clock)
+
+    def host(self, ask_peers=None):
+        client = self.shared.client()
+        follower = tracker.ConfigTracker(self.clock, client, ask_peers)
+        follower.tick()
+        return client, follower
+
+    def pass_time(self, seconds):
+        self.clock.advance(datetime.timedelta(seconds=seconds))
+
+    def renew(self, zone, host, version):
+        """Writes a host's session row, as its renewal does."""
+        record = records.SessionRecord(
+            host, 1, zone, "127.0.0.1:1", version, 1, "2026-01-01T00:00:00Z"
+        )
+        row = self.client.get("hosts", f"{zone}/{host}")
+        checks = [] if row is None else [tables.Check(*row[:2], row[3])]
+        write = tables.Write(
+            "hosts", f"{zone}/{host}", records.encode_session(record)
+        )
+        self.client.transact(checks, [write])
--- /dev/null
+++ b/tests/keys/test_keys.py
@@ -0,0 +1,209 @@
+"""Guards against keys that work for the wrong account or after withdrawal."""
+
+from __future__ import annotations
+
+import tomllib
+
+import pytest
+
+from coltsfootarch import errors
+from coltsfootarch import results
+from coltsfootarch.config import editor
+from coltsfootarch.config import parser
+from coltsfootarch.config import versions
+from coltsfootarch.keys import authenticator
+from coltsfootarch.keys import format as formats
+from coltsfootarch.keys import operations
+from coltsfootarch.keys import ring
+from tests.config import documents
+from tests.config import fleets
+
+REFUSE = 'unconfirmed_keys = "refuse"\nunconfirmed_after = "30s"'
+
+
+def code_of(call, *arguments):
+    with pytest.raises(errors.RefusedError) as caught:
+        call(*arguments)
+    return caught.value.code
+
+
+def test_issued_key_authenticates_its_account_only(manual_clock):
+    fleet = fleets.Fleet(manual_clock)
+    keys = ring.KeyRing(parser.parse(fleet.repository.read(1).document))
+
+    caller = keys.authenticate(fleet.header)
+
+    assert caller == ("clinic", fleet.issued.key.key_id)
+    assert fleet.issued.text not in fleet.repository.read(1).document
+    other = formats.issue("clinic")
+    mixed = f"cfa_{fleet.issued.key.key_id}_{other.text.rpartition('_')[2]}"
+    for wrong in (other.text, mixed, fleet.issued.text + "0", "x"):
+        code = code_of(keys.authenticate, f"Bearer {wrong}")
+        assert code == results.INVALID_KEY
+
+
+@pytest.mark.parametrize(
+    "header", [None, "", "Bearer", "Bearer  ", "Basic abc", "cfa_a_b"]
+)
+def test_header_without_a_key_is_missing(header):
+    keys = ring.KeyRing(parser.parse(documents.SMALL))
+
+    assert code_of(keys.authenticate, header) == results.MISSING_KEY
+
+
+def test_no_secret_matches_the_entry_for_unknown_ids(monkeypatch):
+    monkeypatch.setattr(formats, "is_match", lambda key, secret: True)
+    keys = ring.KeyRing(parser.parse(documents.SMALL))
+
+    code = code_of(keys.authenticate, f"Bearer {formats.issue('a').text}")
+
+    assert code == results.INVALID_KEY
+
+
+def test_demo_keys_open_the_examples():
+    demo = tomllib.loads((documents.EXAMPLES / "demo-keys.toml").read_text())
+    for name, accounts in demo.items():
+        text = (documents.EXAMPLES / f"{name}.toml").read_text()
+        register = parser.parse(text)
+        keys = ring.KeyRing(register)
+        assert accounts.keys() == register.client_accounts.keys()
+        for account, key in accounts.items():
+            assert keys.authenticate(f"Bearer {key}").account == account
+
+
+def withdraw(fleet):
+    operator = operations.KeyOperator(fleet.repository, "ana")
+    return operator.withdraw(fleet.issued.key.key_id)
+
+
+@pytest.mark.matrix(
+    invariant=3,
+    fault="key withdrawn while connected",
+    step="authentication",
+    seen_red="key ring follows the register in force",
+)
+@pytest.mark.parametrize("rules", ["", REFUSE])
+def test_withdrawn_key_stops_within_a_poll(manual_clock, rules):
+    fleet = fleets.Fleet(manual_clock, rules)
+    _, tracker = fleet.host()
+    door = authenticator.Authenticator(tracker)
+    door.authenticate(fleet.header)
+    withdraw(fleet)
+    fleet.pass_time(2)
+    tracker.tick()
+
+    assert code_of(door.authenticate, fleet.header) == results.INVALID_KEY
+    assert not door.is_valid(fleet.issued.key.key_id)
+
+
+@pytest.mark.matrix(
+    invariant=3,
+    fault="key withdrawn, pause and resume",
+    step="authentication",
+    seen_red="confirmation before authentication",
+)
+def test_paused_host_refuses_a_withdrawn_key_at_once(manual_clock):
+    fleet = fleets.Fleet(manual_clock)
+    _, tracker = fleet.host()
+    door = authenticator.Authenticator(tracker)
+    door.authenticate(fleet.header)
+    withdraw(fleet)
+    fleet.pass_time(60)
+
+    assert code_of(door.authenticate, fleet.header) == results.INVALID_KEY
+
+
+@pytest.mark.matrix(
+    invariant=3,
+    fault="key withdrawn, zone partition",
+    step="authentication",
+    seen_red="rule for unconfirmed keys",
+)
+def test_cut_zone_that_refuses_stops_keys_within_the_limit(manual_clock):
+    fleet = fleets.Fleet(manual_clock, REFUSE)
+    client, tracker = fleet.host()
+    door = authenticator.Authenticator(tracker)
+    client.cut = True
+    withdraw(fleet)
+    fleet.pass_time(29)
+    assert door.authenticate(fleet.header).account == "clinic"
+    fleet.pass_time(2)
+
+    assert code_of(door.authenticate, fleet.header) == results.KEY_UNCONFIRMED
+
+
+@pytest.mark.matrix(
+    invariant=3,
+    fault="key withdrawn, zone partition",
+    step="acceptance",
+    seen_red="session rows hold up acceptance",
+)
+def test_cut_zone_that_serves_holds_up_the_withdrawal(manual_clock):
+    fleet = fleets.Fleet(manual_clock)
+    client, tracker = fleet.host()
+    door = authenticator.Authenticator(tracker)
+    fleet.renew("brandon", "brandon-1", tracker.version)
+    client.cut = True
+    withdraw(fleet)
+    fleet.pass_time(3600)
+
+    assert door.authenticate(fleet.header).account == "clinic"
+    register = parser.parse(fleet.repository.read(2).document)
+    assert not fleet.repository.status(register).accepted
+
+
+@pytest.mark.matrix(
+    invariant=3,
+    fault="concurrent operators",
+    step="withdrawal",
+    seen_red="repetition after a conflict",
+)
+@pytest.mark.parametrize("races", [1, 4])
+def test_withdrawal_is_not_lost_to_racing_commits(manual_clock, races):
+    fleet = fleets.Fleet(manual_clock)
+    client, repository = fleet.operator()
+    left = [races]
+
+    def race(*_):
+        if left[0]:
+            left[0] -= 1
+            operations.KeyOperator(fleet.repository, "bob").issue("clinic")
+
+    client.before_transact = race
+    key_id = fleet.issued.key.key_id
+    version = operations.KeyOperator(repository, "eve").withdraw(key_id)
+
+    document = fleet.repository.read(version).document
+    keys = parser.parse(document).client_accounts["clinic"].keys
+    assert len(keys) == races
+    assert key_id not in {key.key_id for key in keys}
+
+
+def test_edit_gives_up_after_five_conflicts(manual_clock):
+    fleet = fleets.Fleet(manual_clock)
+    client, repository = fleet.operator()
+    client.before_transact = lambda *_: operations.KeyOperator(
+        fleet.repository, "bob"
+    ).issue("clinic")
+
+    with pytest.raises(versions.VersionConflictError, match="by bob"):
+        operations.KeyOperator(repository, "eve").issue("clinic")
+    assert fleet.repository.head() == 6
+
+
+def test_second_withdrawal_and_audit_name_the_key_id_only(manual_clock):
+    fleet = fleets.Fleet(manual_clock)
+    start = manual_clock.now()
+    issue = operations.KeyOperator(fleet.repository, "ana").issue("clinic")
+    withdraw(fleet)
+
+    with pytest.raises(editor.UnknownKeyIdError):
+        withdraw(fleet)
+    entries = fleet.repository.audit.read(start)
+    assert [entry.action for entry in entries][1:] == [
+        "key.issue",
+        "key.withdraw",
+    ]
+    secret = issue.issued.text.rpartition("_")[2]
+    assert issue.issued.key.key_id in entries[1].detail
+    assert secret not in str(entries)
