Keep the line breaks in the help of config

The raw docstring left the marker for verbatim paragraphs unread, so the usual edit was printed as one paragraph. A test now looks for its lines; it failed before. tests/console passed.

--- a/src/coltsfootarch/console/commands/config.py
+++ b/src/coltsfootarch/console/commands/config.py
@@ -21,18 +21,22 @@
 )
 
 
-@click.group()
+# Click keeps the line breaks of a paragraph that starts with a backspace.
+HELP = """Check, commit and follow the register.
+
+\b
+A usual edit:
+  coltsfootarch config show > register.toml
+  (edit register.toml)
+  coltsfootarch config check register.toml
+  coltsfootarch config diff register.toml
+  coltsfootarch config apply register.toml --base VERSION
+"""
+
+
+@click.group(help=HELP)
 def config() -> None:
-    r"""Check, commit and follow the register.
-
-    \b
-    A usual edit:
-      coltsfootarch config show > register.toml
-      (edit register.toml)
-      coltsfootarch config check register.toml
-      coltsfootarch config diff register.toml
-      coltsfootarch config apply register.toml --base VERSION
-    """
+    """Groups the commands of the register; `HELP` is shown to users."""
 
 
 def read_text(file: pathlib.Path) -> str:
--- a/tests/console/test_console.py
+++ b/tests/console/test_console.py
@@ -156,6 +156,12 @@
     ]
 
 
+def test_help_shows_a_usual_edit_line_by_line():
+    lines = run("config", "--help").output.splitlines()
+
+    assert "    coltsfootarch config check register.toml" in lines
+
+
 def test_first_commit_is_explained(fleet):
     fleet.shared.rows.clear()
 
