Add pool scheduling, retries and engine supervision

Cause: model requests need prefill, link and decode chosen together, with fair shares between client accounts, and engines need to be watched.

--- /dev/null
+++ b/benchmarks/policy_hosts.py
@@ -0,0 +1,404 @@
+"""Entry hosts of the policy benchmark, one class for each policy."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from benchmarks import policy_engines
+from benchmarks import policy_workload
+from coltsfootarch.config import register
+from coltsfootarch.protocol import messages
+from coltsfootarch.scheduling import client
+from coltsfootarch.scheduling import health
+from coltsfootarch.scheduling import items
+from coltsfootarch.scheduling import pool
+
+if TYPE_CHECKING:
+    from coltsfootarch.upstreams import engine
+
+LATENCY_SECONDS = 0.001
+FIRST_TOKEN_SECONDS = policy_workload.SERVICE.first_token_target.total_seconds()
+RETRY_SECONDS = 0.2
+MOST_ATTEMPTS = 20
+
+
+class Outcome:
+    """What became of a request."""
+
+    def __init__(self, request: policy_workload.Request) -> None:
+        self.request = request
+        self.first_at = 0.0
+        self.done_at = 0.0
+        self.refused = False
+        self.emitted = 0
+        self.attempt = 0
+
+    def good(self) -> bool:
+        """Returns whether both latency targets were met."""
+        if not self.done_at:
+            return False
+        wait = self.first_at - self.request.arrival
+        tokens = max(1, self.request.output_tokens - 1)
+        pace = (self.done_at - self.first_at) / tokens
+        target = policy_workload.SERVICE.inter_token_target.total_seconds()
+        return wait <= FIRST_TOKEN_SECONDS and pace <= target
+
+
+class Hosts:
+    """Common part: engines, outcomes and the path of a request."""
+
+    def __init__(
+        self,
+        loop: policy_engines.Loop,
+        upstreams: list[register.Upstream],
+        seed: int,
+    ) -> None:
+        self.loop = loop
+        self.generator = random.Random(f"hosts/{seed}")
+        self.upstreams = {entry.name: entry for entry in upstreams}
+        self.prefills = {
+            entry.name: policy_engines.PrefillEngine(loop, entry)
+            for entry in upstreams
+            if entry.role is register.UpstreamRole.PREFILL
+        }
+        self.decodes = {
+            entry.name: policy_engines.DecodeEngine(loop, entry)
+            for entry in upstreams
+            if entry.role is register.UpstreamRole.DECODE
+        }
+        self.outcomes: list[Outcome] = []
+
+    def arrive(self, request: policy_workload.Request) -> None:
+        """Takes a caller's request at its entry host."""
+        outcome = Outcome(request)
+        self.outcomes.append(outcome)
+        self.begin(outcome, frozenset())
+
+    def begin(self, outcome: Outcome, excluded: frozenset[str]) -> None:
+        """Starts an attempt."""
+        raise NotImplementedError
+
+    def set_state(self, name: str, state: register.UpstreamState) -> None:
+        """Makes an engine drain or run again."""
+        self.upstreams[name] = self.upstreams[name]._replace(state=state)
+
+    def load_report(self, name: str, load: engine.LoadReport) -> None:
+        """Takes a load report that is as old as it says."""
+
+    def cache_event(self, name: str, event: engine.CacheEvent) -> None:
+        """Takes a cache event."""
+
+    def retry(self, outcome: Outcome, excluded: frozenset[str]) -> None:
+        """Starts another attempt, if there may be one."""
+        if outcome.attempt < MOST_ATTEMPTS:
+            self.begin(outcome, excluded)
+
+    def note(
+        self, outcome: Outcome, job: policy_engines.Job, kind: str
+    ) -> None:
+        """Records what the caller sees."""
+        if kind == "first" and not outcome.first_at:
+            outcome.first_at = self.loop.now + LATENCY_SECONDS
+        if kind == "done":
+            outcome.done_at = self.loop.now + LATENCY_SECONDS
+        outcome.emitted = job.emitted
+
+
+class ScheduledHosts(Hosts):
+    """Entry hosts that ask the `PoolScheduler`."""
+
+    def __init__(
+        self,
+        loop: policy_engines.Loop,
+        upstreams: list[register.Upstream],
+        seed: int,
+    ) -> None:
+        super().__init__(loop, upstreams, seed)
+        self.scheduler = pool.PoolScheduler(
+            loop.clock, policy_workload.SERVICE, upstreams
+        )
+        self.pending: dict[items.AttemptKey, Outcome] = {}
+        self.wakeup = 0.0
+
+    def begin(self, outcome: Outcome, excluded: frozenset[str]) -> None:
+        outcome.attempt += 1
+        self.loop.after(LATENCY_SECONDS, self._submit, outcome, excluded)
+
+    def set_state(self, name: str, state: register.UpstreamState) -> None:
+        super().set_state(name, state)
+        self.scheduler.set_upstreams(self.upstreams.values())
+        self._pump()
+
+    def load_report(self, name: str, load: engine.LoadReport) -> None:
+        self.scheduler.report(name, load)
+        self._pump()
+
+    def cache_event(self, name: str, event: engine.CacheEvent) -> None:
+        self.scheduler.cache_event(name, event)
+
+    def _submit(self, outcome: Outcome, excluded: frozenset[str]) -> None:
+        request = outcome.request
+        first = request.arrival if outcome.attempt == 1 else self.loop.now
+        item = items.WorkItem(
+            request_id=request.request_id,
+            attempt=outcome.attempt,
+            account=request.account,
+            prompt_tokens=request.prompt_tokens + outcome.emitted,
+            max_output_tokens=policy_workload.LONGEST_OUTPUT - outcome.emitted,
+            deadline=first + FIRST_TOKEN_SECONDS - 3 * LATENCY_SECONDS,
+            prefix_digests=request.prefix_digests,
+            digest=request.request_id,
+            priority=min(outcome.attempt - 1, 1),
+            excluded=excluded,
+            weight=policy_workload.ACCOUNT_SHARES[request.account] * 5,
+        )
+        self.pending[item.key] = outcome
+        self.scheduler.submit(item)
+        self._pump()
+
+    def _pump(self) -> None:
+        for decision in self.scheduler.poll():
+            self.loop.after(LATENCY_SECONDS, self._decided, decision)
+        wakeup = self.scheduler.next_wakeup()
+        if self.wakeup <= self.loop.now or wakeup < self.wakeup:
+            self.wakeup = wakeup
+            delay = max(LATENCY_SECONDS, wakeup - self.loop.now)
+            self.loop.after(delay, self._wake)
+
+    def _wake(self) -> None:
+        if self.loop.now >= self.wakeup:
+            self._pump()
+
+    def _decided(self, decision: items.Decision) -> None:
+        key = items.AttemptKey(decision.request_id, decision.attempt)
+        outcome = self.pending.pop(key)
+        if isinstance(decision, items.Refusal):
+            if outcome.attempt == 1:
+                outcome.refused = True
+            else:
+                self.loop.after(RETRY_SECONDS, self.retry, outcome, frozenset())
+            return
+
+        def ended(job: policy_engines.Job, kind: str) -> None:
+            self.note(outcome, job, kind)
+            self._ended(outcome, decision, job, kind)
+
+        job = policy_engines.Job(
+            outcome.request, outcome.attempt, outcome.emitted, ended
+        )
+        prefill = self.prefills[decision.prefill]
+        self.loop.after(
+            LATENCY_SECONDS,
+            prefill.submit,
+            job,
+            lambda job, success: self.loop.after(
+                LATENCY_SECONDS,
+                self._prefilled,
+                outcome,
+                decision,
+                job,
+                success,
+            ),
+        )
+
+    def _prefilled(
+        self,
+        outcome: Outcome,
+        decision: items.Assignment,
+        job: policy_engines.Job,
+        success: bool,
+    ) -> None:
+        if not success:
+            self._notify(job, "failed", decision.prefill, 0)
+            self.retry(outcome, frozenset({decision.prefill}))
+            return
+        self._notify(job, "prefilled", decision.prefill, 0)
+        target = self.decodes[decision.decode]
+        self.loop.after(LATENCY_SECONDS, target.submit, job)
+
+    def _ended(
+        self,
+        outcome: Outcome,
+        decision: items.Assignment,
+        job: policy_engines.Job,
+        kind: str,
+    ) -> None:
+        if kind == "first":
+            self._notify(job, "transferred", decision.decode, 1)
+        elif kind == "done":
+            tokens = job.request.output_tokens - job.emitted
+            self._notify(job, "finished", decision.decode, tokens)
+        elif kind == "expired":
+            self._notify(job, "cancelled", decision.decode, 0)
+            self.retry(outcome, frozenset())
+        else:
+            self._notify(job, "failed", decision.decode, 0)
+            self.retry(outcome, frozenset({decision.decode}))
+
+    def _notify(
+        self, job: policy_engines.Job, step: str, upstream: str, tokens: int
+    ) -> None:
+        event = messages.ScheduleEvent(
+            job.request.request_id, job.attempt, step, upstream, tokens
+        )
+        delay = 2 * LATENCY_SECONDS
+        if step not in client.URGENT_STEPS:
+            delay += self.generator.random() * client.FLUSH_SECONDS
+        self.loop.after(delay, self._apply, event)
+
+    def _apply(self, event: messages.ScheduleEvent) -> None:
+        self.scheduler.apply(event)
+        self._pump()
+
+
+class IndependentHosts(Hosts):
+    """Entry hosts that choose engines alone, without reservations.
+
+    The engines queue what does not fit. Failing engines are ejected and
+    draining ones are left out, as in the product.
+
+    Args:
+        loop: Event loop.
+        upstreams: Engines.
+        seed: Seed of the choice of entry hosts.
+        by_load: Whether to choose by the last report plus own dispatches since
+            then; round robin otherwise.
+    """
+
+    def __init__(
+        self,
+        loop: policy_engines.Loop,
+        upstreams: list[register.Upstream],
+        seed: int,
+        by_load: bool,
+    ) -> None:
+        super().__init__(loop, upstreams, seed)
+        self.by_load = by_load
+        hosts = policy_workload.HOSTS
+        self.turns: dict[tuple[int, str], int] = {}
+        self.reports: dict[str, float] = {}
+        self.sent: list[dict[str, list[tuple[float, float]]]] = [
+            {} for _ in range(hosts)
+        ]
+        self.report_at: dict[str, float] = {}
+        self.health = [
+            {name: health.Health() for name in self.upstreams}
+            for _ in range(hosts)
+        ]
+
+    def load_report(self, name: str, load: engine.LoadReport) -> None:
+        requests = load.running + load.waiting
+        is_prefill = name in self.prefills
+        amount = load.queued_prefill_tokens if is_prefill else requests
+        self.reports[name] = float(amount)
+        self.report_at[name] = self.loop.now - load.age
+
+    def begin(self, outcome: Outcome, excluded: frozenset[str]) -> None:
+        outcome.attempt += 1
+        host = self.generator.randrange(policy_workload.HOSTS)
+        name = self._choose(host, list(self.prefills), excluded)
+        if name is None:
+            self.loop.after(RETRY_SECONDS, self.retry, outcome, frozenset())
+            return
+
+        def ended(job: policy_engines.Job, kind: str) -> None:
+            self.note(outcome, job, kind)
+            if kind == "expired":
+                self.retry(outcome, frozenset())
+
+        job = policy_engines.Job(
+            outcome.request, outcome.attempt, outcome.emitted, ended
+        )
+        self._dispatched(host, name, float(job.prompt_tokens))
+        self.loop.after(
+            LATENCY_SECONDS,
+            self.prefills[name].submit,
+            job,
+            lambda job, success: self.loop.after(
+                LATENCY_SECONDS,
+                self._prefilled,
+                host,
+                name,
+                outcome,
+                job,
+                success,
+            ),
+        )
+
+    def _prefilled(
+        self,
+        host: int,
+        name: str,
+        outcome: Outcome,
+        job: policy_engines.Job,
+        success: bool,
+    ) -> None:
+        state = self.health[host][name]
+        if not success:
+            state.failed(self.loop.now)
+            self.retry(outcome, frozenset({name}))
+            return
+        state.succeeded(self.loop.now)
+        self._decode(host, outcome, job, frozenset())
+
+    def _decode(
+        self,
+        host: int,
+        outcome: Outcome,
+        job: policy_engines.Job,
+        excluded: frozenset[str],
+    ) -> None:
+        target = self._choose(host, list(self.decodes), excluded)
+        if target is None:
+            self.loop.after(RETRY_SECONDS, self.retry, outcome, frozenset())
+            return
+        chosen = target
+
+        def ended(job: policy_engines.Job, kind: str) -> None:
+            self.note(outcome, job, kind)
+            if kind == "done":
+                self.health[host][chosen].succeeded(self.loop.now)
+            if kind == "expired":
+                self.retry(outcome, frozenset())
+            if kind == "lost":
+                self.health[host][chosen].failed(self.loop.now)
+                if job.imported:
+                    self.retry(outcome, frozenset({chosen}))
+                else:
+                    self._decode(host, outcome, job, excluded | {chosen})
+
+        job.ended = ended
+        self._dispatched(host, target, 1.0)
+        self.loop.after(LATENCY_SECONDS, self.decodes[target].submit, job)
+
+    def _dispatched(self, host: int, name: str, amount: float) -> None:
+        sent = self.sent[host].setdefault(name, [])
+        sent.append((self.loop.now, amount))
+        self.health[host][name].dispatched(self.loop.now)
+
+    def _load(self, host: int, name: str) -> float:
+        since = self.report_at.get(name, 0.0)
+        sent = self.sent[host].get(name, [])
+        while sent and sent[0][0] < since:
+            sent.pop(0)
+        return self.reports.get(name, 0.0) + sum(entry[1] for entry in sent)
+
+    def _choose(
+        self, host: int, names: list[str], excluded: frozenset[str]
+    ) -> str | None:
+        usable = [
+            name
+            for name in names
+            if name not in excluded
+            and self.upstreams[name].state is register.UpstreamState.ACTIVE
+            and self.health[host][name].usable(self.loop.now)
+        ]
+        if not usable:
+            return None
+        if self.by_load:
+            self.generator.shuffle(usable)
+            return min(usable, key=lambda name: self._load(host, name))
+        turn = self.turns.get((host, names[0]), host)
+        self.turns[(host, names[0])] = turn + 1
+        return usable[turn % len(usable)]
--- /dev/null
+++ b/src/coltsfootarch/retries/budget.py
@@ -0,0 +1,57 @@
+"""Budget that keeps retries to a small part of the requests."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from coltsfootarch import clock as clocks
+
+WINDOW_SECONDS = 10
+
+# Retries per second that are allowed without any traffic, so that a host with
+# few requests can retry at all.
+MINIMUM_RATE = 0.2
+
+
+class RetryBudget:
+    """Allows retries up to a ratio of the requests of the last 10 s.
+
+    Args:
+        clock: Clock of the sliding window.
+        ratio: Retries allowed per request.
+    """
+
+    def __init__(self, clock: clocks.Clock, ratio: float) -> None:
+        self.clock = clock
+        self.ratio = ratio
+        self.requests: dict[int, int] = {}
+        self.retries: dict[int, int] = {}
+
+    def record(self) -> None:
+        """Counts a first attempt."""
+        second = self._advance()
+        self.requests[second] = self.requests.get(second, 0) + 1
+
+    def available(self) -> float:
+        """Returns how many retries may start now."""
+        self._advance()
+        allowed = self.ratio * sum(self.requests.values())
+        allowed += MINIMUM_RATE * WINDOW_SECONDS
+        return allowed - sum(self.retries.values())
+
+    def spend(self) -> bool:
+        """Takes one retry; returns False if the budget is used up."""
+        if self.available() < 1.0:
+            return False
+        second = self._advance()
+        self.retries[second] = self.retries.get(second, 0) + 1
+        return True
+
+    def _advance(self) -> int:
+        second = int(self.clock.monotonic())
+        oldest = second - WINDOW_SECONDS
+        for counts in (self.requests, self.retries):
+            for key in [key for key in counts if key <= oldest]:
+                del counts[key]
+        return second
--- /dev/null
+++ b/src/coltsfootarch/scheduling/client.py
@@ -0,0 +1,241 @@
+"""Entry-host side of scheduling."""
+
+from __future__ import annotations
+
+import datetime
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from coltsfootarch import errors
+from coltsfootarch import results
+from coltsfootarch.protocol import messages
+from coltsfootarch.scheduling import items
+from coltsfootarch.scheduling import pools
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from coltsfootarch import clock as clocks
+    from coltsfootarch.config import register
+    from coltsfootarch.protocol import network as networks
+    from coltsfootarch.scheduling import local as locals_
+    from coltsfootarch.scheduling import service as services
+    from coltsfootarch.zone import interfaces
+
+# Answer time that a reachable home needs beyond the time in its queue.
+ANSWER_SECONDS = 0.3
+
+# A home that did not answer is left alone for this time, so that only one
+# request in it waits in vain.
+SILENT_HOME_SECONDS = 2.0
+FLUSH_SECONDS = 0.02
+LARGEST_BATCH = 32
+
+ENDING_STEPS = frozenset({"finished", "failed", "crashed", "cancelled"})
+URGENT_STEPS = frozenset({"failed", "crashed", "cancelled"})
+
+
+class Route(NamedTuple):
+    """Which scheduler assigned an attempt.
+
+    Attributes:
+        service: Model service.
+        scope: Scope of the pool.
+        home: Home of the pool, or None for the scheduler in this process.
+    """
+
+    service: str
+    scope: str
+    home: tuple[str, int] | None
+
+
+class SchedulerClient:
+    """Gets assignments from a pool's home, or from this process without it.
+
+    Args:
+        clock: Clock of all instants.
+        network: Network between hosts.
+        holders: Looks up shard holders.
+        current: Returns the register in force.
+        home: Returns a pool's home by service and scope.
+        sender: This host.
+        own: Home side of this host, for pools whose home it is.
+        local: Schedulers in this process for when no home answers.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        network: networks.PeerNetwork,
+        holders: interfaces.Holders,
+        current: Callable[[], register.Register],
+        home: Callable[[str, str], pools.Home],
+        sender: messages.Sender,
+        own: services.PoolService,
+        local: locals_.LocalSchedulers,
+    ) -> None:
+        self.clock = clock
+        self.network = network
+        self.holders = holders
+        self.current = current
+        self.home = home
+        self.sender = sender
+        self.own = own
+        self.local = local
+        self.routes: dict[items.AttemptKey, Route] = {}
+        self.pending: dict[Route, list[messages.ScheduleEvent]] = {}
+        self.flush_at = 0.0
+        self.silent_until: dict[str, float] = {}
+        self.fallbacks = 0
+
+    def schedule(self, service: str, item: items.WorkItem) -> items.Assignment:
+        """Returns where an attempt runs; may wait until its deadline.
+
+        Args:
+            service: Model service.
+            item: The attempt.
+
+        Raises:
+            RefusedError: The attempt was not run; with code and retry time.
+        """
+        scope = pools.scope_of(self.current(), self.sender.availability_zone)
+        home = self.home(service, scope)
+        place = (home.availability_zone, home.shard)
+        asked_at = self.clock.monotonic()
+        reply = self._ask_home(service, scope, place, item)
+        if reply is not None:
+            route = Route(service, scope, place)
+        else:
+            self.fallbacks += 1
+            # The wait for the home must not count against the request, which
+            # would otherwise be refused for a fault of the router.
+            waited = self.clock.monotonic() - asked_at
+            late = item._replace(deadline=item.deadline + waited)
+            reply = self.local.schedule(service, scope, late)
+            route = Route(service, scope, None)
+        if reply.refusal:
+            raise errors.RefusedError(
+                results.by_number(reply.refusal), retry_after=reply.retry_after
+            )
+        self.routes[item.key] = route
+        return items.Assignment(
+            item.request_id, item.attempt, reply.prefill, reply.decode
+        )
+
+    def notify(self, event: messages.ScheduleEvent) -> None:
+        """Reports a step to the scheduler that assigned the attempt.
+
+        Steps are sent in batches by `tick()`, failures at once. A step of an
+        attempt that was never assigned is dropped.
+        """
+        key = items.AttemptKey(event.request_id, event.attempt)
+        route = self.routes.get(key)
+        if route is None:
+            return
+        if event.step in ENDING_STEPS:
+            del self.routes[key]
+        if not self.pending:
+            self.flush_at = self.clock.monotonic() + FLUSH_SECONDS
+        batch = self.pending.setdefault(route, [])
+        batch.append(event)
+        if event.step in URGENT_STEPS or len(batch) >= LARGEST_BATCH:
+            self.flush()
+
+    def tick(self) -> None:
+        """Sends the steps that wait for `FLUSH_SECONDS`."""
+        if self.pending and self.clock.monotonic() >= self.flush_at:
+            self.flush()
+
+    def flush(self) -> None:
+        """Sends all steps now."""
+        pending = self.pending
+        self.pending = {}
+        for route, events in pending.items():
+            self._send(route, events)
+
+    def _send(self, route: Route, events: list[messages.ScheduleEvent]) -> None:
+        if route.home is None:
+            self.local.apply(route.service, route.scope, events)
+            return
+        holder = self.holders.holder(*route.home)
+        if holder is None:
+            return
+        update = messages.ScheduleUpdate(
+            route.service, route.scope, route.home[1], events
+        )
+        if holder.address == self.sender.address:
+            self.own.handle_update(self.sender, update)
+        else:
+            self.network.send(holder.address, update)
+
+    def _ask_home(
+        self,
+        service: str,
+        scope: str,
+        place: tuple[str, int],
+        item: items.WorkItem,
+    ) -> messages.ScheduleReply | None:
+        """Returns the home's answer, or None if it has to be done without."""
+        holder = self.holders.holder(*place)
+        now = self.clock.monotonic()
+        if holder is None or self.silent_until.get(holder.address, 0.0) > now:
+            return None
+        within = max(0.0, item.deadline - now)
+        request = request_for(service, scope, place[1], item, within)
+        if holder.address == self.sender.address:
+            reply = self.own.schedule(request)
+        else:
+            answer = self._request(holder.address, request, within)
+            if answer is None:
+                return None
+            reply = answer
+        if reply.refusal == results.NOT_HOME.number:
+            return None
+        return reply
+
+    def _request(
+        self, address: str, request: messages.ScheduleRequest, within: float
+    ) -> messages.ScheduleReply | None:
+        timeout = datetime.timedelta(seconds=within + ANSWER_SECONDS)
+        # While this request waits, later ones find the home marked only after
+        # a silence; a concurrent answer clears the mark.
+        try:
+            answer = self.network.request(address, request, timeout)
+        except errors.PeerTimeoutError:
+            until = self.clock.monotonic() + SILENT_HOME_SECONDS
+            self.silent_until[address] = until
+            return None
+        self.silent_until.pop(address, None)
+        if not isinstance(answer, messages.ScheduleReply):
+            return None
+        if (answer.request_id, answer.attempt) != (
+            request.request_id,
+            request.attempt,
+        ):
+            return None
+        return answer
+
+
+def request_for(
+    service: str,
+    scope: str,
+    shard: int,
+    item: items.WorkItem,
+    first_token_within: float,
+) -> messages.ScheduleRequest:
+    """Returns the message that asks for an assignment."""
+    return messages.ScheduleRequest(
+        service=service,
+        scope=scope,
+        shard=shard,
+        request_id=item.request_id,
+        attempt=item.attempt,
+        account=item.account,
+        prompt_tokens=item.prompt_tokens,
+        max_output_tokens=item.max_output_tokens,
+        prefix_digests=list(item.prefix_digests),
+        digest=item.digest,
+        priority=item.priority,
+        first_token_within=first_token_within,
+        excluded=sorted(item.excluded),
+    )
--- /dev/null
+++ b/src/coltsfootarch/scheduling/local.py
@@ -0,0 +1,120 @@
+"""Schedulers of an entry host for pools whose home does not answer."""
+
+from __future__ import annotations
+
+import datetime
+from typing import TYPE_CHECKING
+
+from coltsfootarch import results
+from coltsfootarch.scheduling import items
+from coltsfootarch.scheduling import pool
+from coltsfootarch.scheduling import pools
+from coltsfootarch.scheduling import runner
+from coltsfootarch.scheduling import service as services
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Collection
+
+    from coltsfootarch import clock as clocks
+    from coltsfootarch.config import register
+    from coltsfootarch.protocol import messages
+
+# A scheduler without work for this long is dropped; its view is out of date.
+IDLE_SECONDS = 60.0
+
+
+class LocalSchedulers:
+    """Pool schedulers limited to upstreams that this host reaches.
+
+    Args:
+        clock: Clock of all instants.
+        current: Returns the register in force.
+        leaving: Returns the addresses that the host list reports as leaving.
+        reachable: Returns whether this host could lately reach an address.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        current: Callable[[], register.Register],
+        leaving: Callable[[], Collection[str]],
+        reachable: Callable[[str], bool],
+    ) -> None:
+        self.clock = clock
+        self.current = current
+        self.leaving = leaving
+        self.reachable = reachable
+        self.runners: dict[services.PoolKey, runner.PoolRunner] = {}
+        self.used_at: dict[services.PoolKey, float] = {}
+
+    def schedulers(self) -> list[pool.PoolScheduler]:
+        """Returns the schedulers in use."""
+        return [entry.scheduler for entry in self.runners.values()]
+
+    def schedule(
+        self, service: str, scope: str, item: items.WorkItem
+    ) -> messages.ScheduleReply:
+        """Decides about an attempt; may wait until its deadline."""
+        if service not in self.current().services:
+            refusal = items.Refusal(*item.key, results.NO_UPSTREAM, 0.0)
+            return services.reply(refusal)
+        account = self.current().client_accounts.get(item.account)
+        if account is not None:
+            item = item._replace(weight=account.weight)
+        now = self.clock.monotonic()
+        patience = max(0.0, item.deadline - now)
+        decision = self._runner(service, scope).decide(
+            item,
+            datetime.timedelta(
+                seconds=patience + services.PATIENCE_MARGIN_SECONDS
+            ),
+        )
+        return services.reply(decision)
+
+    def apply(
+        self, service: str, scope: str, events: list[messages.ScheduleEvent]
+    ) -> None:
+        """Applies steps of attempts that were assigned here."""
+        entry = self.runners.get(services.PoolKey(service, scope))
+        if entry is not None:
+            entry.apply(events)
+
+    def tick(self) -> None:
+        """Delivers decisions that are due and drops idle schedulers."""
+        now = self.clock.monotonic()
+        for key, entry in list(self.runners.items()):
+            entry.tick()
+            busy = entry.scheduler.flights or entry.waiters
+            if busy:
+                self.used_at[key] = now
+            elif now - self.used_at[key] > IDLE_SECONDS:
+                del self.runners[key]
+                del self.used_at[key]
+
+    def next_wakeup(self) -> float | None:
+        """Returns when `tick()` is due, or None without schedulers."""
+        return min(
+            (entry.scheduler.next_wakeup() for entry in self.runners.values()),
+            default=None,
+        )
+
+    def _runner(self, service: str, scope: str) -> runner.PoolRunner:
+        key = services.PoolKey(service, scope)
+        self.used_at[key] = self.clock.monotonic()
+        entry = self.runners.get(key)
+        if entry is not None:
+            return entry
+        members = pools.PoolMembers(
+            self.current,
+            service,
+            scope,
+            self.leaving,
+            self.clock,
+            self.reachable,
+        )
+        scheduler = pool.PoolScheduler(
+            self.clock, self.current().services[service], ()
+        )
+        entry = self.runners[key] = runner.PoolRunner(scheduler, members)
+        return entry
--- /dev/null
+++ b/src/coltsfootarch/scheduling/pool.py
@@ -0,0 +1,387 @@
+"""Scheduler of one pool: prefill, link and decode are chosen together."""
+
+from __future__ import annotations
+
+import heapq
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from coltsfootarch import results
+from coltsfootarch.config import register
+from coltsfootarch.scheduling import decode
+from coltsfootarch.scheduling import fair_queue
+from coltsfootarch.scheduling import items
+from coltsfootarch.scheduling import links
+from coltsfootarch.scheduling import placement
+from coltsfootarch.scheduling import prefill
+from coltsfootarch.scheduling import quarantine
+from coltsfootarch.scheduling import speed
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from coltsfootarch import clock as clocks
+    from coltsfootarch.protocol import messages
+    from coltsfootarch.upstreams import engine
+
+RESULT_LIFE_SECONDS = 0.8
+
+# A blocked queue is looked at again after this time even without an event,
+# since estimates improve as time passes.
+RECHECK_SECONDS = 0.02
+HOUSEKEEPING_SECONDS = 1.0
+
+# An attempt that is not transferred this long after its prefill was due has
+# lost its entry host.
+TRANSFER_GRACE_SECONDS = 5.0
+
+# An answer that takes this many times its longest expected time is not
+# running any more.
+LONGEST_RUN_FACTOR = 4.0
+LONGEST_RUN_GRACE_SECONDS = 30.0
+
+RESIDENCE_SAMPLE_WEIGHT = 0.05
+# Part of `max_output_tokens` that answers use until answers are measured.
+INITIAL_OUTPUT_SHARE = 0.5
+LOWEST_RETRY_AFTER_SECONDS = 0.1
+
+ENDED = frozenset({"finished", "failed", "crashed", "cancelled"})
+
+
+class Flight(NamedTuple):
+    """An assigned attempt."""
+
+    item: items.WorkItem
+    prefill: str
+    decode: str
+
+
+class PoolScheduler:
+    """Decides where and when the requests of one model service run.
+
+    Pure decision code: it sends nothing and waits for nothing. After each
+    `submit`, `apply`, `report` and at `next_wakeup()` the caller calls
+    `poll()` and delivers what it returns.
+
+    Args:
+        clock: Clock of all instants.
+        service: The model service, with its latency targets.
+        upstreams: Engines of the pool.
+        result_life: Seconds that a prefill result survives.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        service: register.Service,
+        upstreams: Iterable[register.Upstream],
+        result_life: float = RESULT_LIFE_SECONDS,
+    ) -> None:
+        self.clock = clock
+        self.service = service
+        self.result_life = result_life
+        self.token_seconds = service.inter_token_target.total_seconds()
+        self.residence = 0.0
+        self.queue = fair_queue.FairQueue()
+        self.quarantine = quarantine.Quarantine(clock)
+        self.links = links.LinkBook()
+        self.prefills: dict[str, prefill.PrefillQueue] = {}
+        self.decodes: dict[str, decode.DecodeCapacity] = {}
+        self.flights: dict[items.AttemptKey, Flight] = {}
+        self.latest_starts: list[tuple[float, items.AttemptKey]] = []
+        self.waiting: dict[items.AttemptKey, items.WorkItem] = {}
+        self.refusals: list[items.Refusal] = []
+        self.blocker: placement.Blocker | None = None
+        self.next_housekeeping = 0.0
+        self.set_upstreams(upstreams)
+
+    def set_upstreams(self, upstreams: Iterable[register.Upstream]) -> None:
+        """Sets the pool's engines; known ones keep their state."""
+        named = {upstream.name: upstream for upstream in upstreams}
+        for name in [*self.prefills, *self.decodes]:
+            if name not in named:
+                self.prefills.pop(name, None)
+                self.decodes.pop(name, None)
+        for name, upstream in named.items():
+            if upstream.role is register.UpstreamRole.PREFILL:
+                self.decodes.pop(name, None)
+                queue = self.prefills.get(name)
+                if queue is None:
+                    queue = prefill.PrefillQueue(upstream)
+                    self.prefills[name] = queue
+                queue.upstream = upstream
+            elif upstream.role is register.UpstreamRole.DECODE:
+                self.prefills.pop(name, None)
+                capacity = self.decodes.get(name)
+                if capacity is None:
+                    capacity = decode.DecodeCapacity(upstream)
+                    self.decodes[name] = capacity
+                capacity.upstream = upstream
+
+    def upstreams(self) -> list[register.Upstream]:
+        """Returns the pool's engines."""
+        sources = [queue.upstream for queue in self.prefills.values()]
+        targets = [entry.upstream for entry in self.decodes.values()]
+        return sources + targets
+
+    def submit(self, item: items.WorkItem) -> None:
+        """Adds an attempt; its decision comes from a later `poll()`."""
+        if item.key in self.waiting or item.key in self.flights:
+            return
+        left = self.quarantine.remaining(item.digest)
+        if left > 0:
+            self._refuse(item, results.QUARANTINED, left)
+            return
+        shortest = placement.shortest_seconds(
+            item, self.prefills.values(), self.decodes.values()
+        )
+        if shortest is None:
+            self._refuse(item, results.NO_UPSTREAM, self._retry_after())
+            return
+        self.waiting[item.key] = item
+        self.queue.push(item)
+        latest = item.deadline - shortest - self.token_seconds
+        heapq.heappush(self.latest_starts, (latest, item.key))
+
+    def withdraw(self, key: items.AttemptKey) -> None:
+        """Removes an attempt that still waits; its caller has gone."""
+        item = self.waiting.pop(key, None)
+        if item is not None:
+            self.queue.remove(item)
+
+    def poll(self) -> list[items.Decision]:
+        """Returns all decisions that are due now."""
+        now = self.clock.monotonic()
+        if now >= self.next_housekeeping:
+            self._keep_house(now)
+        self._refuse_late(now)
+        decisions: list[items.Decision] = list(self.refusals)
+        self.refusals.clear()
+        self.blocker = None
+        while self.queue:
+            assignment = self._place_next(now)
+            if assignment is None:
+                break
+            decisions.append(assignment)
+        return decisions
+
+    def next_wakeup(self) -> float:
+        """Returns the instant at which `poll()` is due without an event."""
+        now = self.clock.monotonic()
+        wakeup = self.next_housekeeping
+        if self.latest_starts:
+            wakeup = min(wakeup, self.latest_starts[0][0])
+        if self.refusals:
+            return now
+        if self.queue:
+            wakeup = min(wakeup, now + RECHECK_SECONDS)
+        return max(wakeup, now)
+
+    def apply(self, event: messages.ScheduleEvent) -> None:
+        """Applies a step that an entry host reports."""
+        key = items.AttemptKey(event.request_id, event.attempt)
+        now = self.clock.monotonic()
+        flight = self.flights.get(key)
+        if flight is None:
+            if event.step == "cancelled":
+                self.withdraw(key)
+            return
+        if event.step == "prefilled":
+            self._prefilled(key, flight, now)
+        elif event.step == "transferred":
+            self._transferred(key, flight, now)
+        elif event.step in ENDED:
+            self._end(key, flight, event, now)
+
+    def report(self, upstream: str, load: engine.LoadReport) -> None:
+        """Takes an engine's load report."""
+        now = self.clock.monotonic()
+        queue = self.prefills.get(upstream)
+        if queue is not None:
+            queue.report(load, now)
+        capacity = self.decodes.get(upstream)
+        if capacity is not None:
+            for entry in capacity.report(load, now):
+                self._forget(entry.key, now)
+
+    def cache_event(self, upstream: str, event: engine.CacheEvent) -> None:
+        """Takes a change of an engine's prefix cache."""
+        queue = self.prefills.get(upstream)
+        if queue is not None:
+            queue.cache.apply(event)
+
+    def _place_next(self, now: float) -> items.Assignment | None:
+        for item in self.queue.heads():
+            place = self._find_place(item, now)
+            if isinstance(place, placement.Place):
+                return self._assign(item, place, now)
+            self.blocker = place
+            # Serving other accounts past an item that waits for capacity would
+            # starve requests that need much memory. An item whose exclusions
+            # or deadline rule out the free engines holds nobody back.
+            waits = place in (
+                placement.Blocker.PREFILL,
+                placement.Blocker.DECODE,
+            )
+            if waits and not item.excluded:
+                return None
+        return None
+
+    def _find_place(
+        self, item: items.WorkItem, now: float
+    ) -> placement.Place | placement.Blocker:
+        source = placement.choose_prefill(
+            item, list(self.prefills.values()), now
+        )
+        if isinstance(source, placement.Blocker):
+            return source
+        timing = placement.Timing(
+            now,
+            self.result_life,
+            self._mean_residence(item),
+            self.token_seconds,
+        )
+        return placement.choose_decode(
+            item,
+            source,
+            list(self.decodes.values()),
+            self.links,
+            timing,
+            self.quarantine.suspected(item.digest),
+        )
+
+    def _assign(
+        self, item: items.WorkItem, place: placement.Place, now: float
+    ) -> items.Assignment:
+        self.queue.take(item)
+        del self.waiting[item.key]
+        source = place.prefill.upstream.name
+        target = place.decode.upstream.name
+        place.prefill.dispatch(item.key, place.uncached, now)
+        expiry = place.transfer.end + self.result_life + TRANSFER_GRACE_SECONDS
+        place.decode.reserve(item.key, place.pieces, now, expiry)
+        self.links.book(source, target, item.key, place.transfer)
+        self.flights[item.key] = Flight(item, source, target)
+        return items.Assignment(item.request_id, item.attempt, source, target)
+
+    def _prefilled(
+        self, key: items.AttemptKey, flight: Flight, now: float
+    ) -> None:
+        queue = self.prefills.get(flight.prefill)
+        if queue is None:
+            return
+        queue.prefilled(key, now)
+        if speed.prefill_is_slow(queue, self.prefills.values(), now):
+            queue.health.eject(now)
+        else:
+            queue.health.succeeded(now)
+
+    def _transferred(
+        self, key: items.AttemptKey, flight: Flight, now: float
+    ) -> None:
+        self.links.release(flight.prefill, flight.decode, key)
+        capacity = self.decodes.get(flight.decode)
+        if capacity is None:
+            return
+        longest = flight.item.max_output_tokens * self.token_seconds
+        longest = longest * LONGEST_RUN_FACTOR + LONGEST_RUN_GRACE_SECONDS
+        capacity.transferred(key, now, now + longest)
+
+    def _end(
+        self,
+        key: items.AttemptKey,
+        flight: Flight,
+        event: messages.ScheduleEvent,
+        now: float,
+    ) -> None:
+        if event.step == "finished":
+            self._finished(key, flight, event, now)
+            self.quarantine.cleared(flight.item.digest)
+        if event.step == "crashed":
+            self.quarantine.crashed(flight.item.digest)
+        if event.step in ("failed", "crashed"):
+            self._failed(event.upstream, now)
+        unused = max(0, flight.item.max_output_tokens - event.tokens)
+        self.queue.charge(flight.item.account, -unused / flight.item.weight)
+        self._forget(key, now)
+
+    def _finished(
+        self,
+        key: items.AttemptKey,
+        flight: Flight,
+        event: messages.ScheduleEvent,
+        now: float,
+    ) -> None:
+        capacity = self.decodes.get(flight.decode)
+        if capacity is None:
+            return
+        reservation = capacity.reservations.get(key)
+        if reservation is None or reservation.transferred_at is None:
+            capacity.health.succeeded(now)
+            return
+        seconds = now - reservation.transferred_at
+        capacity.measure(seconds, event.tokens)
+        if not self.residence:
+            self.residence = self._mean_residence(flight.item)
+        change = seconds - self.residence
+        self.residence += RESIDENCE_SAMPLE_WEIGHT * change
+        if speed.decode_is_slow(
+            capacity, self.decodes.values(), self.token_seconds
+        ):
+            capacity.health.eject(now)
+        else:
+            capacity.health.succeeded(now)
+
+    def _failed(self, upstream: str, now: float) -> None:
+        if upstream in self.prefills:
+            self.prefills[upstream].health.failed(now)
+        if upstream in self.decodes:
+            self.decodes[upstream].health.failed(now)
+
+    def _forget(self, key: items.AttemptKey, now: float) -> None:
+        flight = self.flights.pop(key, None)
+        if flight is None:
+            return
+        self.links.release(flight.prefill, flight.decode, key)
+        queue = self.prefills.get(flight.prefill)
+        if queue is not None:
+            queue.drop(key, now)
+        capacity = self.decodes.get(flight.decode)
+        if capacity is not None:
+            capacity.release(key, now)
+
+    def _keep_house(self, now: float) -> None:
+        self.next_housekeeping = now + HOUSEKEEPING_SECONDS
+        self.queue.prune()
+        for queue in self.prefills.values():
+            queue.expire(now)
+        for capacity in self.decodes.values():
+            for entry in capacity.expire(now):
+                self._forget(entry.key, now)
+
+    def _refuse_late(self, now: float) -> None:
+        while self.latest_starts and self.latest_starts[0][0] < now:
+            _, key = heapq.heappop(self.latest_starts)
+            item = self.waiting.get(key)
+            if item is None:
+                continue
+            self.withdraw(key)
+            self._refuse(item, results.OVERLOADED, self._retry_after())
+
+    def _refuse(
+        self, item: items.WorkItem, code: results.ResultCode, after: float
+    ) -> None:
+        self.refusals.append(
+            items.Refusal(item.request_id, item.attempt, code, after)
+        )
+
+    def _mean_residence(self, item: items.WorkItem) -> float:
+        if self.residence:
+            return self.residence
+        tokens = item.max_output_tokens * INITIAL_OUTPUT_SHARE
+        return max(tokens, 1.0) * self.token_seconds
+
+    def _retry_after(self) -> float:
+        slots = sum(entry.upstream.slots for entry in self.decodes.values())
+        seconds = (len(self.queue) + 1) * (self.residence or 1.0)
+        return max(LOWEST_RETRY_AFTER_SECONDS, seconds / max(1, slots))
--- /dev/null
+++ b/src/coltsfootarch/scheduling/service.py
@@ -0,0 +1,229 @@
+"""Home side of scheduling: the pools whose home shards this host holds."""
+
+from __future__ import annotations
+
+import datetime
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from coltsfootarch import results
+from coltsfootarch.protocol import messages
+from coltsfootarch.scheduling import items
+from coltsfootarch.scheduling import pool
+from coltsfootarch.scheduling import pools
+from coltsfootarch.scheduling import runner
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Collection
+
+    from coltsfootarch import clock as clocks
+    from coltsfootarch.config import register
+    from coltsfootarch.protocol import network as networks
+    from coltsfootarch.zone import interfaces
+
+# The scheduler refuses at the deadline by itself; the wait ends a little later
+# in case that its poll loop has stopped.
+PATIENCE_MARGIN_SECONDS = 0.25
+
+
+class PoolKey(NamedTuple):
+    """Names a pool."""
+
+    service: str
+    scope: str
+
+
+class HeldPool(NamedTuple):
+    """A pool that this host schedules.
+
+    Attributes:
+        shard: Home shard of the pool.
+        epoch: Epoch of the lease under which it was started.
+        runner: Its scheduler.
+    """
+
+    shard: int
+    epoch: int
+    runner: runner.PoolRunner
+
+
+class PoolService:
+    """Answers schedule requests for pools whose home shard is held here.
+
+    The daemon calls `tick()` at `next_wakeup()`; messages are handled between.
+
+    Args:
+        clock: Clock of all instants.
+        network: Network between hosts.
+        leases: Shard leases of this host.
+        current: Returns the register in force.
+        home: Returns a pool's home by service and scope.
+        availability_zone: Zone of this host.
+        leaving: Returns the addresses that the host list reports as leaving.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        network: networks.PeerNetwork,
+        leases: interfaces.Leases,
+        current: Callable[[], register.Register],
+        home: Callable[[str, str], pools.Home],
+        availability_zone: str,
+        leaving: Callable[[], Collection[str]],
+    ) -> None:
+        self.clock = clock
+        self.network = network
+        self.leases = leases
+        self.current = current
+        self.home = home
+        self.availability_zone = availability_zone
+        self.leaving = leaving
+        self.held: dict[PoolKey, HeldPool] = {}
+
+    def start(self) -> None:
+        """Registers the message handlers."""
+        self.network.register(
+            messages.ScheduleRequest, self.handle_request, blocking=True
+        )
+        self.network.register(messages.ScheduleUpdate, self.handle_update)
+
+    def close(self) -> None:
+        """Refuses everything that waits; entry hosts look up the home again."""
+        for key in list(self.held):
+            self._drop(key)
+
+    def schedulers(self) -> list[pool.PoolScheduler]:
+        """Returns the schedulers under a valid lease."""
+        return [
+            held.runner.scheduler
+            for held in self.held.values()
+            if self._valid(held)
+        ]
+
+    def tick(self) -> None:
+        """Delivers decisions that are due and drops pools that moved."""
+        for key, held in list(self.held.items()):
+            if self._valid(held):
+                held.runner.tick()
+            else:
+                self._drop(key)
+
+    def next_wakeup(self) -> float | None:
+        """Returns when `tick()` is due, or None without pools."""
+        return min(
+            (
+                held.runner.scheduler.next_wakeup()
+                for held in self.held.values()
+            ),
+            default=None,
+        )
+
+    def handle_request(
+        self, sender: messages.Sender, message: messages.ScheduleRequest
+    ) -> messages.ScheduleReply:
+        """Waits for the decision about a request and answers with it."""
+        return self.schedule(message)
+
+    def handle_update(
+        self, sender: messages.Sender, message: messages.ScheduleUpdate
+    ) -> None:
+        """Applies steps of scheduled requests."""
+        held = self._find(message.service, message.scope, message.shard)
+        if held is not None:
+            held.runner.apply(message.events)
+
+    def schedule(
+        self, message: messages.ScheduleRequest
+    ) -> messages.ScheduleReply:
+        """Decides about a request of this or another host; may wait."""
+        held = self._find(message.service, message.scope, message.shard)
+        if held is None:
+            return refuse(message, results.NOT_HOME)
+        item = self._item(message)
+        patience = datetime.timedelta(
+            seconds=message.first_token_within + PATIENCE_MARGIN_SECONDS
+        )
+        decision = held.runner.decide(item, patience)
+        # The host may have been paused while the request waited; an assignment
+        # made after the lease ended would compete with those of its successor.
+        if not self._valid(held):
+            self._drop(PoolKey(message.service, message.scope))
+            return refuse(message, results.NOT_HOME)
+        return reply(decision)
+
+    def _find(self, service: str, scope: str, shard: int) -> HeldPool | None:
+        key = PoolKey(service, scope)
+        held = self.held.get(key)
+        if held is not None and held.shard == shard and self._valid(held):
+            return held
+        if held is not None:
+            self._drop(key)
+        current = self.current()
+        epoch = self.leases.epoch(shard)
+        if epoch is None or service not in current.services:
+            return None
+        home = self.home(service, scope)
+        if (home.availability_zone, home.shard) != (
+            self.availability_zone,
+            shard,
+        ):
+            return None
+        started = HeldPool(shard, epoch, self._runner(key))
+        self.held[key] = started
+        return started
+
+    def _runner(self, key: PoolKey) -> runner.PoolRunner:
+        members = pools.PoolMembers(
+            self.current, key.service, key.scope, self.leaving, self.clock
+        )
+        scheduler = pool.PoolScheduler(
+            self.clock, self.current().services[key.service], ()
+        )
+        return runner.PoolRunner(scheduler, members)
+
+    def _valid(self, held: HeldPool) -> bool:
+        return self.leases.epoch(held.shard) == held.epoch
+
+    def _drop(self, key: PoolKey) -> None:
+        held = self.held.pop(key, None)
+        if held is not None:
+            held.runner.stop(results.NOT_HOME)
+
+    def _item(self, message: messages.ScheduleRequest) -> items.WorkItem:
+        account = self.current().client_accounts.get(message.account)
+        return items.WorkItem(
+            request_id=message.request_id,
+            attempt=message.attempt,
+            account=message.account,
+            prompt_tokens=message.prompt_tokens,
+            max_output_tokens=message.max_output_tokens,
+            deadline=self.clock.monotonic() + message.first_token_within,
+            prefix_digests=tuple(message.prefix_digests),
+            digest=message.digest,
+            priority=message.priority,
+            excluded=frozenset(message.excluded),
+            weight=account.weight if account is not None else 1.0,
+        )
+
+
+def reply(decision: items.Decision) -> messages.ScheduleReply:
+    """Returns the message for a decision."""
+    if isinstance(decision, items.Assignment):
+        return messages.ScheduleReply(*decision, refusal=0, retry_after=0.0)
+    return messages.ScheduleReply(
+        decision.request_id,
+        decision.attempt,
+        prefill="",
+        decode="",
+        refusal=decision.code.number,
+        retry_after=decision.retry_after,
+    )
+
+
+def refuse(
+    message: messages.ScheduleRequest, code: results.ResultCode
+) -> messages.ScheduleReply:
+    """Returns a refusal of a request."""
+    return reply(items.Refusal(message.request_id, message.attempt, code, 0.0))
