Add the policy benchmark

Cause: the scheduler's targets are stated against round robin and least reported load. Change: event-driven runs of the real PoolScheduler on fake engines beside both baselines, and its cost at three pool sizes.

--- /dev/null
+++ b/benchmarks/policy.py
@@ -0,0 +1,388 @@
+"""Scheduling policies compared on small fake engines.
+
+`python -m benchmarks.policy` prints goodput, wasted prefill, the worst-served
+account, lost and refused requests of the pool scheduler beside two baselines,
+then processor time and memory of the scheduler at three pool sizes. Capacity
+is defined in `policy_workload.capacity`.
+"""
+
+from __future__ import annotations
+
+import statistics
+import sys
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from benchmarks import policy_engines
+from benchmarks import policy_hosts
+from benchmarks import policy_slopes
+from benchmarks import policy_workload
+from coltsfootarch.config import register
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from coltsfootarch.upstreams import engine
+
+SEEDS = (1, 2, 3, 4, 5)
+QUICK_SEEDS = (1, 2)
+DEPLOYMENTS = (policy_workload.PRAIRIE, policy_workload.TIERRA)
+LOADS = (0.7, 0.9, 1.0, 1.3)
+POLICIES = ("scheduler", "round-robin", "least-load")
+SITUATIONS = ("steady", "flood", "slow", "down", "restart")
+SITUATION_LOAD = 0.9
+
+WARM_UP_SECONDS = 10.0
+RUN_SECONDS = 60.0
+DRAIN_SECONDS = 60.0
+REPORT_SECONDS = 1.0
+REPORT_LAG_SECONDS = 0.5
+CACHE_SECONDS = 0.25
+
+FAULT_AT_SECONDS = 20.0
+FAULT_SECONDS = 20.0
+SLOWDOWN = 3.0
+RESTART_EVERY_SECONDS = 10.0
+RESTART_DRAIN_SECONDS = 6.0
+RESTART_DOWN_SECONDS = 2.0
+
+
+class Case(NamedTuple):
+    """One run."""
+
+    deployment: policy_workload.Deployment
+    load: float
+    situation: str
+    policy: str
+    seed: int
+
+
+class Measures(NamedTuple):
+    """Figures of one run, over requests that arrived after the warm-up.
+
+    Attributes:
+        goodput: Requests per second under both latency targets.
+        wasted: Share of prefill time whose result was never imported.
+        lost: Requests accepted and never answered completely.
+        refused: Requests refused as not run.
+        offered: Requests that arrived.
+        accounts: Goodput by account.
+    """
+
+    goodput: float
+    wasted: float
+    lost: int
+    refused: int
+    offered: int
+    accounts: dict[str, float]
+
+
+class Row(NamedTuple):
+    """Means over the seeds of one case; `spread` is a standard deviation.
+
+    Attributes:
+        deployment: Site.
+        load: Offered load as a share of capacity.
+        situation: Situation.
+        policy: Policy.
+        goodput: Requests per second under both latency targets.
+        spread: Standard deviation of the goodput over the seeds.
+        wasted: Share of prefill time whose result was never imported.
+        worst_share: Goodput of the worst-served account as a share of what it
+            may fairly have, least over the seeds.
+        flood_share: Least share of its undisturbed goodput that an account
+            other than the flooding one keeps; 1 in other situations.
+        lost: Requests accepted and never completed, over all seeds.
+        refused: Share of requests refused as not run.
+    """
+
+    deployment: str
+    load: float
+    situation: str
+    policy: str
+    goodput: float
+    spread: float
+    wasted: float
+    worst_share: float
+    flood_share: float
+    lost: int
+    refused: float
+
+
+def make_hosts(
+    case: Case, loop: policy_engines.Loop
+) -> policy_hosts.ScheduledHosts | policy_hosts.IndependentHosts:
+    """Returns the entry hosts of a case's policy."""
+    site = case.deployment
+    engines = policy_workload.upstreams(site.prefills, site.decodes, site.zones)
+    if case.policy == "scheduler":
+        return policy_hosts.ScheduledHosts(loop, engines, case.seed)
+    return policy_hosts.IndependentHosts(
+        loop, engines, case.seed, by_load=case.policy == "least-load"
+    )
+
+
+def plan_faults(
+    situation: str, loop: policy_engines.Loop, hosts: policy_hosts.Hosts
+) -> None:
+    """Plans what happens to the engines."""
+    first = next(iter(hosts.decodes))
+    if situation == "slow":
+        engine_ = hosts.decodes[first]
+        loop.after(FAULT_AT_SECONDS, engine_.set_slowdown, SLOWDOWN)
+    if situation == "down":
+        target = hosts.decodes[first]
+        loop.after(FAULT_AT_SECONDS, target.set_up, False)
+        loop.after(FAULT_AT_SECONDS + FAULT_SECONDS, target.set_up, True)
+    if situation != "restart":
+        return
+    for number, name in enumerate([*hosts.prefills, *hosts.decodes]):
+        at = WARM_UP_SECONDS + number * RESTART_EVERY_SECONDS
+        down_at = at + RESTART_DRAIN_SECONDS
+        up_at = down_at + RESTART_DOWN_SECONDS
+        machine = hosts.prefills.get(name) or hosts.decodes[name]
+        draining = register.UpstreamState.DRAINING
+        loop.after(at, hosts.set_state, name, draining)
+        loop.after(down_at, machine.set_up, False)
+        loop.after(up_at, machine.set_up, True)
+        active = register.UpstreamState.ACTIVE
+        loop.after(up_at, hosts.set_state, name, active)
+
+
+class Feeds:
+    """Delivers load reports and cache events late."""
+
+    def __init__(
+        self, loop: policy_engines.Loop, hosts: policy_hosts.Hosts
+    ) -> None:
+        self.loop = loop
+        self.hosts = hosts
+        self.sent = dict.fromkeys(hosts.prefills, 0)
+
+    def reports(self) -> None:
+        """Takes all loads now and delivers them after the lag."""
+        machines: dict[str, policy_engines.Machine] = {
+            **self.hosts.prefills,
+            **self.hosts.decodes,
+        }
+        for name, machine in machines.items():
+            if machine.up:
+                load = machine.load()
+                self.loop.after(REPORT_LAG_SECONDS, self._report, name, load)
+        self.loop.after(REPORT_SECONDS, self.reports)
+
+    def cache_events(self) -> None:
+        """Delivers new cache events after the lag."""
+        for name, machine in self.hosts.prefills.items():
+            for event in machine.events[self.sent[name] :]:
+                self.loop.after(
+                    REPORT_LAG_SECONDS, self.hosts.cache_event, name, event
+                )
+            self.sent[name] = len(machine.events)
+        self.loop.after(CACHE_SECONDS, self.cache_events)
+
+    def _report(self, name: str, load: engine.LoadReport) -> None:
+        self.hosts.load_report(name, load._replace(age=REPORT_LAG_SECONDS))
+
+
+def simulate(case: Case, scale: float) -> Measures:
+    """Runs one case for `scale` times the usual length."""
+    loop = policy_engines.Loop()
+    hosts = make_hosts(case, loop)
+    feeds = Feeds(loop, hosts)
+    feeds.reports()
+    feeds.cache_events()
+    plan_faults(case.situation, loop, hosts)
+    seconds = WARM_UP_SECONDS + RUN_SECONDS * scale
+    requests = policy_workload.requests(
+        case.deployment,
+        case.load * policy_workload.capacity(case.deployment),
+        seconds,
+        loop.start,
+        case.seed,
+        case.situation == "flood",
+    )
+    for request in requests:
+        loop.after(request.arrival - loop.now, hosts.arrive, request)
+    loop.run(loop.start + seconds + DRAIN_SECONDS)
+    return measure(hosts, loop.start + WARM_UP_SECONDS, RUN_SECONDS * scale)
+
+
+def measure(
+    hosts: policy_hosts.Hosts, begin: float, seconds: float
+) -> Measures:
+    """Returns the figures of a finished run."""
+    counted = [
+        outcome
+        for outcome in hosts.outcomes
+        if outcome.request.arrival >= begin
+    ]
+    accounts = dict.fromkeys(policy_workload.ACCOUNT_SHARES, 0.0)
+    for outcome in counted:
+        if outcome.good():
+            accounts[outcome.request.account] += 1 / seconds
+    spent = sum(machine.spent for machine in hosts.prefills.values())
+    used = sum(machine.used for machine in hosts.prefills.values())
+    refused = sum(outcome.refused for outcome in counted)
+    done = sum(bool(outcome.done_at) for outcome in counted)
+    return Measures(
+        goodput=sum(accounts.values()),
+        wasted=1 - used / spent if spent else 0.0,
+        lost=len(counted) - refused - done,
+        refused=refused,
+        offered=len(counted),
+        accounts=accounts,
+    )
+
+
+def fair_rates(case: Case) -> dict[str, float]:
+    """Returns the max-min fair rate of each account, requests per second."""
+    capacity = policy_workload.capacity(case.deployment)
+    shares = policy_workload.ACCOUNT_SHARES
+    offered = {
+        name: share * case.load * capacity for name, share in shares.items()
+    }
+    if case.situation == "flood":
+        offered[policy_workload.FLOODING_ACCOUNT] *= (
+            policy_workload.FLOOD_FACTOR
+        )
+    fair: dict[str, float] = {}
+    left = capacity
+    open_accounts = dict(shares)
+    while open_accounts:
+        unit = left / sum(open_accounts.values())
+        satisfied = [
+            name
+            for name, share in open_accounts.items()
+            if offered[name] <= unit * share
+        ]
+        for name in satisfied or list(open_accounts):
+            fair[name] = min(offered[name], unit * open_accounts[name])
+        for name in satisfied or list(open_accounts):
+            left -= fair[name]
+            del open_accounts[name]
+    return fair
+
+
+def worst_share(case: Case, measures: Measures) -> float:
+    """Returns the worst account's goodput as a share of its fair rate."""
+    fair = fair_rates(case)
+    return min(measures.accounts[name] / rate for name, rate in fair.items())
+
+
+def kept_share(measures: Measures, undisturbed: Measures) -> float:
+    """Returns the least share of its goodput that another account keeps.
+
+    It is 0 if no other account had any goodput to keep.
+    """
+    return min(
+        (
+            measures.accounts[name] / undisturbed.accounts[name]
+            for name in measures.accounts
+            if name != policy_workload.FLOODING_ACCOUNT
+            and undisturbed.accounts[name]
+        ),
+        default=0.0,
+    )
+
+
+def cases(seed: int) -> list[Case]:
+    """Returns the cases of one seed, steady ones first."""
+    steady = [
+        Case(site, load, "steady", policy, seed)
+        for site in DEPLOYMENTS
+        for load in LOADS
+        for policy in POLICIES
+    ]
+    disturbed = [
+        Case(site, SITUATION_LOAD, situation, policy, seed)
+        for site in DEPLOYMENTS
+        for situation in SITUATIONS[1:]
+        for policy in POLICIES
+    ]
+    return steady + disturbed
+
+
+def run(seeds: Sequence[int] = SEEDS, scale: float = 1.0) -> list[Row]:
+    """Runs all cases and returns their rows in a fixed order.
+
+    Args:
+        seeds: Seeds of the arrivals.
+        scale: Length of each run, as a multiple of 60 s.
+    """
+    measured = {
+        case: simulate(case, scale) for seed in seeds for case in cases(seed)
+    }
+    return [
+        summarize([case._replace(seed=seed) for seed in seeds], measured)
+        for case in cases(seeds[0])
+    ]
+
+
+def summarize(group: Sequence[Case], measured: dict[Case, Measures]) -> Row:
+    """Returns the row of one case over its seeds."""
+    results = [measured[case] for case in group]
+    first = group[0]
+    goodputs = [result.goodput for result in results]
+    kept = [1.0]
+    if first.situation == "flood":
+        kept = [
+            kept_share(
+                measured[case], measured[case._replace(situation="steady")]
+            )
+            for case in group
+        ]
+    offered = sum(result.offered for result in results)
+    return Row(
+        deployment=first.deployment.name,
+        load=first.load,
+        situation=first.situation,
+        policy=first.policy,
+        goodput=statistics.mean(goodputs),
+        spread=statistics.pstdev(goodputs),
+        wasted=statistics.mean(result.wasted for result in results),
+        worst_share=min(worst_share(case, measured[case]) for case in group),
+        flood_share=min(kept),
+        lost=sum(result.lost for result in results),
+        refused=sum(result.refused for result in results) / offered,
+    )
+
+
+def gain(row: Row, rows: Sequence[Row]) -> float:
+    """Returns a row's goodput over that of the better baseline."""
+    baselines = [
+        other.goodput
+        for other in rows
+        if other[:3] == row[:3] and other.policy != "scheduler"
+    ]
+    return row.goodput / max(baselines) if max(baselines) else float("inf")
+
+
+def print_rows(rows: Sequence[Row]) -> None:
+    """Prints the table of policies."""
+    print(
+        "site    load situation policy      goodput  +-    gain wasted "
+        "worst kept  lost refused"
+    )
+    for row in rows:
+        ratio = gain(row, rows) if row.policy == "scheduler" else 1.0
+        print(
+            f"{row.deployment:7} {row.load:4.1f} {row.situation:9} "
+            f"{row.policy:11} {row.goodput:7.2f} {row.spread:5.2f} "
+            f"{ratio:5.2f} {row.wasted:6.1%} {row.worst_share:5.2f} "
+            f"{row.flood_share:5.2f} {row.lost:4} {row.refused:6.1%}"
+        )
+
+
+def main() -> None:
+    """Prints both tables; `--quick` runs fewer seeds for half the time."""
+    quick = "--quick" in sys.argv[1:]
+    for site in DEPLOYMENTS:
+        rate = policy_workload.capacity(site)
+        print(f"capacity of {site.name}: {rate:.2f} requests/s")
+    print_rows(run(QUICK_SEEDS, 0.5) if quick else run())
+    policy_slopes.print_rows(policy_slopes.run())
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/policy_engines.py
+++ b/benchmarks/policy_engines.py
@@ -6,6 +6,7 @@
 import heapq
 import itertools
 from typing import TYPE_CHECKING
+from typing import Protocol
 
 from benchmarks import policy_workload
 from coltsfootarch import clock as clocks
@@ -81,6 +82,15 @@
         return -(-(self.prompt_tokens + rest) // 2000)
 
 
+class Machine(Protocol):
+    """What both kinds of engine have in common."""
+
+    up: bool
+
+    def load(self) -> engine.LoadReport:
+        """Returns the load now."""
+
+
 class PrefillEngine:
     """Runs prefills one by one and keeps their results for a short time."""
 
