--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -67,6 +67,7 @@
         refused: Requests refused as not run.
         offered: Requests that arrived.
         accounts: Goodput by account.
+        arrived: Requests per second that arrived, by account.
     """
 
     goodput: float
@@ -75,6 +76,7 @@
     refused: int
     offered: int
     accounts: dict[str, float]
+    arrived: dict[str, float]
 
 
 class Row(NamedTuple):
@@ -218,7 +220,9 @@
         if outcome.request.arrival >= begin
     ]
     accounts = dict.fromkeys(policy_workload.ACCOUNT_SHARES, 0.0)
+    arrived = dict.fromkeys(policy_workload.ACCOUNT_SHARES, 0.0)
     for outcome in counted:
+        arrived[outcome.request.account] += 1 / seconds
         if outcome.good():
             accounts[outcome.request.account] += 1 / seconds
     spent = sum(machine.spent for machine in hosts.prefills.values())
@@ -232,20 +236,19 @@
         refused=refused,
         offered=len(counted),
         accounts=accounts,
+        arrived=arrived,
     )
 
 
-def fair_rates(case: Case) -> dict[str, float]:
-    """Returns the max-min fair rate of each account, requests per second."""
+def fair_rates(case: Case, measures: Measures) -> dict[str, float]:
+    """Returns the max-min fair rate of each account, requests per second.
+
+    An account may have what it sent, up to its weighted share of capacity plus
+    what others leave over.
+    """
     capacity = policy_workload.capacity(case.deployment)
     shares = policy_workload.ACCOUNT_SHARES
-    offered = {
-        name: share * case.load * capacity for name, share in shares.items()
-    }
-    if case.situation == "flood":
-        offered[policy_workload.FLOODING_ACCOUNT] *= (
-            policy_workload.FLOOD_FACTOR
-        )
+    offered = measures.arrived
     fair: dict[str, float] = {}
     left = capacity
     open_accounts = dict(shares)
@@ -266,8 +269,10 @@
 
 def worst_share(case: Case, measures: Measures) -> float:
     """Returns the worst account's goodput as a share of its fair rate."""
-    fair = fair_rates(case)
-    return min(measures.accounts[name] / rate for name, rate in fair.items())
+    fair = fair_rates(case, measures)
+    return min(
+        measures.accounts[name] / rate for name, rate in fair.items() if rate
+    )
 
 
 def kept_share(measures: Measures, undisturbed: Measures) -> float:
--- a/benchmarks/policy_workload.py
+++ b/benchmarks/policy_workload.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 from typing import NamedTuple
 
@@ -115,6 +116,7 @@
     return prompt, min(max(output, SHORTEST_OUTPUT), LONGEST_OUTPUT)
 
 
+@functools.cache
 def capacity(deployment: Deployment) -> float:
     """Returns the requests per second that a deployment can run.
 
--- a/src/coltsfootarch/scheduling/decode.py
+++ b/src/coltsfootarch/scheduling/decode.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import math
 from typing import TYPE_CHECKING
 
@@ -82,7 +83,7 @@
         self.upstream = upstream
         self.health = health.Health()
         self.reservations: dict[items.AttemptKey, Reservation] = {}
-        self.recent: list[Reservation] = []
+        self.recent: collections.deque[Reservation] = collections.deque()
         self.used_pieces = 0
         self.running = 0
         self.foreign_slots = 0
@@ -93,13 +94,18 @@
 
     def pieces(self, item: items.WorkItem) -> int:
         """Returns the memory pieces that an item needs at most."""
-        return math.ceil(item.cost / self.upstream.piece_tokens)
+        return -(-item.cost // self.upstream.piece_tokens)
 
     @property
     def used_slots(self) -> int:
         """Slots held by reservations and by other schedulers' requests."""
         return len(self.reservations) + self.foreign_slots
 
+    @property
+    def used_share(self) -> float:
+        """Used slots as a share of all slots; above 1 with some ahead."""
+        return self.used_slots / max(1, self.upstream.slots)
+
     def ahead(self, pieces: int) -> int:
         """Returns how many requests must end before one more fits."""
         slots = max(0, self.used_slots + 1 - self.upstream.slots)
@@ -156,9 +162,8 @@
             self.running -= 1
         self.recent.append(reservation)
         limit = now - prefill.FORGET_SECONDS
-        self.recent = [
-            entry for entry in self.recent if (entry.released_at or 0) > limit
-        ]
+        while (self.recent[0].released_at or 0.0) <= limit:
+            self.recent.popleft()
         return reservation
 
     def measure(self, seconds: float, tokens: int) -> None:
--- a/src/coltsfootarch/scheduling/links.py
+++ b/src/coltsfootarch/scheduling/links.py
@@ -22,10 +22,11 @@
 
     def __init__(self) -> None:
         self.bookings: dict[str, dict[items.AttemptKey, float]] = {}
+        self.ends: dict[str, float] = {}
 
     def free_at(self, upstream: str) -> float:
         """Returns when the last booked transfer ends; 0 if none is booked."""
-        return max(self.bookings.get(upstream, {}).values(), default=0.0)
+        return self.ends.get(upstream, 0.0)
 
     def plan(
         self,
@@ -50,10 +51,17 @@
         slot: TransferSlot,
     ) -> None:
         """Books a planned slot on both links."""
-        self.bookings.setdefault(source, {})[key] = slot.end
-        self.bookings.setdefault(target, {})[key] = slot.end
+        for upstream in (source, target):
+            self.bookings.setdefault(upstream, {})[key] = slot.end
+            self._update(upstream)
 
     def release(self, source: str, target: str, key: items.AttemptKey) -> None:
         """Removes a booking; an unknown one is no error."""
-        self.bookings.get(source, {}).pop(key, None)
-        self.bookings.get(target, {}).pop(key, None)
+        for upstream in (source, target):
+            booked = self.bookings.get(upstream, {})
+            if booked.pop(key, None) is not None:
+                self._update(upstream)
+
+    def _update(self, upstream: str) -> None:
+        booked = self.bookings[upstream]
+        self.ends[upstream] = max(booked.values(), default=0.0)
--- a/src/coltsfootarch/scheduling/placement.py
+++ b/src/coltsfootarch/scheduling/placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import heapq
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -10,7 +11,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
-    from collections.abc import Sequence
 
     from coltsfootarch.scheduling import decode
     from coltsfootarch.scheduling import items
@@ -31,6 +31,10 @@
 FULL_ENGINE_SECONDS = 0.5
 SUSPECT_SECONDS = 5.0
 
+# Decode engines compared in detail; the cost of a decision would otherwise
+# grow with the pool.
+CANDIDATES = 8
+
 
 class Blocker(enum.Enum):
     """Why an item can't be placed now."""
@@ -95,7 +99,7 @@
 
 
 def choose_prefill(
-    item: items.WorkItem, queues: Sequence[prefill.PrefillQueue], now: float
+    item: items.WorkItem, queues: Iterable[prefill.PrefillQueue], now: float
 ) -> PrefillChoice | Blocker:
     """Chooses the engine that would end the item's prefill first."""
     best: PrefillChoice | None = None
@@ -119,7 +123,7 @@
 def choose_decode(
     item: items.WorkItem,
     source: PrefillChoice,
-    engines: Sequence[decode.DecodeCapacity],
+    engines: Iterable[decode.DecodeCapacity],
     book: links.LinkBook,
     timing: Timing,
     suspected: bool,
@@ -129,11 +133,7 @@
     best_score = 0.0
     blocker = Blocker.NO_ENGINE
     life_end = source.end + timing.result_life * USABLE_LIFE
-    for target in engines:
-        if not eligible(target.upstream, item) or not target.health.usable(
-            timing.now
-        ):
-            continue
+    for target in least_used(item, engines, timing.now):
         pieces = target.pieces(item)
         slot = book.plan(
             source.queue.upstream,
@@ -151,8 +151,7 @@
         if not target.fits(pieces, latest - timing.now, timing.residence):
             blocker = Blocker.DECODE
             continue
-        used = target.used_slots / max(1, target.upstream.slots)
-        score = slot.end + used * FULL_ENGINE_SECONDS
+        score = slot.end + target.used_share * FULL_ENGINE_SECONDS
         if suspected:
             score += SUSPECT_SECONDS * len(target.reservations)
         if best is None or score < best_score:
@@ -173,21 +172,45 @@
     Returns None if no pair of engines may run the item at all.
     """
     sources = [queue for queue in queues if eligible(queue.upstream, item)]
-    link_rate = max(
-        (
-            target.upstream.link_rate
-            for target in engines
-            if eligible(target.upstream, item)
-            and target.pieces(item) <= target.upstream.memory_pieces
-        ),
-        default=0.0,
+    runnable = any(
+        eligible(target.upstream, item)
+        and target.pieces(item) <= target.upstream.memory_pieces
+        for target in engines
     )
-    if not sources or not link_rate:
+    if not sources or not runnable:
         return None
     return min(
         queue.uncached(item) / queue.upstream.prefill_rate
         + item.prompt_tokens
         * queue.upstream.kv_bytes_per_token
-        / min(link_rate, queue.upstream.link_rate)
+        / queue.upstream.link_rate
         for queue in sources
     )
+
+
+def earliest_start(queues: Iterable[prefill.PrefillQueue], now: float) -> float:
+    """Returns when a prefill engine will take work, `now` at the earliest."""
+    starts = [
+        queue.free_at(now)
+        for queue in queues
+        if eligible(queue.upstream) and queue.health.usable(now)
+    ]
+    return max(now, min(starts, default=now) - LOOKAHEAD_SECONDS)
+
+
+def least_used(
+    item: items.WorkItem,
+    engines: Iterable[decode.DecodeCapacity],
+    now: float,
+) -> list[decode.DecodeCapacity]:
+    """Returns the engines worth a closer look, at most `CANDIDATES`."""
+    usable = [
+        target
+        for target in engines
+        if eligible(target.upstream, item) and target.health.usable(now)
+    ]
+    if len(usable) <= CANDIDATES:
+        return usable
+    return heapq.nsmallest(
+        CANDIDATES, usable, key=lambda target: target.used_share
+    )
--- a/src/coltsfootarch/scheduling/pool.py
+++ b/src/coltsfootarch/scheduling/pool.py
@@ -93,10 +93,12 @@
         self.refusals: list[items.Refusal] = []
         self.blocker: placement.Blocker | None = None
         self.next_housekeeping = 0.0
+        self.prefill_free_at = 0.0
         self.set_upstreams(upstreams)
 
     def set_upstreams(self, upstreams: Iterable[register.Upstream]) -> None:
         """Sets the pool's engines; known ones keep their state."""
+        self.prefill_free_at = 0.0
         named = {upstream.name: upstream for upstream in upstreams}
         for name in [*self.prefills, *self.decodes]:
             if name not in named:
@@ -158,7 +160,7 @@
         decisions: list[items.Decision] = list(self.refusals)
         self.refusals.clear()
         self.blocker = None
-        while self.queue:
+        while self.queue and now >= self.prefill_free_at:
             assignment = self._place_next(now)
             if assignment is None:
                 break
@@ -174,7 +176,8 @@
         if self.refusals:
             return now
         if self.queue:
-            wakeup = min(wakeup, now + RECHECK_SECONDS)
+            recheck = max(now + RECHECK_SECONDS, self.prefill_free_at)
+            wakeup = min(wakeup, recheck)
         return max(wakeup, now)
 
     def apply(self, event: messages.ScheduleEvent) -> None:
@@ -198,6 +201,7 @@
         now = self.clock.monotonic()
         queue = self.prefills.get(upstream)
         if queue is not None:
+            self.prefill_free_at = 0.0
             queue.report(load, now)
         capacity = self.decodes.get(upstream)
         if capacity is not None:
@@ -216,6 +220,10 @@
             if isinstance(place, placement.Place):
                 return self._assign(item, place, now)
             self.blocker = place
+            if place is placement.Blocker.PREFILL and not item.excluded:
+                self.prefill_free_at = placement.earliest_start(
+                    self.prefills.values(), now
+                )
             # Serving other accounts past an item that waits for capacity would
             # starve requests that need much memory. An item whose exclusions
             # or deadline rule out the free engines holds nobody back.
@@ -230,9 +238,7 @@
     def _find_place(
         self, item: items.WorkItem, now: float
     ) -> placement.Place | placement.Blocker:
-        source = placement.choose_prefill(
-            item, list(self.prefills.values()), now
-        )
+        source = placement.choose_prefill(item, self.prefills.values(), now)
         if isinstance(source, placement.Blocker):
             return source
         timing = placement.Timing(
@@ -244,7 +250,7 @@
         return placement.choose_decode(
             item,
             source,
-            list(self.decodes.values()),
+            self.decodes.values(),
             self.links,
             timing,
             self.quarantine.suspected(item.digest),
@@ -267,6 +273,7 @@
     def _prefilled(
         self, key: items.AttemptKey, flight: Flight, now: float
     ) -> None:
+        self.prefill_free_at = 0.0
         queue = self.prefills.get(flight.prefill)
         if queue is None:
             return
@@ -344,7 +351,8 @@
             return
         self.links.release(flight.prefill, flight.decode, key)
         queue = self.prefills.get(flight.prefill)
-        if queue is not None:
+        if queue is not None and key in queue.open:
+            self.prefill_free_at = 0.0
             queue.drop(key, now)
         capacity = self.decodes.get(flight.decode)
         if capacity is not None:
@@ -352,6 +360,7 @@
 
     def _keep_house(self, now: float) -> None:
         self.next_housekeeping = now + HOUSEKEEPING_SECONDS
+        self.prefill_free_at = 0.0
         self.queue.prune()
         for queue in self.prefills.values():
             queue.expire(now)
--- a/src/coltsfootarch/scheduling/prefill.py
+++ b/src/coltsfootarch/scheduling/prefill.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -53,7 +54,9 @@
         self.health = health.Health()
         self.cache = cache_view.CacheView()
         self.open: dict[items.AttemptKey, PrefillWork] = {}
-        self.recent: list[tuple[float, PrefillWork]] = []
+        self.open_seconds = 0.0
+        self.recent: collections.deque[tuple[float, PrefillWork]]
+        self.recent = collections.deque()
         self.head_started = 0.0
         self.foreign_until = 0.0
         self.slowdown = 1.0
@@ -71,10 +74,10 @@
 
     def free_at(self, now: float) -> float:
         """Returns when the engine will have done its open work."""
-        total = sum(work.seconds for work in self.open.values())
-        total *= max(1.0, self.slowdown)
-        started = self.head_started if self.open else now
-        return max(now, self.foreign_until, started + total)
+        if not self.open:
+            return max(now, self.foreign_until)
+        total = self.open_seconds * max(1.0, self.slowdown)
+        return max(now, self.foreign_until, self.head_started + total)
 
     def overdue(self, now: float) -> bool:
         """Returns whether the oldest prefill should have ended long ago."""
@@ -94,6 +97,7 @@
         seconds = tokens / self.upstream.prefill_rate
         work = PrefillWork(tokens, seconds, now)
         self.open[key] = work
+        self.open_seconds += seconds
         self.health.dispatched(now)
         return work
 
@@ -116,10 +120,12 @@
         work = self.open.pop(key, None)
         if work is None:
             return
+        self.open_seconds = max(0.0, self.open_seconds - work.seconds)
         self.head_started = now
         self.recent.append((now, work))
         limit = now - FORGET_SECONDS
-        self.recent = [entry for entry in self.recent if entry[0] > limit]
+        while self.recent[0][0] <= limit:
+            self.recent.popleft()
 
     def report(self, load: engine.LoadReport, now: float) -> None:
         """Corrects the estimate by a report of `load.age` seconds ago.
--- a/src/coltsfootarch/scheduling/speed.py
+++ b/src/coltsfootarch/scheduling/speed.py
@@ -31,14 +31,12 @@
     """
     if capacity.samples < FEWEST_SAMPLES or capacity.token_seconds <= target:
         return False
-    others = [
-        other.token_seconds
-        for other in pool
-        if other is not capacity and other.samples
-    ]
+    others = [other for other in pool if other is not capacity]
     if not others:
         return False
-    return capacity.token_seconds > SLOW_FACTOR * statistics.median(others)
+    measured = [other.token_seconds for other in others if other.samples]
+    usual = statistics.median(measured) if measured else target
+    return capacity.token_seconds > SLOW_FACTOR * usual
 
 
 def prefill_is_slow(
@@ -53,6 +51,8 @@
         pool: All prefill engines; the last usable one is never slow.
         now: Monotonic instant.
     """
+    if queue.slowdown <= SLOW_FACTOR * HEALTHY_SLOWDOWN:
+        return False
     others = [
         max(HEALTHY_SLOWDOWN, other.slowdown)
         for other in pool
--- /dev/null
+++ b/tests/scheduling/test_plain.py
@@ -0,0 +1,89 @@
+"""Guards against plain calls to failing, leaving or overloaded upstreams."""
+
+from __future__ import annotations
+
+import datetime
+import random
+
+import pytest
+
+from coltsfootarch import errors
+from coltsfootarch.config import register
+from coltsfootarch.scheduling import plain
+from tests.fakes import pools
+
+
+def make_balancer(clock, leaving=(), **changes):
+    upstreams = [
+        pools.make_upstream(f"u{number}", "plain", number, slots=10)
+        for number in range(3)
+    ]
+    upstreams = [
+        entry._replace(**changes.get(entry.name, {})) for entry in upstreams
+    ]
+    current = pools.make_register(upstreams)
+    return plain.PlainBalancer(
+        clock, lambda: current, "regina", lambda: leaving, random.Random(1)
+    )
+
+
+def chosen(balancer, count=50):
+    return {balancer.choose("records").name for _ in range(count)}
+
+
+def test_less_loaded_upstream_is_preferred(manual_clock):
+    balancer = make_balancer(manual_clock)
+    for _ in range(5):
+        balancer.started("u0")
+    balancer.report("u1", 6)
+
+    assert chosen(balancer) <= {"u0", "u2"}
+    assert balancer.load(balancer.current().upstreams["u1"]) == 0.6
+
+
+def test_own_zone_is_preferred_until_it_is_overloaded(manual_clock):
+    far = {"availability_zone": "brandon"}
+    balancer = make_balancer(manual_clock, u1=far, u2=far)
+    assert chosen(balancer) == {"u0"}
+
+    for _ in range(9):
+        balancer.started("u0")
+
+    assert chosen(balancer) == {"u1", "u2"}
+
+
+def test_failures_eject_for_a_growing_time_with_one_probe(manual_clock):
+    balancer = make_balancer(manual_clock)
+    for _ in range(3):
+        balancer.started("u0")
+        balancer.failed("u0")
+    assert "u0" not in chosen(balancer)
+
+    manual_clock.advance(datetime.timedelta(seconds=1.1))
+    assert "u0" in chosen(balancer)
+    balancer.started("u0")
+    assert "u0" not in chosen(balancer)
+    balancer.failed("u0")
+    manual_clock.advance(datetime.timedelta(seconds=1.1))
+    assert "u0" not in chosen(balancer)
+    manual_clock.advance(datetime.timedelta(seconds=1.0))
+    balancer.started("u0")
+    balancer.finished("u0")
+    assert "u0" in chosen(balancer)
+
+
+@pytest.mark.matrix(
+    invariant=8,
+    fault="none",
+    step="choose plain upstream",
+    seen_red="check of the upstream's state",
+)
+def test_leaving_upstreams_are_not_chosen(manual_clock):
+    draining = {"state": register.UpstreamState.DRAINING}
+    balancer = make_balancer(
+        manual_clock, leaving={"127.0.0.1:7001"}, u0=draining
+    )
+
+    assert chosen(balancer) == {"u2"}
+    with pytest.raises(errors.RefusedError):
+        balancer.choose("records", excluded={"u2"})
--- /dev/null
+++ b/tests/scheduling/test_pool.py
@@ -0,0 +1,307 @@
+"""Guards against prefills without a decode slot, work on failing engines,
+engine capacity held for requests that are gone, and late refusals.
+"""
+
+from __future__ import annotations
+
+import datetime
+
+import pytest
+
+from coltsfootarch import results
+from coltsfootarch.config import register
+from coltsfootarch.scheduling import items
+from coltsfootarch.scheduling import pool
+from coltsfootarch.upstreams import engine
+from tests.fakes import pools
+
+
+def seconds(amount):
+    return datetime.timedelta(seconds=amount)
+
+
+def make_scheduler(clock, upstreams=None):
+    return pool.PoolScheduler(
+        clock, pools.SERVICE, upstreams or pools.make_pool()
+    )
+
+
+def place(scheduler, item):
+    """Submits an item and returns the decision about it, or None."""
+    scheduler.submit(item)
+    found = [entry for entry in scheduler.poll() if entry[:2] == item.key]
+    return found[0] if found else None
+
+
+def start(scheduler, clock, item, transferred=True):
+    """Places an item and brings it into its decode engine."""
+    decision = place(scheduler, item)
+    scheduler.apply(pools.make_event(decision, "prefilled", decision.prefill))
+    if transferred:
+        scheduler.apply(
+            pools.make_event(decision, "transferred", decision.decode)
+        )
+    return decision
+
+
+def one_each(**values):
+    return [
+        pools.make_upstream("p1", "prefill", 1),
+        pools.make_upstream("d1", "decode", 3, **values),
+    ]
+
+
+def test_prefill_is_held_back_until_a_decode_slot_is_free(manual_clock):
+    scheduler = make_scheduler(manual_clock, one_each(slots=1))
+    first = start(scheduler, manual_clock, pools.make_item(1, manual_clock))
+
+    assert place(scheduler, pools.make_item(2, manual_clock)) is None
+
+    scheduler.apply(pools.make_event(first, "finished", "d1", 50))
+    assert [entry.request_id for entry in scheduler.poll()] == ["r2"]
+
+
+def test_memory_pieces_are_reserved_before_the_prefill(manual_clock):
+    scheduler = make_scheduler(manual_clock, one_each(memory_pieces=3))
+    big = {"prompt_tokens": 3500}
+
+    assert place(scheduler, pools.make_item(1, manual_clock, **big))
+    manual_clock.advance(seconds(0.2))
+
+    assert place(scheduler, pools.make_item(2, manual_clock, **big)) is None
+
+
+def test_prefill_starts_ahead_of_a_slot_that_will_be_free(manual_clock):
+    scheduler = make_scheduler(manual_clock, one_each(slots=20))
+    scheduler.residence = 2.0
+    for number in range(20):
+        start(scheduler, manual_clock, pools.make_item(number, manual_clock))
+
+    assert place(scheduler, pools.make_item(20, manual_clock)) is not None
+
+
+def test_request_that_would_be_late_is_refused_as_not_run(manual_clock):
+    scheduler = make_scheduler(manual_clock, one_each(slots=1))
+    start(scheduler, manual_clock, pools.make_item(1, manual_clock))
+    scheduler.submit(pools.make_item(2, manual_clock))
+    scheduler.poll()
+    manual_clock.advance(seconds(1.25))
+
+    (refusal,) = scheduler.poll()
+
+    assert refusal.code is results.OVERLOADED
+    assert refusal.retry_after > 0
+    assert not scheduler.queue
+
+
+def test_cached_prefix_attracts_the_request_until_a_gap(manual_clock):
+    scheduler = make_scheduler(manual_clock)
+    prefix = (11, 12, 13)
+    scheduler.cache_event("p2", engine.CacheEvent(1, prefix, ()))
+    cached = pools.make_item(1, manual_clock, prefix_digests=prefix)
+
+    assert place(scheduler, cached).prefill == "p2"
+
+    scheduler.cache_event("p2", engine.CacheEvent(3, (99,), ()))
+    view = scheduler.prefills["p2"].cache
+    assert view.cached_tokens(prefix, 2000) == 0
+    assert view.gaps == 1
+
+
+def test_busy_link_moves_the_transfer_to_another_engine(manual_clock):
+    slow = {"link_rate": 2e8}
+    scheduler = make_scheduler(manual_clock, pools.make_pool(**slow))
+    first = place(scheduler, pools.make_item(1, manual_clock))
+    second = place(scheduler, pools.make_item(2, manual_clock))
+
+    assert first.prefill != second.prefill
+    assert first.decode != second.decode
+
+
+def test_load_report_counts_only_work_of_others(manual_clock):
+    scheduler = make_scheduler(manual_clock, one_each(slots=4))
+    manual_clock.advance(seconds(1))
+    start(scheduler, manual_clock, pools.make_item(1, manual_clock))
+    manual_clock.advance(seconds(1))
+    scheduler.report("d1", engine.LoadReport(3, 0, 60, 0, age=0.5))
+
+    assert scheduler.decodes["d1"].foreign_slots == 2
+
+    # The second request was dispatched after the report was true.
+    start(scheduler, manual_clock, pools.make_item(2, manual_clock))
+    scheduler.report("d1", engine.LoadReport(3, 0, 60, 0, age=0.5))
+
+    assert scheduler.decodes["d1"].foreign_slots == 2
+
+
+@pytest.mark.parametrize("upstream", ["p1", "d1"])
+def test_failing_engine_gets_one_probe_after_a_pause(manual_clock, upstream):
+    scheduler = make_scheduler(manual_clock)
+    state = {**scheduler.prefills, **scheduler.decodes}[upstream]
+    for number in (1, 2):
+        others = frozenset({"p1", "p2", "d1", "d2"}) - {upstream}
+        same_role = {name for name in others if name[0] == upstream[0]}
+        item = pools.make_item(
+            number, manual_clock, excluded=frozenset(same_role)
+        )
+        decision = place(scheduler, item)
+        scheduler.apply(pools.make_event(decision, "failed", upstream))
+
+    assert not state.health.usable(manual_clock.monotonic())
+    manual_clock.advance(seconds(1.1))
+    assert state.health.usable(manual_clock.monotonic())
+    state.health.dispatched(manual_clock.monotonic())
+    assert not state.health.usable(manual_clock.monotonic())
+
+
+def test_slow_decode_engine_is_treated_as_failing(manual_clock):
+    scheduler = make_scheduler(manual_clock)
+    for number in range(6):
+        decision = start(
+            scheduler, manual_clock, pools.make_item(number, manual_clock)
+        )
+        manual_clock.advance(seconds(9 if decision.decode == "d1" else 2))
+        scheduler.apply(
+            pools.make_event(decision, "finished", decision.decode, 50)
+        )
+
+    now = manual_clock.monotonic()
+    assert scheduler.decodes["d1"].health.ejections
+    assert scheduler.decodes["d2"].health.usable(now)
+
+
+def test_slow_prefill_engine_is_treated_as_failing(manual_clock):
+    scheduler = make_scheduler(manual_clock)
+    for number in range(8):
+        decision = place(scheduler, pools.make_item(number, manual_clock))
+        manual_clock.advance(seconds(0.4 if decision.prefill == "p1" else 0.1))
+        scheduler.apply(
+            pools.make_event(decision, "prefilled", decision.prefill)
+        )
+        scheduler.apply(pools.make_event(decision, "finished", "", 10))
+
+    assert scheduler.prefills["p1"].health.ejections
+
+
+@pytest.mark.matrix(
+    invariant=5,
+    fault="crashing request",
+    step="decode",
+    seen_red="count of crashes by request digest",
+)
+def test_request_that_crashed_twice_is_quarantined_alone(manual_clock):
+    scheduler = make_scheduler(manual_clock)
+    for attempt in (1, 2):
+        decision = place(
+            scheduler,
+            pools.make_item(1, manual_clock, attempt=attempt, digest="bad"),
+        )
+        scheduler.apply(pools.make_event(decision, "crashed", decision.decode))
+
+    again = place(scheduler, pools.make_item(2, manual_clock, digest="bad"))
+    other = place(scheduler, pools.make_item(3, manual_clock, digest="good"))
+
+    assert again.code is results.QUARANTINED
+    assert 599 < again.retry_after <= 600
+    assert isinstance(other, items.Assignment)
+    manual_clock.advance(seconds(601))
+    assert isinstance(
+        place(scheduler, pools.make_item(4, manual_clock, digest="bad")),
+        items.Assignment,
+    )
+
+
+@pytest.mark.matrix(
+    invariant=1,
+    fault="kill",
+    step="decode",
+    seen_red="release of reservations that reports no longer show",
+)
+def test_reservation_of_a_dead_host_ends_with_the_engines_reports(
+    manual_clock,
+):
+    scheduler = make_scheduler(manual_clock, one_each(slots=1))
+    start(scheduler, manual_clock, pools.make_item(1, manual_clock))
+    for _ in range(3):
+        manual_clock.advance(seconds(1))
+        scheduler.report("d1", engine.LoadReport(0, 0, 64, 0, age=0.5))
+
+    assert not scheduler.flights
+    assert place(scheduler, pools.make_item(2, manual_clock))
+
+
+@pytest.mark.matrix(
+    invariant=1,
+    fault="kill",
+    step="prefill",
+    seen_red="expiry of reservations without a transfer",
+)
+def test_reservation_without_a_transfer_expires(manual_clock):
+    scheduler = make_scheduler(manual_clock, one_each(slots=1))
+    place(scheduler, pools.make_item(1, manual_clock))
+    manual_clock.advance(seconds(8))
+    scheduler.poll()
+
+    assert not scheduler.flights
+    assert place(scheduler, pools.make_item(2, manual_clock))
+
+
+@pytest.mark.matrix(
+    invariant=1,
+    fault="stalled transfer",
+    step="transfer",
+    seen_red="release of the reservation at a failure",
+)
+def test_stalled_transfer_frees_its_slot_and_goes_elsewhere(manual_clock):
+    scheduler = make_scheduler(manual_clock, pools.make_pool(slots=1))
+    first = start(
+        scheduler, manual_clock, pools.make_item(1, manual_clock), False
+    )
+    scheduler.apply(pools.make_event(first, "failed", first.decode))
+    again = place(
+        scheduler,
+        pools.make_item(
+            1, manual_clock, attempt=2, excluded=frozenset({first.decode})
+        ),
+    )
+
+    assert again.decode != first.decode
+    assert not scheduler.decodes[first.decode].reservations
+    assert scheduler.links.free_at(first.decode) == 0.0
+
+
+@pytest.mark.matrix(
+    invariant=8,
+    fault="none",
+    step="schedule",
+    seen_red="check of the upstream's state",
+)
+@pytest.mark.parametrize("leaving", ["p1", "d1"])
+def test_draining_engine_gets_no_new_work(manual_clock, leaving):
+    scheduler = make_scheduler(manual_clock)
+    draining = register.UpstreamState.DRAINING
+    scheduler.set_upstreams(
+        [
+            entry._replace(state=draining) if entry.name == leaving else entry
+            for entry in pools.make_pool()
+        ]
+    )
+    used = set()
+    for number in range(6):
+        decision = start(
+            scheduler, manual_clock, pools.make_item(number, manual_clock)
+        )
+        used |= {decision.prefill, decision.decode}
+
+    assert leaving not in used
+
+
+def test_request_without_any_engine_is_refused_at_once(manual_clock):
+    scheduler = make_scheduler(manual_clock)
+    excluded = frozenset({"d1", "d2"})
+
+    refusal = place(
+        scheduler, pools.make_item(1, manual_clock, excluded=excluded)
+    )
+
+    assert refusal.code is results.NO_UPSTREAM
