Test that a booked link moves a transfer to a fuller engine

Cause: the former test passed without the booking of links. Change: the other engine is fuller, so that only the link can decide. Result: fails without the booking, passes with it.

--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -108,14 +108,15 @@
     assert view.gaps == 1
 
 
-def test_busy_link_moves_the_transfer_to_another_engine(manual_clock):
+def test_busy_link_moves_the_transfer_to_a_fuller_engine(manual_clock):
     slow = {"link_rate": 2e8}
     scheduler = make_scheduler(manual_clock, pools.make_pool(**slow))
+    scheduler.report("d2", engine.LoadReport(14, 0, 50, 0, age=0.0))
     first = place(scheduler, pools.make_item(1, manual_clock))
     second = place(scheduler, pools.make_item(2, manual_clock))
 
     assert first.prefill != second.prefill
-    assert first.decode != second.decode
+    assert (first.decode, second.decode) == ("d1", "d2")
 
 
 def test_load_report_counts_only_work_of_others(manual_clock):
