Blame only the request with the most crashes

Cause: a crash takes all requests of an engine down, so requests beside a crashing one were quarantined with it after the second crash. Change: the request with the most crashes aboard is blamed; while several have as many, they run on different engines.

--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -13,8 +13,10 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from benchmarks import policy_baselines
 from benchmarks import policy_engines
 from benchmarks import policy_hosts
+from benchmarks import policy_measures
 from benchmarks import policy_slopes
 from benchmarks import policy_workload
 from coltsfootarch.config import register
@@ -47,38 +49,6 @@
 RESTART_DOWN_SECONDS = 2.0
 
 
-class Case(NamedTuple):
-    """One run."""
-
-    deployment: policy_workload.Deployment
-    load: float
-    situation: str
-    policy: str
-    seed: int
-
-
-class Measures(NamedTuple):
-    """Figures of one run, over requests that arrived after the warm-up.
-
-    Attributes:
-        goodput: Requests per second under both latency targets.
-        wasted: Share of prefill time whose result was never imported.
-        lost: Requests accepted and never answered completely.
-        refused: Requests refused as not run.
-        offered: Requests that arrived.
-        accounts: Goodput by account.
-        arrived: Requests per second that arrived, by account.
-    """
-
-    goodput: float
-    wasted: float
-    lost: int
-    refused: int
-    offered: int
-    accounts: dict[str, float]
-    arrived: dict[str, float]
-
-
 class Row(NamedTuple):
     """Means over the seeds of one case; `spread` is a standard deviation.
 
@@ -93,7 +63,9 @@
         worst_share: Goodput of the worst-served account as a share of what it
             may fairly have, least over the seeds.
         flood_share: Least share of its undisturbed goodput that an account
-            other than the flooding one keeps; 1 in other situations.
+            other than the flooding one keeps over all seeds; 1 in other
+            situations.
+        worst_flood_share: The same in the worst single seed.
         lost: Requests accepted and never completed, over all seeds.
         refused: Share of requests refused as not run.
     """
@@ -107,19 +79,20 @@
     wasted: float
     worst_share: float
     flood_share: float
+    worst_flood_share: float
     lost: int
     refused: float
 
 
 def make_hosts(
-    case: Case, loop: policy_engines.Loop
-) -> policy_hosts.ScheduledHosts | policy_hosts.IndependentHosts:
+    case: policy_measures.Case, loop: policy_engines.Loop
+) -> policy_hosts.ScheduledHosts | policy_baselines.IndependentHosts:
     """Returns the entry hosts of a case's policy."""
     site = case.deployment
     engines = policy_workload.upstreams(site.prefills, site.decodes, site.zones)
     if case.policy == "scheduler":
         return policy_hosts.ScheduledHosts(loop, engines, case.seed)
-    return policy_hosts.IndependentHosts(
+    return policy_baselines.IndependentHosts(
         loop, engines, case.seed, by_load=case.policy == "least-load"
     )
 
@@ -187,7 +160,9 @@
         self.hosts.load_report(name, load._replace(age=REPORT_LAG_SECONDS))
 
 
-def simulate(case: Case, scale: float) -> Measures:
+def simulate(
+    case: policy_measures.Case, scale: float
+) -> policy_measures.Measures:
     """Runs one case for `scale` times the usual length."""
     loop = policy_engines.Loop()
     hosts = make_hosts(case, loop)
@@ -207,100 +182,21 @@
     for request in requests:
         loop.after(request.arrival - loop.now, hosts.arrive, request)
     loop.run(loop.start + seconds + DRAIN_SECONDS)
-    return measure(hosts, loop.start + WARM_UP_SECONDS, RUN_SECONDS * scale)
-
-
-def measure(
-    hosts: policy_hosts.Hosts, begin: float, seconds: float
-) -> Measures:
-    """Returns the figures of a finished run."""
-    counted = [
-        outcome
-        for outcome in hosts.outcomes
-        if outcome.request.arrival >= begin
-    ]
-    accounts = dict.fromkeys(policy_workload.ACCOUNT_SHARES, 0.0)
-    arrived = dict.fromkeys(policy_workload.ACCOUNT_SHARES, 0.0)
-    for outcome in counted:
-        arrived[outcome.request.account] += 1 / seconds
-        if outcome.good():
-            accounts[outcome.request.account] += 1 / seconds
-    spent = sum(machine.spent for machine in hosts.prefills.values())
-    used = sum(machine.used for machine in hosts.prefills.values())
-    refused = sum(outcome.refused for outcome in counted)
-    done = sum(bool(outcome.done_at) for outcome in counted)
-    return Measures(
-        goodput=sum(accounts.values()),
-        wasted=1 - used / spent if spent else 0.0,
-        lost=len(counted) - refused - done,
-        refused=refused,
-        offered=len(counted),
-        accounts=accounts,
-        arrived=arrived,
-    )
-
-
-def fair_rates(case: Case, measures: Measures) -> dict[str, float]:
-    """Returns the max-min fair rate of each account, requests per second.
-
-    An account may have what it sent, up to its weighted share of capacity plus
-    what others leave over.
-    """
-    capacity = policy_workload.capacity(case.deployment)
-    shares = policy_workload.ACCOUNT_SHARES
-    offered = measures.arrived
-    fair: dict[str, float] = {}
-    left = capacity
-    open_accounts = dict(shares)
-    while open_accounts:
-        unit = left / sum(open_accounts.values())
-        satisfied = [
-            name
-            for name, share in open_accounts.items()
-            if offered[name] <= unit * share
-        ]
-        for name in satisfied or list(open_accounts):
-            fair[name] = min(offered[name], unit * open_accounts[name])
-        for name in satisfied or list(open_accounts):
-            left -= fair[name]
-            del open_accounts[name]
-    return fair
-
-
-def worst_share(case: Case, measures: Measures) -> float:
-    """Returns the worst account's goodput as a share of its fair rate."""
-    fair = fair_rates(case, measures)
-    return min(
-        measures.accounts[name] / rate for name, rate in fair.items() if rate
+    return policy_measures.measure(
+        hosts, loop.start + WARM_UP_SECONDS, RUN_SECONDS * scale
     )
 
 
-def kept_share(measures: Measures, undisturbed: Measures) -> float:
-    """Returns the least share of its goodput that another account keeps.
-
-    It is 0 if no other account had any goodput to keep.
-    """
-    return min(
-        (
-            measures.accounts[name] / undisturbed.accounts[name]
-            for name in measures.accounts
-            if name != policy_workload.FLOODING_ACCOUNT
-            and undisturbed.accounts[name]
-        ),
-        default=0.0,
-    )
-
-
-def cases(seed: int) -> list[Case]:
+def cases(seed: int) -> list[policy_measures.Case]:
     """Returns the cases of one seed, steady ones first."""
     steady = [
-        Case(site, load, "steady", policy, seed)
+        policy_measures.Case(site, load, "steady", policy, seed)
         for site in DEPLOYMENTS
         for load in LOADS
         for policy in POLICIES
     ]
     disturbed = [
-        Case(site, SITUATION_LOAD, situation, policy, seed)
+        policy_measures.Case(site, SITUATION_LOAD, situation, policy, seed)
         for site in DEPLOYMENTS
         for situation in SITUATIONS[1:]
         for policy in POLICIES
@@ -324,19 +220,23 @@
     ]
 
 
-def summarize(group: Sequence[Case], measured: dict[Case, Measures]) -> Row:
+def summarize(
+    group: Sequence[policy_measures.Case],
+    measured: dict[policy_measures.Case, policy_measures.Measures],
+) -> Row:
     """Returns the row of one case over its seeds."""
     results = [measured[case] for case in group]
     first = group[0]
     goodputs = [result.goodput for result in results]
-    kept = [1.0]
+    kept = 1.0
+    worst_kept = 1.0
     if first.situation == "flood":
-        kept = [
-            kept_share(
-                measured[case], measured[case._replace(situation="steady")]
-            )
-            for case in group
-        ]
+        before = [measured[case._replace(situation="steady")] for case in group]
+        kept = policy_measures.kept_share(results, before)
+        worst_kept = min(
+            policy_measures.kept_share([result], [undisturbed])
+            for result, undisturbed in zip(results, before, strict=True)
+        )
     offered = sum(result.offered for result in results)
     return Row(
         deployment=first.deployment.name,
@@ -346,8 +246,11 @@
         goodput=statistics.mean(goodputs),
         spread=statistics.pstdev(goodputs),
         wasted=statistics.mean(result.wasted for result in results),
-        worst_share=min(worst_share(case, measured[case]) for case in group),
-        flood_share=min(kept),
+        worst_share=min(
+            policy_measures.worst_share(case, measured[case]) for case in group
+        ),
+        flood_share=kept,
+        worst_flood_share=worst_kept,
         lost=sum(result.lost for result in results),
         refused=sum(result.refused for result in results) / offered,
     )
@@ -367,7 +270,7 @@
     """Prints the table of policies."""
     print(
         "site    load situation policy      goodput  +-    gain wasted "
-        "worst kept  lost refused"
+        "worst  kept (min) lost refused"
     )
     for row in rows:
         ratio = gain(row, rows) if row.policy == "scheduler" else 1.0
@@ -375,7 +278,8 @@
             f"{row.deployment:7} {row.load:4.1f} {row.situation:9} "
             f"{row.policy:11} {row.goodput:7.2f} {row.spread:5.2f} "
             f"{ratio:5.2f} {row.wasted:6.1%} {row.worst_share:5.2f} "
-            f"{row.flood_share:5.2f} {row.lost:4} {row.refused:6.1%}"
+            f"{row.flood_share:5.2f} {row.worst_flood_share:5.2f} "
+            f"{row.lost:4} {row.refused:6.1%}"
         )
 
 
--- a/src/coltsfootarch/scheduling/pool.py
+++ b/src/coltsfootarch/scheduling/pool.py
@@ -4,7 +4,6 @@
 
 import heapq
 from typing import TYPE_CHECKING
-from typing import NamedTuple
 
 from coltsfootarch import results
 from coltsfootarch.config import register
@@ -16,6 +15,7 @@
 from coltsfootarch.scheduling import prefill
 from coltsfootarch.scheduling import quarantine
 from coltsfootarch.scheduling import speed
+from coltsfootarch.scheduling import suspects
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -48,14 +48,6 @@
 ENDED = frozenset({"finished", "failed", "crashed", "cancelled"})
 
 
-class Flight(NamedTuple):
-    """An assigned attempt."""
-
-    item: items.WorkItem
-    prefill: str
-    decode: str
-
-
 class PoolScheduler:
     """Decides where and when the requests of one model service run.
 
@@ -87,7 +79,7 @@
         self.links = links.LinkBook()
         self.prefills: dict[str, prefill.PrefillQueue] = {}
         self.decodes: dict[str, decode.DecodeCapacity] = {}
-        self.flights: dict[items.AttemptKey, Flight] = {}
+        self.flights: dict[items.AttemptKey, suspects.Flight] = {}
         self.latest_starts: list[tuple[float, items.AttemptKey]] = []
         self.waiting: dict[items.AttemptKey, items.WorkItem] = {}
         self.refusals: list[items.Refusal] = []
@@ -231,7 +223,8 @@
                 placement.Blocker.PREFILL,
                 placement.Blocker.DECODE,
             )
-            if waits and not item.excluded:
+            isolated = self.quarantine.isolated(item.digest)
+            if waits and not item.excluded and not isolated:
                 return None
         return None
 
@@ -250,7 +243,9 @@
         return placement.choose_decode(
             item,
             source,
-            self.decodes.values(),
+            suspects.engines_for(
+                item, self.decodes, self.flights.values(), self.quarantine
+            ),
             self.links,
             timing,
             self.quarantine.suspected(item.digest),
@@ -267,11 +262,11 @@
         expiry = place.transfer.end + self.result_life + TRANSFER_GRACE_SECONDS
         place.decode.reserve(item.key, place.pieces, now, expiry)
         self.links.book(source, target, item.key, place.transfer)
-        self.flights[item.key] = Flight(item, source, target)
+        self.flights[item.key] = suspects.Flight(item, source, target)
         return items.Assignment(item.request_id, item.attempt, source, target)
 
     def _prefilled(
-        self, key: items.AttemptKey, flight: Flight, now: float
+        self, key: items.AttemptKey, flight: suspects.Flight, now: float
     ) -> None:
         self.prefill_free_at = 0.0
         queue = self.prefills.get(flight.prefill)
@@ -284,7 +279,7 @@
             queue.health.succeeded(now)
 
     def _transferred(
-        self, key: items.AttemptKey, flight: Flight, now: float
+        self, key: items.AttemptKey, flight: suspects.Flight, now: float
     ) -> None:
         self.links.release(flight.prefill, flight.decode, key)
         capacity = self.decodes.get(flight.decode)
@@ -297,7 +292,7 @@
     def _end(
         self,
         key: items.AttemptKey,
-        flight: Flight,
+        flight: suspects.Flight,
         event: messages.ScheduleEvent,
         now: float,
     ) -> None:
@@ -305,7 +300,8 @@
             self._finished(key, flight, event, now)
             self.quarantine.cleared(flight.item.digest)
         if event.step == "crashed":
-            self.quarantine.crashed(flight.item.digest)
+            aboard = suspects.aboard(event.upstream, self.flights.values())
+            self.quarantine.crashed(event.upstream, flight.item.digest, aboard)
         if event.step in ("failed", "crashed"):
             self._failed(event.upstream, now)
         unused = max(0, flight.item.max_output_tokens - event.tokens)
@@ -315,7 +311,7 @@
     def _finished(
         self,
         key: items.AttemptKey,
-        flight: Flight,
+        flight: suspects.Flight,
         event: messages.ScheduleEvent,
         now: float,
     ) -> None:
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -212,6 +212,68 @@
     )
 
 
+@pytest.mark.matrix(
+    invariant=5,
+    fault="crashing request",
+    step="decode",
+    seen_red="blame of the request with the most crashes only",
+)
+def test_requests_beside_a_crashing_one_are_not_quarantined(manual_clock):
+    engines = [pools.make_upstream("p1", "prefill", 1)]
+    engines += [
+        pools.make_upstream(f"d{number}", "decode", 2 + number, slots=10)
+        for number in range(1, 4)
+    ]
+    scheduler = make_scheduler(manual_clock, engines)
+    waiting = dict.fromkeys(range(12), 1)
+    running = {}
+    quarantined = set()
+    done = set()
+    crashes = 0
+    for _ in range(200):
+        for number, attempt in list(waiting.items()):
+            item = pools.make_item(
+                number, manual_clock, attempt=attempt, digest=f"g{number}"
+            )
+            decision = place(scheduler, item)
+            if decision is None:
+                scheduler.withdraw(item.key)
+                continue
+            del waiting[number]
+            if isinstance(decision, items.Refusal):
+                if decision.code is results.QUARANTINED:
+                    quarantined.add(number)
+                else:
+                    waiting[number] = attempt + 1
+                continue
+            for step in ("prefilled", "transferred"):
+                scheduler.apply(pools.make_event(decision, step))
+            running[number] = decision
+        manual_clock.advance(seconds(0.1))
+        # Request 5 crashes its engine at once, so nothing ends before it.
+        if running and 5 not in running:
+            number = min(running)
+            ended = running.pop(number)
+            scheduler.apply(pools.make_event(ended, "finished", "", 50))
+            done.add(number)
+        if quarantined | done == set(range(12)):
+            break
+        if 5 not in running:
+            continue
+        crashes += 1
+        broken = running[5].decode
+        for number, decision in list(running.items()):
+            if decision.decode == broken:
+                scheduler.apply(pools.make_event(decision, "crashed", broken))
+                del running[number]
+                waiting[number] = decision.attempt + 1
+        manual_clock.advance(seconds(2.5))
+
+    assert quarantined == {5}
+    assert len(done) == 11
+    assert crashes <= 4
+
+
 @pytest.mark.matrix(
     invariant=1,
     fault="kill",
