Add HTTP clients and stand-ins of the platform's services

The interfaces of the table service, the object store and the host list had no client. The clients send each call once, close connections that failed, bound a whole call by one time limit, and report a transaction as not applied only when no connection was made or the answer says so.

--- /dev/null
+++ b/src/coltsfootarch/platform/object_client.py
@@ -0,0 +1,74 @@
+"""HTTP client of the object store."""
+
+from __future__ import annotations
+
+import urllib.parse
+from typing import TYPE_CHECKING
+
+import urllib3
+
+from coltsfootarch import errors
+from coltsfootarch.platform import json_client
+
+if TYPE_CHECKING:
+    import datetime
+
+SUCCESS = (200, 201, 204)
+NOT_FOUND = 404
+
+
+class HttpObjectStore:
+    """`objects.ObjectStore` over HTTP: PUT and GET of `/v1/objects/KEY`.
+
+    Args:
+        address: Address ("ip:port") of the store.
+        timeout: Limit for a whole call.
+    """
+
+    def __init__(self, address: str, timeout: datetime.timedelta) -> None:
+        self.channel = json_client.HttpChannel(address, timeout)
+
+    def put(self, key: str, data: bytes) -> None:
+        """Stores an object, replacing an earlier one.
+
+        Raises:
+            ObjectStoreUnavailableError: The object may or may not have been
+                stored.
+        """
+        answer = self._call("PUT", key, data)
+        if answer.status not in SUCCESS:
+            raise _unavailable(f"status {answer.status}")
+
+    def get(self, key: str) -> bytes | None:
+        """Returns the object, or None where there is none.
+
+        Raises:
+            ObjectStoreUnavailableError: The store did not answer.
+        """
+        answer = self._call("GET", key)
+        if answer.status == NOT_FOUND:
+            return None
+        if answer.status not in SUCCESS:
+            raise _unavailable(f"status {answer.status}")
+        return answer.body
+
+    def close(self) -> None:
+        """Closes the idle connections."""
+        self.channel.close()
+
+    def _call(
+        self, method: str, key: str, data: bytes | None = None
+    ) -> json_client.HttpAnswer:
+        path = f"/v1/objects/{urllib.parse.quote(key, safe='/')}"
+        try:
+            return self.channel.call(
+                method, path, data, "application/octet-stream"
+            )
+        except urllib3.exceptions.HTTPError as error:
+            raise _unavailable(type(error).__name__) from error
+
+
+def _unavailable(reason: str) -> errors.ObjectStoreUnavailableError:
+    return errors.ObjectStoreUnavailableError(
+        f"the object store did not answer ({reason}); try again later"
+    )
--- /dev/null
+++ b/src/coltsfootarch/platform/table_client.py
@@ -0,0 +1,179 @@
+"""HTTP client of the table service.
+
+Calls are POST requests with JSON bodies: `/v1/get`, `/v1/scan` and
+`/v1/transact`. Row values are base64. An answer other than 200 carries
+`error` and `applied`; only `"applied": false` proves that a transaction had
+no effect.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import TypedDict
+from typing import TypeVar
+
+import msgspec
+import urllib3
+
+from coltsfootarch import errors
+from coltsfootarch.platform import json_client
+from coltsfootarch.platform import tables
+
+if TYPE_CHECKING:
+    import datetime
+    from collections.abc import Sequence
+
+OK = 200
+CONFLICT = 409
+
+_Document = TypeVar("_Document")
+
+
+class RowDocument(TypedDict):
+    """A row on the wire; `value` is base64 in JSON."""
+
+    table: str
+    key: str
+    value: bytes
+    version: int
+
+
+class RowAnswer(TypedDict):
+    """Answer to a get."""
+
+    row: RowDocument | None
+
+
+class RowsAnswer(TypedDict):
+    """Answer to a scan or a transaction."""
+
+    rows: list[RowDocument]
+
+
+class ErrorAnswer(TypedDict):
+    """Answer of any status but 200."""
+
+    error: str
+    applied: bool
+
+
+class HttpTableService:
+    """`tables.TableService` over HTTP; see `docs/platform-protocol.md`.
+
+    Args:
+        address: Address ("ip:port") of the service.
+        timeout: Limit for a whole call.
+    """
+
+    def __init__(self, address: str, timeout: datetime.timedelta) -> None:
+        self.channel = json_client.HttpChannel(address, timeout)
+
+    def get(self, table: str, key: str) -> tables.Row | None:
+        """Returns the row, or None where there is none.
+
+        Raises:
+            TableUnavailableError: The service did not answer.
+        """
+        answer = self._read("/v1/get", {"table": table, "key": key}, RowAnswer)
+        document = answer["row"]
+        return None if document is None else tables.Row(**document)
+
+    def scan(self, table: str, prefix: str) -> list[tables.Row]:
+        """Returns the rows whose keys start with `prefix`, ordered by key.
+
+        Raises:
+            TableUnavailableError: The service did not answer.
+        """
+        answer = self._read(
+            "/v1/scan", {"table": table, "prefix": prefix}, RowsAnswer
+        )
+        return [tables.Row(**document) for document in answer["rows"]]
+
+    def transact(
+        self,
+        checks: Sequence[tables.Check],
+        writes: Sequence[tables.Write],
+    ) -> list[tables.Row]:
+        """Applies all writes if all checks hold, otherwise nothing.
+
+        Returns:
+            The rows written, with their new versions; deleted rows are left
+            out.
+
+        Raises:
+            TransactionConflictError: A check failed; nothing was written.
+            TableUnavailableError: Nothing was written.
+            TableOutcomeUnknownError: The writes may have been applied.
+        """
+        body = json_client.encode(
+            {
+                "checks": [check._asdict() for check in checks],
+                "writes": [write._asdict() for write in writes],
+            }
+        )
+        try:
+            answer = self.channel.call("POST", "/v1/transact", body)
+        except json_client.CONNECT_ERRORS as error:
+            raise _unavailable(error) from error
+        except urllib3.exceptions.HTTPError as error:
+            raise _outcome_unknown(type(error).__name__) from error
+        if answer.status != OK:
+            raise _transaction_error(answer)
+        try:
+            rows = msgspec.json.decode(answer.body, type=RowsAnswer)["rows"]
+        except msgspec.DecodeError as error:
+            raise _outcome_unknown("the answer does not decode") from error
+        return [tables.Row(**document) for document in rows]
+
+    def close(self) -> None:
+        """Closes the idle connections."""
+        self.channel.close()
+
+    def _read(
+        self, path: str, request: dict[str, str], answer_type: type[_Document]
+    ) -> _Document:
+        try:
+            answer = self.channel.call(
+                "POST", path, json_client.encode(request)
+            )
+        except urllib3.exceptions.HTTPError as error:
+            raise _unavailable(error) from error
+        if answer.status != OK:
+            raise errors.TableUnavailableError(
+                f"the table service answered with status {answer.status}"
+            )
+        try:
+            return msgspec.json.decode(answer.body, type=answer_type)
+        except msgspec.DecodeError as error:
+            raise errors.TableUnavailableError(
+                "an answer of the table service does not decode"
+            ) from error
+
+
+def _unavailable(error: Exception) -> errors.TableUnavailableError:
+    return errors.TableUnavailableError(
+        f"the table service can't be reached ({type(error).__name__})"
+    )
+
+
+def _outcome_unknown(reason: str) -> errors.TableOutcomeUnknownError:
+    return errors.TableOutcomeUnknownError(
+        f"the outcome of a transaction is unknown ({reason}); "
+        "read the rows back"
+    )
+
+
+def _transaction_error(
+    answer: json_client.HttpAnswer,
+) -> errors.PlatformError:
+    try:
+        document = msgspec.json.decode(answer.body, type=ErrorAnswer)
+    except msgspec.DecodeError:
+        return _outcome_unknown(f"status {answer.status}")
+    if document["applied"]:
+        return _outcome_unknown(f"status {answer.status}")
+    if answer.status == CONFLICT:
+        return errors.TransactionConflictError(document["error"])
+    return errors.TableUnavailableError(
+        f"the table service did not apply the transaction: {document['error']}"
+    )
--- /dev/null
+++ b/standins/host_list.py
@@ -0,0 +1,88 @@
+"""Stand-in for the platform's lagging list of hosts."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+from typing import NamedTuple
+
+import bottle
+
+from standins import command
+from standins import server
+
+DEFAULT_LAG = 2.0
+
+
+class Listing(NamedTuple):
+    """A list and the monotonic instant from which it is visible."""
+
+    live: tuple[str, ...]
+    leaving: tuple[str, ...]
+    visible_at: float
+
+
+class HostListStandin(server.Standin):
+    """A list that becomes visible some time after it was set.
+
+    Fault: `down` answers 503. `PUT /-/list` with `live` and `leaving` sets
+    the list.
+
+    Args:
+        address: "ip:port" to listen on.
+        lag: Seconds until a list that was set is visible.
+    """
+
+    def __init__(
+        self,
+        address: str = server.LISTEN_ADDRESS,
+        lag: float = DEFAULT_LAG,
+    ) -> None:
+        super().__init__(address)
+        self.lag = lag
+        self.down = False
+        self.listings = [Listing((), (), 0.0)]
+        self.app.route("/v1/hosts", "GET", self._get_hosts)
+        self.app.route("/-/list", "PUT", self._put_list)
+
+    def apply_faults(self, faults: dict[str, Any]) -> None:
+        """Sets the faults named in the class description."""
+        super().apply_faults(faults)
+        self.down = faults.get("down", self.down)
+
+    def set_list(self, live: list[str], leaving: list[str]) -> None:
+        """Sets the list that is visible after the lag.
+
+        Args:
+            live: Addresses ("ip:port") of running machines.
+            leaving: Addresses that are about to be taken away.
+        """
+        visible_at = time.monotonic() + self.lag
+        self.listings.append(Listing(tuple(live), tuple(leaving), visible_at))
+
+    def visible(self) -> Listing:
+        """Returns the newest list whose lag has passed."""
+        now = time.monotonic()
+        past = [entry for entry in self.listings if entry.visible_at <= now]
+        return max(past, key=lambda entry: entry.visible_at)
+
+    def _get_hosts(self) -> bottle.HTTPResponse:
+        self.wait_if_silent()
+        if self.down:
+            return bottle.HTTPResponse(status=503)
+        listing = self.visible()
+        return server.json_answer(
+            200, {"live": listing.live, "leaving": listing.leaving}
+        )
+
+    def _put_list(self) -> dict[str, Any]:
+        body = server.json_body()
+        self.set_list(body.get("live", []), body.get("leaving", []))
+        return {}
+
+
+if __name__ == "__main__":
+    parser = command.parser(__doc__)
+    parser.add_argument("--lag", type=float, default=DEFAULT_LAG)
+    arguments = parser.parse_args()
+    server.serve(lambda: HostListStandin(arguments.address, arguments.lag))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,8 @@
 
 import pathlib
 
+import gevent.event
+import gevent.server
 import pytest
 from hypothesis import settings
 
@@ -108,3 +110,45 @@
         f"{counts['passed']} passed, {counts['failed']} failed, "
         f"{counts['known red']} known red"
     )
+
+
+@pytest.fixture
+def running():
+    """Starts stand-ins and closes them after the test."""
+    started = []
+
+    def start(standin):
+        standin.start()
+        started.append(standin)
+        return standin
+
+    yield start
+    for standin in started:
+        standin.close()
+
+
+@pytest.fixture
+def raw_server():
+    """Answers every connection with fixed bytes and closes it.
+
+    With `repeated`, these bytes follow every 20 ms without end.
+    """
+    started = []
+    closed = gevent.event.Event()
+
+    def start(answer, repeated=b""):
+        def handle(connection, _address):
+            connection.recv(65536)
+            connection.sendall(answer)
+            while repeated and not closed.wait(0.02):
+                connection.sendall(repeated)
+
+        listener = gevent.server.StreamServer(("127.0.0.1", 0), handle)
+        listener.start()
+        started.append(listener)
+        return f"127.0.0.1:{listener.server_port}"
+
+    yield start
+    closed.set()
+    for listener in started:
+        listener.stop()
