Add upstream clients, the engine, plain and weight stand-ins

Engines and plain services had an interface but no client. Every call has its own connection; streams have a deadline between events, and events of another request, attempt or offset end the stream. The engine stand-in generates text from the prompt, so that a test can compute the whole expected answer.

--- a/src/coltsfootarch/errors.py
+++ b/src/coltsfootarch/errors.py
@@ -124,6 +124,23 @@
     default_code = results.UPSTREAM_TIMEOUT
 
 
+class UpstreamRefusedError(UpstreamError):
+    """The upstream answered with an error status and ended the request.
+
+    Args:
+        address: Address ("ip:port") of the upstream.
+        status: HTTP status of the answer or of the error event.
+        reason: Stable name of the error.
+    """
+
+    def __init__(self, address: str, status: int, reason: str) -> None:
+        super().__init__(
+            f"upstream {address} refused with status {status} ({reason})"
+        )
+        self.status = status
+        self.reason = reason
+
+
 class StaleOrderError(UpstreamError):
     """The upstream has seen a higher fencing number."""
 
--- /dev/null
+++ b/src/coltsfootarch/upstreams/event_stream.py
@@ -0,0 +1,80 @@
+"""Server-sent events of an upstream, with a progress deadline."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from coltsfootarch import errors
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from coltsfootarch.upstreams import connection
+
+# An upstream that never ends an event must not fill the memory of the host.
+MAX_EVENT_BYTES = 1024 * 1024
+
+
+class ServerSentEvent(NamedTuple):
+    """An event with its type, "message" by default, and its data."""
+
+    event: str
+    data: bytes
+
+
+class EventParser:
+    """Splits a byte stream into events; comments give no event."""
+
+    def __init__(self) -> None:
+        self.buffer = b""
+
+    def feed(self, data: bytes) -> Iterator[ServerSentEvent]:
+        """Yields the events that `data` completes.
+
+        Raises:
+            UpstreamError: An event exceeds `MAX_EVENT_BYTES`.
+        """
+        self.buffer += data.replace(b"\r", b"")
+        while b"\n\n" in self.buffer:
+            block, _, self.buffer = self.buffer.partition(b"\n\n")
+            event = parse_event(block)
+            if event is not None:
+                yield event
+        if len(self.buffer) > MAX_EVENT_BYTES:
+            raise errors.UpstreamError("an upstream sent an oversized event")
+
+
+def parse_event(block: bytes) -> ServerSentEvent | None:
+    """Returns the event of one block of lines, or None without data."""
+    event = "message"
+    data = []
+    for line in block.split(b"\n"):
+        field, _, value = line.partition(b":")
+        value = value.removeprefix(b" ")
+        if field == b"event":
+            event = value.decode("ascii", "replace")
+        if field == b"data":
+            data.append(value)
+    if not data:
+        return None
+    return ServerSentEvent(event, b"\n".join(data))
+
+
+def read_events(
+    upstream: connection.UpstreamConnection, deadline: connection.Deadline
+) -> Iterator[ServerSentEvent]:
+    """Yields events until the stream ends.
+
+    The deadline starts anew with each event. Comments and parts of events do
+    not extend it, and the time that the consumer takes is not counted.
+
+    Raises:
+        UpstreamTimeoutError: No event came within the deadline.
+        UpstreamError: The connection broke or an event is too large.
+    """
+    parser = EventParser()
+    while data := upstream.read(deadline):
+        for event in parser.feed(data):
+            yield event
+            deadline.restart()
--- /dev/null
+++ b/standins/engine_prefill.py
@@ -0,0 +1,139 @@
+"""Prefill role of the engine stand-in."""
+
+from __future__ import annotations
+
+import time
+import uuid
+from typing import TYPE_CHECKING
+from typing import Any
+
+import gevent
+
+from standins import engine_memory
+from standins import engine_text
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+class PrefillJob(engine_memory.Job):
+    """A prompt on its way to an export."""
+
+    def __init__(self, submission: engine_memory.Submission) -> None:
+        super().__init__(submission, "queued")
+        self.handle = uuid.uuid4().hex
+        self.prompt_tokens = engine_text.count_tokens(submission.prompt)
+        self.cached_tokens = 0
+
+
+class PrefillQueue:
+    """Runs prefills one after the other, larger priorities first.
+
+    Args:
+        profile: Size and speed.
+        memory: Memory of the engine.
+        cache: Prefix cache of the engine.
+        scale: Returns the factor on the duration of a prefill.
+    """
+
+    def __init__(
+        self,
+        profile: engine_memory.EngineProfile,
+        memory: engine_memory.Memory,
+        cache: engine_memory.PrefixCache,
+        scale: Callable[[], float],
+    ) -> None:
+        self.profile = profile
+        self.memory = memory
+        self.cache = cache
+        self.scale = scale
+        self.jobs: dict[str, PrefillJob] = {}
+        self.wake = engine_memory.Signal()
+
+    def submit(self, submission: engine_memory.Submission) -> PrefillJob | None:
+        """Queues a prefill; None without memory for it."""
+        job = PrefillJob(submission)
+        pieces = self.memory.pieces_for(job.prompt_tokens)
+        if not self.memory.reserve(pieces):
+            return None
+        job.pieces = pieces
+        self.jobs[submission.request_id] = job
+        self.wake.notify()
+        return job
+
+    def run(self) -> None:
+        """Runs queued prefills until the greenlet is killed."""
+        while True:
+            event = self.wake.event
+            queued = self.queued()
+            if not queued:
+                event.wait()
+                continue
+            first = max(queued, key=lambda job: job.submission.priority)
+            self._prefill(first)
+
+    def queued(self) -> list[PrefillJob]:
+        """Returns the jobs that wait, oldest first."""
+        return [job for job in self.jobs.values() if job.state == "queued"]
+
+    def queued_tokens(self) -> int:
+        """Returns the prompt tokens that are not yet prefilled."""
+        return sum(job.prompt_tokens for job in self.queued())
+
+    def export(self, handle: str) -> PrefillJob | None:
+        """Returns a live export."""
+        for job in self.jobs.values():
+            if job.handle == handle and job.state == "exported":
+                return job
+        return None
+
+    def finish(self, handle: str) -> bool:
+        """Frees an export after its import; False if it is gone."""
+        job = self.export(handle)
+        if job is None:
+            return False
+        self._remove(job, engine_memory.EXPIRED)
+        return True
+
+    def cancel(self, request_id: str, ending: engine_memory.Ending) -> None:
+        """Frees the request if it is known."""
+        job = self.jobs.get(request_id)
+        if job is not None:
+            self._remove(job, ending)
+
+    def entries(self) -> list[dict[str, Any]]:
+        """Returns the entries of `GET /v1/requests`."""
+        return [
+            job.entry("export" if job.state == "exported" else "prefill")
+            for job in self.jobs.values()
+        ]
+
+    def clear(self) -> None:
+        """Ends all requests, as in a crash."""
+        for job in list(self.jobs.values()):
+            self._remove(job, engine_memory.CRASHED)
+
+    def _prefill(self, job: PrefillJob) -> None:
+        job.change("prefilling")
+        cached = self.cache.cached_tokens(job.submission.prompt)
+        job.cached_tokens = min(cached, job.prompt_tokens)
+        left = job.prompt_tokens - job.cached_tokens
+        while left > 0 and job.ending is None:
+            step = min(left, self.profile.piece_tokens)
+            gevent.sleep(step / self.profile.prefill_rate * self.scale())
+            job.last_read = time.monotonic()
+            left -= step
+        if job.ending is not None:
+            return
+        self.cache.store(job.submission.prompt)
+        job.change("exported")
+        gevent.spawn_later(self.profile.export_lifetime, self._expire, job)
+
+    def _expire(self, job: PrefillJob) -> None:
+        if job.state == "exported":
+            self._remove(job, engine_memory.EXPIRED)
+
+    def _remove(self, job: PrefillJob, ending: engine_memory.Ending) -> None:
+        if self.jobs.get(job.submission.request_id) is job:
+            del self.jobs[job.submission.request_id]
+        job.end(self.memory, ending)
--- /dev/null
+++ b/standins/plain.py
@@ -0,0 +1,85 @@
+"""Stand-in for a booking and stock service."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+from typing import Any
+
+import gevent
+
+from standins import command
+from standins import server
+
+if TYPE_CHECKING:
+    import bottle
+
+
+class PlainStandin(server.Standin):
+    """Books deliveries and counts how often each booking ran.
+
+    Faults: `die_before_answer` is the number of coming requests that run and
+    lose their connection, `delay` the seconds after a request ran and before
+    its answer, `refuse` the seconds for which connections are refused.
+
+    Attributes:
+        runs: Number of times that each booking id ran.
+        refusal: Greenlet that listens again after `refuse`.
+    """
+
+    def __init__(self, address: str = server.LISTEN_ADDRESS) -> None:
+        super().__init__(address)
+        self.runs: collections.Counter[str] = collections.Counter()
+        self.stock_reads = 0
+        self.die_before_answer = 0
+        self.delay = 0.0
+        self.refusal: gevent.Greenlet | None = None
+        self.app.route("/bookings", "POST", self._book)
+        self.app.route("/stock", "GET", self._get_stock)
+        self.app.route("/-/runs", "GET", self._get_runs)
+
+    def apply_faults(self, faults: dict[str, Any]) -> None:
+        """Sets the faults named in the class description."""
+        super().apply_faults(faults)
+        self.die_before_answer = faults.get(
+            "die_before_answer", self.die_before_answer
+        )
+        self.delay = faults.get("delay", self.delay)
+        if "refuse" in faults:
+            self.stop_listening()
+            self.refusal = gevent.spawn_later(faults["refuse"], self.listen)
+
+    def close(self) -> None:
+        """Stops listening and drops all connections."""
+        if self.refusal is not None:
+            self.refusal.kill()
+        super().close()
+
+    def _book(self) -> bottle.HTTPResponse:
+        self.wait_if_silent()
+        body = server.json_body()
+        self.runs[body["booking_id"]] += 1
+        self._meet_faults()
+        return server.json_answer(201, {"booking_id": body["booking_id"]})
+
+    def _get_stock(self) -> bottle.HTTPResponse:
+        self.wait_if_silent()
+        self.stock_reads += 1
+        self._meet_faults()
+        return server.json_answer(200, {"items": {"walker": 4, "bed": 2}})
+
+    def _get_runs(self) -> dict[str, Any]:
+        return {"runs": dict(self.runs), "stock_reads": self.stock_reads}
+
+    def _meet_faults(self) -> None:
+        if self.delay:
+            gevent.sleep(self.delay)
+        self.wait_if_silent()
+        if self.die_before_answer:
+            self.die_before_answer -= 1
+            server.drop(server.current_connection())
+
+
+if __name__ == "__main__":
+    arguments = command.parser(__doc__).parse_args()
+    server.serve(lambda: PlainStandin(arguments.address))
--- /dev/null
+++ b/standins/weights.py
@@ -0,0 +1,72 @@
+"""Stand-in for the rate-limited weight store."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+from typing import Any
+
+import bottle
+import gevent
+
+from standins import command
+from standins import server
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+CHUNK_BYTES = 64 * 1024
+DEFAULT_RATE = 100.0 * 1024 * 1024
+
+
+class WeightsStandin(server.Standin):
+    """Serves zero bytes of the stated size at a rate shared by all readers.
+
+    `GET /v1/weights/NAME` answers with the object. Fault: `rate` sets the
+    bytes a second.
+
+    Args:
+        address: "ip:port" to listen on.
+        rate: Bytes a second for all readers together.
+
+    Attributes:
+        sizes: Bytes of each object by name.
+    """
+
+    def __init__(
+        self,
+        address: str = server.LISTEN_ADDRESS,
+        rate: float = DEFAULT_RATE,
+    ) -> None:
+        super().__init__(address)
+        self.rate = rate
+        self.sizes: dict[str, int] = {}
+        self.free_at = 0.0
+        self.app.route("/v1/weights/<name>", "GET", self._get)
+
+    def apply_faults(self, faults: dict[str, Any]) -> None:
+        """Sets the faults named in the class description."""
+        super().apply_faults(faults)
+        self.rate = faults.get("rate", self.rate)
+
+    def _get(self, name: str) -> Iterator[bytes]:
+        if name not in self.sizes:
+            raise bottle.HTTPResponse(status=404)
+        bottle.response.content_length = self.sizes[name]
+        bottle.response.content_type = "application/octet-stream"
+        return self._chunks(self.sizes[name])
+
+    def _chunks(self, size: int) -> Iterator[bytes]:
+        for start in range(0, size, CHUNK_BYTES):
+            length = min(CHUNK_BYTES, size - start)
+            now = time.monotonic()
+            self.free_at = max(self.free_at, now) + length / self.rate
+            gevent.sleep(self.free_at - now)
+            yield bytes(length)
+
+
+if __name__ == "__main__":
+    parser = command.parser(__doc__)
+    parser.add_argument("--rate", type=float, default=DEFAULT_RATE)
+    arguments = parser.parse_args()
+    server.serve(lambda: WeightsStandin(arguments.address, arguments.rate))
--- /dev/null
+++ b/tests/standins/test_standins.py
@@ -0,0 +1,108 @@
+"""Guards against stand-ins that hide the failures they stand for."""
+
+from __future__ import annotations
+
+import json
+import os
+import pathlib
+import subprocess
+import sys
+
+import gevent
+import pytest
+import urllib3
+
+from standins import engine
+from standins import engine_memory
+from standins import engine_text
+from standins import plain
+from standins import weights
+
+ROOT = pathlib.Path(__file__).parent.parent.parent
+
+
+def test_text_depends_on_the_whole_prompt_and_continues():
+    whole = engine.expected_text("prompt", 10)
+    head = engine.expected_text("prompt", 4)
+
+    assert whole == head + engine.expected_text("prompt", 6, 4)
+    assert whole != engine.expected_text("prompt!", 10)
+    assert engine_text.original_prompt("prompt" + head, 4) == "prompt"
+
+
+def test_slots_and_priorities_order_the_batch():
+    """Guards against a decode engine without a bound on its requests."""
+    profile = engine_memory.EngineProfile(slots=1)
+    standin = engine.EngineStandin("decode", profile=profile)
+    batch = standin.batch
+    for number, priority in enumerate((0, 1)):
+        submission = engine_memory.Submission(
+            f"r{number}", 1, "h/1", "p", 1, priority, 0
+        )
+        generation = batch.submit(submission, {"address": "", "handle": ""})
+        generation.change("waiting")
+
+    batch._admit()
+
+    assert batch.generations["r0"].state == "waiting"
+    assert batch.generations["r1"].state == "running"
+
+
+def test_headers_are_recorded_and_faults_set_over_http(running):
+    standin = running(plain.PlainStandin())
+    base = f"http://{standin.address}"
+    urllib3.request("POST", f"{base}/-/faults", json={"delay": 0.0})
+    urllib3.request("GET", f"{base}/stock", headers={"X-Test": "1"})
+
+    recorded = urllib3.request("GET", f"{base}/-/headers").json()["requests"]
+    assert recorded[1]["path"] == "/stock"
+    assert recorded[1]["headers"]["x-test"] == "1"
+
+
+def test_refusal_ends_after_its_time(running):
+    standin = running(plain.PlainStandin())
+    standin.apply_faults({"refuse": 0.01})
+    standin.refusal.join(5)
+
+    answer = urllib3.request("GET", f"http://{standin.address}/stock")
+    assert answer.status == 200
+
+
+def test_weights_share_one_rate(running):
+    standin = running(weights.WeightsStandin(rate=1e6))
+    standin.sizes["model"] = 100_000
+    url = f"http://{standin.address}/v1/weights/model"
+    readers = [gevent.spawn(urllib3.request, "GET", url) for _ in range(2)]
+    started = standin.free_at
+    gevent.joinall(readers, timeout=10)
+
+    assert [len(reader.value.data) for reader in readers] == [100_000] * 2
+    assert started == 0.0
+    assert standin.free_at > 0.0
+
+
+@pytest.mark.parametrize(
+    ("name", "options", "path"),
+    [
+        ("tables", [], "/-/headers"),
+        ("objects", [], "/-/headers"),
+        ("host_list", [], "/v1/hosts"),
+        ("weights", [], "/-/headers"),
+        ("plain", [], "/stock"),
+        ("engine", ["--role", "decode"], "/v1/load"),
+    ],
+)
+def test_module_runs_as_a_process(name, options, path):
+    command = [sys.executable, "-m", f"standins.{name}", *options]
+    environment = {**os.environ, "PYTHONPATH": f"{ROOT}/src:{ROOT}"}
+    with subprocess.Popen(
+        [*command, "--address", "127.0.0.1:0"],
+        stdout=subprocess.PIPE,
+        env=environment,
+    ) as process:
+        address = process.stdout.readline().decode().split()[-1]
+        answer = urllib3.request("GET", f"http://{address}{path}")
+        process.kill()
+
+    assert answer.status == 200
+    assert isinstance(json.loads(answer.data), dict)
--- /dev/null
+++ b/tests/upstreams/test_plain_client.py
@@ -0,0 +1,113 @@
+"""Guards against a claim of "not run" for a request that was sent."""
+
+from __future__ import annotations
+
+import contextlib
+import datetime
+
+import pytest
+
+from coltsfootarch import errors
+from coltsfootarch.upstreams import plain_client
+from standins import plain
+
+SECOND = datetime.timedelta(seconds=1)
+SHORT = datetime.timedelta(seconds=0.2)
+BOOKING = plain_client.PlainRequest(
+    "POST",
+    "/bookings",
+    (
+        ("Content-Type", "application/json"),
+        ("Connection", "keep-alive, X-Hop"),
+        ("X-Hop", "1"),
+        ("Te", "trailers"),
+        ("Content-Length", "999"),
+        ("X-Kept", "a"),
+        ("X-Kept", "b"),
+    ),
+    b'{"booking_id": "b-1"}',
+)
+
+
+def send(address, request, timeout=SECOND):
+    connection = plain_client.PlainConnector().connect(address, SECOND)
+    with contextlib.closing(connection):
+        return connection.send(request, timeout)
+
+
+def test_request_and_answer_lose_only_hop_by_hop_fields(running, raw_server):
+    service = running(plain.PlainStandin())
+    answer = send(service.address, BOOKING)
+
+    assert (answer.status, service.runs["b-1"]) == (201, 1)
+    received = service.recorded[-1].headers
+    assert received["x-kept"] == "a,b"
+    assert received["host"] == service.address
+    assert received["content-length"] == "21"
+    assert not {"x-hop", "te", "connection"} & received.keys()
+
+    address = raw_server(
+        b"HTTP/1.1 404 X\r\nConnection: close, X-Hop\r\nX-Hop: 1\r\n"
+        b"Set-Cookie: a=1\r\nSet-Cookie: b=2\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n"
+    )
+    answer = send(address, BOOKING)
+    cookies = (("Set-Cookie", "a=1"), ("Set-Cookie", "b=2"))
+    assert answer == (404, cookies, b"no")
+
+
+@pytest.mark.parametrize(
+    ("fault", "expected"),
+    [
+        ({"die_before_answer": 1}, errors.UpstreamError),
+        ({"delay": 1.0}, errors.UpstreamTimeoutError),
+    ],
+    ids=["dies before the answer", "silent"],
+)
+def test_failure_after_sending_means_may_have_run(running, fault, expected):
+    service = running(plain.PlainStandin())
+    service.apply_faults(fault)
+
+    with pytest.raises(errors.UpstreamError) as caught:
+        send(service.address, BOOKING, SHORT)
+
+    assert type(caught.value) is expected
+    assert service.runs["b-1"] == 1
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nsh",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nsh\r\n",
+        b"no HTTP\r\n\r\n",
+        b"",
+    ],
+)
+def test_truncated_answer_is_an_error(raw_server, answer):
+    with pytest.raises(errors.UpstreamError) as caught:
+        send(raw_server(answer), BOOKING)
+
+    assert type(caught.value) is errors.UpstreamError
+
+
+def test_refused_connect_sends_nothing(running):
+    service = running(plain.PlainStandin())
+    service.apply_faults({"refuse": 60})
+
+    with pytest.raises(errors.UpstreamConnectError):
+        send(service.address, BOOKING)
+
+    assert not service.runs
+
+
+@pytest.mark.parametrize(
+    "answer", [b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 200 OK\r\n\r\n"]
+)
+def test_answer_in_slow_pieces_ends_at_the_deadline(raw_server, answer):
+    """Guards against a deadline that each piece of an answer extends."""
+    address = raw_server(answer, repeated=b"X: 1\r\n")
+
+    with pytest.raises(errors.UpstreamTimeoutError):
+        send(address, BOOKING, SHORT)
