--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 	$(BIN)/python -m benchmarks
 
 demo: $(STAMP)
-	$(BIN)/python -m standins.demo
+	$(BIN)/python -m standins.demo $(DEMO_ARGS)
 
 clean:
 	rm -rf $(VENV) .mypy_cache .pytest_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/benchmarks/path.py
@@ -0,0 +1,236 @@
+"""Cost of the request path and of an idle entry host, in real processes.
+
+Processor time is user plus system time of the entry host's process. The same
+requests go to the stand-in engines directly in the same run; the figure beside
+the router's is the processor time of the calling client.
+"""
+
+from __future__ import annotations
+
+import datetime
+import json
+import os
+import time
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import NamedTuple
+
+import psutil
+
+from benchmarks import fit
+from coltsfootarch.upstreams import engine
+from coltsfootarch.upstreams import engine_client
+from standins import fleet
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    import urllib3
+
+HOSTS = ["regina-1", "saskatoon-1"]
+TIME_SCALE = 0.02
+TOKEN_SIZES = (16, 64, 256)
+REQUESTS = 60
+IDLE_SECONDS = 10.0
+MIB = 1024 * 1024
+
+
+class PathRow(NamedTuple):
+    """One figure of the path.
+
+    Attributes:
+        name: What was measured.
+        value: Figure in `unit`.
+        unit: Unit.
+        detail: Fit error or baseline.
+    """
+
+    name: str
+    value: float
+    unit: str
+    detail: str
+
+
+def run() -> list[PathRow]:
+    """Measures and returns the rows."""
+    running = fleet.Fleet(
+        HOSTS, time_scale=TIME_SCALE, rules="queue_timeout = '5s'"
+    )
+    try:
+        running.start()
+        process = psutil.Process(running.processes[HOSTS[0]].pid)
+        rows = idle_rows(process)
+        rows += relay_rows(running, process)
+        rows += call_rows(running, process)
+        rows += memory_rows(process)
+        return rows
+    finally:
+        running.close()
+
+
+def cpu_seconds(process: psutil.Process) -> float:
+    """Returns a process's user and system time."""
+    times = process.cpu_times()
+    seconds: float = times.user + times.system
+    return seconds
+
+
+def idle_rows(process: psutil.Process) -> list[PathRow]:
+    """Measures an entry host that only does control work."""
+    before = cpu_seconds(process)
+    time.sleep(IDLE_SECONDS)
+    used = cpu_seconds(process) - before
+    share = 100 * used / IDLE_SECONDS
+    return [
+        PathRow("idle host, processor", share, "% of a core", "target 1.3"),
+        PathRow(
+            "idle host, resident memory",
+            process.memory_info().rss / MIB,
+            "MiB",
+            "whole process, data path included",
+        ),
+    ]
+
+
+def relay_rows(running: fleet.Fleet, process: psutil.Process) -> list[PathRow]:
+    """Measures processor time by request and by relayed token."""
+    costs = [
+        cost_per_request(process, lambda size=size: complete(running, size))
+        for size in TOKEN_SIZES
+    ]
+    line = fit.fit(TOKEN_SIZES, costs)
+    direct = direct_cost(running)
+    detail = f"fit error {100 * line.error:.0f}%"
+    return [
+        PathRow("completion", line.intercept * 1e6, "µs a request", detail),
+        PathRow("relayed token", line.slope * 1e6, "µs a token", detail),
+        PathRow(
+            "direct call, client side",
+            direct.intercept * 1e6,
+            "µs a request",
+            f"fit error {100 * direct.error:.0f}%",
+        ),
+        PathRow(
+            "direct call, client side",
+            direct.slope * 1e6,
+            "µs a token",
+            f"fit error {100 * direct.error:.0f}%",
+        ),
+    ]
+
+
+def cost_per_request(
+    process: psutil.Process, request: Callable[[], object]
+) -> float:
+    """Returns the process's processor time by request, in seconds."""
+    before = cpu_seconds(process)
+    for _ in range(REQUESTS):
+        request()
+    return (cpu_seconds(process) - before) / REQUESTS
+
+
+def complete(running: fleet.Fleet, tokens: int) -> None:
+    """Streams one completion through the first entry host."""
+    key = next(iter(running.keys.values()))
+    body = {
+        "model": "loan-summary",
+        "prompt": "Referral: hip surgery, lives alone.",
+        "max_tokens": tokens,
+        "stream": True,
+    }
+    answer = running.http.request(
+        "POST",
+        f"{running.url(HOSTS[0])}/v1/completions",
+        body=json.dumps(body),
+        headers={"Authorization": f"Bearer {key}"},
+    )
+    if b"event: done" not in answer.data:
+        raise RuntimeError(answer.data.decode()[-500:])
+
+
+def direct_cost(running: fleet.Fleet) -> fit.Fit:
+    """Measures the client side of the same calls without the router."""
+    client = engine_client.HttpEngineClient(
+        datetime.timedelta(seconds=1), datetime.timedelta(seconds=5)
+    )
+    by_role: dict[str, Any] = {
+        upstream["role"]: upstream["address"]
+        for upstream in running.register["upstream"]
+    }
+    own = psutil.Process(os.getpid())
+    costs = []
+    for size in TOKEN_SIZES:
+        before = cpu_seconds(own)
+        for index in range(REQUESTS):
+            request = engine.EngineRequest(
+                f"direct.{size}.{index}",
+                1,
+                "bench/1",
+                "Referral: hip surgery, lives alone.",
+                size,
+                0,
+            )
+            source = client.prefill(by_role["prefill"], request)
+            for _event in client.decode(by_role["decode"], request, source):
+                pass
+        costs.append((cpu_seconds(own) - before) / REQUESTS)
+    return fit.fit(TOKEN_SIZES, costs)
+
+
+def call_rows(running: fleet.Fleet, process: psutil.Process) -> list[PathRow]:
+    """Measures calls to a plain service."""
+    key = next(iter(running.keys.values()))
+    headers = {"Authorization": f"Bearer {key}"}
+    url = running.url(HOSTS[0])
+    counter = iter(range(10**9))
+
+    def stock() -> urllib3.BaseHTTPResponse:
+        return running.http.request(
+            "GET", f"{url}/loans/stock", headers=headers
+        )
+
+    def book() -> urllib3.BaseHTTPResponse:
+        booking = f"bench-{next(counter)}"
+        return running.http.request(
+            "POST",
+            f"{url}/loans/bookings",
+            body=json.dumps({"booking_id": booking}),
+            headers={**headers, "Idempotency-Key": booking},
+        )
+
+    return [
+        PathRow(
+            "stock check (idempotent)",
+            cost_per_request(process, stock) * 1e6,
+            "µs a request",
+            "",
+        ),
+        PathRow(
+            "booking (claim and record)",
+            cost_per_request(process, book) * 1e6,
+            "µs a request",
+            "2 transactions on the table service",
+        ),
+    ]
+
+
+def memory_rows(process: psutil.Process) -> list[PathRow]:
+    """Reads the memory of the host after the load."""
+    return [
+        PathRow(
+            "host after the load, resident memory",
+            process.memory_info().rss / MIB,
+            "MiB",
+            "",
+        )
+    ]
+
+
+def main() -> None:
+    """Prints the rows."""
+    for row in run():
+        print(f"{row.name:40} {row.value:12.2f} {row.unit:14} {row.detail}")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/coltsfootarch/console/application.py
+++ b/src/coltsfootarch/console/application.py
@@ -14,6 +14,8 @@
 # pay for the imports of the others.
 COMMANDS = {
     "audit": "coltsfootarch.console.commands.audit:audit",
+    "demo": "coltsfootarch.console.commands.demo:demo",
+    "gateway": "coltsfootarch.console.commands.gateway:gateway",
     "codes": "coltsfootarch.console.commands.codes:codes",
     "config": "coltsfootarch.console.commands.config:config",
     "key": "coltsfootarch.console.commands.key:key",
--- /dev/null
+++ b/src/coltsfootarch/gateway/application.py
@@ -0,0 +1,321 @@
+"""HTTP interface for callers."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import NamedTuple
+
+import bottle
+import msgspec
+import structlog
+
+from coltsfootarch import errors
+from coltsfootarch import results
+from coltsfootarch.gateway import answers
+from coltsfootarch.gateway import call_pipeline
+from coltsfootarch.gateway import completions
+from coltsfootarch.gateway import inflight
+from coltsfootarch.gateway import intake
+from coltsfootarch.observability import metrics
+from coltsfootarch.upstreams import plain_client
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterator
+
+    from coltsfootarch.config import routes
+    from coltsfootarch.gateway import admission
+    from coltsfootarch.gateway import completion_pipeline
+    from coltsfootarch.gateway import remote_cancel
+    from coltsfootarch.keys import ring
+
+HTTP_NO_CONTENT = 204
+OPEN_ACCOUNT = ""
+
+logger = structlog.get_logger(__name__)
+
+
+class HostStatus(NamedTuple):
+    """What `/-/status` tells of this host.
+
+    Attributes:
+        host: Name.
+        availability_zone: Availability zone.
+        incarnation: Process start in milliseconds of wall time.
+        config_version: Configuration version in force.
+        confirmed_age: Seconds since that version was confirmed, or None.
+        shards: Shards held.
+        in_progress: Requests in progress.
+        ready: Whether new requests are taken.
+    """
+
+    host: str
+    availability_zone: str
+    incarnation: int
+    config_version: int
+    confirmed_age: float | None
+    shards: list[int]
+    in_progress: int
+    ready: bool
+
+
+class GatewayApplication:
+    """WSGI application of an entry host.
+
+    Args:
+        admission: Decides whether a request may start.
+        completion_pipeline: Runs completion requests.
+        call_pipeline: Runs calls to plain services.
+        requests: Requests in progress.
+        canceller: Cancels requests that another host runs.
+        status: Returns the host's status.
+        metrics: Where metrics go.
+    """
+
+    def __init__(
+        self,
+        admission: admission.Admission,
+        completion_pipeline: completion_pipeline.CompletionPipeline,
+        call_pipeline: call_pipeline.CallPipeline,
+        requests: inflight.InflightRequests,
+        canceller: remote_cancel.RemoteCanceller,
+        status: Callable[[], HostStatus],
+        metrics: metrics.Metrics,
+    ) -> None:
+        self.admission = admission
+        self.completion_pipeline = completion_pipeline
+        self.call_pipeline = call_pipeline
+        self.requests = requests
+        self.canceller = canceller
+        self.status = status
+        self.metrics = metrics
+        self.wsgi = self.build()
+
+    def build(self) -> bottle.Bottle:
+        """Returns the bottle application with its routes."""
+        app = bottle.Bottle(catchall=True, autojson=False)
+        app.route("/-/live", "GET", self.get_live)
+        app.route("/-/ready", "GET", self.get_ready)
+        app.route("/-/status", "GET", self.get_status)
+        app.route("/v1/completions", "POST", self.post_completion)
+        app.route("/v1/requests/<request_id>", "DELETE", self.delete_request)
+        app.route("/<path:path>", "ANY", self.any_call)
+        app.default_error_handler = self.error_page
+        return app
+
+    def get_live(self) -> bytes:
+        """Answers while the process runs."""
+        return b"live\n"
+
+    def get_ready(self) -> bytes:
+        """Answers 200 while new requests are taken, else 503."""
+        if self.status().ready:
+            return b"ready\n"
+        bottle.response.status = 503
+        return b"not ready\n"
+
+    def get_status(self) -> bytes:
+        """Answers with the host's status as JSON."""
+        return json_answer(self.status()._asdict())
+
+    def post_completion(self) -> bytes | Iterator[bytes]:
+        """Starts or resumes a completion."""
+        environ = bottle.request.environ
+        request_id = self.requests.new_request_id()
+        bottle.response.set_header("X-Request-Id", request_id)
+        handle: inflight.RequestHandle | None = None
+        try:
+            intake.check_headers(environ)
+            caller = self.admission.authenticate(environ)
+            body = intake.read_body(environ, self.admission.body_limit())
+            request = completions.parse(body)
+            handle = self.requests.open(
+                inflight.RequestInfo(request_id, caller.account, caller.key_id)
+            )
+            events = self.answer_events(environ, request_id, caller, request)
+            if request.stream:
+                return self.stream_answer(handle, events)
+            whole = answers.collect(events, request_id)
+            self.requests.close(handle)
+            return json_answer(dict(whole))
+        except errors.ColtsfootarchError as error:
+            if handle is not None:
+                self.requests.close(handle)
+            return self.refuse(error, request_id)
+
+    def answer_events(
+        self,
+        environ: dict[str, Any],
+        request_id: str,
+        caller: ring.Caller,
+        request: completions.CompletionRequest,
+    ) -> Iterator[completions.AnswerEvent]:
+        """Returns the events of a new or a resumed answer."""
+        token = environ.get("HTTP_RESUME_TOKEN", "")
+        if not token:
+            return self.completion_pipeline.run(request_id, caller, request)
+        offset = parse_offset(environ.get("HTTP_LAST_EVENT_ID", "0"))
+        return self.completion_pipeline.resume(
+            request_id, caller, request, token, offset
+        )
+
+    def stream_answer(
+        self,
+        handle: inflight.RequestHandle,
+        events: Iterator[completions.AnswerEvent],
+    ) -> Iterator[bytes]:
+        """Returns the encoded stream once its first event is there.
+
+        Waiting for the first event lets a refusal carry its HTTP status.
+        """
+        first = next(events)
+        bottle.response.content_type = "text/event-stream"
+        bottle.response.set_header("Cache-Control", "no-store")
+        return self.encoded_stream(handle, first, events)
+
+    def encoded_stream(
+        self,
+        handle: inflight.RequestHandle,
+        first: completions.AnswerEvent,
+        events: Iterator[completions.AnswerEvent],
+    ) -> Iterator[bytes]:
+        """Yields the server-sent events of an answer."""
+        request_id = handle.info.request_id
+        try:
+            yield answers.encode_event(first)
+            for event in events:
+                yield answers.encode_event(event)
+        except errors.ColtsfootarchError as error:
+            self.note_refusal(error, request_id, handle.info.account)
+            yield answers.encode_failure(error, request_id)
+        finally:
+            close = getattr(events, "close", None)
+            if close is not None:
+                close()
+            self.requests.close(handle)
+
+    def delete_request(self, request_id: str) -> bytes:
+        """Cancels a request of the caller's client account."""
+        environ = bottle.request.environ
+        try:
+            intake.check_headers(environ)
+            caller = self.admission.authenticate(environ)
+            self.canceller.cancel(request_id, caller.account)
+        except errors.ColtsfootarchError as error:
+            return self.refuse(error, request_id)
+        bottle.response.status = HTTP_NO_CONTENT
+        return b""
+
+    def any_call(self, path: str) -> bytes:
+        """Forwards a call to a plain service."""
+        environ = bottle.request.environ
+        request_id = self.requests.new_request_id()
+        bottle.response.set_header("X-Request-Id", request_id)
+        handle: inflight.RequestHandle | None = None
+        try:
+            intake.check_headers(environ)
+            route = self.admission.route(environ)
+            account, key_id = OPEN_ACCOUNT, ""
+            if not route.open:
+                caller = self.admission.authenticate(environ)
+                account, key_id = caller.account, caller.key_id
+            body = intake.read_body(environ, self.admission.body_limit())
+            handle = self.requests.open(
+                inflight.RequestInfo(request_id, account, key_id)
+            )
+            call = self.make_call(environ, request_id, account, route, body)
+            return self.call_answer(self.call_pipeline.run(call))
+        except errors.ColtsfootarchError as error:
+            return self.refuse(error, request_id)
+        finally:
+            if handle is not None:
+                self.requests.close(handle)
+
+    def make_call(
+        self,
+        environ: dict[str, Any],
+        request_id: str,
+        account: str,
+        route: routes.Route,
+        body: bytes,
+    ) -> call_pipeline.Call:
+        """Returns the call that an upstream gets."""
+        target = route.path
+        query = environ.get("QUERY_STRING", "")
+        if query:
+            target = f"{target}?{query}"
+        headers = intake.upstream_headers(environ, account, request_id)
+        request = plain_client.PlainRequest(
+            environ["REQUEST_METHOD"], target, headers, body
+        )
+        key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
+        return call_pipeline.Call(request_id, account, route, request, key)
+
+    def call_answer(self, answer: call_pipeline.CallAnswer) -> bytes:
+        """Passes an upstream's answer to the caller."""
+        bottle.response.status = answer.response.status
+        for name, value in answer.response.headers:
+            bottle.response.add_header(name, value)
+        if answer.replayed:
+            bottle.response.set_header("Idempotency-Replayed", "true")
+        body: bytes = answer.response.body
+        return body
+
+    def refuse(
+        self, error: errors.ColtsfootarchError, request_id: str
+    ) -> bytes:
+        """Answers with a refusal."""
+        self.note_refusal(error, request_id, "")
+        bottle.response.status = error.code.http_status
+        bottle.response.set_header("Result-Code", str(error.code.number))
+        retry_after = getattr(error, "retry_after", None)
+        if retry_after is not None:
+            seconds = max(1, round(retry_after))
+            bottle.response.set_header("Retry-After", str(seconds))
+        return json_answer(dict(answers.refusal_body(error, request_id)))
+
+    def note_refusal(
+        self, error: errors.ColtsfootarchError, request_id: str, account: str
+    ) -> None:
+        """Logs and counts a refusal."""
+        number = error.code.number
+        self.metrics.increment(metrics.REFUSALS, suffix=str(number))
+        logger.info(
+            "request refused",
+            request_id=request_id,
+            client_account=account,
+            result_code=number,
+            reason=error.code.name,
+        )
+
+    def error_page(self, error: bottle.HTTPError) -> bytes:
+        """Renders bottle's own errors as refusals."""
+        code = results.INTERNAL_ERROR
+        if error.status_code in (404, 405):
+            code = results.UNKNOWN_ROUTE
+        elif error.status_code < 500:
+            code = results.INVALID_FIELD
+        else:
+            logger.error("unexpected error", exc_info=error.exception)
+        request_id = bottle.response.get_header("X-Request-Id") or ""
+        return self.refuse(errors.RefusedError(code), request_id)
+
+
+def json_answer(document: dict[str, Any]) -> bytes:
+    """Returns a JSON body and sets its content type."""
+    bottle.response.content_type = "application/json"
+    return msgspec.json.encode(document)
+
+
+def parse_offset(text: str) -> int:
+    """Returns the offset in a `Last-Event-ID` header.
+
+    Raises:
+        RefusedError: The header is not a number.
+    """
+    if not text.isdecimal():
+        raise errors.RefusedError(
+            results.INVALID_FIELD, "`Last-Event-ID` must be an event's id"
+        )
+    return int(text)
--- /dev/null
+++ b/src/coltsfootarch/gateway/call_pipeline.py
@@ -0,0 +1,292 @@
+"""Calls to plain services: free retries or at most one run."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from coltsfootarch import errors
+from coltsfootarch import results
+from coltsfootarch.idempotency import claims
+from coltsfootarch.idempotency import rows
+from coltsfootarch.observability import metrics
+from coltsfootarch.upstreams import plain_client
+
+if TYPE_CHECKING:
+    import datetime
+    from collections.abc import Callable
+
+    from coltsfootarch import clock
+    from coltsfootarch.config import register
+    from coltsfootarch.config import routes
+    from coltsfootarch.gateway import dispatch_guard
+    from coltsfootarch.retries import budget
+    from coltsfootarch.scheduling import plain
+
+# Answers by which an instance says that it can't serve now.
+UNAVAILABLE_STATUSES = frozenset({502, 503, 504})
+MAX_CONNECT_ATTEMPTS = 3
+
+
+class Call(NamedTuple):
+    """A call to a plain service.
+
+    Attributes:
+        request_id: Request id.
+        account: Client account; empty on an open route.
+        route: Where the call goes and what rules hold for it.
+        request: The request as the upstream gets it.
+        idempotency_key: The caller's key; empty if none was sent.
+    """
+
+    request_id: str
+    account: str
+    route: routes.Route
+    request: plain_client.PlainRequest
+    idempotency_key: str
+
+
+class CallAnswer(NamedTuple):
+    """An upstream's answer.
+
+    Attributes:
+        response: The answer.
+        replayed: Whether it is the recorded answer of an earlier call.
+    """
+
+    response: plain_client.PlainResponse
+    replayed: bool
+
+
+class CallPipeline:
+    """Runs calls to plain services.
+
+    Args:
+        clock: Source of time.
+        register: Returns the register in force.
+        balancer: Chooses instances.
+        connector: Opens connections to instances.
+        guard: Last check before a call is sent to an instance.
+        claim_book: Claims of non-idempotent calls.
+        budget: Retry budget of this host.
+        backoff: Returns the wait before a numbered retry.
+        metrics: Where metrics go.
+    """
+
+    def __init__(
+        self,
+        clock: clock.Clock,
+        register: Callable[[], register.Register],
+        balancer: plain.PlainBalancer,
+        connector: plain_client.PlainConnector,
+        guard: dispatch_guard.DispatchGuard,
+        claim_book: claims.ClaimBook,
+        budget: budget.RetryBudget,
+        backoff: Callable[[int], datetime.timedelta],
+        metrics: metrics.Metrics,
+    ) -> None:
+        self.clock = clock
+        self.register = register
+        self.balancer = balancer
+        self.connector = connector
+        self.guard = guard
+        self.claim_book = claim_book
+        self.budget = budget
+        self.backoff = backoff
+        self.metrics = metrics
+
+    def run(self, call: Call) -> CallAnswer:
+        """Sends a call and returns its answer.
+
+        Raises:
+            RefusedError: The call was not run, or may have run; the code
+                says which.
+        """
+        self.metrics.increment(metrics.CALLS)
+        self.budget.record()
+        if call.route.idempotent:
+            return self.run_idempotent(call)
+        return self.run_once(call)
+
+    def run_idempotent(self, call: Call) -> CallAnswer:
+        """Sends an idempotent call, again on other instances if need be."""
+        excluded: set[str] = set()
+        attempt = 0
+        while True:
+            attempt += 1
+            upstream = self.choose(call, excluded)
+            try:
+                response = self.send_to(upstream, call)
+            except errors.UpstreamError as error:
+                failure = errors.RefusedError(error.code)
+            else:
+                if response.status not in UNAVAILABLE_STATUSES:
+                    return CallAnswer(response, replayed=False)
+                failure = errors.RefusedError(results.UPSTREAM_FAILED)
+            excluded.add(upstream.name)
+            self.check_retry(call, attempt, failure)
+            self.clock.sleep(self.backoff(attempt))
+            excluded = self.still_useful(call.route.service.name, excluded)
+
+    def choose(self, call: Call, excluded: set[str]) -> register.Upstream:
+        """Returns an instance that may get new work.
+
+        Raises:
+            RefusedError: There is none.
+        """
+        denied: set[str] = set()
+        while True:
+            upstream = self.balancer.choose(
+                call.route.service.name, excluded | denied
+            )
+            if self.guard.allows(upstream.name):
+                return upstream
+            denied.add(upstream.name)
+
+    def check_retry(
+        self, call: Call, attempt: int, failure: errors.RefusedError
+    ) -> None:
+        """Raises the failure if the call must not be sent again."""
+        if attempt >= call.route.max_attempts:
+            raise failure
+        if not self.budget.spend():
+            raise errors.RefusedError(results.RETRY_BUDGET_SPENT)
+        self.metrics.increment(metrics.CALL_RETRIES)
+
+    def still_useful(self, service: str, excluded: set[str]) -> set[str]:
+        """Returns the exclusions, or none when no instance would be left."""
+        names = {
+            upstream.name
+            for upstream in self.register().upstreams.values()
+            if upstream.service == service
+        }
+        return excluded if names - excluded else set()
+
+    def send_to(
+        self, upstream: register.Upstream, call: Call
+    ) -> plain_client.PlainResponse:
+        """Sends a call to one instance on a new connection.
+
+        Raises:
+            UpstreamError: The instance did not answer.
+        """
+        self.balancer.started(upstream.name)
+        try:
+            connection = self.connect(upstream, call)
+            try:
+                response = connection.send(call.request, self.timeout(call))
+            finally:
+                connection.close()
+        except errors.UpstreamError:
+            self.balancer.failed(upstream.name)
+            raise
+        except BaseException:
+            self.balancer.finished(upstream.name)
+            raise
+        self.balancer.finished(upstream.name)
+        return response
+
+    def run_once(self, call: Call) -> CallAnswer:
+        """Sends a non-idempotent call at most once."""
+        if not call.idempotency_key:
+            raise errors.RefusedError(results.IDEMPOTENCY_KEY_REQUIRED)
+        upstream, connection = self.open_connection(call)
+        try:
+            claim = self.claim_book.claim(
+                call.account, call.idempotency_key, body_digest(call)
+            )
+            if isinstance(claim, claims.RecordedOutcome):
+                self.balancer.finished(upstream.name)
+                self.metrics.increment(metrics.REPLAYS)
+                return CallAnswer(replayed_response(claim), replayed=True)
+            return self.send_claimed(call, upstream, connection, claim)
+        except errors.RefusedError:
+            self.balancer.finished(upstream.name)
+            raise
+        finally:
+            connection.close()
+
+    def open_connection(
+        self, call: Call
+    ) -> tuple[register.Upstream, plain_client.PlainConnection]:
+        """Connects before the claim, so that a dead instance costs nothing.
+
+        Raises:
+            RefusedError: No instance accepted a connection; nothing was sent.
+        """
+        excluded: set[str] = set()
+        for _ in range(MAX_CONNECT_ATTEMPTS):
+            upstream = self.choose(call, excluded)
+            self.balancer.started(upstream.name)
+            try:
+                return upstream, self.connect(upstream, call)
+            except errors.UpstreamConnectError:
+                self.balancer.failed(upstream.name)
+                excluded.add(upstream.name)
+        raise errors.RefusedError(results.UPSTREAM_CONNECT_FAILED)
+
+    def send_claimed(
+        self,
+        call: Call,
+        upstream: register.Upstream,
+        connection: plain_client.PlainConnection,
+        claim: claims.Claim,
+    ) -> CallAnswer:
+        """Sends a claimed call and records its outcome.
+
+        After the first byte nothing is sent again: a failure from here on
+        leaves the claim in place and says "may have run".
+        """
+        try:
+            response = connection.send(call.request, self.timeout(call))
+        except errors.UpstreamError as error:
+            self.balancer.failed(upstream.name)
+            raise errors.RefusedError(may_have_run(error)) from error
+        self.balancer.finished(upstream.name)
+        outcome = rows.Outcome(
+            response.status, list(response.headers), response.body
+        )
+        self.claim_book.record(claim, outcome)
+        return CallAnswer(response, replayed=False)
+
+    def connect(
+        self, upstream: register.Upstream, call: Call
+    ) -> plain_client.PlainConnection:
+        """Opens a new connection to an instance."""
+        return self.connector.connect(upstream.address, self.timeout(call))
+
+    def timeout(self, call: Call) -> datetime.timedelta:
+        """Returns the service's longest wait."""
+        return call.route.service.timeout
+
+
+def may_have_run(error: errors.UpstreamError) -> results.ResultCode:
+    """Returns the code for a failure after the first byte was sent."""
+    if isinstance(error, errors.UpstreamTimeoutError):
+        return results.UPSTREAM_TIMEOUT
+    return results.UPSTREAM_FAILED
+
+
+def replayed_response(
+    outcome: claims.RecordedOutcome,
+) -> plain_client.PlainResponse:
+    """Returns a recorded outcome as an upstream's answer."""
+    recorded = outcome.outcome
+    return plain_client.PlainResponse(
+        recorded.status, tuple(recorded.headers), recorded.body
+    )
+
+
+def body_digest(call: Call) -> str:
+    """Returns the digest by which a repeated call is recognised."""
+    digest = hashlib.sha256()
+    for part in (
+        call.route.service.name,
+        call.request.method,
+        call.request.path,
+    ):
+        digest.update(part.encode())
+        digest.update(b"\0")
+    digest.update(call.request.body)
+    return digest.hexdigest()
--- /dev/null
+++ b/src/coltsfootarch/gateway/completion_pipeline.py
@@ -0,0 +1,262 @@
+"""Completion requests: admission, attempts and resumed answers."""
+
+from __future__ import annotations
+
+import datetime
+from typing import TYPE_CHECKING
+
+from gevent import pool
+
+from coltsfootarch import errors
+from coltsfootarch import results
+from coltsfootarch.gateway import completion_run
+from coltsfootarch.gateway import completions
+from coltsfootarch.gateway import resume as resumes
+from coltsfootarch.observability import metrics
+from coltsfootarch.protocol import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterator
+
+    from coltsfootarch import clock
+    from coltsfootarch.config import register
+    from coltsfootarch.gateway import dispatch_guard
+    from coltsfootarch.gateway import reachability
+    from coltsfootarch.keys import ring
+    from coltsfootarch.limits import limiter
+    from coltsfootarch.retries import budget
+    from coltsfootarch.scheduling import client
+    from coltsfootarch.scheduling import items
+    from coltsfootarch.upstreams import engine
+
+CANCEL_ATTEMPTS = 3
+CANCEL_INTERVAL = datetime.timedelta(seconds=1)
+BACKGROUND_TIMEOUT = datetime.timedelta(seconds=10)
+# Time in which a caller that lost its connection can resume a streamed answer.
+RESUME_GRACE = datetime.timedelta(seconds=2)
+
+
+class CompletionPipeline:
+    """Runs completion requests.
+
+    Args:
+        clock: Source of time.
+        register: Returns the register in force.
+        limiter: Rate and burst of client accounts.
+        scheduler: Places requests on engines.
+        engines: Calls model engines.
+        guard: Last check before work is sent to an engine.
+        reachability: Which engines this host reaches.
+        budget: Retry budget of this host.
+        metrics: Where metrics go.
+        owner: "host/incarnation", by which engines know this host.
+    """
+
+    def __init__(
+        self,
+        clock: clock.Clock,
+        register: Callable[[], register.Register],
+        limiter: limiter.Limiter,
+        scheduler: client.SchedulerClient,
+        engines: engine.EngineClient,
+        guard: dispatch_guard.DispatchGuard,
+        reachability: reachability.Reachability,
+        budget: budget.RetryBudget,
+        metrics: metrics.Metrics,
+        owner: str,
+    ) -> None:
+        self.clock = clock
+        self.register = register
+        self.limiter = limiter
+        self.scheduler = scheduler
+        self.engines = engines
+        self.guard = guard
+        self.reachability = reachability
+        self.budget = budget
+        self.metrics = metrics
+        self.owner = owner
+        self.background = pool.Group()
+
+    def run(
+        self,
+        request_id: str,
+        caller: ring.Caller,
+        request: completions.CompletionRequest,
+    ) -> Iterator[completions.AnswerEvent]:
+        """Yields the events of an answer.
+
+        Raises:
+            RefusedError: The request was refused or could not be finished.
+        """
+        service = self.service(request.model)
+        self.metrics.increment(metrics.REQUESTS)
+        self.budget.record()
+        context = completion_run.RunContext(
+            request_id, caller, service, request
+        )
+        yield from completion_run.CompletionRun(self, context).events()
+
+    def resume(
+        self,
+        request_id: str,
+        caller: ring.Caller,
+        request: completions.CompletionRequest,
+        token: str,
+        offset: int,
+    ) -> Iterator[completions.AnswerEvent]:
+        """Yields the rest of an answer that another connection began.
+
+        The engine's stream is picked up at `offset`. If the engine is gone
+        the answer starts over, charged as a new request.
+
+        Args:
+            request_id: Id of this request, used if the answer starts over.
+            caller: Client account and key of the caller.
+            request: The same request as before.
+            token: Resume token of the answer.
+            offset: Tokens that the caller has received.
+
+        Raises:
+            RefusedError: The token is not accepted, or as for `run`.
+        """
+        now = self.clock.now().timestamp()
+        reference = self.signer().verify(token, now)
+        same_body = reference.body_digest == request.digest
+        if reference.account != caller.account or not same_body:
+            raise errors.RefusedError(results.INVALID_RESUME_TOKEN)
+        self.metrics.increment(metrics.CALLER_RESUMES)
+        try:
+            yield from self.attach(reference, request, token, offset)
+        except errors.UpstreamError:
+            self.metrics.increment(metrics.RESTARTS)
+            yield completions.Restarted(request_id)
+            yield from self.run(request_id, caller, request)
+
+    def attach(
+        self,
+        reference: resumes.ResumeReference,
+        request: completions.CompletionRequest,
+        token: str,
+        offset: int,
+    ) -> Iterator[completions.AnswerEvent]:
+        """Yields an engine's stream from `offset` on."""
+        upstream = self.register().upstreams.get(reference.upstream)
+        if upstream is None or offset < reference.base_offset:
+            raise errors.UpstreamError("the answer is not available")
+        request_id = reference.request_id
+        started = False
+        stream = self.engines.resume(upstream.address, request_id, offset)
+        for event in stream:
+            if event.offset != offset:
+                raise errors.UpstreamError("the stream is at another offset")
+            if not started:
+                yield completions.Started(request_id, token)
+                started = True
+            offset += event.tokens
+            if event.tokens:
+                yield completions.Tokens(event.text, offset)
+            if event.finished:
+                self.notify_finished(reference, offset)
+                tokens = completions.count_tokens(request.prompt)
+                yield completions.Finished(tokens, offset)
+                return
+        raise errors.UpstreamError("the stream ended early")
+
+    def notify_finished(
+        self, reference: resumes.ResumeReference, offset: int
+    ) -> None:
+        """Reports the end of an answer that was resumed here."""
+        event = messages.ScheduleEvent(
+            reference.request_id,
+            reference.attempt,
+            "finished",
+            reference.upstream,
+            offset,
+        )
+        self.scheduler.notify(event)
+
+    def wait_background(self) -> None:
+        """Waits for cancellations that are under way."""
+        self.background.join(BACKGROUND_TIMEOUT.total_seconds())
+
+    def service(self, model: str) -> register.Service:
+        """Returns the service of a model.
+
+        Raises:
+            RefusedError: No service has the model.
+        """
+        for service in self.register().services.values():
+            if service.model and service.model == model:
+                return service
+        raise errors.RefusedError(results.UNKNOWN_MODEL)
+
+    def upstream(self, name: str) -> register.Upstream:
+        """Returns an upstream of the register in force.
+
+        Raises:
+            RefusedError: The register no longer has it.
+        """
+        upstream = self.register().upstreams.get(name)
+        if upstream is None:
+            raise errors.RefusedError(results.NO_UPSTREAM)
+        return upstream
+
+    def account_priority(self, account: str) -> int:
+        """Returns the default priority of a client account."""
+        entry = self.register().client_accounts.get(account)
+        return entry.priority if entry else 0
+
+    def signer(self) -> resumes.ResumeSigner:
+        """Returns the signer for the secret in force."""
+        return resumes.ResumeSigner(self.register().rules.resume_secret)
+
+    def leave_for_resume(
+        self, context: completion_run.RunContext, placement: items.Assignment
+    ) -> None:
+        """Cancels an answer soon, unless another connection takes it up."""
+        self.background.spawn(self.cancel_unread, context, placement)
+
+    def cancel_unread(
+        self, context: completion_run.RunContext, placement: items.Assignment
+    ) -> None:
+        """Waits for a resume and cancels the answer if there was none."""
+        self.clock.sleep(RESUME_GRACE)
+        upstream = self.upstream(placement.decode)
+        if self.is_read(upstream.address, context.request_id):
+            return
+        event = messages.ScheduleEvent(
+            context.request_id,
+            placement.attempt,
+            "cancelled",
+            placement.decode,
+            0,
+        )
+        self.scheduler.notify(event)
+        self.cancel(upstream.address, context.request_id)
+
+    def is_read(self, address: str, request_id: str) -> bool:
+        """Returns whether a connection reads the answer at the engine."""
+        try:
+            entries = self.engines.requests(address)
+        except errors.UpstreamError:
+            return False
+        grace = RESUME_GRACE.total_seconds()
+        return any(
+            entry.request_id == request_id and entry.idle < grace / 2
+            for entry in entries
+        )
+
+    def cancel_later(self, address: str, request_id: str) -> None:
+        """Cancels a request at an engine in the background."""
+        self.background.spawn(self.cancel, address, request_id)
+
+    def cancel(self, address: str, request_id: str) -> None:
+        """Cancels a request at an engine; orphan collection is the fallback."""
+        for _ in range(CANCEL_ATTEMPTS):
+            try:
+                self.engines.cancel(address, request_id)
+            except errors.UpstreamError:
+                self.clock.sleep(CANCEL_INTERVAL)
+                continue
+            return
--- /dev/null
+++ b/src/coltsfootarch/gateway/completions.py
@@ -0,0 +1,164 @@
+"""Completion requests: what callers send and what they receive."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import Any
+from typing import NamedTuple
+from typing import TypeAlias
+
+import msgspec
+import xxhash
+
+from coltsfootarch import errors
+from coltsfootarch import results
+
+# English and Spanish prose averages about four bytes a token.
+BYTES_PER_TOKEN = 4
+CHUNK_TOKENS = 256
+MAX_PREFIX_CHUNKS = 128
+MAX_OUTPUT_TOKENS = 32_768
+DEFAULT_OUTPUT_TOKENS = 256
+
+
+class CompletionRequest(NamedTuple):
+    """A checked completion request.
+
+    Attributes:
+        model: Name of the model.
+        prompt: Prompt text.
+        max_tokens: Tokens to generate at most.
+        stream: Whether the answer is streamed.
+        priority: Priority asked for; None leaves it to the client account.
+        digest: Digest of the body, the same for a repeated request.
+    """
+
+    model: str
+    prompt: str
+    max_tokens: int
+    stream: bool
+    priority: int | None
+    digest: str
+
+
+class Started(NamedTuple):
+    """The answer begins, or goes on from another engine.
+
+    Attributes:
+        request_id: Request id.
+        resume_token: Token with which the caller can resume from now on.
+    """
+
+    request_id: str
+    resume_token: str
+
+
+class Restarted(NamedTuple):
+    """The answer starts over; discard the text received so far."""
+
+    request_id: str
+
+
+class Tokens(NamedTuple):
+    """Generated text.
+
+    Attributes:
+        text: Text of the tokens.
+        next_offset: Tokens generated so far, these included.
+    """
+
+    text: str
+    next_offset: int
+
+
+class Finished(NamedTuple):
+    """The answer is whole.
+
+    Attributes:
+        prompt_tokens: Tokens of the prompt, as counted against the rate.
+        output_tokens: Tokens generated.
+    """
+
+    prompt_tokens: int
+    output_tokens: int
+
+
+AnswerEvent: TypeAlias = Started | Restarted | Tokens | Finished
+
+FIELD_TYPES: dict[str, type] = {
+    "model": str,
+    "prompt": str,
+    "max_tokens": int,
+    "stream": bool,
+    "priority": int,
+}
+
+
+def parse(body: bytes) -> CompletionRequest:
+    """Checks the body of a completion request.
+
+    Raises:
+        RefusedError: The body is not JSON or a field is not accepted.
+    """
+    try:
+        document = msgspec.json.decode(body)
+    except msgspec.DecodeError:
+        raise errors.RefusedError(results.INVALID_JSON) from None
+    if not isinstance(document, dict):
+        raise invalid_field("the body must be a JSON object")
+    check_fields(document)
+    return CompletionRequest(
+        model=document["model"],
+        prompt=document["prompt"],
+        max_tokens=document.get("max_tokens", DEFAULT_OUTPUT_TOKENS),
+        stream=document.get("stream", False),
+        priority=document.get("priority"),
+        digest=hashlib.sha256(body).hexdigest(),
+    )
+
+
+def check_fields(document: dict[str, Any]) -> None:
+    """Raises the refusal for the first field that is not accepted."""
+    for name, value in document.items():
+        expected = FIELD_TYPES.get(name)
+        if expected is None:
+            accepted = ", ".join(FIELD_TYPES)
+            raise invalid_field(f"unknown field; accepted are {accepted}")
+        if type(value) is not expected:
+            raise invalid_field(f"`{name}` must be {expected.__name__}")
+    for name in ("model", "prompt"):
+        if not document.get(name):
+            raise invalid_field(f"`{name}` is required")
+    max_tokens = document.get("max_tokens", DEFAULT_OUTPUT_TOKENS)
+    if not 1 <= max_tokens <= MAX_OUTPUT_TOKENS:
+        raise invalid_field(f"`max_tokens` must be 1 to {MAX_OUTPUT_TOKENS}")
+
+
+def invalid_field(message: str) -> errors.RefusedError:
+    """Returns the refusal for a field that is not accepted."""
+    return errors.RefusedError(results.INVALID_FIELD, message)
+
+
+def count_tokens(text: str) -> int:
+    """Returns the estimated number of tokens of a text, at least 1."""
+    return max(1, -(-len(text.encode()) // BYTES_PER_TOKEN))
+
+
+def prefix_digests(prompt: str) -> list[int]:
+    """Returns digests of the prompt's leading chunks.
+
+    Engines compute the same digests (`docs/upstream-protocol.md`): xxh64 of
+    a chunk of 1,024 bytes with the digest before it as seed, so that equal
+    digests mean equal prefixes. At most 128 chunks are counted.
+    """
+    data = prompt.encode()
+    size = CHUNK_TOKENS * BYTES_PER_TOKEN
+    digest = 0
+    digests = []
+    for start in range(0, min(len(data), size * MAX_PREFIX_CHUNKS), size):
+        chunk = data[start : start + size]
+        if len(chunk) < size:
+            break
+        digest = xxhash.xxh64_intdigest(chunk, digest)
+        digests.append(digest)
+    return digests
--- /dev/null
+++ b/src/coltsfootarch/gateway/components.py
@@ -0,0 +1,308 @@
+"""Construction of a gateway's components from its settings."""
+
+from __future__ import annotations
+
+import datetime
+import random
+from typing import TYPE_CHECKING
+
+import gevent
+
+from coltsfootarch import clock as clocks
+from coltsfootarch import errors
+from coltsfootarch.config import background
+from coltsfootarch.config import tracker
+from coltsfootarch.gateway import admission
+from coltsfootarch.gateway import call_pipeline
+from coltsfootarch.gateway import completion_pipeline
+from coltsfootarch.gateway import config_exchange
+from coltsfootarch.gateway import dispatch_guard
+from coltsfootarch.gateway import inflight
+from coltsfootarch.gateway import ownership
+from coltsfootarch.gateway import reachability
+from coltsfootarch.gateway import remote_cancel
+from coltsfootarch.idempotency import claims
+from coltsfootarch.keys import authenticator
+from coltsfootarch.limits import ledger_book
+from coltsfootarch.limits import limiter
+from coltsfootarch.observability import metrics
+from coltsfootarch.platform import host_list_client
+from coltsfootarch.platform import host_list_watcher
+from coltsfootarch.platform import object_client
+from coltsfootarch.platform import table_client
+from coltsfootarch.protocol import messages
+from coltsfootarch.protocol import transport
+from coltsfootarch.retries import backoff
+from coltsfootarch.retries import budget
+from coltsfootarch.scheduling import client
+from coltsfootarch.scheduling import local
+from coltsfootarch.scheduling import plain
+from coltsfootarch.scheduling import service
+from coltsfootarch.upstreams import engine_client
+from coltsfootarch.upstreams import monitor
+from coltsfootarch.upstreams import orphans
+from coltsfootarch.upstreams import plain_client
+from coltsfootarch.zone import agent
+from coltsfootarch.zone import homes
+
+if TYPE_CHECKING:
+    from coltsfootarch.config import register
+    from coltsfootarch.config import settings
+
+TABLE_TIMEOUT = datetime.timedelta(seconds=1)
+OBJECT_TIMEOUT = datetime.timedelta(seconds=2)
+HOST_LIST_TIMEOUT = datetime.timedelta(seconds=1)
+ENGINE_CONNECT_TIMEOUT = datetime.timedelta(milliseconds=500)
+# Several times the target between tokens, so that only a silent connection
+# runs into it.
+ENGINE_PROGRESS_TIMEOUT = datetime.timedelta(seconds=2)
+DEFAULT_RETRY_RATIO = 0.2
+MILLISECONDS = 1000
+
+
+class Components:
+    """The components of one gateway, wired together.
+
+    Args:
+        settings: Settings of this process.
+        clock: Source of time.
+    """
+
+    def __init__(
+        self, settings: settings.Settings, clock: clocks.Clock
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.metrics = build_metrics(settings)
+        incarnation = int(clock.now().timestamp() * MILLISECONDS)
+        self.sender = messages.Sender(
+            settings.name,
+            incarnation,
+            settings.availability_zone,
+            settings.peer,
+        )
+        self.requests = inflight.InflightRequests(settings.name, incarnation)
+        self.build_platform()
+        self.build_zone()
+        self.build_limits()
+        self.build_scheduling()
+        self.build_pipelines()
+
+    def build_platform(self) -> None:
+        """Builds the clients of the platform and the peer network."""
+        settings = self.settings
+        self.tables = table_client.HttpTableService(
+            settings.table_service, TABLE_TIMEOUT
+        )
+        self.objects = object_client.HttpObjectStore(
+            settings.object_store, OBJECT_TIMEOUT
+        )
+        self.watcher = host_list_watcher.HostListWatcher(
+            self.clock,
+            host_list_client.HttpHostList(
+                settings.host_list, HOST_LIST_TIMEOUT
+            ),
+        )
+        self.network = transport.ZmqPeerNetwork(self.sender, self.clock)
+
+    def build_zone(self) -> None:
+        """Builds configuration, membership and shard leases."""
+        self.exchange = config_exchange.ConfigExchange(
+            self.network, self.peer_addresses
+        )
+        self.tracker = tracker.ConfigTracker(
+            self.clock,
+            self.tables,
+            self.exchange.ask,
+            parse=background.parse,
+        )
+        self.keys = authenticator.Authenticator(self.tracker)
+        self.agent = agent.ZoneAgent(
+            self.sender,
+            self.clock,
+            self.network,
+            self.tables,
+            self.shard_count,
+            lambda: self.tracker.version,
+        )
+
+    def build_limits(self) -> None:
+        """Builds rate limits and claims."""
+        self.ledger_book = ledger_book.LedgerBook(
+            self.clock,
+            self.agent.leases,
+            self.agent.holders,
+            self.settings.availability_zone,
+            self.network,
+            self.register,
+        )
+        self.limiter = limiter.Limiter(
+            self.clock,
+            self.network,
+            self.agent.holders,
+            self.settings.availability_zone,
+            self.register,
+            homes.home_shard,
+        )
+        self.claim_book = claims.ClaimBook(
+            self.tables,
+            self.objects,
+            self.clock,
+            self.sender.host,
+            self.sender.incarnation,
+            self.agent.holders.is_live,
+        )
+
+    def build_scheduling(self) -> None:
+        """Builds schedulers and the supervision of engines."""
+        self.engines = engine_client.HttpEngineClient(
+            ENGINE_CONNECT_TIMEOUT, ENGINE_PROGRESS_TIMEOUT
+        )
+        self.reachability = reachability.Reachability(self.clock)
+        leaving = self.watcher.leaving
+        self.pool_service = service.PoolService(
+            self.clock,
+            self.network,
+            self.agent.leases,
+            self.register,
+            self.pool_home,
+            self.settings.availability_zone,
+            leaving,
+        )
+        self.local_schedulers = local.LocalSchedulers(
+            self.clock, self.register, leaving, self.reachability.reachable
+        )
+        self.scheduler = client.SchedulerClient(
+            self.clock,
+            self.network,
+            self.agent.holders,
+            self.register,
+            self.pool_home,
+            self.sender,
+            self.pool_service,
+            self.local_schedulers,
+        )
+        self.monitor = monitor.EngineMonitor(
+            self.clock,
+            self.engines,
+            lambda: [
+                *self.pool_service.schedulers(),
+                *self.local_schedulers.schedulers(),
+            ],
+        )
+        self.ownership = ownership.Ownership(
+            self.network,
+            self.requests,
+            self.agent.leases,
+            self.register,
+            self.settings.availability_zone,
+            self.agent.address_of,
+        )
+        self.orphans = orphans.OrphanCollector(
+            self.clock,
+            self.engines,
+            self.register,
+            self.agent.holders.is_live,
+            self.ownership.is_home,
+            self.ownership.knows,
+            self.agent.view_age,
+        )
+
+    def build_pipelines(self) -> None:
+        """Builds the request pipelines."""
+        self.budget = budget.RetryBudget(self.clock, DEFAULT_RETRY_RATIO)
+        self.guard = dispatch_guard.DispatchGuard(self.tracker, self.watcher)
+        self.admission = admission.Admission(self.tracker, self.keys)
+        self.canceller = remote_cancel.RemoteCanceller(
+            self.requests, self.network, self.agent.address_of
+        )
+        self.completion_pipeline = completion_pipeline.CompletionPipeline(
+            self.clock,
+            self.register,
+            self.limiter,
+            self.scheduler,
+            self.engines,
+            self.guard,
+            self.reachability,
+            self.budget,
+            self.metrics,
+            f"{self.sender.host}/{self.sender.incarnation}",
+        )
+        self.call_pipeline = call_pipeline.CallPipeline(
+            self.clock,
+            self.register,
+            plain.PlainBalancer(
+                self.clock,
+                self.register,
+                self.settings.availability_zone,
+                self.watcher.leaving,
+            ),
+            plain_client.PlainConnector(self.clock),
+            self.guard,
+            self.claim_book,
+            self.budget,
+            backoff.Backoff(random.SystemRandom()).delay,
+            self.metrics,
+        )
+
+    def start(self) -> None:
+        """Registers handlers and opens the peer socket."""
+        self.exchange.start(self.tracker)
+        self.ledger_book.start()
+        self.pool_service.start()
+        self.canceller.start()
+        self.ownership.start()
+        self.network.start()
+        self.agent.start()
+
+    def close(self) -> None:
+        """Returns unused tokens, ends the session, closes the peer socket."""
+        self.limiter.close()
+        self.scheduler.flush()
+        self.pool_service.close()
+        self.agent.close()
+        gevent.sleep(0)
+        self.network.close()
+
+    def register(self) -> register.Register:
+        """Returns the register in force.
+
+        Raises:
+            RefusedError: This host has none yet.
+        """
+        return self.tracker.register
+
+    def peer_addresses(self) -> list[str]:
+        """Returns the peer addresses of live zone peers."""
+        return self.agent.peer_addresses()
+
+    def shard_count(self) -> int:
+        """Returns the number of shards of this zone, 0 while unknown."""
+        try:
+            zones = self.tracker.register.availability_zones
+        except errors.RefusedError:
+            return 0
+        zone = zones.get(self.settings.availability_zone)
+        return zone.shards if zone else 0
+
+    def pool_home(self, name: str, scope: str) -> homes.Home:
+        """Returns the home of a pool."""
+        zones = [
+            zone
+            for zone in self.register().availability_zones.values()
+            if scope in (zone.name, zone.region)
+        ]
+        return homes.scope_home("pool", f"{name}/{scope}", zones)
+
+
+def build_metrics(settings: settings.Settings) -> metrics.Metrics:
+    """Returns the target of metrics that the settings name."""
+    if not settings.statsd:
+        return metrics.NullMetrics()
+    host, _, port = settings.statsd.rpartition(":")
+    return metrics.StatsdMetrics(host, int(port))
+
+
+def build(settings: settings.Settings) -> Components:
+    """Returns the components of a gateway on the system's clock."""
+    return Components(settings, clocks.SystemClock())
--- /dev/null
+++ b/src/coltsfootarch/gateway/daemon.py
@@ -0,0 +1,174 @@
+"""The gateway process: builds all components, runs and stops them."""
+
+from __future__ import annotations
+
+import datetime
+import signal
+from typing import TYPE_CHECKING
+
+import gevent
+import gevent.event
+import structlog
+
+from coltsfootarch import results
+from coltsfootarch.gateway import application
+from coltsfootarch.gateway import components
+from coltsfootarch.gateway import periodic
+from coltsfootarch.gateway import server
+from coltsfootarch.observability import metrics
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from coltsfootarch.config import register
+    from coltsfootarch.config import settings
+
+FAST_INTERVAL = datetime.timedelta(milliseconds=20)
+CONTROL_INTERVAL = datetime.timedelta(milliseconds=250)
+SLOW_INTERVAL = datetime.timedelta(seconds=1)
+GAUGE_INTERVAL = datetime.timedelta(seconds=10)
+# Time for the load balancer to see that the host is no longer ready.
+DRAIN_DELAY = datetime.timedelta(seconds=2)
+
+logger = structlog.get_logger(__name__)
+
+
+class Gateway:
+    """One entry host.
+
+    Args:
+        settings: Settings of this process.
+        drain_delay: Time between not being ready and closing the listener.
+    """
+
+    def __init__(
+        self,
+        settings: settings.Settings,
+        drain_delay: datetime.timedelta = DRAIN_DELAY,
+    ) -> None:
+        self.settings = settings
+        self.drain_delay = drain_delay
+        self.parts = components.build(settings)
+        self.stopping = gevent.event.Event()
+        self.ready = False
+        self.application = application.GatewayApplication(
+            self.parts.admission,
+            self.parts.completion_pipeline,
+            self.parts.call_pipeline,
+            self.parts.requests,
+            self.parts.canceller,
+            self.status,
+            self.parts.metrics,
+        )
+        self.server = server.GatewayServer(
+            settings.listen, self.application.wsgi
+        )
+        self.tasks = [
+            self.task("fast", FAST_INTERVAL, self.fast_tick),
+            self.task("zone", CONTROL_INTERVAL, self.parts.agent.tick),
+            self.task("config", CONTROL_INTERVAL, self.parts.tracker.tick),
+            self.task("ledgers", SLOW_INTERVAL, self.ledger_tick),
+            self.task("hosts", SLOW_INTERVAL, self.parts.watcher.tick),
+            self.task("engines", CONTROL_INTERVAL, self.parts.monitor.tick),
+            self.task("orphans", SLOW_INTERVAL, self.orphan_tick),
+            self.task("claims", SLOW_INTERVAL, self.parts.claim_book.tick),
+            self.task("gauges", GAUGE_INTERVAL, self.emit_gauges),
+        ]
+
+    def task(
+        self,
+        name: str,
+        interval: datetime.timedelta,
+        function: Callable[[], object],
+    ) -> periodic.PeriodicTask:
+        """Returns a periodic task of this gateway."""
+        return periodic.PeriodicTask(
+            name, interval, function, self.parts.clock, self.parts.metrics
+        )
+
+    def start(self) -> None:
+        """Joins the zone and starts to accept callers."""
+        self.parts.start()
+        self.parts.tracker.listeners.append(self.on_register)
+        for task in self.tasks:
+            task.start()
+        self.server.start()
+        self.ready = True
+        logger.info(
+            "gateway started",
+            host=self.settings.name,
+            listen=self.server.address,
+        )
+
+    def close(self) -> None:
+        """Stops gracefully: no request in progress is cut."""
+        self.ready = False
+        self.server.drain()
+        self.parts.clock.sleep(self.drain_delay)
+        self.server.stop_accepting()
+        self.parts.agent.hand_over()
+        self.parts.requests.wait_idle()
+        self.parts.completion_pipeline.wait_background()
+        for task in self.tasks:
+            task.close()
+        self.parts.close()
+        self.server.close()
+        logger.info("gateway stopped", host=self.settings.name)
+
+    def run(self) -> None:
+        """Runs until SIGTERM or SIGINT and then stops gracefully."""
+        gevent.signal_handler(signal.SIGTERM, self.stopping.set)
+        gevent.signal_handler(signal.SIGINT, self.stopping.set)
+        self.start()
+        self.stopping.wait()
+        self.close()
+
+    def status(self) -> application.HostStatus:
+        """Returns the status for `/-/status`."""
+        parts = self.parts
+        age = parts.tracker.confirmed_age()
+        return application.HostStatus(
+            host=self.settings.name,
+            availability_zone=self.settings.availability_zone,
+            incarnation=parts.sender.incarnation,
+            config_version=parts.tracker.version,
+            confirmed_age=age if age >= 0 else None,
+            shards=parts.agent.held_shards(),
+            in_progress=len(parts.requests.handles),
+            ready=self.ready and parts.tracker.version > 0,
+        )
+
+    def on_register(self, _register: register.Register) -> None:
+        """Ends requests whose key is no longer valid."""
+        ended = self.parts.requests.end_invalid_keys(
+            self.parts.keys.is_valid, results.KEY_WITHDRAWN
+        )
+        if ended:
+            logger.info("requests of withdrawn keys ended", count=ended)
+
+    def fast_tick(self) -> None:
+        """Delivers scheduling decisions and batched messages."""
+        self.parts.pool_service.tick()
+        self.parts.local_schedulers.tick()
+        self.parts.scheduler.tick()
+        self.parts.limiter.tick()
+
+    def ledger_tick(self) -> None:
+        """Prunes the ledgers once there is a register."""
+        if self.parts.tracker.version:
+            self.parts.ledger_book.tick()
+
+    def orphan_tick(self) -> None:
+        """Collects orphans once there is a register."""
+        if self.parts.tracker.version:
+            self.parts.orphans.tick()
+
+    def emit_gauges(self) -> None:
+        """Sends this host's gauges."""
+        status = self.status()
+        emit = self.parts.metrics.gauge
+        emit(metrics.IN_PROGRESS, status.in_progress)
+        emit(metrics.SHARDS_HELD, len(status.shards))
+        emit(metrics.CONFIG_VERSION, status.config_version)
+        if status.confirmed_age is not None:
+            emit(metrics.CONFIRMED_AGE, status.confirmed_age)
--- /dev/null
+++ b/src/coltsfootarch/gateway/dispatch_guard.py
@@ -0,0 +1,41 @@
+"""Last check before work is sent to an upstream."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from coltsfootarch.config import register
+
+if TYPE_CHECKING:
+    from coltsfootarch.config import tracker
+    from coltsfootarch.platform import host_list_watcher
+
+
+class DispatchGuard:
+    """Keeps new work from upstreams that are leaving.
+
+    A host that was paused between admission and dispatch confirms its
+    configuration and the host list here before it sends anything.
+
+    Args:
+        config_tracker: Configuration in force on this host.
+        watcher: The platform's list of leaving machines.
+    """
+
+    def __init__(
+        self,
+        config_tracker: tracker.ConfigTracker,
+        watcher: host_list_watcher.HostListWatcher,
+    ) -> None:
+        self.config_tracker = config_tracker
+        self.watcher = watcher
+
+    def allows(self, name: str) -> bool:
+        """Returns whether an upstream may get new work now."""
+        self.config_tracker.ensure_fresh()
+        self.watcher.ensure_fresh()
+        upstream = self.config_tracker.register.upstreams.get(name)
+        if upstream is None:
+            return False
+        leaving = upstream.address in self.watcher.leaving()
+        return upstream.state is register.UpstreamState.ACTIVE and not leaving
--- /dev/null
+++ b/src/coltsfootarch/gateway/failures.py
@@ -0,0 +1,57 @@
+"""What a failed attempt says about its engine."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from coltsfootarch import errors
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+CRASHED = "crashed"
+FAILED = "failed"
+CANCELLED = "cancelled"
+
+# Names of engine errors in docs/upstream-protocol.md.
+LOST_STATE = frozenset({"crashed", "unknown-request"})
+EXPORT_EXPIRED = "export-expired"
+
+
+class AttemptFailedError(errors.UpstreamError):
+    """An attempt can't go on with the engine that it was placed on.
+
+    Args:
+        upstream: Name of the engine.
+        step: Step to report to the scheduler: `CRASHED` if the engine died
+            or lost its state, `CANCELLED` if it is not to blame, else
+            `FAILED`.
+    """
+
+    def __init__(self, upstream: str, step: str) -> None:
+        super().__init__(f"upstream {upstream}: attempt {step}")
+        self.upstream = upstream
+        self.step = step
+
+    @property
+    def excludes(self) -> bool:
+        """Whether the next attempt must avoid the engine."""
+        return self.step != CANCELLED
+
+
+def classify(
+    upstream: str, error: errors.UpstreamError, alive: Callable[[], bool]
+) -> AttemptFailedError:
+    """Returns the failure that an engine's error amounts to.
+
+    Args:
+        upstream: Name of the engine.
+        error: Error of the last call.
+        alive: Returns whether the engine still answers on a new connection.
+    """
+    if isinstance(error, errors.UpstreamRefusedError):
+        if error.reason == EXPORT_EXPIRED:
+            return AttemptFailedError(upstream, CANCELLED)
+        lost = error.reason in LOST_STATE
+        return AttemptFailedError(upstream, CRASHED if lost else FAILED)
+    return AttemptFailedError(upstream, FAILED if alive() else CRASHED)
--- /dev/null
+++ b/src/coltsfootarch/gateway/intake.py
@@ -0,0 +1,104 @@
+"""Checks of incoming HTTP requests before a pipeline sees them."""
+
+from __future__ import annotations
+
+import datetime
+from typing import TYPE_CHECKING
+from typing import Any
+
+import gevent
+
+from coltsfootarch import errors
+from coltsfootarch import results
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+BODY_TIMEOUT = datetime.timedelta(seconds=30)
+MAX_HEADER_CHARACTERS = 4096
+# Headers that decide who the caller is or where a request goes. A WSGI server
+# joins repeated headers with a comma, so a comma shows a repetition.
+SINGLE_VALUE_HEADERS = (
+    "HTTP_AUTHORIZATION",
+    "HTTP_HOST",
+    "HTTP_IDEMPOTENCY_KEY",
+    "HTTP_RESUME_TOKEN",
+    "HTTP_LAST_EVENT_ID",
+    "CONTENT_LENGTH",
+)
+# The only headers of a caller that an upstream receives.
+FORWARDED_HEADERS = {
+    "CONTENT_TYPE": "Content-Type",
+    "HTTP_ACCEPT": "Accept",
+    "HTTP_ACCEPT_LANGUAGE": "Accept-Language",
+    "HTTP_IF_MATCH": "If-Match",
+    "HTTP_IF_NONE_MATCH": "If-None-Match",
+    "HTTP_TRACEPARENT": "Traceparent",
+}
+
+
+def check_headers(environ: Mapping[str, Any]) -> None:
+    """Refuses headers that could be read in two ways.
+
+    Raises:
+        RefusedError: A header is repeated, too long or ambiguous.
+    """
+    for name in SINGLE_VALUE_HEADERS:
+        value = environ.get(name, "")
+        if "," in value or len(value) > MAX_HEADER_CHARACTERS:
+            raise errors.RefusedError(results.FORBIDDEN_HEADER)
+    length = environ.get("CONTENT_LENGTH", "")
+    if length and not length.isdecimal():
+        raise errors.RefusedError(results.FORBIDDEN_HEADER)
+    if length and environ.get("HTTP_TRANSFER_ENCODING"):
+        raise errors.RefusedError(
+            results.FORBIDDEN_HEADER,
+            "Send either Content-Length or Transfer-Encoding.",
+        )
+
+
+def read_body(environ: Mapping[str, Any], limit: int) -> bytes:
+    """Reads a request's body.
+
+    Args:
+        environ: WSGI environment.
+        limit: Largest accepted size in bytes.
+
+    Raises:
+        RefusedError: The body is too large or arrives too slowly.
+    """
+    if int(environ.get("CONTENT_LENGTH") or 0) > limit:
+        raise errors.RefusedError(results.BODY_TOO_LARGE)
+    timeout = gevent.Timeout(BODY_TIMEOUT.total_seconds())
+    with timeout:
+        try:
+            body: bytes = environ["wsgi.input"].read(limit + 1)
+        except gevent.Timeout as expired:
+            if expired is not timeout:
+                raise
+            raise errors.RefusedError(
+                results.CLIENT_TOO_SLOW,
+                "The body did not arrive in time; nothing was run.",
+            ) from None
+    if len(body) > limit:
+        raise errors.RefusedError(results.BODY_TOO_LARGE)
+    return body
+
+
+def upstream_headers(
+    environ: Mapping[str, Any], account: str, request_id: str
+) -> tuple[tuple[str, str], ...]:
+    """Returns the headers for an upstream.
+
+    Only listed headers of the caller pass; the client account and the request
+    id are set here. The caller's key never passes.
+    """
+    passed = [
+        (header, environ[name])
+        for name, header in FORWARDED_HEADERS.items()
+        if environ.get(name)
+    ]
+    passed.append(("X-Request-Id", request_id))
+    if account:
+        passed.append(("X-Client-Account", account))
+    return tuple(passed)
--- /dev/null
+++ b/src/coltsfootarch/gateway/ownership.py
@@ -0,0 +1,93 @@
+"""Answers which host is responsible for upstreams and requests."""
+
+from __future__ import annotations
+
+import datetime
+from typing import TYPE_CHECKING
+
+from coltsfootarch import errors
+from coltsfootarch.protocol import messages
+from coltsfootarch.zone import homes
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from coltsfootarch.config import register
+    from coltsfootarch.gateway import inflight
+    from coltsfootarch.protocol import network
+    from coltsfootarch.upstreams import orphans
+    from coltsfootarch.zone import interfaces
+
+ASK_TIMEOUT = datetime.timedelta(seconds=1)
+
+
+class Ownership:
+    """Tells which upstreams this host is home to, and asks request owners.
+
+    Args:
+        network: Network between hosts.
+        requests: Requests in progress on this host.
+        leases: Shard leases of this host.
+        current: Returns the register in force.
+        availability_zone: Zone of this host.
+        address_of: Returns the peer address of a host's incarnation, or None.
+    """
+
+    def __init__(
+        self,
+        network: network.PeerNetwork,
+        requests: inflight.InflightRequests,
+        leases: interfaces.Leases,
+        current: Callable[[], register.Register],
+        availability_zone: str,
+        address_of: Callable[[str, int], str | None],
+    ) -> None:
+        self.network = network
+        self.requests = requests
+        self.leases = leases
+        self.current = current
+        self.availability_zone = availability_zone
+        self.address_of = address_of
+
+    def start(self) -> None:
+        """Registers the handler for other hosts' questions."""
+        self.network.register(messages.RequestQuery, self.on_query)
+
+    def is_home(self, name: str) -> bool:
+        """Returns whether this host holds an upstream's home shard."""
+        current = self.current()
+        upstream = current.upstreams.get(name)
+        if upstream is None:
+            return False
+        if upstream.availability_zone != self.availability_zone:
+            return False
+        zone = current.availability_zones[self.availability_zone]
+        shard = homes.home_shard("upstream", name, zone.shards)
+        return self.leases.epoch(shard) is not None
+
+    def knows(self, owner: orphans.Owner, request_id: str) -> bool | None:
+        """Asks a request's owner whether it still runs it.
+
+        Returns:
+            None if the owner did not answer.
+        """
+        if (owner.host, owner.incarnation) == (
+            self.requests.host,
+            self.requests.incarnation,
+        ):
+            return self.requests.owns(request_id)
+        address = self.address_of(owner.host, owner.incarnation)
+        if address is None:
+            return None
+        query = messages.RequestQuery(request_id)
+        try:
+            answer = self.network.request(address, query, ASK_TIMEOUT)
+        except errors.PeerTimeoutError:
+            return None
+        return bool(answer.accepted)
+
+    def on_query(
+        self, _sender: messages.Sender, message: messages.RequestQuery
+    ) -> messages.Ack:
+        """Answers whether a request is in progress here."""
+        return messages.Ack(accepted=self.requests.owns(message.request_id))
--- /dev/null
+++ b/src/coltsfootarch/gateway/remote_cancel.py
@@ -0,0 +1,79 @@
+"""Cancels requests wherever they run."""
+
+from __future__ import annotations
+
+import datetime
+from typing import TYPE_CHECKING
+
+from coltsfootarch import errors
+from coltsfootarch import results
+from coltsfootarch.protocol import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from coltsfootarch.gateway import inflight
+    from coltsfootarch.protocol import network
+
+FORWARD_TIMEOUT = datetime.timedelta(seconds=1)
+
+
+class RemoteCanceller:
+    """Ends a request here, or asks the host that its id names.
+
+    Args:
+        requests: Requests in progress on this host.
+        network: Network between hosts.
+        address_of: Returns the peer address of a host's incarnation, or None.
+    """
+
+    def __init__(
+        self,
+        requests: inflight.InflightRequests,
+        network: network.PeerNetwork,
+        address_of: Callable[[str, int], str | None],
+    ) -> None:
+        self.requests = requests
+        self.network = network
+        self.address_of = address_of
+
+    def start(self) -> None:
+        """Registers the handler for other hosts' cancellations."""
+        self.network.register(messages.CancelRequest, self.on_cancel)
+
+    def cancel(self, request_id: str, account: str) -> None:
+        """Cancels a request of a client account.
+
+        Raises:
+            RefusedError: No such request of this account is in progress.
+            PeerTimeoutError: The host that runs it did not answer.
+        """
+        code = results.CLIENT_CANCELLED
+        if self.requests.end(request_id, account, code):
+            return
+        address = self.owner_address(request_id)
+        if address is None:
+            raise errors.RefusedError(results.UNKNOWN_REQUEST)
+        message = messages.CancelRequest(request_id, account)
+        answer = self.network.request(address, message, FORWARD_TIMEOUT)
+        if not answer.accepted:
+            raise errors.RefusedError(results.UNKNOWN_REQUEST)
+
+    def owner_address(self, request_id: str) -> str | None:
+        """Returns the address of the host that a request id names."""
+        host, _, rest = request_id.rpartition(".")[0].rpartition(".")
+        if not host or not rest.isdecimal():
+            return None
+        is_own = host == self.requests.host
+        if is_own and int(rest) == self.requests.incarnation:
+            return None
+        return self.address_of(host, int(rest))
+
+    def on_cancel(
+        self, _sender: messages.Sender, message: messages.CancelRequest
+    ) -> messages.Ack:
+        """Ends a request on behalf of another host."""
+        found = self.requests.end(
+            message.request_id, message.account, results.CLIENT_CANCELLED
+        )
+        return messages.Ack(accepted=found)
--- /dev/null
+++ b/src/coltsfootarch/gateway/server.py
@@ -0,0 +1,125 @@
+"""HTTP server of an entry host."""
+
+from __future__ import annotations
+
+import contextlib
+import datetime
+import socket
+from typing import TYPE_CHECKING
+from typing import Any
+
+import structlog
+from gevent import pool
+from gevent import pywsgi
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+# A caller that neither sends nor reads for this long loses its connection.
+SOCKET_TIMEOUT = datetime.timedelta(seconds=60)
+MAX_CONNECTIONS = 10_000
+BACKLOG = 1024
+
+logger = structlog.get_logger(__name__)
+
+
+class ConnectionHandler(pywsgi.WSGIHandler):  # type: ignore[misc]
+    """Handles one connection with a limit on every read and write."""
+
+    def __init__(self, sock: Any, address: Any, server: Any) -> None:
+        sock.settimeout(SOCKET_TIMEOUT.total_seconds())
+        # Headers and body are written separately; without this the body
+        # waits for the caller's delayed acknowledgement.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().__init__(sock, address, server)
+
+    def handle(self) -> None:
+        """Serves the connection's requests until it closes or times out."""
+        with contextlib.suppress(TimeoutError):
+            super().handle()
+
+    def get_environ(self) -> dict[str, Any]:
+        """Returns the WSGI environment with the path as it was sent."""
+        environ: dict[str, Any] = super().get_environ()
+        environ["RAW_PATH"] = self.path.partition("?")[0]
+        return environ
+
+    def log_request(self) -> None:
+        """Leaves request logs to the application."""
+
+
+class ErrorLog:
+    """File-like target for the server's own messages."""
+
+    def write(self, text: str) -> None:
+        """Logs a line."""
+        if text.strip():
+            logger.warning("http server", detail=text.strip()[:500])
+
+    def writelines(self, lines: list[str]) -> None:
+        """Logs several lines."""
+        for line in lines:
+            self.write(line)
+
+    def flush(self) -> None:
+        """Does nothing; every line is logged at once."""
+
+
+class GatewayServer:
+    """Accepts callers' connections.
+
+    Args:
+        address: "ip:port" to listen on; port 0 takes a free one.
+        application: WSGI application.
+    """
+
+    def __init__(self, address: str, application: Callable[..., Any]) -> None:
+        host, _, port = address.rpartition(":")
+        self.application = application
+        self.draining = False
+        self.connections = pool.Pool(MAX_CONNECTIONS)
+        self.server = pywsgi.WSGIServer(
+            (host, int(port)),
+            self.handle_request,
+            backlog=BACKLOG,
+            spawn=self.connections,
+            log=None,
+            error_log=ErrorLog(),
+            handler_class=ConnectionHandler,
+            environ={"SERVER_NAME": host},
+        )
+
+    @property
+    def address(self) -> str:
+        """Address ("ip:port") that the server listens on."""
+        return f"{self.server.server_host}:{self.server.server_port}"
+
+    def handle_request(
+        self, environ: dict[str, Any], start_response: Callable[..., Any]
+    ) -> Any:
+        """Runs the application and closes connections while draining."""
+
+        def start(
+            status: str, headers: list[tuple[str, str]], exc_info: Any = None
+        ) -> Any:
+            if self.draining:
+                headers = [*headers, ("Connection", "close")]
+            return start_response(status, headers, exc_info)
+
+        return self.application(environ, start)
+
+    def start(self) -> None:
+        """Binds and starts to accept."""
+        self.server.start()
+
+    def drain(self) -> None:
+        """Makes each connection close after its next answer."""
+        self.draining = True
+
+    def stop_accepting(self) -> None:
+        """Closes the listening socket; open connections go on."""
+        self.server.close()
+
+    def close(self) -> None:
+        """Closes the listening socket and all connections."""
+        self.server.stop(timeout=0)
--- /dev/null
+++ b/src/coltsfootarch/observability/logs.py
@@ -0,0 +1,51 @@
+"""Structured logs: one JSON object a line."""
+
+from __future__ import annotations
+
+import logging
+import sys
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import TextIO
+
+import structlog
+
+if TYPE_CHECKING:
+    from collections.abc import MutableMapping
+
+# Fields that could carry a secret or a caller's text.
+REDACTED_FIELDS = frozenset(
+    {"authorization", "key", "secret", "prompt", "text", "body", "document"}
+)
+
+
+def redact(
+    _logger: Any, _method: str, event: MutableMapping[str, Any]
+) -> MutableMapping[str, Any]:
+    """Replaces the values of fields that must not appear in a log."""
+    for field in REDACTED_FIELDS & event.keys():
+        event[field] = "[redacted]"
+    return event
+
+
+def configure(level: str, stream: TextIO | None = None) -> None:
+    """Sets up logging for the process.
+
+    Args:
+        level: "debug", "info", "warning" or "error".
+        stream: Where lines go; standard error when not given.
+    """
+    threshold = logging.getLevelNamesMapping()[level.upper()]
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            redact,
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(threshold),
+        logger_factory=structlog.PrintLoggerFactory(stream or sys.stderr),
+        cache_logger_on_first_use=False,
+    )
--- /dev/null
+++ b/src/coltsfootarch/platform/host_list_watcher.py
@@ -0,0 +1,76 @@
+"""Follows the platform's list of leaving machines."""
+
+from __future__ import annotations
+
+import datetime
+from typing import TYPE_CHECKING
+
+import structlog
+
+from coltsfootarch import errors
+
+if TYPE_CHECKING:
+    from coltsfootarch import clock
+    from coltsfootarch.platform import host_list
+
+POLL_INTERVAL = datetime.timedelta(seconds=2)
+# A leaving upstream gets no new work after this time, also through a host
+# that was paused meanwhile.
+FRESHNESS = datetime.timedelta(seconds=5)
+
+logger = structlog.get_logger(__name__)
+
+
+class HostListWatcher:
+    """Keeps the last list that the platform gave.
+
+    While the platform does not answer, the last list stands.
+
+    Args:
+        clock: Source of time.
+        service: The platform's list.
+    """
+
+    def __init__(self, clock: clock.Clock, service: host_list.HostList) -> None:
+        self.clock = clock
+        self.service = service
+        self.last_leaving: frozenset[str] = frozenset()
+        self.fetched_at: float | None = None
+        self.asked_at: float | None = None
+        self.failures = 0
+
+    def tick(self) -> None:
+        """Fetches the list when the poll interval has passed."""
+        if self.seconds_since(self.asked_at) >= POLL_INTERVAL.total_seconds():
+            self.fetch()
+
+    def leaving(self) -> frozenset[str]:
+        """Returns the leaving addresses of the last list."""
+        return self.last_leaving
+
+    def ensure_fresh(self) -> None:
+        """Fetches an outdated list, unless that failed a moment ago."""
+        limit = FRESHNESS.total_seconds()
+        retry = POLL_INTERVAL.total_seconds()
+        outdated = self.seconds_since(self.fetched_at) > limit
+        if outdated and self.seconds_since(self.asked_at) >= retry:
+            self.fetch()
+
+    def fetch(self) -> None:
+        """Asks the platform and keeps its answer."""
+        asked_at = self.clock.monotonic()
+        self.asked_at = asked_at
+        try:
+            snapshot = self.service.fetch()
+        except errors.HostListUnavailableError as error:
+            self.failures += 1
+            logger.warning("host list unavailable", reason=error.message)
+            return
+        self.last_leaving = snapshot.leaving
+        self.fetched_at = asked_at
+
+    def seconds_since(self, instant: float | None) -> float:
+        """Returns the seconds since an instant, infinite if there is none."""
+        if instant is None:
+            return float("inf")
+        return self.clock.monotonic() - instant
--- a/src/coltsfootarch/protocol/messages.py
+++ b/src/coltsfootarch/protocol/messages.py
@@ -323,3 +323,25 @@
     version: int
     document: str
     confirmed_age: float
+
+
+class CancelRequest(NamedTuple):
+    """Asks a host to end a request that it runs.
+
+    Attributes:
+        request_id: Request id.
+        account: Client account that the request must belong to.
+    """
+
+    request_id: str
+    account: str
+
+
+class RequestQuery(NamedTuple):
+    """Asks a host whether it still runs a request.
+
+    Attributes:
+        request_id: Request id.
+    """
+
+    request_id: str
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,253 @@
+"""Starts stand-ins and entry hosts as processes, for the demo and tests."""
+
+from __future__ import annotations
+
+import json
+import os
+import pathlib
+import re
+import secrets
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import tomllib
+from typing import Any
+from typing import NamedTuple
+
+import urllib3
+
+ROOT = pathlib.Path(__file__).parent.parent
+EXAMPLE = ROOT / "examples" / "prairie-mobility.toml"
+KEYS = ROOT / "examples" / "demo-keys.toml"
+READY_TIMEOUT_SECONDS = 30.0
+POLL_SECONDS = 0.05
+ADDRESS = re.compile(r'^address = "127\.0\.0\.1:\d+"', re.MULTILINE)
+
+
+class HostAddresses(NamedTuple):
+    """Addresses ("ip:port") of an entry host."""
+
+    listen: str
+    peer: str
+
+
+class Fleet:
+    """Stand-ins of the platform and the upstreams, and entry hosts.
+
+    Args:
+        hosts: Names of the entry hosts to start.
+        example: Register; its addresses are replaced by free ones.
+        time_scale: Time scale of the engines; below 1 is faster.
+        listen: Address of the first entry host; a free one when not given.
+        rules: Lines added to the register's `[rules]` table.
+    """
+
+    def __init__(
+        self,
+        hosts: list[str],
+        example: pathlib.Path = EXAMPLE,
+        time_scale: float = 1.0,
+        listen: str = "",
+        rules: str = "",
+    ) -> None:
+        text = ADDRESS.sub(
+            lambda _: f'address = "{free_address()}"', example.read_text()
+        )
+        self.document = text.replace("[rules]", f"[rules]\n{rules}", 1)
+        self.register: dict[str, Any] = tomllib.loads(self.document)
+        self.hosts = hosts
+        self.time_scale = time_scale
+        self.folder = tempfile.TemporaryDirectory()
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.http = urllib3.PoolManager(timeout=10, retries=False)
+        self.tables = free_address()
+        self.objects = free_address()
+        self.host_list = free_address()
+        self.addresses = {
+            name: HostAddresses(free_address(), free_address())
+            for name in hosts
+        }
+        if listen:
+            first = hosts[0]
+            peer = self.addresses[first].peer
+            self.addresses[first] = HostAddresses(listen, peer)
+        self.keys: dict[str, str] = tomllib.loads(KEYS.read_text())[
+            example.stem
+        ]
+
+    def start(self) -> None:
+        """Starts everything and waits until all hosts are ready."""
+        self.start_standin("tables", self.tables)
+        self.start_standin("objects", self.objects)
+        self.start_standin("host_list", self.host_list)
+        for upstream in self.register["upstream"]:
+            self.start_upstream(upstream)
+        self.wait_listening(self.tables)
+        self.apply(self.document)
+        for name in self.hosts:
+            self.start_host(name)
+        for name in self.hosts:
+            self.wait_ready(name)
+
+    def close(self) -> None:
+        """Kills all processes."""
+        for process in self.processes.values():
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+        for process in self.processes.values():
+            process.wait()
+        self.folder.cleanup()
+
+    def start_standin(self, name: str, address: str, *options: str) -> None:
+        """Starts `python -m standins.<name>`."""
+        command = [sys.executable, "-m", f"standins.{name}"]
+        self.spawn(address, [*command, "--address", address, *options])
+
+    def start_upstream(self, upstream: dict[str, Any]) -> None:
+        """Starts the stand-in of an upstream."""
+        if upstream["role"] == "plain":
+            self.start_standin("plain", upstream["address"])
+            return
+        options = ["--role", upstream["role"]]
+        options += ["--time-scale", str(self.time_scale)]
+        self.start_standin("engine", upstream["address"], *options)
+
+    def start_host(self, name: str) -> None:
+        """Starts an entry host."""
+        path = pathlib.Path(self.folder.name) / f"{name}.toml"
+        path.write_text(self.settings(name))
+        command = [sys.executable, "-m", "coltsfootarch", "gateway"]
+        self.spawn(name, [*command, "--settings", str(path)])
+
+    def settings(self, name: str) -> str:
+        """Returns the settings of an entry host, in TOML."""
+        zone = next(
+            host["availability_zone"]
+            for host in self.register["host"]
+            if host["name"] == name
+        )
+        addresses = self.addresses[name]
+        lines = {
+            "name": name,
+            "availability_zone": zone,
+            "listen": addresses.listen,
+            "peer": addresses.peer,
+            "table_service": self.tables,
+            "object_store": self.objects,
+            "host_list": self.host_list,
+        }
+        body = "\n".join(f'{key} = "{value}"' for key, value in lines.items())
+        return f"[gateway]\n{body}\n"
+
+    def spawn(self, name: str, command: list[str]) -> None:
+        """Starts a process; its output goes to a file in the folder."""
+        log = pathlib.Path(self.folder.name) / f"{name.replace(':', '-')}.log"
+        path = os.pathsep.join([str(ROOT / "src"), str(ROOT)])
+        with log.open("ab") as output:
+            self.processes[name] = subprocess.Popen(
+                command,
+                cwd=ROOT,
+                env={**os.environ, "PYTHONPATH": path},
+                stdout=output,
+                stderr=output,
+            )
+
+    def log(self, name: str) -> str:
+        """Returns what a process has printed."""
+        log = pathlib.Path(self.folder.name) / f"{name.replace(':', '-')}.log"
+        return log.read_text()
+
+    def command(
+        self, *arguments: str, check: bool = True
+    ) -> subprocess.CompletedProcess[str]:
+        """Runs a `coltsfootarch` command against the table service."""
+        path = os.pathsep.join([str(ROOT / "src"), str(ROOT)])
+        return subprocess.run(
+            [sys.executable, "-m", "coltsfootarch", *arguments],
+            cwd=ROOT,
+            env={
+                **os.environ,
+                "PYTHONPATH": path,
+                "COLTSFOOTARCH_TABLE_SERVICE": self.tables,
+                "COLTSFOOTARCH_AUTHOR": "operator",
+            },
+            check=check,
+            capture_output=True,
+            text=True,
+        )
+
+    def apply(
+        self, document: str, base: int = 0, wait: str = "0s"
+    ) -> subprocess.CompletedProcess[str]:
+        """Commits a register with `coltsfootarch config apply`.
+
+        Args:
+            document: TOML text.
+            base: Version that the document is based on.
+            wait: How long the command waits for acceptance.
+        """
+        name = f"register-{secrets.token_hex(4)}.toml"
+        path = pathlib.Path(self.folder.name) / name
+        path.write_text(document)
+        options = ["--base", str(base), "--wait", wait]
+        return self.command("config", "apply", str(path), *options, check=False)
+
+    def url(self, host: str) -> str:
+        """Returns the URL of an entry host."""
+        return f"http://{self.addresses[host].listen}"
+
+    def wait_ready(self, host: str) -> None:
+        """Waits until an entry host takes requests."""
+        self.wait_until(
+            lambda: self.status_of(f"{self.url(host)}/-/ready") == 200,
+            f"{host} is not ready: {self.log(host)[-2000:]}",
+        )
+
+    def wait_listening(self, address: str) -> None:
+        """Waits until something accepts connections at an address."""
+        self.wait_until(
+            lambda: self.status_of(f"http://{address}/") is not None,
+            f"nothing listens on {address}",
+        )
+
+    def status_of(self, url: str) -> int | None:
+        """Returns the HTTP status of a URL, or None without an answer."""
+        try:
+            return self.http.request("GET", url).status
+        except urllib3.exceptions.HTTPError:
+            return None
+
+    def host_status(self, host: str) -> dict[str, Any]:
+        """Returns what `/-/status` of an entry host says."""
+        answer = self.http.request("GET", f"{self.url(host)}/-/status")
+        document: dict[str, Any] = json.loads(answer.data)
+        return document
+
+    def fault(self, address: str, **faults: object) -> None:
+        """Switches faults of a stand-in."""
+        self.http.request(
+            "POST", f"http://{address}/-/faults", body=json.dumps(faults)
+        )
+
+    def wait_until(self, condition: Any, message: str) -> None:
+        """Polls a condition until it holds.
+
+        Raises:
+            TimeoutError: It did not hold in time.
+        """
+        deadline = time.monotonic() + READY_TIMEOUT_SECONDS
+        while not condition():
+            if time.monotonic() > deadline:
+                raise TimeoutError(message)
+            time.sleep(POLL_SECONDS)
+
+
+def free_address() -> str:
+    """Returns a loopback address with a port that is free now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port: int = probe.getsockname()[1]
+    return f"127.0.0.1:{port}"
--- /dev/null
+++ b/tests/observability/test_logs.py
@@ -0,0 +1,23 @@
+"""Guards logs against keys and prompts."""
+
+from __future__ import annotations
+
+import io
+
+import structlog
+
+from coltsfootarch.observability import logs
+
+
+def test_secrets_and_caller_texts_are_redacted():
+    stream = io.StringIO()
+    logs.configure("info", stream)
+
+    structlog.get_logger().info(
+        "event", authorization="Bearer cfa_a_b", prompt="note", request_id="r1"
+    )
+
+    line = stream.getvalue()
+    assert "cfa_a_b" not in line
+    assert "note" not in line
+    assert "r1" in line
--- /dev/null
+++ b/tests/processes/test_path.py
@@ -0,0 +1,146 @@
+"""Guards the whole path in real processes, under kills and pauses."""
+
+from __future__ import annotations
+
+import json
+import signal
+
+import pytest
+
+from standins import engine
+from tests.processes import conftest
+
+PROMPT = "Referral: hip surgery, lives alone."
+
+
+def upstream_addresses(running, role):
+    return [
+        upstream["address"]
+        for upstream in running.register["upstream"]
+        if upstream["role"] == role
+    ]
+
+
+def test_streamed_completion_is_whole(running_fleet, caller):
+    reader = conftest.StreamReader(caller.complete("regina-1", PROMPT, 20))
+
+    done = reader.read_until("done")
+
+    assert done["output_tokens"] == 20
+    assert reader.text == engine.expected_text(PROMPT, 20)
+
+
+def test_booking_sent_through_two_hosts_runs_once(running_fleet, caller):
+    first = caller.book("regina-1", "b-1")
+    second = caller.book("saskatoon-1", "b-1")
+
+    assert (first.status, second.status) == (200, 200)
+    assert second.headers["Idempotency-Replayed"] == "true"
+    assert first.data == second.data
+    runs = [
+        json.loads(
+            running_fleet.http.request("GET", f"http://{address}/-/runs").data
+        )
+        for address in upstream_addresses(running_fleet, "plain")
+    ]
+    assert sum(entry["runs"].get("b-1", 0) for entry in runs) == 1
+
+
+@pytest.mark.matrix(
+    invariant=5, fault="kill entry host", step="stream", seen_red=""
+)
+def test_caller_resumes_at_another_host_after_a_kill(running_fleet, caller):
+    reader = conftest.StreamReader(caller.complete("regina-1", PROMPT, 60))
+    while reader.last_id < 5:
+        reader.next_event()
+    running_fleet.processes["regina-1"].kill()
+
+    resumed = conftest.StreamReader(
+        caller.complete(
+            "saskatoon-1",
+            PROMPT,
+            60,
+            **{
+                "Resume-Token": reader.token,
+                "Last-Event-ID": str(reader.last_id),
+            },
+        )
+    )
+    done = resumed.read_until("done")
+
+    assert done["output_tokens"] == 60
+    text = reader.text + resumed.text
+    assert text == engine.expected_text(PROMPT, 60)
+
+
+@pytest.mark.matrix(
+    invariant=5, fault="kill decode engine", step="stream", seen_red=""
+)
+def test_stream_goes_on_after_its_engine_is_killed(running_fleet, caller):
+    reader = conftest.StreamReader(caller.complete("regina-1", PROMPT, 60))
+    while reader.last_id < 5:
+        reader.next_event()
+    holder = next(
+        address
+        for address in upstream_addresses(running_fleet, "decode")
+        if json.loads(
+            running_fleet.http.request(
+                "GET", f"http://{address}/v1/requests"
+            ).data
+        )["requests"]
+    )
+    running_fleet.processes[holder].kill()
+
+    done = reader.read_until("done")
+
+    assert done is not None
+    assert reader.text == engine.expected_text(PROMPT, 60)
+
+
+@pytest.mark.matrix(
+    invariant=9, fault="graceful stop", step="stream", seen_red=""
+)
+def test_graceful_stop_finishes_the_stream(running_fleet, caller):
+    reader = conftest.StreamReader(caller.complete("regina-1", PROMPT, 60))
+    while reader.last_id < 5:
+        reader.next_event()
+    process = running_fleet.processes["regina-1"]
+    process.send_signal(signal.SIGTERM)
+
+    done = reader.read_until("done")
+
+    assert done is not None
+    assert reader.text == engine.expected_text(PROMPT, 60)
+    assert process.wait(timeout=30) == 0
+
+
+@pytest.mark.matrix(
+    invariant=3,
+    fault="key withdrawn while connected",
+    step="stream",
+    seen_red="",
+)
+def test_withdrawn_key_ends_its_stream_and_is_refused(running_fleet, caller):
+    reader = conftest.StreamReader(caller.complete("regina-1", PROMPT, 2000))
+    while reader.last_id < 5:
+        reader.next_event()
+    key_id = caller.key.split("_")[1]
+
+    running_fleet.command("key", "withdraw", key_id)
+    error = reader.read_until("error")
+
+    assert error["code"] == 2003
+    for host in conftest.HOSTS:
+        assert caller.book(host, "late").status == 401
+
+
+@pytest.mark.matrix(invariant=7, fault="store down", step="claim", seen_red="")
+def test_booking_is_refused_as_not_run_while_the_store_is_down(
+    running_fleet, caller
+):
+    running_fleet.fault(running_fleet.tables, down=True)
+    refused = caller.book("regina-1", "b-2")
+    running_fleet.fault(running_fleet.tables, down=False)
+
+    assert json.loads(refused.data)["execution"] == "not run"
+    assert caller.book("regina-1", "b-2").status == 200
