--- a/src/coltsfootarch/zone/membership.py
+++ b/src/coltsfootarch/zone/membership.py
@@ -79,6 +79,8 @@
         self.heartbeats = 0
         self.acks = 0
         self.rounds = 0
+        self.ring_names: frozenset[str] = frozenset()
+        self.ring_order: list[str] = []
 
     def peer_of(self, sender: messages.Sender) -> Peer:
         """Returns the entry of a zone peer, a new one if there is none."""
@@ -146,22 +148,25 @@
         found.pop(self.sender.host, None)
         return found
 
-    def successors(self, host: str) -> list[str]:
-        """Returns the hosts that a host sends its heartbeats to."""
-        ring = {*self.zone_peers(), self.sender.host, host}
-        ordered = sorted(ring, key=lambda name: homes.weigh("ring", name))
-        start = ordered.index(host) + 1
-        rotated = ordered[start:] + ordered[: start - 1]
-        return rotated[: timing.HEARTBEAT_PEERS]
+    def ring(self) -> list[str]:
+        """Returns the zone's hosts in ring order, this one first."""
+        names = frozenset([*self.zone_peers(), self.sender.host])
+        if names != self.ring_names:
+            ordered = sorted(names, key=lambda name: homes.weigh("ring", name))
+            start = ordered.index(self.sender.host)
+            self.ring_names = names
+            self.ring_order = ordered[start:] + ordered[:start]
+        return self.ring_order
+
+    def successors(self) -> list[str]:
+        """Returns the hosts that this host sends its heartbeats to."""
+        return self.ring()[1 : timing.HEARTBEAT_PEERS + 1]
 
     def watched(self) -> list[records.SessionRecord]:
         """Returns the sessions of the peers that send to this host."""
-        return [
-            record
-            for host, record in self.directory.own_view.sessions.items()
-            if host != self.sender.host
-            and self.sender.host in self.successors(host)
-        ]
+        senders = self.ring()[1:][-timing.HEARTBEAT_PEERS :]
+        sessions = self.directory.own_view.sessions
+        return [sessions[host] for host in senders if host in sessions]
 
     def beat(self, heartbeat: messages.Heartbeat) -> None:
         """Sends a heartbeat to the ring's successors and awaits the answers."""
@@ -181,7 +186,7 @@
         store outage, peers that were seen to be alive are added.
         """
         peers = self.zone_peers()
-        hosts = self.successors(self.sender.host)
+        hosts = self.successors()
         now = self.clock.monotonic()
         if now - self.acked_at > timing.HEARTBEAT_INTERVAL:
             seen = [
--- a/tests/zone/test_agent.py
+++ b/tests/zone/test_agent.py
@@ -221,7 +221,7 @@
     targets = collections.Counter()
     for host in zone.hosts.values():
         membership = host.agent.membership
-        successors = membership.successors(host.name)
+        successors = membership.successors()
         assert len(successors) == timing.HEARTBEAT_PEERS
         assert host.name not in successors
         targets.update(successors)
@@ -236,7 +236,7 @@
     membership = zone.hosts["regina-0"].agent.membership
     before = zone.held("regina-0")
     zone.tables.down = True
-    for name in membership.successors("regina-0"):
+    for name in membership.successors():
         zone.kill(name)
     zone.run(60)
 
