--- a/src/coltsfootarch/config/repository.py
+++ b/src/coltsfootarch/config/repository.py
@@ -249,7 +249,7 @@
         # The head is read first: a session that is read afterwards and reports
         # it has it in force.
         target = self.head() if version is None else version
-        rows = self.service.scan(records.HOSTS_TABLE, "")
+        rows = self.service.scan(records.HOSTS, "")
         return statuses.summarise(register, target, rows, self.clock.now())
 
     def forget_hosts(self, availability_zone: str, author: str) -> list[str]:
@@ -269,7 +269,7 @@
             TableOutcomeUnknownError: The sessions may have been deleted.
         """
         prefix = records.session_key(availability_zone, "")
-        rows = self.service.scan(records.HOSTS_TABLE, prefix)
+        rows = self.service.scan(records.HOSTS, prefix)
         if not rows:
             return []
         hosts = [row.key.removeprefix(prefix) for row in rows]
@@ -280,10 +280,13 @@
             detail=f"hosts {', '.join(hosts)}",
         )
         audited = self.audit.write(entry)
+        check, revision = self.next_revision(availability_zone)
         checks = [tables.Check(row.table, row.key, row.version) for row in rows]
         writes = [tables.Write(row.table, row.key, None) for row in rows]
         try:
-            self.service.transact(checks, [*writes, audited])
+            self.service.transact(
+                [*checks, check], [*writes, revision, audited]
+            )
         except errors.TransactionConflictError:
             raise errors.TransactionConflictError(
                 f"a host of zone {availability_zone} renewed its session "
@@ -294,6 +297,22 @@
                 raise
         return hosts
 
+    def next_revision(
+        self, availability_zone: str
+    ) -> tuple[tables.Check, tables.Write]:
+        """Returns the check and write that raise a directory revision.
+
+        Other hosts read a zone's sessions again only when it has changed.
+        """
+        key = records.directory_key(availability_zone)
+        row = self.service.get(records.HEADS, key)
+        revision = records.decode_head(row.value) if row else 0
+        version = row.version if row else 0
+        return (
+            tables.Check(records.HEADS, key, version),
+            tables.Write(records.HEADS, key, records.encode_head(revision + 1)),
+        )
+
     def is_audited(self, audited: tables.Write) -> bool:
         """Returns whether an audit entry is known to have been written."""
         try:
--- a/src/coltsfootarch/config/status.py
+++ b/src/coltsfootarch/config/status.py
@@ -6,8 +6,7 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
-import msgspec
-
+from coltsfootarch import errors
 from coltsfootarch.zone import records
 
 if TYPE_CHECKING:
@@ -110,7 +109,7 @@
         session = records.decode_session(value)
         renewed_at = datetime.datetime.fromisoformat(session.renewed_at)
         age = (now - renewed_at).total_seconds()
-    except (msgspec.DecodeError, ValueError, TypeError):
+    except (errors.CodecError, ValueError, TypeError):
         return HostStatus(host, 0, -1.0, True)
     return HostStatus(host, session.config_version, max(age, 0.0), True)
 
--- a/src/coltsfootarch/config/versions.py
+++ b/src/coltsfootarch/config/versions.py
@@ -9,6 +9,7 @@
 
 from coltsfootarch import errors
 from coltsfootarch import results
+from coltsfootarch.zone import records
 
 TABLE = "config"
 HEAD_KEY = "head"
@@ -76,7 +77,7 @@
 
 def encode_head(version: int) -> bytes:
     """Returns the value of `config/head` and of `heads/config`."""
-    return msgspec.msgpack.encode(version)
+    return records.encode_head(version)
 
 
 def decode_head(value: bytes) -> int:
@@ -86,8 +87,8 @@
         ConfigurationError: The row does not hold a version number.
     """
     try:
-        return msgspec.msgpack.decode(value, type=int)
-    except msgspec.DecodeError as error:
+        return records.decode_head(value)
+    except errors.CodecError as error:
         raise errors.ConfigurationError(
             f"the configuration head does not decode: {error}"
         ) from None
--- a/tests/config/fleets.py
+++ b/tests/config/fleets.py
@@ -46,7 +46,5 @@
         )
         row = self.client.get("hosts", f"{zone}/{host}")
         checks = [] if row is None else [tables.Check(*row[:2], row[3])]
-        write = tables.Write(
-            "hosts", f"{zone}/{host}", records.encode_session(record)
-        )
+        write = tables.Write("hosts", f"{zone}/{host}", records.encode(record))
         self.client.transact(checks, [write])
