--- a/src/coltsfootarch/protocol/messages.py
+++ b/src/coltsfootarch/protocol/messages.py
@@ -103,17 +103,24 @@
 
 
 class GrantUsage(NamedTuple):
-    """What became of part of a grant.
+    """What became of a grant, as totals since it was made.
+
+    Totals, unlike differences, stay right when a report is lost, repeated or
+    late.
 
     Attributes:
         grant_id: The grant.
-        spent: Tokens spent since the last report.
-        returned: Tokens given back since the last report.
+        spent: Tokens reserved for requests so far.
+        returned: Tokens never reserved and given back so far.
+        refunded: Tokens reported as spent that their requests did not use.
+        account: Client account; empty if the enclosing message names it.
     """
 
     grant_id: str
     spent: int
     returned: int
+    refunded: int = 0
+    account: str = ""
 
 
 class GrantRequest(NamedTuple):
@@ -157,8 +164,8 @@
     """Reports on grants without asking for more.
 
     Attributes:
-        account: Client account.
-        shard: Home shard of the account in the ledger's availability zone.
+        account: Client account; empty if each report names its own.
+        shard: Home shard of the accounts in the ledger's availability zone.
         usage: Reports by grant.
     """
 
@@ -174,11 +181,13 @@
         grant_id: The grant.
         tokens: Tokens not yet reported as spent or returned.
         remaining: Seconds until it expires on the ledger.
+        spent: Tokens reported as spent.
     """
 
     grant_id: str
     tokens: int
     remaining: float
+    spent: int = 0
 
 
 class LedgerState(NamedTuple):
@@ -202,11 +211,13 @@
         shard: The shard.
         epoch: Epoch under which the sender held it.
         ledgers: The ledgers with any state.
+        accrued: Seconds for which the other ledgers have been refilling.
     """
 
     shard: int
     epoch: int
     ledgers: list[LedgerState]
+    accrued: float = 0.0
 
 
 class Ack(NamedTuple):
--- /dev/null
+++ b/tests/fakes/limits_fleet.py
@@ -0,0 +1,177 @@
+"""Hosts with real limiters and ledger books, and the history they admit."""
+
+from __future__ import annotations
+
+import datetime
+import itertools
+
+from coltsfootarch import clock as clocks
+from coltsfootarch import errors
+from coltsfootarch.config import register as registers
+from coltsfootarch.limits import ledger_book
+from coltsfootarch.limits import limiter
+from tests.fakes import leases
+from tests.fakes import network
+
+SHARDS = 2
+ROUNDING = 0.01
+
+
+def make_register(zones, rate, burst, queue_timeout=0.03):
+    rules = registers.Rules(
+        queue_timeout=datetime.timedelta(seconds=queue_timeout)
+    )
+    return registers.Register(
+        {name: registers.AvailabilityZone(name, "r", SHARDS) for name in zones},
+        {},
+        {},
+        {},
+        {"acme": registers.ClientAccount("acme", rate, burst)},
+        rules,
+    )
+
+
+class Host:
+    def __init__(self, fleet, name, zone):
+        self.fleet = fleet
+        self.name = name
+        self.zone = zone
+        self.leases = fleet.directory.join(name, zone)
+        self.start()
+
+    def start(self):
+        fleet = self.fleet
+        endpoint = fleet.network.endpoint(self.name, 1, self.zone, self.name)
+        self.endpoint = endpoint
+        self.book = ledger_book.LedgerBook(
+            fleet.clock,
+            self.leases,
+            fleet.directory,
+            self.zone,
+            endpoint,
+            lambda: fleet.register,
+        )
+        self.limiter = limiter.Limiter(
+            fleet.clock,
+            endpoint,
+            fleet.directory,
+            self.zone,
+            lambda: fleet.register,
+            lambda kind, name, shards: 0,
+        )
+        self.book.start()
+
+
+class Fleet:
+    """Hosts a1, a2 in zone a, b1, b2 in zone b; one account, "acme"."""
+
+    def __init__(self, rate=100.0, burst=400, zones=("a", "b")):
+        self.clock = clocks.ManualClock()
+        self.network = network.FakeNetwork()
+        self.directory = leases.FakeDirectory(self.clock)
+        self.register = make_register(zones, rate, burst)
+        self.hosts = {
+            f"{zone}{number}": Host(self, f"{zone}{number}", zone)
+            for zone in zones
+            for number in (1, 2)
+        }
+        self.stopped = set()
+        self.allowance = [(self.clock.monotonic(), rate)]
+        self.admissions = []
+        for zone in zones:
+            self.directory.give(zone, 0, f"{zone}1")
+
+    def running(self):
+        return [name for name in self.hosts if name not in self.stopped]
+
+    def advance(self, seconds, step=0.5):
+        """Moves the clock; running hosts renew and tick meanwhile."""
+        while seconds > 0:
+            part = min(seconds, step)
+            seconds -= part
+            self.clock.advance(datetime.timedelta(seconds=part))
+            for name in self.running():
+                self.hosts[name].leases.renew()
+                self.hosts[name].book.tick()
+                self.hosts[name].limiter.tick()
+
+    def stop(self, name):
+        self.stopped.add(name)
+        self.network.paused.add(name)
+
+    def resume(self, name):
+        """Lets a paused host run on; it has not renewed yet."""
+        self.stopped.discard(name)
+        self.network.paused.discard(name)
+
+    def restart(self, name):
+        self.resume(name)
+        self.hosts[name].leases.renew()
+        self.hosts[name].start()
+        zone = self.hosts[name].zone
+        holder = self.directory.holder(zone, 0)
+        if holder.host == name:
+            self.directory.give(zone, 0, name)
+
+    def hand_over(self, source, lost=False):
+        """Moves the shard of a host gracefully to its zone peer."""
+        host = self.hosts[source]
+        target = source[0] + {"1": "2", "2": "1"}[source[1]]
+        message = host.book.export(0)
+        if message is None or target in self.stopped:
+            return
+        if not lost:
+            host.endpoint.send(target, message)
+        self.directory.give(host.zone, 0, target)
+        host.book.drop(0)
+
+    def edit_rate(self, rate):
+        client = self.register.client_accounts["acme"]
+        accounts = {"acme": client._replace(rate=rate)}
+        self.register = self.register._replace(client_accounts=accounts)
+        self.allowance.append((self.clock.monotonic(), rate))
+
+    def reserve(self, name, tokens):
+        """Reserves at a host; returns the reservation, None if refused."""
+        try:
+            reservation = self.hosts[name].limiter.reserve("acme", tokens)
+        except errors.RefusedError:
+            return None
+        admission = Admission(self.clock.monotonic(), tokens, name, reservation)
+        self.admissions.append(admission)
+        return admission
+
+    def settle(self, admission, used):
+        admission.used = used
+        self.hosts[admission.host].limiter.settle(admission.reservation, used)
+
+    def allowed(self, start, end):
+        """Returns the tokens that the rates refill between two instants."""
+        edges = [*self.allowance, (float("inf"), 0.0)]
+        return sum(
+            rate * max(0.0, min(end, until) - max(start, since))
+            for (since, rate), (until, _) in itertools.pairwise(edges)
+        )
+
+    def excess(self):
+        """Returns the most tokens beyond the bound, over all intervals.
+
+        A bucket that may go below zero finds the worst interval: its level
+        is the burst at the interval's start.
+        """
+        burst = self.register.client_accounts["acme"].burst
+        level, last, worst = float(burst), 0.0, float("-inf")
+        for admission in self.admissions:
+            refilled = level + self.allowed(last, admission.at)
+            level = min(float(burst), refilled) - admission.used
+            last = admission.at
+            worst = max(worst, -level)
+        return worst
+
+
+class Admission:
+    def __init__(self, at, used, host, reservation):
+        self.at = at
+        self.used = used
+        self.host = host
+        self.reservation = reservation
--- a/tests/fakes/network.py
+++ b/tests/fakes/network.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+
 from coltsfootarch import errors
 from coltsfootarch.protocol import messages
 from coltsfootarch.protocol import network
@@ -23,6 +25,13 @@
         self.drop = lambda source, target, message: False
         self.drop_answer = lambda source, target, message: False
         self.sent = 0
+        self.recent = collections.deque(maxlen=20)
+
+    def replay(self, index):
+        """Delivers a recent message once more; its answer is lost."""
+        if self.recent:
+            endpoint, address, message = self.recent[index % len(self.recent)]
+            endpoint.send(address, message)
 
     def endpoint(self, host, incarnation, availability_zone, address):
         sender = messages.Sender(host, incarnation, availability_zone, address)
@@ -57,6 +66,7 @@
 
     def deliver(self, address, message):
         self.fake.sent += 1
+        self.fake.recent.append((self, address, message))
         source = self.sender.address
         target = self.fake.endpoints.get(address)
         if target is None or not self.fake.reaches(source, address):
