--- /dev/null
+++ b/tests/fakes/objects.py
@@ -0,0 +1,21 @@
+"""In-memory object store."""
+
+from __future__ import annotations
+
+from coltsfootarch import errors
+
+
+class FakeObjects:
+    def __init__(self):
+        self.objects = {}
+        self.down = False
+
+    def put(self, key, data):
+        if self.down:
+            raise errors.ObjectStoreUnavailableError("the store is down")
+        self.objects[key] = data
+
+    def get(self, key):
+        if self.down:
+            raise errors.ObjectStoreUnavailableError("the store is down")
+        return self.objects.get(key)
