--- a/src/coltsfootarch/scheduling/pool.py
+++ b/src/coltsfootarch/scheduling/pool.py
@@ -103,6 +103,8 @@
                 if queue is None:
                     queue = prefill.PrefillQueue(upstream)
                     self.prefills[name] = queue
+                if queue.upstream.state is not upstream.state:
+                    queue.reset_cache()
                 queue.upstream = upstream
             elif upstream.role is register.UpstreamRole.DECODE:
                 self.prefills.pop(name, None)
@@ -338,6 +340,7 @@
     def _failed(self, upstream: str, now: float) -> None:
         if upstream in self.prefills:
             self.prefills[upstream].health.failed(now)
+            self.prefills[upstream].reset_cache()
         if upstream in self.decodes:
             self.decodes[upstream].health.failed(now)
 
--- a/src/coltsfootarch/scheduling/prefill.py
+++ b/src/coltsfootarch/scheduling/prefill.py
@@ -61,6 +61,10 @@
         self.foreign_until = 0.0
         self.slowdown = 1.0
 
+    def reset_cache(self) -> None:
+        """Forgets the cache; a restarted engine numbers its events anew."""
+        self.cache = cache_view.CacheView()
+
     def uncached(self, item: items.WorkItem) -> int:
         """Returns the tokens of the item's prompt that are not cached."""
         cached = self.cache.cached_tokens(
--- a/src/coltsfootarch/upstreams/orphans.py
+++ b/src/coltsfootarch/upstreams/orphans.py
@@ -31,6 +31,10 @@
 FRESH_VIEW_SECONDS = 5.0
 
 
+# Owners are forgotten after this time, since their names never come back.
+FORGET_SECONDS = 3600.0
+
+
 class Owner(NamedTuple):
     """Entry host of an engine request."""
 
@@ -136,6 +140,7 @@
         return now - since >= GONE_SECONDS
 
     def _forget_live(self) -> None:
-        for owner in list(self.gone_since):
-            if self.is_live(owner.host, owner.incarnation):
+        limit = self.clock.monotonic() - FORGET_SECONDS
+        for owner, since in list(self.gone_since.items()):
+            if since < limit or self.is_live(owner.host, owner.incarnation):
                 del self.gone_since[owner]
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -108,6 +108,24 @@
     assert view.gaps == 1
 
 
+@pytest.mark.parametrize("fault", ["crash", "restart"])
+def test_cache_events_of_a_restarted_engine_are_taken(manual_clock, fault):
+    scheduler = make_scheduler(manual_clock)
+    for sequence in (1, 2, 3):
+        event = engine.CacheEvent(sequence, (sequence,), ())
+        scheduler.cache_event("p1", event)
+    if fault == "crash":
+        decision = place(scheduler, pools.make_item(1, manual_clock))
+        scheduler.apply(pools.make_event(decision, "crashed", "p1"))
+    else:
+        pool_, draining = pools.make_pool(), register.UpstreamState.DRAINING
+        scheduler.set_upstreams([pool_[0]._replace(state=draining), *pool_[1:]])
+        scheduler.set_upstreams(pool_)
+    scheduler.cache_event("p1", engine.CacheEvent(1, (9,), ()))
+
+    assert scheduler.prefills["p1"].cache.digests == {9}
+
+
 def test_busy_link_moves_the_transfer_to_a_fuller_engine(manual_clock):
     slow = {"link_rate": 2e8}
     scheduler = make_scheduler(manual_clock, pools.make_pool(**slow))
