Wire the gateway's components and run the path in real processes

Cause: the packages of the zone, limits, scheduling and platform were merged but no process joined them. Change: component construction, codec kinds for cancellation and request queries, shard release that keeps the session while requests are in progress, ledger export before a lease ends, process tests.

--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import datetime
+import functools
 import json
 import os
 import time
@@ -53,9 +54,7 @@
 
 def run() -> list[PathRow]:
     """Measures and returns the rows."""
-    running = fleet.Fleet(
-        HOSTS, time_scale=TIME_SCALE, rules="queue_timeout = '5s'"
-    )
+    running = fleet.Fleet(HOSTS, time_scale=TIME_SCALE)
     try:
         running.start()
         process = psutil.Process(running.processes[HOSTS[0]].pid)
@@ -95,7 +94,7 @@
 def relay_rows(running: fleet.Fleet, process: psutil.Process) -> list[PathRow]:
     """Measures processor time by request and by relayed token."""
     costs = [
-        cost_per_request(process, lambda size=size: complete(running, size))
+        cost_per_request(process, functools.partial(complete, running, size))
         for size in TOKEN_SIZES
     ]
     line = fit.fit(TOKEN_SIZES, costs)
--- a/src/coltsfootarch/gateway/components.py
+++ b/src/coltsfootarch/gateway/components.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 import gevent
+import structlog
 
 from coltsfootarch import clock as clocks
 from coltsfootarch import errors
@@ -48,6 +49,7 @@
 if TYPE_CHECKING:
     from coltsfootarch.config import register
     from coltsfootarch.config import settings
+    from coltsfootarch.zone import interfaces
 
 TABLE_TIMEOUT = datetime.timedelta(seconds=1)
 OBJECT_TIMEOUT = datetime.timedelta(seconds=2)
@@ -58,6 +60,9 @@
 ENGINE_PROGRESS_TIMEOUT = datetime.timedelta(seconds=2)
 DEFAULT_RETRY_RATIO = 0.2
 MILLISECONDS = 1000
+HAND_OVER_TIMEOUT = datetime.timedelta(milliseconds=500)
+
+logger = structlog.get_logger(__name__)
 
 
 class Components:
@@ -81,6 +86,7 @@
             settings.availability_zone,
             settings.peer,
         )
+        self.exported: dict[int, messages.LedgerHandover] = {}
         self.requests = inflight.InflightRequests(settings.name, incarnation)
         self.build_platform()
         self.build_zone()
@@ -119,11 +125,12 @@
         self.keys = authenticator.Authenticator(self.tracker)
         self.agent = agent.ZoneAgent(
             self.sender,
-            self.clock,
-            self.network,
             self.tables,
+            self.network,
+            self.clock,
             self.shard_count,
             lambda: self.tracker.version,
+            self.confirmed_age,
         )
 
     def build_limits(self) -> None:
@@ -196,7 +203,7 @@
             self.agent.leases,
             self.register,
             self.settings.availability_zone,
-            self.agent.address_of,
+            self.agent.directory.address_of,
         )
         self.orphans = orphans.OrphanCollector(
             self.clock,
@@ -205,7 +212,7 @@
             self.agent.holders.is_live,
             self.ownership.is_home,
             self.ownership.knows,
-            self.agent.view_age,
+            self.agent.directory.view_age,
         )
 
     def build_pipelines(self) -> None:
@@ -214,7 +221,7 @@
         self.guard = dispatch_guard.DispatchGuard(self.tracker, self.watcher)
         self.admission = admission.Admission(self.tracker, self.keys)
         self.canceller = remote_cancel.RemoteCanceller(
-            self.requests, self.network, self.agent.address_of
+            self.requests, self.network, self.agent.directory.address_of
         )
         self.completion_pipeline = completion_pipeline.CompletionPipeline(
             self.clock,
@@ -254,6 +261,31 @@
         self.ownership.start()
         self.network.start()
         self.agent.start()
+        self.agent.leases.ending_listeners.append(self.on_shard_ending)
+        self.agent.leases.lost_listeners.append(self.on_shard_lost)
+        self.agent.leases.hand_over_listeners.append(self.on_hand_over)
+
+    def on_shard_lost(self, shard: int, _epoch: int) -> None:
+        """Forgets the ledgers of a shard."""
+        self.ledger_book.drop(shard)
+
+    def on_shard_ending(self, shard: int) -> None:
+        """Stops granting for a shard and keeps its ledgers."""
+        handover = self.ledger_book.export(shard)
+        if handover is not None:
+            self.exported[shard] = handover
+
+    def on_hand_over(
+        self, shard: int, _epoch: int, successor: interfaces.Holder | None
+    ) -> None:
+        """Sends the ledgers of a shard to its next holder."""
+        handover = self.exported.pop(shard, None)
+        if handover is None or successor is None:
+            return
+        try:
+            self.network.request(successor.address, handover, HAND_OVER_TIMEOUT)
+        except errors.PeerTimeoutError:
+            logger.warning("ledgers not handed over", shard=shard)
 
     def close(self) -> None:
         """Returns unused tokens, ends the session, closes the peer socket."""
@@ -274,7 +306,12 @@
 
     def peer_addresses(self) -> list[str]:
         """Returns the peer addresses of live zone peers."""
-        return self.agent.peer_addresses()
+        peers = self.agent.membership.zone_peers()
+        return [peer.address for peer in peers.values()]
+
+    def confirmed_age(self) -> float:
+        """Returns the age of the configuration's last confirmation."""
+        return self.tracker.confirmed_age()
 
     def shard_count(self) -> int:
         """Returns the number of shards of this zone, 0 while unknown."""
--- a/src/coltsfootarch/gateway/daemon.py
+++ b/src/coltsfootarch/gateway/daemon.py
@@ -106,9 +106,10 @@
         self.server.drain()
         self.parts.clock.sleep(self.drain_delay)
         self.server.stop_accepting()
-        self.parts.agent.hand_over()
+        self.parts.agent.release_shards()
         self.parts.requests.wait_idle()
         self.parts.completion_pipeline.wait_background()
+        self.parts.agent.hand_over()
         for task in self.tasks:
             task.close()
         self.parts.close()
@@ -133,7 +134,7 @@
             incarnation=parts.sender.incarnation,
             config_version=parts.tracker.version,
             confirmed_age=age if age >= 0 else None,
-            shards=parts.agent.held_shards(),
+            shards=parts.agent.leases.valid_shards(),
             in_progress=len(parts.requests.handles),
             ready=self.ready and parts.tracker.version > 0,
         )
--- a/src/coltsfootarch/protocol/codec.py
+++ b/src/coltsfootarch/protocol/codec.py
@@ -37,6 +37,8 @@
     13: messages.ScheduleUpdate,
     14: messages.ConfigRequest,
     15: messages.ConfigReply,
+    16: messages.CancelRequest,
+    17: messages.RequestQuery,
 }
 NUMBERS: dict[type, int] = {kind: number for number, kind in KINDS.items()}
 
--- a/src/coltsfootarch/zone/agent.py
+++ b/src/coltsfootarch/zone/agent.py
@@ -203,6 +203,21 @@
         """Tells when another host was last heard."""
         return self.membership.answer_indirect(probe)
 
+    def release_shards(self) -> None:
+        """Hands the shards to zone peers; the session goes on.
+
+        The session must last as long as requests are in progress here: an
+        edit counts as accepted only when every host with a session has it in
+        force.
+        """
+        self.stopping = True
+        self.heartbeat.start()
+        stopping = self.membership.stopping_hosts() | {self.sender.host}
+        try:
+            self.claims.release_shards(stopping)
+        except errors.PlatformError as error:
+            log.warning("shards not released", code=error.code.name)
+
     def hand_over(self) -> None:
         """Ends all leases and releases them for the zone peers.
 
--- a/src/coltsfootarch/zone/claims.py
+++ b/src/coltsfootarch/zone/claims.py
@@ -342,20 +342,49 @@
             PlatformError: The rows could not be released; the session expires
                 and zone peers take the shards over.
         """
+        self.end_leases(stopping)
+        self.session.close()
+        self.leases.drop_lapsed()
+        self.attempt(self.release_all)
+
+    def release_shards(self, stopping: set[str]) -> None:
+        """Ends all leases and releases the rows; the session goes on.
+
+        Args:
+            stopping: Hosts that get no shards, this one included.
+
+        Raises:
+            PlatformError: The rows could not be released; `hand_over` tries
+                again.
+        """
+        self.end_leases(stopping)
+        self.attempt(self.release_rows)
+
+    def end_leases(self, stopping: set[str]) -> None:
+        """Ends all leases and lets their state move to the successors."""
         held = self.leases.valid_shards()
         plan = self.plan(held, stopping)
         for shard in held:
             self.leases.end_lease(shard, plan.get(shard))
-        self.session.close()
-        self.leases.drop_lapsed()
+
+    def attempt(self, change: Callable[[], None]) -> None:
+        """Makes a change, again when it lost against another host's."""
         for attempt in range(1, HAND_OVER_ATTEMPTS + 1):
             try:
-                self.release_all()
+                change()
                 return
             except errors.TransactionConflictError:
                 if attempt == HAND_OVER_ATTEMPTS:
                     raise
 
+    def release_rows(self) -> None:
+        """Releases every shard row that names this host."""
+        self.directory.poll()
+        named = self.rows_naming(self.sender.host, self.sender.incarnation)
+        checks, writes = self.release_changes(named)
+        if writes:
+            self.directory.revise(checks, writes)
+
     def release_all(self) -> None:
         """Releases every row of this host and deletes its session."""
         self.directory.poll()
--- a/src/coltsfootarch/zone/directory.py
+++ b/src/coltsfootarch/zone/directory.py
@@ -81,6 +81,7 @@
         self.conflicts = 0
         self.next_poll = -math.inf
         self.last_poll = -math.inf
+        self.polled_at = -math.inf
 
     @property
     def own_view(self) -> ZoneView:
@@ -111,6 +112,17 @@
             view.is_live(host, incarnation) for view in self.views.values()
         )
 
+    def address_of(self, host: str, incarnation: int) -> str | None:
+        """Returns a host's peer address, or None if it has no session."""
+        for view in self.views.values():
+            if view.is_live(host, incarnation):
+                return view.sessions[host].address
+        return None
+
+    def view_age(self) -> float:
+        """Returns the seconds since the last successful poll."""
+        return self.clock.monotonic() - self.polled_at
+
     def heads(self) -> messages.Heads:
         """Returns the newest state known to this host."""
         revisions = {zone: view.revision for zone, view in self.views.items()}
@@ -152,6 +164,7 @@
                 )
             if row.key.startswith(records.DIRECTORY_PREFIX):
                 self.read_zone(row)
+        self.polled_at = self.last_poll
 
     def read_zone(self, head: tables.Row) -> None:
         """Reads a zone's rows if its revision has changed."""
--- a/src/coltsfootarch/zone/shards.py
+++ b/src/coltsfootarch/zone/shards.py
@@ -44,6 +44,8 @@
         held: Leases by shard; use `epoch` to learn whether one is valid.
         acquired_listeners: Called with shard and epoch.
         lost_listeners: Called with shard and epoch after a lease ended.
+        ending_listeners: Called with shard while the lease is still held, to
+            export its state and stop using it.
         hand_over_listeners: Called with shard, epoch and the successor or None
             after the lease ended and before the row is released.
     """
@@ -60,6 +62,7 @@
         self.held: dict[int, Lease] = {}
         self.acquired_listeners: list[Callable[[int, int], None]] = []
         self.lost_listeners: list[Callable[[int, int], None]] = []
+        self.ending_listeners: list[Callable[[int], None]] = []
         self.hand_over_listeners: list[
             Callable[[int, int, interfaces.Holder | None], None]
         ] = []
@@ -120,6 +123,8 @@
 
     def end_lease(self, shard: int, successor: str | None) -> None:
         """Stops using a shard, then lets its state move to the successor."""
+        for ending in self.ending_listeners:
+            ending(shard)
         lease = self.held.pop(shard)
         session = self.directory.own_view.sessions.get(successor or "")
         holder = session and interfaces.Holder(
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -24,6 +24,7 @@
 KEYS = ROOT / "examples" / "demo-keys.toml"
 READY_TIMEOUT_SECONDS = 30.0
 POLL_SECONDS = 0.05
+QUEUE_TIMEOUT = re.compile(r'queue_timeout = "\w+"')
 ADDRESS = re.compile(r'^address = "127\.0\.0\.1:\d+"', re.MULTILINE)
 
 
@@ -42,7 +43,8 @@
         example: Register; its addresses are replaced by free ones.
         time_scale: Time scale of the engines; below 1 is faster.
         listen: Address of the first entry host; a free one when not given.
-        rules: Lines added to the register's `[rules]` table.
+        queue_timeout: Longest wait for tokens. Ledgers start empty, so that
+            the first requests after a start may have to wait.
     """
 
     def __init__(
@@ -51,12 +53,14 @@
         example: pathlib.Path = EXAMPLE,
         time_scale: float = 1.0,
         listen: str = "",
-        rules: str = "",
+        queue_timeout: str = "5s",
     ) -> None:
         text = ADDRESS.sub(
             lambda _: f'address = "{free_address()}"', example.read_text()
         )
-        self.document = text.replace("[rules]", f"[rules]\n{rules}", 1)
+        self.document = QUEUE_TIMEOUT.sub(
+            f'queue_timeout = "{queue_timeout}"', text
+        )
         self.register: dict[str, Any] = tomllib.loads(self.document)
         self.hosts = hosts
         self.time_scale = time_scale
--- a/tests/processes/conftest.py
+++ b/tests/processes/conftest.py
@@ -51,6 +51,7 @@
     """Reads server-sent events of an answer one by one."""
 
     def __init__(self, answer):
+        assert answer.status == 200, answer.read()
         self.answer = answer
         self.lines = self.read_lines()
         self.text = ""
@@ -87,6 +88,13 @@
         if name == "":
             self.text += data["text"]
 
+    def read_tokens(self, count):
+        """Reads until `count` tokens have arrived."""
+        while self.last_id < count:
+            event = self.next_event()
+            assert event is not None, "the stream ended early"
+            assert event[0] != "error", event[1]
+
     def read_until(self, wanted):
         while (event := self.next_event()) is not None:
             if event[0] == wanted:
--- a/tests/processes/test_path.py
+++ b/tests/processes/test_path.py
@@ -34,7 +34,7 @@
     first = caller.book("regina-1", "b-1")
     second = caller.book("saskatoon-1", "b-1")
 
-    assert (first.status, second.status) == (200, 200)
+    assert (first.status, second.status) == (201, 201)
     assert second.headers["Idempotency-Replayed"] == "true"
     assert first.data == second.data
     runs = [
@@ -51,8 +51,7 @@
 )
 def test_caller_resumes_at_another_host_after_a_kill(running_fleet, caller):
     reader = conftest.StreamReader(caller.complete("regina-1", PROMPT, 60))
-    while reader.last_id < 5:
-        reader.next_event()
+    reader.read_tokens(5)
     running_fleet.processes["regina-1"].kill()
 
     resumed = conftest.StreamReader(
@@ -78,8 +77,7 @@
 )
 def test_stream_goes_on_after_its_engine_is_killed(running_fleet, caller):
     reader = conftest.StreamReader(caller.complete("regina-1", PROMPT, 60))
-    while reader.last_id < 5:
-        reader.next_event()
+    reader.read_tokens(5)
     holder = next(
         address
         for address in upstream_addresses(running_fleet, "decode")
@@ -102,8 +100,7 @@
 )
 def test_graceful_stop_finishes_the_stream(running_fleet, caller):
     reader = conftest.StreamReader(caller.complete("regina-1", PROMPT, 60))
-    while reader.last_id < 5:
-        reader.next_event()
+    reader.read_tokens(5)
     process = running_fleet.processes["regina-1"]
     process.send_signal(signal.SIGTERM)
 
@@ -121,9 +118,10 @@
     seen_red="",
 )
 def test_withdrawn_key_ends_its_stream_and_is_refused(running_fleet, caller):
-    reader = conftest.StreamReader(caller.complete("regina-1", PROMPT, 2000))
-    while reader.last_id < 5:
-        reader.next_event()
+    for address in upstream_addresses(running_fleet, "decode"):
+        running_fleet.fault(address, slow_factor=10)
+    reader = conftest.StreamReader(caller.complete("regina-1", PROMPT, 400))
+    reader.read_tokens(5)
     key_id = caller.key.split("_")[1]
 
     running_fleet.command("key", "withdraw", key_id)
@@ -143,4 +141,4 @@
     running_fleet.fault(running_fleet.tables, down=False)
 
     assert json.loads(refused.data)["execution"] == "not run"
-    assert caller.book("regina-1", "b-2").status == 200
+    assert caller.book("regina-1", "b-2").status == 201
