--- a/src/coltsfootarch/zone/activity.py
+++ b/src/coltsfootarch/zone/activity.py
@@ -22,6 +22,8 @@
         name: Name in the log.
         function: What is called.
         spawn: Runs a function, usually `gevent.spawn`.
+        quiet: Whether errors of the platform are logged for debugging only,
+            because another activity reports them too.
 
     Attributes:
         failures: Calls that ended with an error.
@@ -33,10 +35,12 @@
         name: str,
         function: Callable[[], None],
         spawn: Callable[[Callable[[], None]], Any],
+        quiet: bool = False,
     ) -> None:
         self.name = name
         self.function = function
         self.spawn = spawn
+        self.quiet = quiet
         self.running = False
         self.failures = 0
         self.failing = False
@@ -58,22 +62,28 @@
         try:
             self.function()
         except errors.ColtsfootarchError as error:
-            if not self.failing:
-                log.warning(
-                    "activity failing", name=self.name, code=error.code.name
-                )
+            self.report(error)
             self.note_failure()
         except Exception:
             # The next tick starts the activity again.
             log.exception("activity failed", name=self.name)
             self.note_failure()
         else:
-            if self.failing:
+            if self.failing and not self.quiet:
                 log.info("activity works again", name=self.name)
             self.failing = False
         finally:
             self.running = False
 
+    def report(self, error: errors.ColtsfootarchError) -> None:
+        """Logs the first of a series of errors."""
+        if self.quiet:
+            log.debug("activity failed", name=self.name, code=error.code.name)
+        elif not self.failing:
+            log.warning(
+                "activity failing", name=self.name, code=error.code.name
+            )
+
     def note_failure(self) -> None:
         """Counts a failed call."""
         self.failures += 1
--- a/src/coltsfootarch/zone/agent.py
+++ b/src/coltsfootarch/zone/agent.py
@@ -104,7 +104,9 @@
         )
         self.holders: interfaces.Holders = self.directory
         self.renewal = activity.Activity("renewal", self.session.renew, spawn)
-        self.upkeep = activity.Activity("upkeep", self.keep_up, spawn)
+        self.upkeep = activity.Activity(
+            "upkeep", self.keep_up, spawn, quiet=True
+        )
         self.heartbeat = activity.Activity("heartbeat", self.beat, spawn)
         self.probing = activity.Activity("probing", self.watch.probe, spawn)
         self.stopping = False
--- a/tests/zone/test_agent.py
+++ b/tests/zone/test_agent.py
@@ -48,6 +48,20 @@
     assert all(joined.inherited(shard) for shard in zone.held("regina-1"))
 
 
+def test_handed_over_shard_is_claimed_within_a_heartbeat_interval(make):
+    zone = make(shards=16, regina=1)
+    limit = timing.HEARTBEAT_INTERVAL
+    free_for = 0.0
+    for phase in range(8):
+        zone.run(phase * fleet.STEP)
+        zone.add(f"regina-{phase + 1}", "regina")
+        for _ in range(60):
+            zone.run(fleet.STEP)
+            free = zone.free_shards("regina")
+            free_for = free_for + fleet.STEP if free else 0.0
+            assert free_for < limit
+
+
 def test_renewals_are_per_host_and_every_two_seconds(make):
     zone = make(shards=64, regina=2)
     # Spreading the shards takes a second for each.
