Read the directory before a surplus shard is released

A release from an outdated view lost the transaction after the lease had ended, and the host claimed the shard again with an empty ledger.

--- a/src/coltsfootarch/zone/claims.py
+++ b/src/coltsfootarch/zone/claims.py
@@ -308,6 +308,13 @@
         now = self.clock.monotonic()
         if now - self.released_at < timing.SURPLUS_INTERVAL:
             return
+        if len(self.leases.held) <= self.target(stopping):
+            return
+        if not self.plan([max(self.leases.held)], stopping):
+            return
+        # A release from an outdated view fails after the lease has ended, and
+        # the shard's state is lost for nothing.
+        self.directory.poll()
         if len(self.leases.held) <= self.target(stopping):
             return
         shard = max(self.leases.held)
--- a/tests/zone/test_agent.py
+++ b/tests/zone/test_agent.py
@@ -39,11 +39,15 @@
 
     for number in (1, 2):
         zone.add(f"regina-{number}", "regina")
+        zone.run(fleet.STEP)
     zone.run(20)
 
     counts = sorted(len(zone.held(name)) for name in zone.hosts)
     assert counts == [2, 3, 3]
     assert not zone.free_shards("regina")
+    # A failed release would make the first host claim the shard again.
+    acquired = [name for name, _, _ in zone.acquired]
+    assert acquired.count("regina-0") == 8
     joined = zone.hosts["regina-1"].agent.leases
     assert all(joined.inherited(shard) for shard in zone.held("regina-1"))
 
