--- a/tests/zone/test_agent.py
+++ b/tests/zone/test_agent.py
@@ -39,15 +39,35 @@
 
     for number in (1, 2):
         zone.add(f"regina-{number}", "regina")
+        zone.run(fleet.STEP)
     zone.run(20)
 
     counts = sorted(len(zone.held(name)) for name in zone.hosts)
     assert counts == [2, 3, 3]
     assert not zone.free_shards("regina")
+    # A failed release would make the first host claim the shard again.
+    acquired = [name for name, _, _ in zone.acquired]
+    assert acquired.count("regina-0") == 8
     joined = zone.hosts["regina-1"].agent.leases
     assert all(joined.inherited(shard) for shard in zone.held("regina-1"))
 
 
+def test_handed_over_shard_is_claimed_within_a_heartbeat_interval(make):
+    zone = make(shards=16, regina=1)
+    limit = timing.HEARTBEAT_INTERVAL
+    free_for = longest = 0.0
+    for phase in range(8):
+        zone.run(phase * fleet.STEP)
+        zone.add(f"regina-{phase + 1}", "regina")
+        for _ in range(60):
+            zone.run(fleet.STEP)
+            free = zone.free_shards("regina")
+            free_for = free_for + fleet.STEP if free else 0.0
+            longest = max(longest, free_for)
+
+    assert 0 < longest < limit
+
+
 def test_renewals_are_per_host_and_every_two_seconds(make):
     zone = make(shards=64, regina=2)
     # Spreading the shards takes a second for each.
