--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -24,6 +24,7 @@
 KEYS = ROOT / "examples" / "demo-keys.toml"
 READY_TIMEOUT_SECONDS = 30.0
 POLL_SECONDS = 0.05
+PORTS = range(10_000, 32_000)
 QUEUE_TIMEOUT = re.compile(r'queue_timeout = "\w+"')
 ADDRESS = re.compile(r'^address = "127\.0\.0\.1:\d+"', re.MULTILINE)
 
@@ -250,8 +251,16 @@
 
 
 def free_address() -> str:
-    """Returns a loopback address with a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-    return f"127.0.0.1:{port}"
+    """Returns a loopback address with a port that is free now.
+
+    The port is below the range that the system gives to outgoing connections,
+    one of which could take it before the server does.
+    """
+    while True:
+        port = PORTS.start + secrets.randbelow(len(PORTS))
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return f"127.0.0.1:{port}"
