--- a/src/coltsfootarch/idempotency/claims.py
+++ b/src/coltsfootarch/idempotency/claims.py
@@ -332,12 +332,7 @@
             stored = self.tables.get(rows.TABLE, claim.row_key)
         except errors.TableUnavailableError:
             return False
-        row = None if stored is None else rows.decode(stored.value)
-        if (
-            row is None
-            or row.state != rows.DONE
-            or row.attempt != claim.row.attempt
-        ):
+        if stored is None or not self.owned(stored, claim.row.attempt):
             self.log.error("claim_lost", attempt=claim.row.attempt)
         return True
 
