--- a/tests/fakes/limits_fleet.py
+++ b/tests/fakes/limits_fleet.py
@@ -106,7 +106,8 @@
     def stock(self, name, tokens):
         """Has a host hold tokens without spending them."""
         admission = self.reserve(name, tokens)
-        self.settle(admission, 0)
+        if admission is not None:
+            self.settle(admission, 0)
 
     def drain(self, *names):
         """Spends what hosts can get, up to twice the burst each."""
