--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -1,8 +1,6 @@
 """Rate and burst over a fleet: refusals, excess and cost.
 
-`python -m benchmarks.limits` prints two tables. The first compares the
-limiter with an equal split per host; the second shows what a ledger book
-costs.
+Compares the limiter with an equal split of each rate over the hosts.
 """
 
 from __future__ import annotations
@@ -13,9 +11,6 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
-import structlog
-
-from benchmarks import ledger_slopes
 from benchmarks import limits_cluster
 from benchmarks import static_split
 from coltsfootarch import errors
@@ -319,41 +314,47 @@
     return f"{middle:.0f} ({min(values):.0f} to {max(values):.0f})"
 
 
-def main() -> None:
-    """Prints both tables."""
-    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(50))
-    rows = run()
-    print(
-        "scenario | limiter | requests | refused | wrongful | exact refused"
-        " | excess | msgs"
-    )
-    for scenario in SCENARIOS:
-        for name in ("ledgers", "equal split"):
-            group = [
-                row
-                for row in rows
-                if row.scenario == scenario and row.limiter == name
-            ]
-            cells = [
-                spread([getattr(row, field) for row in group])
-                for field in (
-                    "requests",
-                    "refused",
-                    "wrongful",
-                    "exact_refused",
-                    "excess",
-                )
-            ]
-            sent = statistics.median(row.messages for row in group)
-            print(" | ".join([scenario, name, *cells, f"{sent:.2f}"]))
-    print("accounts | us per grant | ms per tick | kB")
-    for accounts in ledger_slopes.ACCOUNTS:
-        slope = ledger_slopes.measure(accounts)
-        print(
-            f"{slope.accounts} | {slope.grant_microseconds:.1f} | "
-            f"{slope.tick_milliseconds:.2f} | {slope.kilobytes:.0f}"
-        )
+class Summary(NamedTuple):
+    """Medians over the seeds, with the lowest and highest value.
+
+    Attributes:
+        scenario: What happens.
+        limiter: "ledgers" or the baseline "equal split".
+        requests: Requests sent.
+        refused: Requests refused.
+        wrongful: Requests refused although within the account's rate.
+        exact_refused: Requests that one exact bucket would refuse.
+        excess: Largest excess over burst + rate x T in tokens; negative if
+            the bound was never reached.
+        messages: Messages between hosts by request, the median.
+    """
+
+    scenario: str
+    limiter: str
+    requests: str
+    refused: str
+    wrongful: str
+    exact_refused: str
+    excess: str
+    messages: float
 
 
-if __name__ == "__main__":
-    main()
+def summary(seeds: Sequence[int] = SEEDS) -> list[Summary]:
+    """Runs all scenarios and summarizes them over the seeds."""
+    rows = run(seeds)
+    return [
+        summarize([row for row in rows if row[:2] == (scenario, name)])
+        for scenario in SCENARIOS
+        for name in ("ledgers", "equal split")
+    ]
+
+
+def summarize(group: Sequence[Row]) -> Summary:
+    """Returns the summary of one scenario and limiter."""
+    fields = ("requests", "refused", "wrongful", "exact_refused", "excess")
+    cells = {
+        field: spread([getattr(row, field) for row in group])
+        for field in fields
+    }
+    sent = statistics.median(row.messages for row in group)
+    return Summary(group[0].scenario, group[0].limiter, messages=sent, **cells)
