--- a/benchmarks/register_slopes.py
+++ b/benchmarks/register_slopes.py
@@ -26,8 +26,8 @@
 
 [rules]
 scheduling_scope = "zone"
-resume_secret = "bdcbc668bbf3f2ce88597f22a69cd93743dcdaf618967e01936b2f0a60610408"
-"""
+resume_secret = "SECRET"
+""".replace("SECRET", "5e" * 32)
 
 
 class RegisterCost(NamedTuple):
