Measure the relay with many streams at once

Cause: a token relayed in a single stream wakes the loop for itself and says little about a loaded host. Change: 50 streams of 200 tokens at once in the path benchmark.

--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -16,6 +16,7 @@
 from typing import Any
 from typing import NamedTuple
 
+import gevent
 import psutil
 
 from benchmarks import fit
@@ -33,6 +34,8 @@
 TOKEN_SIZES = (16, 64, 256)
 REQUESTS = 60
 IDLE_SECONDS = 10.0
+CONCURRENT_STREAMS = 50
+CONCURRENT_TOKENS = 200
 MIB = 1024 * 1024
 
 
@@ -60,6 +63,7 @@
         process = psutil.Process(running.processes[HOSTS[0]].pid)
         rows = idle_rows(process)
         rows += relay_rows(running, process)
+        rows += concurrent_rows(running, process)
         rows += call_rows(running, process)
         rows += memory_rows(process)
         return rows
@@ -147,6 +151,34 @@
         raise RuntimeError(answer.data.decode()[-500:])
 
 
+def concurrent_rows(
+    running: fleet.Fleet, process: psutil.Process
+) -> list[PathRow]:
+    """Measures many streams at once, which share the wake-ups of the loop."""
+    before = cpu_seconds(process)
+    started = time.monotonic()
+    streams = [
+        gevent.spawn(complete, running, CONCURRENT_TOKENS)
+        for _ in range(CONCURRENT_STREAMS)
+    ]
+    gevent.joinall(streams, raise_error=True)
+    used = cpu_seconds(process) - before
+    elapsed = time.monotonic() - started
+    tokens = CONCURRENT_STREAMS * CONCURRENT_TOKENS
+    detail = f"{CONCURRENT_STREAMS} streams, {tokens / elapsed:.0f} tokens/s"
+    return [
+        PathRow(
+            "relayed token, many streams", used / tokens * 1e6, "µs", detail
+        ),
+        PathRow(
+            "processor while relaying",
+            100 * used / elapsed,
+            "% of a core",
+            detail,
+        ),
+    ]
+
+
 def direct_cost(running: fleet.Fleet) -> fit.Fit:
     """Measures the client side of the same calls without the router."""
     client = engine_client.HttpEngineClient(
