Use standard terms in zone and limits and split shard planning

Cause: names such as peaks, sealed, upkeep, beat and watched had to be looked up, and zone/claims.py planned the spread of shards and wrote rows. Change: FillMaxima, exported_epoch, active_epoch, maintenance, send_heartbeats, predecessors and unanswered_since replace them; the computations on the directory move to zone/planner.py. Behaviour and assertions are unchanged; tests only follow the names.

--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -140,7 +140,9 @@
     agents = [host.agent for host in made.hosts.values()]
     calls = ROUNDS * size
     beat = microseconds(
-        lambda: [agent.beat() for _ in range(ROUNDS) for agent in agents],
+        lambda: [
+            agent.send_heartbeats() for _ in range(ROUNDS) for agent in agents
+        ],
         calls,
     )
     renewal = microseconds(
--- a/src/coltsfootarch/limits/peaks.py
+++ b/src/coltsfootarch/limits/fill_maxima.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 
-class Peak(NamedTuple):
+class FillMaximum(NamedTuple):
     """A fill that no later one has reached.
 
     Attributes:
@@ -17,7 +17,7 @@
     value: float
 
 
-class Peaks:
+class FillMaxima:
     """Suffix maxima of the observed fills.
 
     A refund may be credited only as far as the bucket would be fuller now,
@@ -26,36 +26,36 @@
     be admitted in one instant.
     """
 
-    LIMIT = 32  # peaks kept; older ones are merged to the safe side
+    LIMIT = 32  # maxima kept; older ones are merged to the safe side
 
     def __init__(self) -> None:
         self.sequence = 0
-        self.entries: list[Peak] = []
+        self.entries: list[FillMaximum] = []
 
     def observe(self, fill: float) -> None:
         """Notes the current fill in tokens."""
         self.sequence += 1
         while self.entries and self.entries[-1].value <= fill:
             self.entries.pop()
-        self.entries.append(Peak(self.sequence, fill))
+        self.entries.append(FillMaximum(self.sequence, fill))
         if len(self.entries) > self.LIMIT:
             oldest, second = self.entries[:2]
-            self.entries[:2] = [Peak(second.sequence, oldest.value)]
+            self.entries[:2] = [FillMaximum(second.sequence, oldest.value)]
 
     def highest_since(self, sequence: int) -> float:
         """Returns the highest fill observed after observation `sequence`."""
-        for peak in self.entries:
-            if peak.sequence > sequence:
-                return peak.value
+        for maximum in self.entries:
+            if maximum.sequence > sequence:
+                return maximum.value
         return 0.0
 
     def credit(self, sequence: int, tokens: float) -> None:
         """Adds a refund to every fill observed after `sequence`."""
-        raised: list[Peak] = []
-        for peak in self.entries:
-            if peak.sequence > sequence:
-                peak = Peak(peak.sequence, peak.value + tokens)
-            while raised and raised[-1].value <= peak.value:
+        raised: list[FillMaximum] = []
+        for maximum in self.entries:
+            if maximum.sequence > sequence:
+                maximum = FillMaximum(maximum.sequence, maximum.value + tokens)
+            while raised and raised[-1].value <= maximum.value:
                 raised.pop()
-            raised.append(peak)
+            raised.append(maximum)
         self.entries = raised
--- a/src/coltsfootarch/limits/ledger.py
+++ b/src/coltsfootarch/limits/ledger.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
-from coltsfootarch.limits import peaks
+from coltsfootarch.limits import fill_maxima
 from coltsfootarch.protocol import messages
 
 if TYPE_CHECKING:
@@ -111,7 +111,7 @@
         self.live: dict[str, LiveGrant] = {}
         self.past: dict[str, PastGrant] = {}
         self.next_expiry = math.inf
-        self.fills = peaks.Peaks()
+        self.fills = fill_maxima.FillMaxima()
 
     @property
     def fill(self) -> float:
--- a/src/coltsfootarch/limits/ledger_book.py
+++ b/src/coltsfootarch/limits/ledger_book.py
@@ -62,17 +62,17 @@
 
     Attributes:
         dropped_at: Instant at which ledgers were last dropped.
-        sealed: Epoch whose ledgers were exported; no grants under it.
-        begun: Epoch under which ledgers were adopted or granted; a hand-over
-            for it comes too late.
+        exported_epoch: Epoch whose ledgers were exported; no grants under it.
+        active_epoch: Epoch under which ledgers were adopted or granted; a
+            hand-over for it comes too late.
     """
 
-    __slots__ = ("begun", "dropped_at", "sealed")
+    __slots__ = ("active_epoch", "dropped_at", "exported_epoch")
 
     def __init__(self) -> None:
         self.dropped_at = -math.inf
-        self.sealed = 0
-        self.begun = 0
+        self.exported_epoch = 0
+        self.active_epoch = 0
 
 
 class LedgerBook:
@@ -152,7 +152,7 @@
         if state is None:
             return None
         now = self.clock.monotonic()
-        self.history(shard).sealed = state.epoch
+        self.history(shard).exported_epoch = state.epoch
         exported = []
         for account, ledger in state.used.items():
             share = self.share(account)
@@ -185,9 +185,9 @@
                 self.adopt(state, handover)
         return state
 
-    def sealed(self, shard: int, epoch: int) -> bool:
+    def is_exported(self, shard: int, epoch: int) -> bool:
         """Returns whether the ledgers of this epoch were exported."""
-        return self.history(shard).sealed == epoch
+        return self.history(shard).exported_epoch == epoch
 
     def first_refill(self, shard: int) -> float:
         """Returns the instant from which unused ledgers refill.
@@ -210,14 +210,17 @@
         """
         message = handover.message
         history = self.history(message.shard)
-        if message.epoch != state.epoch - 1 or history.begun >= state.epoch:
+        if (
+            message.epoch != state.epoch - 1
+            or history.active_epoch >= state.epoch
+        ):
             self.log.warning(
                 "ledger_handover_ignored",
                 shard=message.shard,
                 epoch=message.epoch,
             )
             return False
-        history.begun = state.epoch
+        history.active_epoch = state.epoch
         state.since = handover.received_at - message.accrued
         state.used.clear()
         for item in message.ledgers:
@@ -266,7 +269,7 @@
         """Grants what the ledger can give."""
         now = self.clock.monotonic()
         state = self.open_shard(request.shard)
-        if state is None or self.sealed(request.shard, state.epoch):
+        if state is None or self.is_exported(request.shard, state.epoch):
             return messages.GrantReply("", 0, 0.0, 0.0, home=False)
         ledger = self.open_ledger(state, request.account, now)
         if ledger is None:
@@ -302,7 +305,7 @@
         )
         if granted.tokens == 0:
             return messages.GrantReply("", 0, 0.0, granted.retry_after)
-        self.history(request.shard).begun = state.epoch
+        self.history(request.shard).active_epoch = state.epoch
         return messages.GrantReply(
             grant_id, granted.tokens, validity, granted.retry_after
         )
@@ -312,7 +315,7 @@
     ) -> None:
         """Applies what a host says of its grants."""
         state = self.open_shard(report.shard)
-        if state is None or self.sealed(report.shard, state.epoch):
+        if state is None or self.is_exported(report.shard, state.epoch):
             return
         now = self.clock.monotonic()
         for usage in report.usage:
--- a/src/coltsfootarch/limits/limiter.py
+++ b/src/coltsfootarch/limits/limiter.py
@@ -23,12 +23,12 @@
 # Name of the kind of object under which accounts are mapped to shards.
 ACCOUNT_KIND = "account"
 
-# Round trips take about 2 ms; a peer that is silent for this long is cut off
-# or gone.
+# Round trips take about 2 ms; a peer that does not answer for this long is
+# partitioned or has stopped.
 PEER_TIMEOUT = datetime.timedelta(milliseconds=100)
 
 # After a timeout, other requests don't wait for the same peer.
-SILENT_PEER_PAUSE = datetime.timedelta(seconds=1)
+UNREACHABLE_PEER_PAUSE = datetime.timedelta(seconds=1)
 
 # Pause after a shard without a holder, which a takeover ends.
 NO_HOLDER_PAUSE = datetime.timedelta(milliseconds=100)
@@ -114,7 +114,7 @@
         self.home_shard = home_shard
         self.accounts: dict[str, AccountState] = {}
         self.reports = reports.Reports(self.send_report)
-        self.silent_until: dict[str, float] = {}
+        self.unreachable_until: dict[str, float] = {}
 
     def start(self) -> None:
         """Does nothing; grants are fetched when they are needed."""
@@ -135,9 +135,9 @@
             self.return_wallet(state)
             del self.accounts[account]
         self.reports.flush(now)
-        for address, until in list(self.silent_until.items()):
+        for address, until in list(self.unreachable_until.items()):
             if until <= now:
-                del self.silent_until[address]
+                del self.unreachable_until[address]
 
     def reserve(self, account: str, tokens: int) -> Reservation:
         """Reserves tokens, waiting up to `queue_timeout` for them.
@@ -248,7 +248,7 @@
         if state.answered_at < started:
             return errors.RefusedError(
                 results.LIMIT_UNAVAILABLE,
-                retry_after=SILENT_PEER_PAUSE.total_seconds(),
+                retry_after=UNREACHABLE_PEER_PAUSE.total_seconds(),
             )
         lacking = tokens - state.wallet.balance(self.clock.monotonic())
         retry_after = max(lacking, 1) / client.rate if client.rate else 60.0
@@ -265,7 +265,7 @@
     ) -> None:
         """Asks ledgers, this zone's first, until the wallet suffices."""
         short = []
-        for zone in self.zones_by_prospect(state):
+        for zone in self.zones_by_preference(state):
             now = self.clock.monotonic()
             lacking = tokens - state.wallet.balance(now)
             if lacking <= 0:
@@ -284,7 +284,7 @@
             state.short_at[zone] = now
             state.ask_at[zone] = now + min(pause, LONGEST_PAUSE.total_seconds())
 
-    def zones_by_prospect(self, state: AccountState) -> list[str]:
+    def zones_by_preference(self, state: AccountState) -> list[str]:
         """Returns this zone, then the others, longest not short first."""
         others = [
             name
@@ -314,7 +314,7 @@
         if holder is None:
             state.ask_at[zone] = sent_at + NO_HOLDER_PAUSE.total_seconds()
             return False
-        if sent_at < self.silent_until.get(holder.address, 0.0):
+        if sent_at < self.unreachable_until.get(holder.address, 0.0):
             return False
         due = self.reports.take(reports.Home(zone, shard), account)
         wanted = lacking + state.wallet.recent_spending(sent_at)
@@ -354,8 +354,8 @@
                 address, request, datetime.timedelta(seconds=timeout)
             )
         except errors.PeerError:
-            pause = SILENT_PEER_PAUSE.total_seconds()
-            self.silent_until[address] = self.clock.monotonic() + pause
+            pause = UNREACHABLE_PEER_PAUSE.total_seconds()
+            self.unreachable_until[address] = self.clock.monotonic() + pause
             return None
         return reply if isinstance(reply, messages.GrantReply) else None
 
--- a/src/coltsfootarch/protocol/messages.py
+++ b/src/coltsfootarch/protocol/messages.py
@@ -39,7 +39,7 @@
 
 
 class Heartbeat(NamedTuple):
-    """Periodic sign of life to zone peers.
+    """Periodic message to zone peers that shows that the sender runs.
 
     Attributes:
         config_version: Configuration version in force on the sender.
--- a/src/coltsfootarch/zone/agent.py
+++ b/src/coltsfootarch/zone/agent.py
@@ -104,15 +104,17 @@
         )
         self.holders: interfaces.Holders = self.directory
         self.renewal = activity.Activity("renewal", self.session.renew, spawn)
-        self.upkeep = activity.Activity(
-            "upkeep", self.keep_up, spawn, quiet=True
+        self.maintenance = activity.Activity(
+            "maintenance", self.maintain, spawn, quiet=True
+        )
+        self.heartbeat = activity.Activity(
+            "heartbeat", self.send_heartbeats, spawn
         )
-        self.heartbeat = activity.Activity("heartbeat", self.beat, spawn)
         self.probing = activity.Activity("probing", self.watch.probe, spawn)
         self.stopping = False
         self.ticked_at = -math.inf
         self.renewed_at = -math.inf
-        self.beat_at = -math.inf
+        self.heartbeat_at = -math.inf
 
     @property
     def newest_config_version(self) -> int:
@@ -139,12 +141,12 @@
             return
         if self.renewal_due(now) and self.renewal.start():
             self.renewed_at = now
-        beat_due = now - self.beat_at >= timing.HEARTBEAT_INTERVAL
-        if beat_due and self.heartbeat.start():
-            self.beat_at = now
+        heartbeat_due = now - self.heartbeat_at >= timing.HEARTBEAT_INTERVAL
+        if heartbeat_due and self.heartbeat.start():
+            self.heartbeat_at = now
         if self.watch.probe_due():
             self.probing.start()
-        self.upkeep.start()
+        self.maintenance.start()
 
     def renewal_due(self, now: float) -> bool:
         """Returns whether to open or renew the session.
@@ -157,7 +159,7 @@
             return since >= timing.RENEWAL_INTERVAL
         return since >= timing.RETRY_INTERVAL
 
-    def keep_up(self) -> None:
+    def maintain(self) -> None:
         """Follows the directory, spreads shards and takes over dead hosts."""
         self.directory.poll_if_due()
         if self.session.closed or self.stopping:
@@ -166,9 +168,9 @@
         self.watch.take_over()
         self.claims.balance(self.membership.stopping_hosts())
 
-    def beat(self) -> None:
+    def send_heartbeats(self) -> None:
         """Sends this host's heartbeat."""
-        self.membership.beat(self.make_heartbeat())
+        self.membership.send_heartbeats(self.make_heartbeat())
 
     def make_heartbeat(self) -> messages.Heartbeat:
         """Returns the heartbeat that describes this host now."""
@@ -184,7 +186,7 @@
     def handle_heartbeat(
         self, sender: messages.Sender, heartbeat: messages.Heartbeat
     ) -> messages.HeartbeatAck:
-        """Notes a peer's sign of life and acknowledges it."""
+        """Notes a peer's heartbeat and acknowledges it."""
         self.membership.note_heartbeat(sender, heartbeat)
         return messages.HeartbeatAck(
             self.config_version(),
--- a/src/coltsfootarch/zone/claims.py
+++ b/src/coltsfootarch/zone/claims.py
@@ -1,4 +1,4 @@
-"""Claims, takeovers and releases of shards, and their even spreading."""
+"""Claims, takeovers and releases of shards in the table service."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 from coltsfootarch import errors
 from coltsfootarch.platform import tables
-from coltsfootarch.zone import homes
+from coltsfootarch.zone import planner
 from coltsfootarch.zone import records
 from coltsfootarch.zone import shards
 from coltsfootarch.zone import timing
@@ -59,7 +59,7 @@
         self.directory = directory
         self.leases = leases
         self.clock = clock
-        self.shard_count = shard_count
+        self.planner = planner.ShardPlanner(directory, shard_count)
         self.unconfirmed: dict[int, shards.Lease] = {}
         self.free_since: dict[int, float] = {}
         self.released_at = -math.inf
@@ -74,60 +74,12 @@
             PlatformError: The store did not answer or another host was faster.
         """
         self.leases.drop_lapsed()
-        if not self.session.store_valid() or not self.shard_count():
+        if not self.session.store_valid() or not self.planner.shard_count():
             return
         self.regain()
         self.claim_free(set(stopping))
         self.release_surplus(set(stopping))
 
-    def target(self, stopping: set[str]) -> int:
-        """Returns the number of shards that each host aims at."""
-        sessions = self.directory.own_view.sessions
-        live = max(1, len(sessions.keys() - stopping))
-        return math.ceil(self.shard_count() / live)
-
-    def counts(self) -> dict[str, int]:
-        """Returns the number of shards by host with a session."""
-        view = self.directory.own_view
-        counts = dict.fromkeys(view.sessions, 0)
-        for row in view.shards.values():
-            record = row.record
-            if view.is_live(record.holder, record.incarnation):
-                counts[record.holder] += 1
-        return counts
-
-    def plan(self, free: Iterable[int], stopping: set[str]) -> dict[int, str]:
-        """Returns the host that should claim each free shard.
-
-        Hosts with the same view make the same plan, and it stays the same
-        while they carry it out one after another.
-
-        Args:
-            free: Shards that are free or about to be.
-            stopping: Hosts that get none.
-
-        Returns:
-            Host by shard, without the shards for which no host has room.
-        """
-        target = self.target(stopping)
-        counts = self.counts()
-        chosen: dict[int, str] = {}
-        for shard in sorted(free):
-            candidates = [
-                host
-                for host, count in counts.items()
-                if count < target and host not in stopping
-            ]
-            if not candidates:
-                break
-            host = max(
-                candidates,
-                key=lambda name: homes.weigh("claim", str(shard), name),
-            )
-            chosen[shard] = host
-            counts[host] += 1
-        return chosen
-
     def regain(self) -> None:
         """Claims shards whose rows name this host but that it lost.
 
@@ -136,7 +88,7 @@
         """
         lost: list[int] = []
         view = self.directory.own_view
-        for shard in self.rows_naming(
+        for shard in self.planner.rows_naming(
             self.sender.host, self.sender.incarnation
         ):
             if shard in self.leases.held:
@@ -154,15 +106,15 @@
 
     def claim_free(self, stopping: set[str]) -> None:
         """Claims free shards up to the target."""
-        free = self.free_shards()
+        free = self.planner.free_shards()
         self.free_since = {
             shard: self.free_since.get(shard, self.clock.monotonic())
             for shard in free
         }
-        room = self.target(stopping) - len(self.leases.held)
+        room = self.planner.target(stopping) - len(self.leases.held)
         if room <= 0 or not free:
             return
-        plan = self.plan(free, stopping)
+        plan = self.planner.plan(free, stopping)
         latest = self.clock.monotonic() - timing.PREFERENCE
         wanted = [
             shard
@@ -175,19 +127,6 @@
             if checks is not None:
                 self.claim(wanted[:room], checks, [])
 
-    def free_shards(self) -> list[int]:
-        """Returns the shards without a holder that has a session."""
-        view = self.directory.own_view
-        return [
-            shard
-            for shard in range(self.shard_count())
-            if shard not in view.shards
-            or not view.is_live(
-                view.shards[shard].record.holder,
-                view.shards[shard].record.incarnation,
-            )
-        ]
-
     def absence_checks(self, numbers: list[int]) -> list[tables.Check] | None:
         """Returns checks that the last holders' sessions stay gone.
 
@@ -234,19 +173,10 @@
         if old.host == self.sender.host:
             self.directory.revise([check], [delete])
             return
-        named = self.rows_naming(old.host, old.incarnation)
+        named = self.planner.rows_naming(old.host, old.incarnation)
         self.claim(named, [check], [delete])
         log.warning("host taken over", host=old.host, shards=len(named))
 
-    def rows_naming(self, host: str, incarnation: int) -> list[int]:
-        """Returns the shards whose rows name a host."""
-        return [
-            shard
-            for shard, row in self.directory.own_view.shards.items()
-            if (row.record.holder, row.record.incarnation)
-            == (host, incarnation)
-        ]
-
     def claim(
         self,
         numbers: list[int],
@@ -308,17 +238,17 @@
         now = self.clock.monotonic()
         if now - self.released_at < timing.SURPLUS_INTERVAL:
             return
-        if len(self.leases.held) <= self.target(stopping):
+        if len(self.leases.held) <= self.planner.target(stopping):
             return
-        if not self.plan([max(self.leases.held)], stopping):
+        if not self.planner.plan([max(self.leases.held)], stopping):
             return
         # A release from an outdated view fails after the lease has ended, and
         # the shard's state is lost for nothing.
         self.directory.poll()
-        if len(self.leases.held) <= self.target(stopping):
+        if len(self.leases.held) <= self.planner.target(stopping):
             return
         shard = max(self.leases.held)
-        successor = self.plan([shard], stopping).get(shard)
+        successor = self.planner.plan([shard], stopping).get(shard)
         if successor is None:
             return
         self.released_at = now
@@ -352,7 +282,7 @@
         self.end_leases(stopping)
         self.session.close()
         self.leases.drop_lapsed()
-        self.attempt(self.release_all)
+        self.retry_conflicts(self.release_all)
 
     def release_shards(self, stopping: set[str]) -> None:
         """Ends all leases and releases the rows; the session goes on.
@@ -365,17 +295,17 @@
                 again.
         """
         self.end_leases(stopping)
-        self.attempt(self.release_rows)
+        self.retry_conflicts(self.release_rows)
 
     def end_leases(self, stopping: set[str]) -> None:
         """Ends all leases and lets their state move to the successors."""
         held = self.leases.valid_shards()
-        plan = self.plan(held, stopping)
+        plan = self.planner.plan(held, stopping)
         for shard in held:
             self.leases.end_lease(shard, plan.get(shard))
 
-    def attempt(self, change: Callable[[], None]) -> None:
-        """Makes a change, again when it lost against another host's."""
+    def retry_conflicts(self, change: Callable[[], None]) -> None:
+        """Makes a change, again after a conflict with another host's change."""
         for attempt in range(1, HAND_OVER_ATTEMPTS + 1):
             try:
                 change()
@@ -387,7 +317,9 @@
     def release_rows(self) -> None:
         """Releases every shard row that names this host."""
         self.directory.poll()
-        named = self.rows_naming(self.sender.host, self.sender.incarnation)
+        named = self.planner.rows_naming(
+            self.sender.host, self.sender.incarnation
+        )
         checks, writes = self.release_changes(named)
         if writes:
             self.directory.revise(checks, writes)
@@ -401,7 +333,9 @@
         own = records.decode_session(found.value)
         if own.incarnation != self.sender.incarnation:
             return
-        named = self.rows_naming(self.sender.host, self.sender.incarnation)
+        named = self.planner.rows_naming(
+            self.sender.host, self.sender.incarnation
+        )
         checks, writes = self.release_changes(named)
         key = self.session.key
         checks.append(tables.Check(records.HOSTS, key, found.version))
--- a/src/coltsfootarch/zone/membership.py
+++ b/src/coltsfootarch/zone/membership.py
@@ -162,21 +162,21 @@
         """Returns the hosts that this host sends its heartbeats to."""
         return self.ring()[1 : timing.HEARTBEAT_PEERS + 1]
 
-    def watched(self) -> list[records.SessionRecord]:
+    def predecessors(self) -> list[records.SessionRecord]:
         """Returns the sessions of the peers that send to this host."""
         senders = self.ring()[1:][-timing.HEARTBEAT_PEERS :]
         sessions = self.directory.own_view.sessions
         return [sessions[host] for host in senders if host in sessions]
 
-    def beat(self, heartbeat: messages.Heartbeat) -> None:
+    def send_heartbeats(self, heartbeat: messages.Heartbeat) -> None:
         """Sends a heartbeat to the ring's successors and awaits the answers."""
         self.forget_peers()
         targets = self.targets()
         pool = gevent.pool.Pool(timing.MAX_PARALLEL_PROBES)
         for address in targets:
-            pool.spawn(self.beat_one, address, heartbeat, True)
+            pool.spawn(self.send_heartbeat, address, heartbeat, True)
         for address in [] if targets else self.next_seeds():
-            pool.spawn(self.beat_one, address, heartbeat, False)
+            pool.spawn(self.send_heartbeat, address, heartbeat, False)
         pool.join()
 
     def targets(self) -> list[str]:
@@ -198,7 +198,7 @@
             hosts = hosts[: 2 * timing.HEARTBEAT_PEERS]
         return [peers[host].address for host in hosts if host in peers]
 
-    def beat_one(
+    def send_heartbeat(
         self, address: str, heartbeat: messages.Heartbeat, zone_peer: bool
     ) -> None:
         """Sends one heartbeat; acknowledgements count from when it was sent."""
--- a/src/coltsfootarch/zone/takeover.py
+++ b/src/coltsfootarch/zone/takeover.py
@@ -1,4 +1,4 @@
-"""Decides when a silent zone peer may be taken over."""
+"""Decides when an unresponsive zone peer may be taken over."""
 
 from __future__ import annotations
 
@@ -20,16 +20,16 @@
 
 
 class Suspicion:
-    """What was observed of a silent host.
+    """What was observed of an unresponsive host.
 
     Attributes:
         record: Its session.
         version: Version of its session row.
         unchanged_since: When this version was first read.
         read_at: When the row was last read.
-        silent_since: When the first of an unbroken series of unanswered probe
-            rounds was sent.
-        silent_at: When the last round of this series was sent.
+        unanswered_since: When the first of an unbroken series of unanswered
+            probe rounds was sent.
+        unanswered_at: When the last round of this series was sent.
     """
 
     def __init__(self, record: records.SessionRecord) -> None:
@@ -37,12 +37,12 @@
         self.version = 0
         self.unchanged_since = math.inf
         self.read_at = -math.inf
-        self.silent_since = math.inf
-        self.silent_at = -math.inf
+        self.unanswered_since = math.inf
+        self.unanswered_at = -math.inf
 
 
 class TakeoverWatch:
-    """Observes silent zone peers, probes them and takes them over.
+    """Observes unresponsive zone peers, probes them and takes them over.
 
     A host whose probe on a new connection went unanswered was paused for longer
     than `CONTINUOUS_GAP` and can't extend its session any more, or extends it
@@ -85,7 +85,7 @@
         self.suspicions.clear()
 
     def observe(self) -> None:
-        """Reads the rows of silent hosts.
+        """Reads the rows of unresponsive hosts.
 
         Raises:
             TableUnavailableError: The store did not answer.
@@ -98,24 +98,24 @@
 
     def update_suspicions(self) -> None:
         """Starts and ends suspicions by who was heard."""
-        suspects = {
+        unheard = {
             (record.host, record.incarnation): record
-            for record in self.membership.watched()
+            for record in self.membership.predecessors()
             if self.membership.heard_age(record.host, record.incarnation)
             > timing.SUSPECT_AFTER
         }
         earlier = self.session.blocked_by
         if earlier is not None:
-            suspects[(earlier.host, earlier.incarnation)] = earlier
+            unheard[(earlier.host, earlier.incarnation)] = earlier
         for key in list(self.suspicions):
-            if key not in suspects:
+            if key not in unheard:
                 del self.suspicions[key]
-        for key, record in suspects.items():
+        for key, record in unheard.items():
             if key not in self.suspicions:
                 self.suspicions[key] = Suspicion(record)
 
     def read(self, suspicion: Suspicion) -> None:
-        """Reads a silent host's row; a new version restarts the time."""
+        """Reads a host's session row; a new version restarts the time."""
         record = suspicion.record
         key = records.session_key(record.availability_zone, record.host)
         row = self.directory.tables.get(records.HOSTS, key)
@@ -131,7 +131,7 @@
             suspicion.unchanged_since = now
 
     def probe(self) -> None:
-        """Probes all silent hosts directly and through zone peers."""
+        """Probes all unresponsive hosts directly and through zone peers."""
         self.probed_at = self.clock.monotonic()
         pool = gevent.pool.Pool(timing.MAX_PARALLEL_PROBES)
         for suspicion in list(self.suspicions.values()):
@@ -145,7 +145,7 @@
         return due and bool(self.suspicions)
 
     def probe_one(self, suspicion: Suspicion) -> None:
-        """Probes one silent host."""
+        """Probes one unresponsive host."""
         record = suspicion.record
         sent = self.clock.monotonic()
         target = messages.Sender(
@@ -155,11 +155,11 @@
             record.address,
         )
         if self.membership.heard_by_anyone(target):
-            suspicion.silent_since = math.inf
-            suspicion.silent_at = -math.inf
+            suspicion.unanswered_since = math.inf
+            suspicion.unanswered_at = -math.inf
             return
-        suspicion.silent_since = min(suspicion.silent_since, sent)
-        suspicion.silent_at = sent
+        suspicion.unanswered_since = min(suspicion.unanswered_since, sent)
+        suspicion.unanswered_at = sent
 
     def ready(self, suspicion: Suspicion) -> bool:
         """Returns whether all conditions but the transaction are met."""
@@ -167,10 +167,10 @@
         unchanged = now - suspicion.unchanged_since
         if unchanged < timing.TAKEOVER_AFTER:
             return False
-        silence = suspicion.silent_at - suspicion.silent_since
-        if not silence >= timing.UNANSWERED:
+        unanswered = suspicion.unanswered_at - suspicion.unanswered_since
+        if not unanswered >= timing.UNANSWERED:
             return False
-        if now - suspicion.silent_at > timing.PROBE_FRESHNESS:
+        if now - suspicion.unanswered_at > timing.PROBE_FRESHNESS:
             return False
         own = suspicion.record.host == self.sender.host
         return own or self.session.store_valid()
--- a/src/coltsfootarch/zone/timing.py
+++ b/src/coltsfootarch/zone/timing.py
@@ -33,9 +33,9 @@
 PROBE_INTERVAL = 1.0
 MAX_PARALLEL_PROBES = 16
 
-# A silent host is watched after SUSPECT_AFTER. Its last heartbeat can have been
-# acknowledged by a host that died since, so that probes must stay unanswered
-# for longer than ACK_WINDOW + EXTENSION, here by 1 s.
+# A host is observed once it was not heard for SUSPECT_AFTER. Its last heartbeat
+# can have been acknowledged by a host that died since, so that probes must stay
+# unanswered for longer than ACK_WINDOW + EXTENSION, here by 1 s.
 SUSPECT_AFTER = 2.0
 HEARD_WINDOW = 3.0
 UNANSWERED = 5.0
--- a/tests/limits/test_ledger.py
+++ b/tests/limits/test_ledger.py
@@ -7,8 +7,8 @@
 from hypothesis import strategies
 
 from coltsfootarch.limits import edits
+from coltsfootarch.limits import fill_maxima
 from coltsfootarch.limits import ledger as ledgers
-from coltsfootarch.limits import peaks
 from coltsfootarch.limits import shares
 from coltsfootarch.protocol import messages
 from tests.fakes import limits_fleet
@@ -91,14 +91,14 @@
     fills=strategies.lists(strategies.integers(0, 100), min_size=1),
     since=strategies.integers(0, 40),
 )
-def test_peaks_never_understate_the_highest_fill(fills, since):
-    observed = peaks.Peaks()
+def test_fill_maxima_never_understate_the_highest_fill(fills, since):
+    observed = fill_maxima.FillMaxima()
     for fill in fills:
         observed.observe(fill)
 
     later = fills[since:]
     assert observed.highest_since(since) >= max(later, default=0)
-    assert len(observed.entries) <= peaks.Peaks.LIMIT
+    assert len(observed.entries) <= fill_maxima.FillMaxima.LIMIT
 
 
 def test_shares_add_up_to_rate_and_burst():
--- a/tests/zone/test_agent.py
+++ b/tests/zone/test_agent.py
@@ -161,7 +161,7 @@
 
     [after] = watch.suspicions.values()
     assert after.unchanged_since > before.unchanged_since + 2
-    assert after.silent_since > before.silent_since + 2
+    assert after.unanswered_since > before.unanswered_since + 2
 
 
 def test_restarted_host_waits_for_its_earlier_session(make):
@@ -245,7 +245,7 @@
         assert len(successors) == timing.HEARTBEAT_PEERS
         assert host.name not in successors
         targets.update(successors)
-        watched = {record.host for record in membership.watched()}
+        watched = {record.host for record in membership.predecessors()}
         assert len(watched) == timing.HEARTBEAT_PEERS
 
     assert set(targets.values()) == {timing.HEARTBEAT_PEERS}
