--- a/benchmarks/policy_engines.py
+++ b/benchmarks/policy_engines.py
@@ -153,8 +153,8 @@
     def _finish(self, job: Job, done: Callable[[Job, bool], None]) -> None:
         self.running = None
         self.spent += job.prefill_seconds
-        life = policy_workload.RESULT_LIFE_SECONDS
-        job.expires_at = self.loop.now + life
+        lifetime = policy_workload.RESULT_LIFETIME_SECONDS
+        job.expires_at = self.loop.now + lifetime
         self._store(job)
         done(job, self.up)
         self._next()
--- a/benchmarks/policy_workload.py
+++ b/benchmarks/policy_workload.py
@@ -11,7 +11,7 @@
 
 SERVICE = register.Service("summaries", register.ServiceKind.MODEL, "summary")
 HOSTS = 7
-RESULT_LIFE_SECONDS = 0.8
+RESULT_LIFETIME_SECONDS = 0.8
 
 # Time between tokens of a decode engine: a fixed part and one per request in
 # the batch, seconds. With 20 requests this is 44 ms, under the target of 65 ms.
--- a/src/coltsfootarch/scheduling/suspects.py
+++ b/src/coltsfootarch/scheduling/assigned.py
@@ -1,4 +1,4 @@
-"""Requests under way, and where those that may crash engines can run."""
+"""Attempts that run, and engines for those that may crash them."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
     from coltsfootarch.scheduling import quarantine
 
 
-class Flight(NamedTuple):
+class AssignedAttempt(NamedTuple):
     """An assigned attempt."""
 
     item: items.WorkItem
@@ -22,27 +22,27 @@
     decode: str
 
 
-def aboard(upstream: str, flights: Iterable[Flight]) -> list[str]:
+def digests_on(upstream: str, attempts: Iterable[AssignedAttempt]) -> list[str]:
     """Returns the digests of the attempts assigned to an upstream."""
     return [
-        flight.item.digest
-        for flight in flights
-        if upstream in (flight.prefill, flight.decode)
+        attempt.item.digest
+        for attempt in attempts
+        if upstream in (attempt.prefill, attempt.decode)
     ]
 
 
 def engines_for(
     item: items.WorkItem,
     engines: Mapping[str, decode.DecodeCapacity],
-    flights: Iterable[Flight],
+    attempts: Iterable[AssignedAttempt],
     state: quarantine.Quarantine,
 ) -> list[decode.DecodeCapacity]:
     """Returns the decode engines that an item may share."""
     if not state.isolated(item.digest):
         return list(engines.values())
     taken = {
-        flight.decode
-        for flight in flights
-        if state.isolated(flight.item.digest)
+        attempt.decode
+        for attempt in attempts
+        if state.isolated(attempt.item.digest)
     }
     return [capacity for name, capacity in engines.items() if name not in taken]
--- a/src/coltsfootarch/scheduling/client.py
+++ b/src/coltsfootarch/scheduling/client.py
@@ -25,9 +25,9 @@
 # Answer time that a reachable home needs beyond the time in its queue.
 ANSWER_SECONDS = 0.3
 
-# A home that did not answer is left alone for this time, so that only one
-# request in it waits in vain.
-SILENT_HOME_SECONDS = 2.0
+# A home that did not answer is not asked for this time, so that only one
+# request per interval waits for it.
+UNREACHABLE_HOME_SECONDS = 2.0
 FLUSH_SECONDS = 0.02
 LARGEST_BATCH = 32
 
@@ -85,7 +85,7 @@
         self.routes: dict[items.AttemptKey, Route] = {}
         self.pending: dict[Route, list[messages.ScheduleEvent]] = {}
         self.flush_at = 0.0
-        self.silent_until: dict[str, float] = {}
+        self.unreachable_until: dict[str, float] = {}
         self.fallbacks = 0
 
     def schedule(self, service: str, item: items.WorkItem) -> items.Assignment:
@@ -102,7 +102,7 @@
         home = self.home(service, scope)
         place = (home.availability_zone, home.shard)
         asked_at = self.clock.monotonic()
-        reply = self._ask_home(service, scope, place, item)
+        reply = self.ask_home(service, scope, place, item)
         if reply is not None:
             route = Route(service, scope, place)
         else:
@@ -151,9 +151,10 @@
         pending = self.pending
         self.pending = {}
         for route, events in pending.items():
-            self._send(route, events)
+            self.send(route, events)
 
-    def _send(self, route: Route, events: list[messages.ScheduleEvent]) -> None:
+    def send(self, route: Route, events: list[messages.ScheduleEvent]) -> None:
+        """Sends steps to the scheduler that assigned their attempts."""
         if route.home is None:
             self.local.apply(route.service, route.scope, events)
             return
@@ -168,7 +169,7 @@
         else:
             self.network.send(holder.address, update)
 
-    def _ask_home(
+    def ask_home(
         self,
         service: str,
         scope: str,
@@ -178,14 +179,17 @@
         """Returns the home's answer, or None if it has to be done without."""
         holder = self.holders.holder(*place)
         now = self.clock.monotonic()
-        if holder is None or self.silent_until.get(holder.address, 0.0) > now:
+        if (
+            holder is None
+            or self.unreachable_until.get(holder.address, 0.0) > now
+        ):
             return None
         within = max(0.0, item.deadline - now)
         request = request_for(service, scope, place[1], item, within)
         if holder.address == self.sender.address:
             reply = self.own.schedule(request)
         else:
-            answer = self._request(holder.address, request, within)
+            answer = self.request(holder.address, request, within)
             if answer is None:
                 return None
             reply = answer
@@ -193,19 +197,20 @@
             return None
         return reply
 
-    def _request(
+    def request(
         self, address: str, request: messages.ScheduleRequest, within: float
     ) -> messages.ScheduleReply | None:
+        """Asks another host; returns None without a valid answer."""
         timeout = datetime.timedelta(seconds=within + ANSWER_SECONDS)
         # While this request waits, later ones find the home marked only after
         # a silence; a concurrent answer clears the mark.
         try:
             answer = self.network.request(address, request, timeout)
         except errors.PeerTimeoutError:
-            until = self.clock.monotonic() + SILENT_HOME_SECONDS
-            self.silent_until[address] = until
+            until = self.clock.monotonic() + UNREACHABLE_HOME_SECONDS
+            self.unreachable_until[address] = until
             return None
-        self.silent_until.pop(address, None)
+        self.unreachable_until.pop(address, None)
         if not isinstance(answer, messages.ScheduleReply):
             return None
         if (answer.request_id, answer.attempt) != (
--- a/src/coltsfootarch/scheduling/decode.py
+++ b/src/coltsfootarch/scheduling/decode.py
@@ -14,7 +14,7 @@
     from coltsfootarch.scheduling import items
     from coltsfootarch.upstreams import engine
 
-# Probability that enough slots become free within the life of a prefill
+# Probability that enough slots become free within the lifetime of a prefill
 # result, from which a prefill may start ahead of its slot. One in a hundred
 # stays within the bound of 2% of wasted prefill.
 CONFIDENCE = 0.99
@@ -199,7 +199,7 @@
         used = self.upstream.memory_pieces - load.free_pieces
         own = sum(entry.pieces for entry in held)
         self.foreign_pieces = max(0, used - own) if self.foreign_slots else 0
-        return self._release_missing(reported, true_at, now)
+        return self.release_missing(reported, true_at, now)
 
     def expire(self, now: float) -> list[Reservation]:
         """Releases reservations past their longest possible time."""
@@ -212,9 +212,10 @@
             self.release(entry.key, now)
         return late
 
-    def _release_missing(
+    def release_missing(
         self, reported: int, true_at: float, now: float
     ) -> list[Reservation]:
+        """Releases reservations that several reports in a row lack."""
         certain = [
             entry
             for entry in self.reservations.values()
--- a/src/coltsfootarch/scheduling/fair_queue.py
+++ b/src/coltsfootarch/scheduling/fair_queue.py
@@ -51,13 +51,13 @@
         heap = self.waiting.get(item.account)
         if heap is None:
             heap = self.waiting[item.account] = []
-            self._activate(item.account)
+            self.activate(item.account)
         heapq.heappush(heap, (-item.priority, next(self.sequence), item))
 
     def heads(self) -> Iterator[items.WorkItem]:
         """Yields the first item of each account, fairest account first."""
         for _, account in list(self.order):
-            head = self._head(account)
+            head = self.head(account)
             if head is not None:
                 yield head
 
@@ -73,7 +73,7 @@
     def remove(self, item: items.WorkItem) -> None:
         """Removes an item without a charge."""
         self.present.discard(item.key)
-        self._head(item.account)
+        self.head(item.account)
 
     def charge(self, account: str, weighted_tokens: float) -> None:
         """Adds to an account's virtual time; a negative amount refunds."""
@@ -82,7 +82,7 @@
             self.order.remove((before, account))
             self.order.add((before + weighted_tokens, account))
         self.virtual[account] = before + weighted_tokens
-        self._raise_floor()
+        self.raise_floor()
 
     def prune(self) -> None:
         """Forgets idle accounts whose virtual time no longer matters."""
@@ -95,14 +95,16 @@
         for account in stale:
             del self.virtual[account]
 
-    def _activate(self, account: str) -> None:
+    def activate(self, account: str) -> None:
+        """Adds an account to the order with a bounded virtual time."""
         virtual = self.virtual.get(account, self.floor - self.credit)
         virtual = max(virtual, self.floor - self.credit)
         virtual = min(virtual, self.floor + self.credit)
         self.virtual[account] = virtual
         self.order.add((virtual, account))
 
-    def _head(self, account: str) -> items.WorkItem | None:
+    def head(self, account: str) -> items.WorkItem | None:
+        """Returns the first item of an account; drops it without one."""
         heap = self.waiting.get(account)
         if heap is None:
             return None
@@ -114,6 +116,7 @@
         self.order.discard((self.virtual[account], account))
         return None
 
-    def _raise_floor(self) -> None:
+    def raise_floor(self) -> None:
+        """Raises the floor to the lowest active virtual time."""
         if self.order:
             self.floor = max(self.floor, self.order[0][0])
--- a/src/coltsfootarch/scheduling/links.py
+++ b/src/coltsfootarch/scheduling/links.py
@@ -53,15 +53,16 @@
         """Books a planned slot on both links."""
         for upstream in (source, target):
             self.bookings.setdefault(upstream, {})[key] = slot.end
-            self._update(upstream)
+            self.update(upstream)
 
     def release(self, source: str, target: str, key: items.AttemptKey) -> None:
         """Removes a booking; an unknown one is no error."""
         for upstream in (source, target):
             booked = self.bookings.get(upstream, {})
             if booked.pop(key, None) is not None:
-                self._update(upstream)
+                self.update(upstream)
 
-    def _update(self, upstream: str) -> None:
+    def update(self, upstream: str) -> None:
+        """Recomputes when the last booked transfer of an engine ends."""
         booked = self.bookings[upstream]
         self.ends[upstream] = max(booked.values(), default=0.0)
--- a/src/coltsfootarch/scheduling/local.py
+++ b/src/coltsfootarch/scheduling/local.py
@@ -63,11 +63,11 @@
         if account is not None:
             item = item._replace(weight=account.weight)
         now = self.clock.monotonic()
-        patience = max(0.0, item.deadline - now)
-        decision = self._runner(service, scope).decide(
+        timeout = max(0.0, item.deadline - now)
+        decision = self.runner_of(service, scope).decide(
             item,
             datetime.timedelta(
-                seconds=patience + services.PATIENCE_MARGIN_SECONDS
+                seconds=timeout + services.TIMEOUT_MARGIN_SECONDS
             ),
         )
         return services.reply(decision)
@@ -85,7 +85,7 @@
         now = self.clock.monotonic()
         for key, entry in list(self.runners.items()):
             entry.tick()
-            busy = entry.scheduler.flights or entry.waiters
+            busy = entry.scheduler.assigned or entry.waiters
             if busy:
                 self.used_at[key] = now
             elif now - self.used_at[key] > IDLE_SECONDS:
@@ -99,7 +99,8 @@
             default=None,
         )
 
-    def _runner(self, service: str, scope: str) -> runner.PoolRunner:
+    def runner_of(self, service: str, scope: str) -> runner.PoolRunner:
+        """Returns the runner of a pool, a new one if there is none."""
         key = services.PoolKey(service, scope)
         self.used_at[key] = self.clock.monotonic()
         entry = self.runners.get(key)
--- a/src/coltsfootarch/scheduling/placement.py
+++ b/src/coltsfootarch/scheduling/placement.py
@@ -22,9 +22,9 @@
 # round trip to the entry host.
 LOOKAHEAD_SECONDS = 0.03
 
-# Part of a prefill result's life that may pass before its transfer starts.
+# Part of a prefill result's lifetime that may pass before its transfer starts.
 # The rest covers errors of the estimates.
-USABLE_LIFE = 0.8
+USABLE_LIFETIME_SHARE = 0.8
 
 # Extra cost, in seconds, of a completely used decode engine against an empty
 # one, so that requests spread and tokens come faster.
@@ -78,13 +78,13 @@
 
     Attributes:
         now: Monotonic instant of the decision.
-        result_life: Seconds that a prefill result survives.
+        result_lifetime: Seconds that a prefill result survives.
         residence: Mean seconds that a request stays on a decode engine.
         first_step: Seconds from the transfer's end to the first token.
     """
 
     now: float
-    result_life: float
+    result_lifetime: float
     residence: float
     first_step: float
 
@@ -132,7 +132,7 @@
     best: Place | None = None
     best_score = 0.0
     blocker = Blocker.NO_ENGINE
-    life_end = source.end + timing.result_life * USABLE_LIFE
+    lifetime_end = source.end + timing.result_lifetime * USABLE_LIFETIME_SHARE
     for target in least_used(item, engines, timing.now):
         pieces = target.pieces(item)
         slot = book.plan(
@@ -143,7 +143,7 @@
         )
         transfer_seconds = slot.end - slot.start
         latest = min(
-            life_end, item.deadline - timing.first_step - transfer_seconds
+            lifetime_end, item.deadline - timing.first_step - transfer_seconds
         )
         if slot.start > latest:
             blocker = Blocker.LATE
--- a/src/coltsfootarch/scheduling/plain.py
+++ b/src/coltsfootarch/scheduling/plain.py
@@ -20,7 +20,7 @@
 
 # Part of an upstream's slots in use from which another zone is preferred.
 OVERLOADED_SHARE = 0.8
-REPORT_LIFE_SECONDS = 5.0
+REPORT_LIFETIME_SECONDS = 5.0
 
 
 class PlainBalancer:
@@ -64,7 +64,7 @@
         Raises:
             RefusedError: No upstream of the service may get work.
         """
-        candidates = self._candidates(service, excluded)
+        candidates = self.candidates(service, excluded)
         if not candidates:
             raise errors.RefusedError(results.NO_UPSTREAM, retry_after=1.0)
         near = [
@@ -81,7 +81,7 @@
         """Returns the share of an upstream's slots that are in use."""
         used = self.in_flight.get(upstream.name, 0)
         reported_at, running = self.reported.get(upstream.name, (0.0, 0))
-        if self.clock.monotonic() - reported_at < REPORT_LIFE_SECONDS:
+        if self.clock.monotonic() - reported_at < REPORT_LIFETIME_SECONDS:
             # Reports include this host's own calls.
             used = max(used, running)
         return used / max(1, upstream.slots)
@@ -93,38 +93,41 @@
     def started(self, name: str) -> None:
         """Notes that a call was sent."""
         self.in_flight[name] = self.in_flight.get(name, 0) + 1
-        self._health(name).dispatched(self.clock.monotonic())
+        self.health_of(name).dispatched(self.clock.monotonic())
 
     def finished(self, name: str) -> None:
         """Notes that a call was answered."""
-        self._end(name)
-        self._health(name).succeeded(self.clock.monotonic())
+        self.end(name)
+        self.health_of(name).succeeded(self.clock.monotonic())
 
     def failed(self, name: str) -> None:
         """Notes that a call failed through the upstream's fault."""
-        self._end(name)
-        self._health(name).failed(self.clock.monotonic())
+        self.end(name)
+        self.health_of(name).failed(self.clock.monotonic())
 
     def cancelled(self, name: str) -> None:
         """Notes that a call ended without a statement on the upstream."""
-        self._end(name)
+        self.end(name)
 
-    def _end(self, name: str) -> None:
+    def end(self, name: str) -> None:
+        """Counts a call as ended."""
         left = self.in_flight.get(name, 0) - 1
         if left > 0:
             self.in_flight[name] = left
         else:
             self.in_flight.pop(name, None)
 
-    def _health(self, name: str) -> health.Health:
+    def health_of(self, name: str) -> health.Health:
+        """Returns the health of an upstream."""
         state = self.health.get(name)
         if state is None:
             state = self.health[name] = health.Health(FAILURES_TO_EJECT)
         return state
 
-    def _candidates(
+    def candidates(
         self, service: str, excluded: Collection[str]
     ) -> list[register.Upstream]:
+        """Returns the usable upstreams of a service."""
         now = self.clock.monotonic()
         leaving = self.leaving()
         return [
@@ -134,5 +137,5 @@
             and upstream.state is register.UpstreamState.ACTIVE
             and upstream.address not in leaving
             and upstream.name not in excluded
-            and self._health(upstream.name).usable(now)
+            and self.health_of(upstream.name).usable(now)
         ]
--- a/src/coltsfootarch/scheduling/pool.py
+++ b/src/coltsfootarch/scheduling/pool.py
@@ -7,6 +7,7 @@
 
 from coltsfootarch import results
 from coltsfootarch.config import register
+from coltsfootarch.scheduling import assigned
 from coltsfootarch.scheduling import decode
 from coltsfootarch.scheduling import fair_queue
 from coltsfootarch.scheduling import items
@@ -15,7 +16,6 @@
 from coltsfootarch.scheduling import prefill
 from coltsfootarch.scheduling import quarantine
 from coltsfootarch.scheduling import speed
-from coltsfootarch.scheduling import suspects
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -24,7 +24,7 @@
     from coltsfootarch.protocol import messages
     from coltsfootarch.upstreams import engine
 
-RESULT_LIFE_SECONDS = 0.8
+RESULT_LIFETIME_SECONDS = 0.8
 
 # A blocked queue is looked at again after this time even without an event,
 # since estimates improve as time passes.
@@ -59,7 +59,7 @@
         clock: Clock of all instants.
         service: The model service, with its latency targets.
         upstreams: Engines of the pool.
-        result_life: Seconds that a prefill result survives.
+        result_lifetime: Seconds that a prefill result survives.
     """
 
     def __init__(
@@ -67,11 +67,11 @@
         clock: clocks.Clock,
         service: register.Service,
         upstreams: Iterable[register.Upstream],
-        result_life: float = RESULT_LIFE_SECONDS,
+        result_lifetime: float = RESULT_LIFETIME_SECONDS,
     ) -> None:
         self.clock = clock
         self.service = service
-        self.result_life = result_life
+        self.result_lifetime = result_lifetime
         self.token_seconds = service.inter_token_target.total_seconds()
         self.residence = 0.0
         self.queue = fair_queue.FairQueue()
@@ -79,7 +79,7 @@
         self.links = links.LinkBook()
         self.prefills: dict[str, prefill.PrefillQueue] = {}
         self.decodes: dict[str, decode.DecodeCapacity] = {}
-        self.flights: dict[items.AttemptKey, suspects.Flight] = {}
+        self.assigned: dict[items.AttemptKey, assigned.AssignedAttempt] = {}
         self.latest_starts: list[tuple[float, items.AttemptKey]] = []
         self.waiting: dict[items.AttemptKey, items.WorkItem] = {}
         self.refusals: list[items.Refusal] = []
@@ -122,17 +122,17 @@
 
     def submit(self, item: items.WorkItem) -> None:
         """Adds an attempt; its decision comes from a later `poll()`."""
-        if item.key in self.waiting or item.key in self.flights:
+        if item.key in self.waiting or item.key in self.assigned:
             return
         left = self.quarantine.remaining(item.digest)
         if left > 0:
-            self._refuse(item, results.QUARANTINED, left)
+            self.refuse(item, results.QUARANTINED, left)
             return
         shortest = placement.shortest_seconds(
             item, self.prefills.values(), self.decodes.values()
         )
         if shortest is None:
-            self._refuse(item, results.NO_UPSTREAM, self._retry_after())
+            self.refuse(item, results.NO_UPSTREAM, self.retry_after())
             return
         self.waiting[item.key] = item
         self.queue.push(item)
@@ -149,13 +149,13 @@
         """Returns all decisions that are due now."""
         now = self.clock.monotonic()
         if now >= self.next_housekeeping:
-            self._keep_house(now)
-        self._refuse_late(now)
+            self.run_housekeeping(now)
+        self.refuse_late(now)
         decisions: list[items.Decision] = list(self.refusals)
         self.refusals.clear()
         self.blocker = None
         while self.queue and now >= self.prefill_free_at:
-            assignment = self._place_next(now)
+            assignment = self.place_next(now)
             if assignment is None:
                 break
             decisions.append(assignment)
@@ -178,17 +178,17 @@
         """Applies a step that an entry host reports."""
         key = items.AttemptKey(event.request_id, event.attempt)
         now = self.clock.monotonic()
-        flight = self.flights.get(key)
-        if flight is None:
+        entry = self.assigned.get(key)
+        if entry is None:
             if event.step == "cancelled":
                 self.withdraw(key)
             return
         if event.step == "prefilled":
-            self._prefilled(key, flight, now)
+            self.note_prefilled(key, entry, now)
         elif event.step == "transferred":
-            self._transferred(key, flight, now)
+            self.note_transferred(key, entry, now)
         elif event.step in ENDED:
-            self._end(key, flight, event, now)
+            self.end(key, entry, event, now)
 
     def report(self, upstream: str, load: engine.LoadReport) -> None:
         """Takes an engine's load report."""
@@ -200,7 +200,7 @@
         capacity = self.decodes.get(upstream)
         if capacity is not None:
             for entry in capacity.report(load, now):
-                self._forget(entry.key, now)
+                self.forget(entry.key, now)
 
     def cache_event(self, upstream: str, event: engine.CacheEvent) -> None:
         """Takes a change of an engine's prefix cache."""
@@ -208,11 +208,12 @@
         if queue is not None:
             queue.cache.apply(event)
 
-    def _place_next(self, now: float) -> items.Assignment | None:
+    def place_next(self, now: float) -> items.Assignment | None:
+        """Assigns the first item that has a place; None if none has one."""
         for item in self.queue.heads():
-            place = self._find_place(item, now)
+            place = self.find_place(item, now)
             if isinstance(place, placement.Place):
-                return self._assign(item, place, now)
+                return self.assign(item, place, now)
             self.blocker = place
             if place is placement.Blocker.PREFILL and not item.excluded:
                 self.prefill_free_at = placement.earliest_start(
@@ -230,48 +231,53 @@
                 return None
         return None
 
-    def _find_place(
+    def find_place(
         self, item: items.WorkItem, now: float
     ) -> placement.Place | placement.Blocker:
+        """Returns a place for an item, or why there is none."""
         source = placement.choose_prefill(item, self.prefills.values(), now)
         if isinstance(source, placement.Blocker):
             return source
         timing = placement.Timing(
             now,
-            self.result_life,
-            self._mean_residence(item),
+            self.result_lifetime,
+            self.mean_residence(item),
             self.token_seconds,
         )
         return placement.choose_decode(
             item,
             source,
-            suspects.engines_for(
-                item, self.decodes, self.flights.values(), self.quarantine
+            assigned.engines_for(
+                item, self.decodes, self.assigned.values(), self.quarantine
             ),
             self.links,
             timing,
             self.quarantine.suspected(item.digest),
         )
 
-    def _assign(
+    def assign(
         self, item: items.WorkItem, place: placement.Place, now: float
     ) -> items.Assignment:
+        """Books a place and takes the item from the queue."""
         self.queue.take(item)
         del self.waiting[item.key]
         source = place.prefill.upstream.name
         target = place.decode.upstream.name
         place.prefill.dispatch(item.key, place.uncached, now)
-        expiry = place.transfer.end + self.result_life + TRANSFER_GRACE_SECONDS
+        expiry = (
+            place.transfer.end + self.result_lifetime + TRANSFER_GRACE_SECONDS
+        )
         place.decode.reserve(item.key, place.pieces, now, expiry)
         self.links.book(source, target, item.key, place.transfer)
-        self.flights[item.key] = suspects.Flight(item, source, target)
+        self.assigned[item.key] = assigned.AssignedAttempt(item, source, target)
         return items.Assignment(item.request_id, item.attempt, source, target)
 
-    def _prefilled(
-        self, key: items.AttemptKey, flight: suspects.Flight, now: float
+    def note_prefilled(
+        self, key: items.AttemptKey, entry: assigned.AssignedAttempt, now: float
     ) -> None:
+        """Notes the end of a prefill and checks the speed of its engine."""
         self.prefill_free_at = 0.0
-        queue = self.prefills.get(flight.prefill)
+        queue = self.prefills.get(entry.prefill)
         if queue is None:
             return
         queue.prefilled(key, now)
@@ -280,44 +286,51 @@
         else:
             queue.health.succeeded(now)
 
-    def _transferred(
-        self, key: items.AttemptKey, flight: suspects.Flight, now: float
+    def note_transferred(
+        self, key: items.AttemptKey, entry: assigned.AssignedAttempt, now: float
     ) -> None:
-        self.links.release(flight.prefill, flight.decode, key)
-        capacity = self.decodes.get(flight.decode)
+        """Frees the link and notes that the attempt decodes."""
+        self.links.release(entry.prefill, entry.decode, key)
+        capacity = self.decodes.get(entry.decode)
         if capacity is None:
             return
-        longest = flight.item.max_output_tokens * self.token_seconds
+        longest = entry.item.max_output_tokens * self.token_seconds
         longest = longest * LONGEST_RUN_FACTOR + LONGEST_RUN_GRACE_SECONDS
         capacity.transferred(key, now, now + longest)
 
-    def _end(
+    def end(
         self,
         key: items.AttemptKey,
-        flight: suspects.Flight,
+        entry: assigned.AssignedAttempt,
         event: messages.ScheduleEvent,
         now: float,
     ) -> None:
+        """Counts the result of an attempt and frees what it holds."""
         if event.step == "finished":
-            self._finished(key, flight, event, now)
-            self.quarantine.cleared(flight.item.digest)
+            self.note_finished(key, entry, event, now)
+            self.quarantine.clear(entry.item.digest)
         if event.step == "crashed":
-            aboard = suspects.aboard(event.upstream, self.flights.values())
-            self.quarantine.crashed(event.upstream, flight.item.digest, aboard)
+            digests = assigned.digests_on(
+                event.upstream, self.assigned.values()
+            )
+            self.quarantine.record_crash(
+                event.upstream, entry.item.digest, digests
+            )
         if event.step in ("failed", "crashed"):
-            self._failed(event.upstream, now)
-        unused = max(0, flight.item.max_output_tokens - event.tokens)
-        self.queue.charge(flight.item.account, -unused / flight.item.weight)
-        self._forget(key, now)
+            self.note_failed(event.upstream, now)
+        unused = max(0, entry.item.max_output_tokens - event.tokens)
+        self.queue.charge(entry.item.account, -unused / entry.item.weight)
+        self.forget(key, now)
 
-    def _finished(
+    def note_finished(
         self,
         key: items.AttemptKey,
-        flight: suspects.Flight,
+        entry: assigned.AssignedAttempt,
         event: messages.ScheduleEvent,
         now: float,
     ) -> None:
-        capacity = self.decodes.get(flight.decode)
+        """Measures a finished answer and checks the speed of its engine."""
+        capacity = self.decodes.get(entry.decode)
         if capacity is None:
             return
         reservation = capacity.reservations.get(key)
@@ -327,7 +340,7 @@
         seconds = now - reservation.transferred_at
         capacity.measure(seconds, event.tokens)
         if not self.residence:
-            self.residence = self._mean_residence(flight.item)
+            self.residence = self.mean_residence(entry.item)
         change = seconds - self.residence
         self.residence += RESIDENCE_SAMPLE_WEIGHT * change
         if speed.decode_is_slow(
@@ -337,27 +350,30 @@
         else:
             capacity.health.succeeded(now)
 
-    def _failed(self, upstream: str, now: float) -> None:
+    def note_failed(self, upstream: str, now: float) -> None:
+        """Counts a failure against an engine."""
         if upstream in self.prefills:
             self.prefills[upstream].health.failed(now)
             self.prefills[upstream].reset_cache()
         if upstream in self.decodes:
             self.decodes[upstream].health.failed(now)
 
-    def _forget(self, key: items.AttemptKey, now: float) -> None:
-        flight = self.flights.pop(key, None)
-        if flight is None:
+    def forget(self, key: items.AttemptKey, now: float) -> None:
+        """Frees everything that an attempt holds."""
+        entry = self.assigned.pop(key, None)
+        if entry is None:
             return
-        self.links.release(flight.prefill, flight.decode, key)
-        queue = self.prefills.get(flight.prefill)
+        self.links.release(entry.prefill, entry.decode, key)
+        queue = self.prefills.get(entry.prefill)
         if queue is not None and key in queue.open:
             self.prefill_free_at = 0.0
             queue.drop(key, now)
-        capacity = self.decodes.get(flight.decode)
+        capacity = self.decodes.get(entry.decode)
         if capacity is not None:
             capacity.release(key, now)
 
-    def _keep_house(self, now: float) -> None:
+    def run_housekeeping(self, now: float) -> None:
+        """Releases what no event or report has ended."""
         self.next_housekeeping = now + HOUSEKEEPING_SECONDS
         self.prefill_free_at = 0.0
         self.queue.prune()
@@ -365,31 +381,35 @@
             queue.expire(now)
         for capacity in self.decodes.values():
             for entry in capacity.expire(now):
-                self._forget(entry.key, now)
+                self.forget(entry.key, now)
 
-    def _refuse_late(self, now: float) -> None:
+    def refuse_late(self, now: float) -> None:
+        """Refuses items whose first token can no longer be in time."""
         while self.latest_starts and self.latest_starts[0][0] < now:
             _, key = heapq.heappop(self.latest_starts)
             item = self.waiting.get(key)
             if item is None:
                 continue
             self.withdraw(key)
-            self._refuse(item, results.OVERLOADED, self._retry_after())
+            self.refuse(item, results.OVERLOADED, self.retry_after())
 
-    def _refuse(
+    def refuse(
         self, item: items.WorkItem, code: results.ResultCode, after: float
     ) -> None:
+        """Queues a refusal for the next `poll()`."""
         self.refusals.append(
             items.Refusal(item.request_id, item.attempt, code, after)
         )
 
-    def _mean_residence(self, item: items.WorkItem) -> float:
+    def mean_residence(self, item: items.WorkItem) -> float:
+        """Returns the mean seconds of a request on a decode engine."""
         if self.residence:
             return self.residence
         tokens = item.max_output_tokens * INITIAL_OUTPUT_SHARE
         return max(tokens, 1.0) * self.token_seconds
 
-    def _retry_after(self) -> float:
+    def retry_after(self) -> float:
+        """Returns the seconds until the queue has probably been served."""
         slots = sum(entry.upstream.slots for entry in self.decodes.values())
         seconds = (len(self.queue) + 1) * (self.residence or 1.0)
         return max(LOWEST_RETRY_AFTER_SECONDS, seconds / max(1, slots))
--- a/src/coltsfootarch/scheduling/prefill.py
+++ b/src/coltsfootarch/scheduling/prefill.py
@@ -153,7 +153,7 @@
         foreign = max(0, load.queued_prefill_tokens - own)
         self.foreign_until = true_at + self.seconds(foreign) if foreign else 0.0
         if load.queued_prefill_tokens == 0:
-            self._forget_ended(true_at, now)
+            self.forget_ended(true_at, now)
 
     def expire(self, now: float) -> None:
         """Removes prefills that no event or report has ended."""
@@ -162,7 +162,8 @@
             if now - work.dispatched_at > limit + FORGET_SECONDS:
                 self.drop(key, now)
 
-    def _forget_ended(self, true_at: float, now: float) -> None:
+    def forget_ended(self, true_at: float, now: float) -> None:
+        """Removes prefills that were due before a report without a queue."""
         for key, work in list(self.open.items()):
             due = work.dispatched_at + self.seconds(work.tokens)
             if due + EVENT_LAG_SECONDS < true_at:
--- a/src/coltsfootarch/scheduling/quarantine.py
+++ b/src/coltsfootarch/scheduling/quarantine.py
@@ -22,17 +22,18 @@
 
     Attributes:
         at: Monotonic instant of the first report.
-        suspects: Digests aboard with the most crashes before this one.
+        candidates: Digests on the upstream with the most crashes before this
+            one.
     """
 
     at: float
-    suspects: frozenset[str]
+    candidates: frozenset[str]
 
 
 class Quarantine:
     """Counts crashes by request digest and finds the request to blame.
 
-    An upstream takes all requests aboard down with it. Only the request with
+    A crash of an upstream ends all requests on it. Only the request with
     the most crashes among them is blamed, so those that merely ran beside it
     go on. While several have the same number, none is blamed: from `CRASHES`
     on they run on different engines, so that the next crash tells them apart.
@@ -48,30 +49,30 @@
         self.until: dict[str, float] = {}
         self.last: dict[str, Crash] = {}
 
-    def crashed(
-        self, upstream: str, digest: str, aboard: Iterable[str]
+    def record_crash(
+        self, upstream: str, digest: str, running: Iterable[str]
     ) -> None:
         """Counts a crash against a digest.
 
         Args:
             upstream: The upstream that crashed.
             digest: Digest of the request whose host reports it.
-            aboard: Digests of all requests on the upstream.
+            running: Digests of all requests on the upstream.
         """
         now = self.clock.monotonic()
-        self._prune(now)
+        self.prune(now)
         crash = self.last.get(upstream)
         if crash is None or now - crash.at > SAME_CRASH_SECONDS:
-            crash = self.last[upstream] = self._crash(aboard, now)
+            crash = self.last[upstream] = self.new_crash(running, now)
         if not digest:
             return
         self.counts[digest] = self.counts.get(digest, 0) + 1
         self.counted_at[digest] = now
-        blamed = crash.suspects == {digest}
+        blamed = crash.candidates == {digest}
         if blamed and self.counts[digest] >= CRASHES:
             self.until[digest] = now + QUARANTINE_SECONDS
 
-    def cleared(self, digest: str) -> None:
+    def clear(self, digest: str) -> None:
         """Forgets the crashes of a digest that ran to its end."""
         self.counts.pop(digest, None)
         self.counted_at.pop(digest, None)
@@ -86,11 +87,12 @@
         return digest in self.counts
 
     def isolated(self, digest: str) -> bool:
-        """Returns whether the digest must not share an engine with its like."""
+        """Returns whether it must not run beside another isolated digest."""
         return self.counts.get(digest, 0) >= CRASHES
 
-    def _crash(self, aboard: Iterable[str], now: float) -> Crash:
-        digests = [digest for digest in aboard if digest]
+    def new_crash(self, running: Iterable[str], now: float) -> Crash:
+        """Returns a crash with the digests that may have caused it."""
+        digests = [digest for digest in running if digest]
         most = max((self.counts.get(key, 0) for key in digests), default=0)
         return Crash(
             now,
@@ -99,9 +101,10 @@
             ),
         )
 
-    def _prune(self, now: float) -> None:
+    def prune(self, now: float) -> None:
+        """Forgets crashes and quarantines that have expired."""
         limit = now - QUARANTINE_SECONDS
         for key in [key for key, at in self.counted_at.items() if at < limit]:
-            self.cleared(key)
+            self.clear(key)
         for key in [key for key, until in self.until.items() if until < now]:
             del self.until[key]
--- a/src/coltsfootarch/scheduling/runner.py
+++ b/src/coltsfootarch/scheduling/runner.py
@@ -37,26 +37,28 @@
         self.waiters: dict[items.AttemptKey, gevent_event.AsyncResult] = {}
 
     def decide(
-        self, item: items.WorkItem, patience: datetime.timedelta
+        self, item: items.WorkItem, timeout: datetime.timedelta
     ) -> items.Decision:
         """Waits until the scheduler has decided about an attempt.
 
         Args:
             item: The attempt.
-            patience: Longest wait; the attempt is then refused as overloaded.
+            timeout: Longest wait; the attempt is then refused as overloaded.
         """
-        flight = self.scheduler.flights.get(item.key)
-        if flight is not None:
-            return items.Assignment(*item.key, flight.prefill, flight.decode)
+        assigned = self.scheduler.assigned.get(item.key)
+        if assigned is not None:
+            return items.Assignment(
+                *item.key, assigned.prefill, assigned.decode
+            )
         waiter = self.waiters.get(item.key)
         if waiter is None:
             waiter = self.waiters[item.key] = gevent_event.AsyncResult()
-            self._refresh()
+            self.refresh()
             self.scheduler.submit(item)
         self.tick()
         try:
             decision: items.Decision = waiter.get(
-                timeout=patience.total_seconds()
+                timeout=timeout.total_seconds()
             )
         except gevent.Timeout:
             self.scheduler.withdraw(item.key)
@@ -72,7 +74,7 @@
 
     def tick(self) -> None:
         """Takes over changed upstreams and delivers decisions that are due."""
-        self._refresh()
+        self.refresh()
         for decision in self.scheduler.poll():
             key = items.AttemptKey(decision.request_id, decision.attempt)
             waiter = self.waiters.pop(key, None)
@@ -86,7 +88,8 @@
         for key, waiter in waiters.items():
             waiter.set(items.Refusal(*key, code, 0.0))
 
-    def _refresh(self) -> None:
+    def refresh(self) -> None:
+        """Passes changed upstreams to the scheduler."""
         changed = self.members.changed()
         if changed is not None:
             self.scheduler.set_upstreams(changed)
--- a/src/coltsfootarch/scheduling/service.py
+++ b/src/coltsfootarch/scheduling/service.py
@@ -24,7 +24,7 @@
 
 # The scheduler refuses at the deadline by itself; the wait ends a little later
 # in case that its poll loop has stopped.
-PATIENCE_MARGIN_SECONDS = 0.25
+TIMEOUT_MARGIN_SECONDS = 0.25
 
 
 class PoolKey(NamedTuple):
@@ -92,23 +92,23 @@
     def close(self) -> None:
         """Refuses everything that waits; entry hosts look up the home again."""
         for key in list(self.held):
-            self._drop(key)
+            self.drop(key)
 
     def schedulers(self) -> list[pool.PoolScheduler]:
         """Returns the schedulers under a valid lease."""
         return [
             held.runner.scheduler
             for held in self.held.values()
-            if self._valid(held)
+            if self.is_valid(held)
         ]
 
     def tick(self) -> None:
         """Delivers decisions that are due and drops pools that moved."""
         for key, held in list(self.held.items()):
-            if self._valid(held):
+            if self.is_valid(held):
                 held.runner.tick()
             else:
-                self._drop(key)
+                self.drop(key)
 
     def waiting(self) -> bool:
         """Returns whether requests wait for decisions here."""
@@ -134,7 +134,7 @@
         self, sender: messages.Sender, message: messages.ScheduleUpdate
     ) -> None:
         """Applies steps of scheduled requests."""
-        held = self._find(message.service, message.scope, message.shard)
+        held = self.find(message.service, message.scope, message.shard)
         if held is not None:
             held.runner.apply(message.events)
 
@@ -142,28 +142,29 @@
         self, message: messages.ScheduleRequest
     ) -> messages.ScheduleReply:
         """Decides about a request of this or another host; may wait."""
-        held = self._find(message.service, message.scope, message.shard)
+        held = self.find(message.service, message.scope, message.shard)
         if held is None:
             return refuse(message, results.NOT_HOME)
-        item = self._item(message)
-        patience = datetime.timedelta(
-            seconds=message.first_token_within + PATIENCE_MARGIN_SECONDS
+        item = self.work_item(message)
+        timeout = datetime.timedelta(
+            seconds=message.first_token_within + TIMEOUT_MARGIN_SECONDS
         )
-        decision = held.runner.decide(item, patience)
+        decision = held.runner.decide(item, timeout)
         # The host may have been paused while the request waited; an assignment
         # made after the lease ended would compete with those of its successor.
-        if not self._valid(held):
-            self._drop(PoolKey(message.service, message.scope))
+        if not self.is_valid(held):
+            self.drop(PoolKey(message.service, message.scope))
             return refuse(message, results.NOT_HOME)
         return reply(decision)
 
-    def _find(self, service: str, scope: str, shard: int) -> HeldPool | None:
+    def find(self, service: str, scope: str, shard: int) -> HeldPool | None:
+        """Returns a pool whose home is here, or None; starts it if needed."""
         key = PoolKey(service, scope)
         held = self.held.get(key)
-        if held is not None and held.shard == shard and self._valid(held):
+        if held is not None and held.shard == shard and self.is_valid(held):
             return held
         if held is not None:
-            self._drop(key)
+            self.drop(key)
         current = self.current()
         epoch = self.leases.epoch(shard)
         if epoch is None or service not in current.services:
@@ -174,11 +175,12 @@
             shard,
         ):
             return None
-        started = HeldPool(shard, epoch, self._runner(key))
+        started = HeldPool(shard, epoch, self.new_runner(key))
         self.held[key] = started
         return started
 
-    def _runner(self, key: PoolKey) -> runner.PoolRunner:
+    def new_runner(self, key: PoolKey) -> runner.PoolRunner:
+        """Returns a runner for a pool without upstreams yet."""
         members = pools.PoolMembers(
             self.current, key.service, key.scope, self.leaving, self.clock
         )
@@ -187,15 +189,18 @@
         )
         return runner.PoolRunner(scheduler, members)
 
-    def _valid(self, held: HeldPool) -> bool:
+    def is_valid(self, held: HeldPool) -> bool:
+        """Returns whether the lease of a pool is still held."""
         return self.leases.epoch(held.shard) == held.epoch
 
-    def _drop(self, key: PoolKey) -> None:
+    def drop(self, key: PoolKey) -> None:
+        """Stops a pool; waiting requests are refused as not home."""
         held = self.held.pop(key, None)
         if held is not None:
             held.runner.stop(results.NOT_HOME)
 
-    def _item(self, message: messages.ScheduleRequest) -> items.WorkItem:
+    def work_item(self, message: messages.ScheduleRequest) -> items.WorkItem:
+        """Returns the work item that a message describes."""
         account = self.current().client_accounts.get(message.account)
         return items.WorkItem(
             request_id=message.request_id,
--- a/src/coltsfootarch/upstreams/connection.py
+++ b/src/coltsfootarch/upstreams/connection.py
@@ -100,7 +100,7 @@
             UpstreamError: The connection broke or the answer is not HTTP.
         """
         # A socket timeout alone starts anew with each piece of the headers.
-        with self._translated(), _bounded(deadline):
+        with self.translated(), bounded(deadline):
             self.socket.settimeout(deadline.remaining())
             self.connection.request(
                 method,
@@ -121,7 +121,7 @@
             UpstreamError: The connection broke before the end of the answer.
         """
         assert self.response is not None
-        with self._translated():
+        with self.translated():
             self.socket.settimeout(deadline.remaining())
             return self.response.read1(READ_BYTES, decode_content=False)
 
@@ -146,7 +146,8 @@
         self.connection.close()
 
     @contextlib.contextmanager
-    def _translated(self) -> Iterator[None]:
+    def translated(self) -> Iterator[None]:
+        """Raises errors of the connection as upstream errors."""
         try:
             yield
         except (TimeoutError, urllib3.exceptions.TimeoutError) as error:
@@ -164,7 +165,7 @@
             ) from error
 
 
-def _bounded(deadline: Deadline) -> contextlib.AbstractContextManager[object]:
+def bounded(deadline: Deadline) -> contextlib.AbstractContextManager[object]:
     """Raises TimeoutError in the calling greenlet when the deadline passes."""
     timeout: contextlib.AbstractContextManager[object] = gevent.Timeout(
         deadline.remaining(), TimeoutError
--- a/src/coltsfootarch/upstreams/engine_client.py
+++ b/src/coltsfootarch/upstreams/engine_client.py
@@ -62,14 +62,14 @@
             UpstreamRefusedError: The engine refused or ended the request.
             UpstreamError: Any other failure.
         """
-        events = self._events(
+        events = self.events(
             address, "/v1/prefill", request._asdict(), request.request_id
         )
         with contextlib.closing(events):
             for event in events:
-                _check_attempt(event, request.attempt)
+                check_attempt(event, request.attempt)
                 if event.event == "exported":
-                    return _prefill_result(event)
+                    return prefill_result(event)
         raise errors.UpstreamError("the engine ended a prefill without result")
 
     def decode(
@@ -92,8 +92,8 @@
             **request._asdict(),
             "source": {"handle": source.handle, "address": source.address},
         }
-        events = self._events(address, "/v1/decode", body, request.request_id)
-        return _tokens(events, request.attempt, request.first_offset)
+        events = self.events(address, "/v1/decode", body, request.request_id)
+        return read_tokens(events, request.attempt, request.first_offset)
 
     def resume(
         self, address: str, request_id: str, offset: int
@@ -113,28 +113,28 @@
             "request_id": request_id,
             "offset": offset,
         }
-        events = self._events(address, "/v1/decode", body, request_id)
-        return _tokens(events, None, offset)
+        events = self.events(address, "/v1/decode", body, request_id)
+        return read_tokens(events, None, offset)
 
     def cancel(self, address: str, request_id: str) -> None:
         """Frees the request's memory; an unknown request is no error."""
-        self._call(address, "POST", "/v1/cancel", {"request_id": request_id})
+        self.call(address, "POST", "/v1/cancel", {"request_id": request_id})
 
     def requests(self, address: str) -> list[engine.EngineEntry]:
         """Returns the requests that hold memory."""
-        data = self._call(address, "GET", "/v1/requests")
+        data = self.call(address, "GET", "/v1/requests")
         answer = engine_wire.decode(data, engine_wire.EntriesAnswer)
         return [engine.EngineEntry(**entry) for entry in answer["requests"]]
 
     def load(self, address: str) -> engine.LoadReport:
         """Returns the engine's last load report."""
-        data = self._call(address, "GET", "/v1/load")
+        data = self.call(address, "GET", "/v1/load")
         answer = engine_wire.decode(data, engine_wire.LoadAnswer)
         return engine.LoadReport(**answer)
 
     def cache_events(self, address: str, after: int) -> list[engine.CacheEvent]:
         """Returns cache events numbered above `after`, oldest first."""
-        data = self._call(address, "GET", f"/v1/cache-events?after={after}")
+        data = self.call(address, "GET", f"/v1/cache-events?after={after}")
         answer = engine_wire.decode(data, engine_wire.CacheEventsAnswer)
         return [
             engine.CacheEvent(
@@ -152,7 +152,7 @@
             StaleOrderError: The engine has seen a higher fencing number.
         """
         try:
-            self._call(address, "POST", "/v1/orders", order._asdict())
+            self.call(address, "POST", "/v1/orders", order._asdict())
         except errors.UpstreamRefusedError as error:
             if error.status == CONFLICT and error.reason == "stale-fencing":
                 raise errors.StaleOrderError(
@@ -160,13 +160,14 @@
                 ) from error
             raise
 
-    def _call(
+    def call(
         self,
         address: str,
         method: str,
         path: str,
         body: dict[str, object] | None = None,
     ) -> bytes:
+        """Returns the body of an answer."""
         upstream = connection.UpstreamConnection(address, self.connect_timeout)
         with contextlib.closing(upstream):
             deadline = connection.Deadline(self.clock, self.progress_timeout)
@@ -174,10 +175,10 @@
             response = upstream.send(method, path, HEADERS, encoded, deadline)
             data = upstream.read_all(deadline)
             if response.status != OK:
-                raise _refusal(address, response.status, data)
+                raise refusal(address, response.status, data)
             return data
 
-    def _events(
+    def events(
         self,
         address: str,
         path: str,
@@ -193,7 +194,7 @@
             )
             if response.status != OK:
                 data = upstream.read_all(deadline)
-                raise _refusal(address, response.status, data)
+                raise refusal(address, response.status, data)
             for event in event_stream.read_events(upstream, deadline):
                 identity = engine_wire.decode(event.data, engine_wire.Identity)
                 if identity["request_id"] != request_id:
@@ -201,18 +202,19 @@
                         f"engine {address} answered another request"
                     )
                 if event.event == "error":
-                    raise _ended(address, event)
+                    raise stream_error(address, event)
                 yield event
 
 
-def _tokens(
+def read_tokens(
     events: Generator[event_stream.ServerSentEvent, None, None],
     attempt: int | None,
     next_offset: int,
 ) -> Iterator[engine.TokenEvent]:
+    """Yields the token events from the expected offset on."""
     with contextlib.closing(events):
         for event in events:
-            attempt = _check_attempt(event, attempt)
+            attempt = check_attempt(event, attempt)
             if event.event != "tokens":
                 continue
             data = engine_wire.decode(event.data, engine_wire.TokensData)
@@ -228,7 +230,7 @@
     raise errors.UpstreamError("an engine ended a stream before its last token")
 
 
-def _check_attempt(
+def check_attempt(
     event: event_stream.ServerSentEvent, attempt: int | None
 ) -> int:
     """Returns the event's attempt if it is the expected one or the first."""
@@ -238,9 +240,10 @@
     return identity["attempt"]
 
 
-def _prefill_result(
+def prefill_result(
     event: event_stream.ServerSentEvent,
 ) -> engine.PrefillResult:
+    """Returns the exported KV cache that an event describes."""
     data = engine_wire.decode(event.data, engine_wire.ExportedData)
     return engine.PrefillResult(
         data["handle"],
@@ -251,9 +254,10 @@
     )
 
 
-def _refusal(
+def refusal(
     address: str, status: int, body: bytes
 ) -> errors.UpstreamRefusedError:
+    """Returns the error for an answer with an error status."""
     try:
         reason = msgspec.json.decode(body, type=engine_wire.ErrorAnswer)
     except msgspec.DecodeError:
@@ -261,8 +265,9 @@
     return errors.UpstreamRefusedError(address, status, reason["error"])
 
 
-def _ended(
+def stream_error(
     address: str, event: event_stream.ServerSentEvent
 ) -> errors.UpstreamRefusedError:
+    """Returns the error for a stream that ended with an error event."""
     data = engine_wire.decode(event.data, engine_wire.ErrorData)
     return errors.UpstreamRefusedError(address, data["status"], data["error"])
--- a/src/coltsfootarch/upstreams/monitor.py
+++ b/src/coltsfootarch/upstreams/monitor.py
@@ -23,7 +23,7 @@
 CACHE_SECONDS = 0.25
 
 
-class Watched(NamedTuple):
+class MonitoredEngine(NamedTuple):
     """An engine together with the schedulers that use it."""
 
     upstream: register.Upstream
@@ -61,44 +61,52 @@
     def tick(self) -> None:
         """Starts the fetches that are due."""
         now = self.clock.monotonic()
-        watched = self._watched()
-        for name, entry in watched.items():
+        monitored = self.monitored()
+        for name, entry in monitored.items():
             if self.load_due.get(name, 0.0) <= now:
                 self.load_due[name] = now + LOAD_SECONDS
-                self._start("load", entry, self._fetch_load)
+                self.start_fetch("load", entry, self.fetch_load)
             if entry.upstream.role is not register.UpstreamRole.PREFILL:
                 continue
             if self.cache_due.get(name, 0.0) <= now:
                 self.cache_due[name] = now + CACHE_SECONDS
-                self._start("cache", entry, self._fetch_cache)
-        for name in [name for name in self.load_due if name not in watched]:
+                self.start_fetch("cache", entry, self.fetch_cache)
+        for name in [name for name in self.load_due if name not in monitored]:
             del self.load_due[name]
             self.cache_due.pop(name, None)
             self.sequences.pop(name, None)
 
-    def _watched(self) -> dict[str, Watched]:
-        watched: dict[str, Watched] = {}
+    def monitored(self) -> dict[str, MonitoredEngine]:
+        """Returns the engines to fetch from, by name."""
+        monitored: dict[str, MonitoredEngine] = {}
         for scheduler in self.schedulers():
             for upstream in scheduler.upstreams():
-                entry = watched.setdefault(upstream.name, Watched(upstream, []))
+                entry = monitored.setdefault(
+                    upstream.name, MonitoredEngine(upstream, [])
+                )
                 entry.schedulers.append(scheduler)
-        return watched
+        return monitored
 
-    def _start(
-        self, kind: str, entry: Watched, fetch: Callable[[Watched], None]
+    def start_fetch(
+        self,
+        kind: str,
+        entry: MonitoredEngine,
+        fetch: Callable[[MonitoredEngine], None],
     ) -> None:
+        """Starts a fetch unless the same one is still running."""
         mark = (kind, entry.upstream.name)
         if mark in self.busy:
             return
         self.busy.add(mark)
-        self.spawn(self._run, mark, entry, fetch)
+        self.spawn(self.run_fetch, mark, entry, fetch)
 
-    def _run(
+    def run_fetch(
         self,
         mark: tuple[str, str],
-        entry: Watched,
-        fetch: Callable[[Watched], None],
+        entry: MonitoredEngine,
+        fetch: Callable[[MonitoredEngine], None],
     ) -> None:
+        """Runs a fetch and counts its failure."""
         try:
             fetch(entry)
         except errors.UpstreamError:
@@ -106,12 +114,14 @@
         finally:
             self.busy.discard(mark)
 
-    def _fetch_load(self, entry: Watched) -> None:
+    def fetch_load(self, entry: MonitoredEngine) -> None:
+        """Passes the load report of an engine to its schedulers."""
         load = self.engines.load(entry.upstream.address)
         for scheduler in entry.schedulers:
             scheduler.report(entry.upstream.name, load)
 
-    def _fetch_cache(self, entry: Watched) -> None:
+    def fetch_cache(self, entry: MonitoredEngine) -> None:
+        """Passes the cache events of an engine to its schedulers."""
         name = entry.upstream.name
         # A scheduler that is new here has seen nothing yet, so the events are
         # asked for from the one that is furthest behind.
--- a/src/coltsfootarch/upstreams/orders.py
+++ b/src/coltsfootarch/upstreams/orders.py
@@ -78,7 +78,7 @@
             raise errors.StaleOrderError(
                 f"a newer holder gives the orders for {name}"
             )
-        self._check_wait(upstream, shard)
+        self.check_wait(upstream, shard)
         try:
             self.engines.order(
                 upstream.address, engine.Order(kind, argument, epoch)
@@ -87,7 +87,8 @@
             self.stopped[shard] = epoch
             raise
 
-    def _check_wait(self, upstream: register.Upstream, shard: int) -> None:
+    def check_wait(self, upstream: register.Upstream, shard: int) -> None:
+        """Refuses an order while one of a former holder may still run."""
         if upstream.checks_fencing:
             return
         acquired = self.leases.acquired_at(shard)
--- a/src/coltsfootarch/upstreams/orphans.py
+++ b/src/coltsfootarch/upstreams/orphans.py
@@ -59,8 +59,8 @@
         current: Returns the register in force.
         is_live: Returns whether an incarnation of a host has a session.
         owns: Returns whether this host holds an upstream's home shard.
-        knows: Asks a live owner whether it still runs a request, by owner and
-            request id; None if it did not answer.
+        still_runs: Asks a live owner whether it still runs a request, by owner
+            and request id; None if it did not answer.
         view_age: Returns the age of the view behind `is_live`, in seconds.
         spawn: Runs the check of one engine in a greenlet of its own.
     """
@@ -72,7 +72,7 @@
         current: Callable[[], register.Register],
         is_live: Callable[[str, int], bool],
         owns: Callable[[str], bool],
-        knows: Callable[[Owner, str], bool | None],
+        still_runs: Callable[[Owner, str], bool | None],
         view_age: Callable[[], float],
         spawn: Callable[..., Any] = gevent.spawn,
     ) -> None:
@@ -81,7 +81,7 @@
         self.current = current
         self.is_live = is_live
         self.owns = owns
-        self.knows = knows
+        self.still_runs = still_runs
         self.view_age = view_age
         self.spawn = spawn
         self.next_run = 0.0
@@ -96,19 +96,20 @@
         if now < self.next_run:
             return
         self.next_run = now + INTERVAL_SECONDS
-        self._forget_live()
+        self.forget_owners()
         for upstream in self.current().upstreams.values():
             if upstream.role is register.UpstreamRole.PLAIN:
                 continue
             if upstream.name in self.busy or not self.owns(upstream.name):
                 continue
             self.busy.add(upstream.name)
-            self.spawn(self._check, upstream)
+            self.spawn(self.check, upstream)
 
-    def _check(self, upstream: register.Upstream) -> None:
+    def check(self, upstream: register.Upstream) -> None:
+        """Cancels the orphans of one engine."""
         try:
             for entry in self.engines.requests(upstream.address):
-                if self._is_orphan(entry) and self.owns(upstream.name):
+                if self.is_orphan(entry) and self.owns(upstream.name):
                     self.engines.cancel(upstream.address, entry.request_id)
                     self.cancelled += 1
         except errors.UpstreamError:
@@ -116,9 +117,10 @@
         finally:
             self.busy.discard(upstream.name)
 
-    def _is_orphan(self, entry: engine.EngineEntry) -> bool:
+    def is_orphan(self, entry: engine.EngineEntry) -> bool:
+        """Returns whether an engine request may be cancelled."""
         owner = parse_owner(entry.owner)
-        gone = owner is not None and self._gone(owner)
+        gone = owner is not None and self.is_gone(owner)
         if entry.idle >= ABANDONED_SECONDS:
             return True
         if entry.idle < UNREAD_SECONDS or owner is None:
@@ -127,9 +129,10 @@
             return True
         if owner in self.gone_since:
             return False
-        return self.knows(owner, entry.request_id) is False
+        return self.still_runs(owner, entry.request_id) is False
 
-    def _gone(self, owner: Owner) -> bool:
+    def is_gone(self, owner: Owner) -> bool:
+        """Returns whether an owner has had no session for `GONE_SECONDS`."""
         if self.view_age() > FRESH_VIEW_SECONDS:
             return False
         if self.is_live(owner.host, owner.incarnation):
@@ -139,7 +142,8 @@
         since = self.gone_since.setdefault(owner, now)
         return now - since >= GONE_SECONDS
 
-    def _forget_live(self) -> None:
+    def forget_owners(self) -> None:
+        """Forgets owners that are live again or gone for very long."""
         limit = self.clock.monotonic() - FORGET_SECONDS
         for owner, since in list(self.gone_since.items()):
             if since < limit or self.is_live(owner.host, owner.incarnation):
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -307,7 +307,7 @@
         manual_clock.advance(seconds(1))
         scheduler.report("d1", engine.LoadReport(0, 0, 64, 0, age=0.5))
 
-    assert not scheduler.flights
+    assert not scheduler.assigned
     assert place(scheduler, pools.make_item(2, manual_clock))
 
 
@@ -323,7 +323,7 @@
     manual_clock.advance(seconds(8))
     scheduler.poll()
 
-    assert not scheduler.flights
+    assert not scheduler.assigned
     assert place(scheduler, pools.make_item(2, manual_clock))
 
 
--- a/tests/scheduling/test_pool_history.py
+++ b/tests/scheduling/test_pool_history.py
@@ -139,7 +139,7 @@
         for _, decision in list(self.open.values()):
             self.scheduler.apply(pools.make_event(decision, "cancelled"))
         assert set(self.decided) == set(self.submitted)
-        assert not self.scheduler.flights
+        assert not self.scheduler.assigned
         assert not any(
             booked for booked in self.scheduler.links.bookings.values()
         )
--- a/tests/scheduling/test_service.py
+++ b/tests/scheduling/test_service.py
@@ -84,7 +84,7 @@
 
 def test_home_assigns_and_hears_the_steps(site):
     assignment = site.schedule(1)
-    assert site.held().flights
+    assert site.held().assigned
 
     site.entry.notify(pools.make_event(assignment, "prefilled"))
     site.entry.notify(pools.make_event(assignment, "transferred"))
@@ -94,7 +94,7 @@
     assert site.held().decodes[assignment.decode].running == 1
 
     site.entry.notify(pools.make_event(assignment, "cancelled"))
-    assert not site.held().flights
+    assert not site.held().assigned
     assert not site.entry.routes
 
 
@@ -202,7 +202,7 @@
     assert assignment.decode == "d2"
     assert site.entry.fallbacks == 1
     site.entry.notify(pools.make_event(assignment, "cancelled"))
-    assert not site.entry.local.schedulers()[0].flights
+    assert not site.entry.local.schedulers()[0].assigned
 
 
 def test_silent_home_is_asked_once_in_its_pause(site):
