Prove the completion path under faults and mend what failed

A completion could be refused as not run after its prefill, be lost when only the engine's end mark was missing, or leave its answer for a resume and cancel it at once. A decode after a pause went to a leaving engine, an interrupt during a prefill was not charged, and a key withdrawn while a body was read stayed valid. An interrupted guard left its slot assigned.

Engines of a placement are kept for its cancellation, engines that are being cancelled get no new attempt, and the guard runs again before the decode. A plain call checks its instance again after the claim and releases the claim if nothing was sent; its failure is the worst of its attempts. The server reads only a short rest of a refused body.

--- a/src/coltsfootarch/gateway/application.py
+++ b/src/coltsfootarch/gateway/application.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import math
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
@@ -128,20 +130,24 @@
         try:
             intake.check_headers(environ)
             caller = self.admission.authenticate(environ)
-            body = intake.read_body(environ, self.admission.body_limit())
-            request = completions.parse(body)
+            # The body can take long, and the key can be withdrawn meanwhile.
             handle = self.requests.open(
                 inflight.RequestInfo(request_id, caller.account, caller.key_id)
             )
+            body = intake.read_body(environ, self.admission.body_limit())
+            request = completions.parse(body)
             events = self.answer_events(environ, request_id, caller, request)
             if request.stream:
                 return self.stream_answer(handle, events)
-            whole = answers.collect(events, request_id)
+            with completions.closing(events):
+                whole = answers.collect(events, request_id)
             self.requests.close(handle)
             return json_answer(dict(whole))
-        except errors.ColtsfootarchError as error:
+        except BaseException as error:
             if handle is not None:
                 self.requests.close(handle)
+            if not isinstance(error, errors.ColtsfootarchError):
+                raise
             return self.refuse(error, request_id)
 
     def answer_events(
@@ -169,7 +175,9 @@
 
         Waiting for the first event lets a refusal carry its HTTP status.
         """
-        first = next(events)
+        first = next(events, None)
+        if first is None:
+            raise errors.RefusedError(results.UPSTREAM_FAILED)
         bottle.response.content_type = "text/event-stream"
         bottle.response.set_header("Cache-Control", "no-store")
         return self.encoded_stream(handle, first, events)
@@ -189,12 +197,31 @@
         except errors.ColtsfootarchError as error:
             self.note_refusal(error, request_id, handle.info.account)
             yield answers.encode_failure(error, request_id)
+        except Exception:
+            logger.exception("unexpected error", request_id=request_id)
+            internal = errors.RefusedError(results.INTERNAL_ERROR)
+            yield answers.encode_failure(internal, request_id)
         finally:
-            close = getattr(events, "close", None)
-            if close is not None:
-                close()
+            self.close_events(handle, events)
             self.requests.close(handle)
 
+    def close_events(
+        self,
+        handle: inflight.RequestHandle,
+        events: Iterator[completions.AnswerEvent],
+    ) -> None:
+        """Ends an answer whose caller left or whose request was ended.
+
+        A request that was ended during a write to its caller must not be left
+        for a resume.
+        """
+        handle.closed = True
+        with completions.closing(events):
+            throw = getattr(events, "throw", None)
+            if handle.ending is not None and throw is not None:
+                with contextlib.suppress(errors.RefusedError):
+                    throw(handle.ending)
+
     def delete_request(self, request_id: str) -> bytes:
         """Cancels a request of the caller's client account."""
         environ = bottle.request.environ
@@ -220,10 +247,10 @@
             if not route.open:
                 caller = self.admission.authenticate(environ)
                 account, key_id = caller.account, caller.key_id
-            body = intake.read_body(environ, self.admission.body_limit())
             handle = self.requests.open(
                 inflight.RequestInfo(request_id, account, key_id)
             )
+            body = intake.read_body(environ, self.admission.body_limit())
             call = self.make_call(environ, request_id, account, route, body)
             return self.call_answer(self.call_pipeline.run(call))
         except errors.ColtsfootarchError as error:
@@ -271,7 +298,7 @@
         bottle.response.set_header("Result-Code", str(error.code.number))
         retry_after = getattr(error, "retry_after", None)
         if retry_after is not None:
-            seconds = max(1, round(retry_after))
+            seconds = max(1, math.ceil(retry_after))
             bottle.response.set_header("Retry-After", str(seconds))
         return json_answer(dict(answers.refusal_body(error, request_id)))
 
@@ -314,7 +341,7 @@
     Raises:
         RefusedError: The header is not a number.
     """
-    if not text.isdecimal():
+    if not text.isdecimal() or int(text) > completions.MAX_OUTPUT_TOKENS:
         raise errors.RefusedError(
             results.INVALID_FIELD, "`Last-Event-ID` must be an event's id"
         )
--- a/src/coltsfootarch/gateway/call_pipeline.py
+++ b/src/coltsfootarch/gateway/call_pipeline.py
@@ -8,6 +8,7 @@
 
 from coltsfootarch import errors
 from coltsfootarch import results
+from coltsfootarch.gateway import failures
 from coltsfootarch.idempotency import claims
 from coltsfootarch.idempotency import rows
 from coltsfootarch.observability import metrics
@@ -113,13 +114,20 @@
         """Sends an idempotent call, again on other instances if need be."""
         excluded: set[str] = set()
         attempt = 0
+        failure: errors.RefusedError | None = None
         while True:
             attempt += 1
-            upstream = self.choose(call, excluded)
+            try:
+                upstream = self.choose(call, excluded)
+            except errors.RefusedError as refusal:
+                if refusal.code in failures.ENDINGS:
+                    raise
+                # The failure of a call that was sent is the true answer.
+                raise failure or refusal from refusal
             try:
                 response = self.send_to(upstream, call)
             except errors.UpstreamError as error:
-                failure = errors.RefusedError(error.code)
+                failure = worse(failure, errors.RefusedError(error.code))
             else:
                 if response.status not in UNAVAILABLE_STATUSES:
                     return CallAnswer(response, replayed=False)
@@ -182,7 +190,7 @@
             self.balancer.failed(upstream.name)
             raise
         except BaseException:
-            self.balancer.finished(upstream.name)
+            self.balancer.cancelled(upstream.name)
             raise
         self.balancer.finished(upstream.name)
         return response
@@ -196,16 +204,57 @@
             claim = self.claim_book.claim(
                 call.account, call.idempotency_key, body_digest(call)
             )
-            if isinstance(claim, claims.RecordedOutcome):
-                self.balancer.finished(upstream.name)
-                self.metrics.increment(metrics.REPLAYS)
-                return CallAnswer(replayed_response(claim), replayed=True)
-            return self.send_claimed(call, upstream, connection, claim)
-        except errors.RefusedError:
-            self.balancer.finished(upstream.name)
+        except BaseException:
+            self.give_back(upstream, connection)
             raise
-        finally:
-            connection.close()
+        if isinstance(claim, claims.RecordedOutcome):
+            self.give_back(upstream, connection)
+            self.metrics.increment(metrics.REPLAYS)
+            return CallAnswer(replayed_response(claim), replayed=True)
+        try:
+            upstream, connection = self.confirm(call, upstream, connection)
+        except BaseException:
+            self.claim_book.release(claim)
+            raise
+        response = self.send_claimed(call, upstream, connection)
+        outcome = rows.Outcome(
+            response.status, list(response.headers), response.body
+        )
+        self.claim_book.record(claim, outcome)
+        return CallAnswer(response, replayed=False)
+
+    def confirm(
+        self,
+        call: Call,
+        upstream: register.Upstream,
+        connection: plain_client.PlainConnection,
+    ) -> tuple[register.Upstream, plain_client.PlainConnection]:
+        """Checks an instance again, because a claim can take long.
+
+        Returns:
+            The instance and its connection, or another one.
+
+        Raises:
+            RefusedError: No instance may get the call; nothing was sent.
+        """
+        try:
+            allowed = self.guard.allows(upstream.name)
+        except BaseException:
+            self.give_back(upstream, connection)
+            raise
+        if allowed:
+            return upstream, connection
+        self.give_back(upstream, connection)
+        return self.open_connection(call)
+
+    def give_back(
+        self,
+        upstream: register.Upstream,
+        connection: plain_client.PlainConnection,
+    ) -> None:
+        """Closes a connection on which nothing was sent."""
+        self.balancer.cancelled(upstream.name)
+        connection.close()
 
     def open_connection(
         self, call: Call
@@ -224,6 +273,9 @@
             except errors.UpstreamConnectError:
                 self.balancer.failed(upstream.name)
                 excluded.add(upstream.name)
+            except BaseException:
+                self.balancer.cancelled(upstream.name)
+                raise
         raise errors.RefusedError(results.UPSTREAM_CONNECT_FAILED)
 
     def send_claimed(
@@ -231,9 +283,8 @@
         call: Call,
         upstream: register.Upstream,
         connection: plain_client.PlainConnection,
-        claim: claims.Claim,
-    ) -> CallAnswer:
-        """Sends a claimed call and records its outcome.
+    ) -> plain_client.PlainResponse:
+        """Sends a claimed call.
 
         After the first byte nothing is sent again: a failure from here on
         leaves the claim in place and says "may have run".
@@ -243,12 +294,13 @@
         except errors.UpstreamError as error:
             self.balancer.failed(upstream.name)
             raise errors.RefusedError(may_have_run(error)) from error
+        except BaseException:
+            self.balancer.cancelled(upstream.name)
+            raise
+        finally:
+            connection.close()
         self.balancer.finished(upstream.name)
-        outcome = rows.Outcome(
-            response.status, list(response.headers), response.body
-        )
-        self.claim_book.record(claim, outcome)
-        return CallAnswer(response, replayed=False)
+        return response
 
     def connect(
         self, upstream: register.Upstream, call: Call
@@ -268,6 +320,18 @@
     return results.UPSTREAM_FAILED
 
 
+def worse(
+    before: errors.RefusedError | None, last: errors.RefusedError
+) -> errors.RefusedError:
+    """Returns the failure to report for several attempts.
+
+    "Not run" is true only if it holds for all of them.
+    """
+    if before is None or last.code.execution is not results.Execution.NOT_RUN:
+        return last
+    return before
+
+
 def replayed_response(
     outcome: claims.RecordedOutcome,
 ) -> plain_client.PlainResponse:
--- a/src/coltsfootarch/gateway/completion_pipeline.py
+++ b/src/coltsfootarch/gateway/completion_pipeline.py
@@ -19,6 +19,8 @@
     from collections.abc import Callable
     from collections.abc import Iterator
 
+    import gevent
+
     from coltsfootarch import clock
     from coltsfootarch.config import register
     from coltsfootarch.gateway import dispatch_guard
@@ -126,41 +128,59 @@
         if reference.account != caller.account or not same_body:
             raise errors.RefusedError(results.INVALID_RESUME_TOKEN)
         self.metrics.increment(metrics.CALLER_RESUMES)
+        upstream = self.register().upstreams.get(reference.upstream)
         try:
-            yield from self.attach(reference, request, token, offset)
+            if upstream is None or offset < reference.base_offset:
+                raise errors.UpstreamError("the answer is not available")
+            yield from self.attach(
+                request_id, upstream, reference, request, token, offset
+            )
         except errors.UpstreamError:
+            if upstream is not None:
+                self.cancel_later(upstream.address, reference.request_id)
             self.metrics.increment(metrics.RESTARTS)
             yield completions.Restarted(request_id)
             yield from self.run(request_id, caller, request)
+        except errors.RefusedError:
+            if upstream is not None:
+                self.cancel_later(upstream.address, reference.request_id)
+            raise
 
     def attach(
         self,
+        request_id: str,
+        upstream: register.Upstream,
         reference: resumes.ResumeReference,
         request: completions.CompletionRequest,
         token: str,
         offset: int,
     ) -> Iterator[completions.AnswerEvent]:
-        """Yields an engine's stream from `offset` on."""
-        upstream = self.register().upstreams.get(reference.upstream)
-        if upstream is None or offset < reference.base_offset:
-            raise errors.UpstreamError("the answer is not available")
-        request_id = reference.request_id
+        """Yields an engine's stream from `offset` on.
+
+        The `start` event names this request and not the first one, so that the
+        caller cancels what it is connected to.
+        """
         started = False
-        stream = self.engines.resume(upstream.address, request_id, offset)
-        for event in stream:
-            if event.offset != offset:
-                raise errors.UpstreamError("the stream is at another offset")
-            if not started:
-                yield completions.Started(request_id, token)
-                started = True
-            offset += event.tokens
-            if event.tokens:
-                yield completions.Tokens(event.text, offset)
-            if event.finished:
-                self.notify_finished(reference, offset)
-                tokens = completions.count_tokens(request.prompt)
-                yield completions.Finished(tokens, offset)
-                return
+        stream = self.engines.resume(
+            upstream.address, reference.request_id, offset
+        )
+        with completions.closing(stream):
+            for event in stream:
+                if event.request_id != reference.request_id:
+                    raise errors.UpstreamError("the stream is of another one")
+                if event.offset != offset:
+                    raise errors.UpstreamError("the stream has another offset")
+                if not started:
+                    yield completions.Started(request_id, token)
+                    started = True
+                offset += event.tokens
+                if event.tokens:
+                    yield completions.Tokens(event.text, offset)
+                if event.finished:
+                    self.notify_finished(reference, offset)
+                    tokens = completions.count_tokens(request.prompt)
+                    yield completions.Finished(tokens, offset)
+                    return
         raise errors.UpstreamError("the stream ended early")
 
     def notify_finished(
@@ -212,18 +232,23 @@
         return resumes.ResumeSigner(self.register().rules.resume_secret)
 
     def leave_for_resume(
-        self, context: completion_run.RunContext, placement: items.Assignment
+        self,
+        context: completion_run.RunContext,
+        placement: items.Assignment,
+        address: str,
     ) -> None:
         """Cancels an answer soon, unless another connection takes it up."""
-        self.background.spawn(self.cancel_unread, context, placement)
+        self.background.spawn(self.cancel_unread, context, placement, address)
 
     def cancel_unread(
-        self, context: completion_run.RunContext, placement: items.Assignment
+        self,
+        context: completion_run.RunContext,
+        placement: items.Assignment,
+        address: str,
     ) -> None:
         """Waits for a resume and cancels the answer if there was none."""
         self.clock.sleep(RESUME_GRACE)
-        upstream = self.upstream(placement.decode)
-        if self.is_read(upstream.address, context.request_id):
+        if self.is_read(address, context.request_id):
             return
         event = messages.ScheduleEvent(
             context.request_id,
@@ -233,7 +258,7 @@
             0,
         )
         self.scheduler.notify(event)
-        self.cancel(upstream.address, context.request_id)
+        self.cancel(address, context.request_id)
 
     def is_read(self, address: str, request_id: str) -> bool:
         """Returns whether a connection reads the answer at the engine."""
@@ -247,9 +272,13 @@
             for entry in entries
         )
 
-    def cancel_later(self, address: str, request_id: str) -> None:
-        """Cancels a request at an engine in the background."""
-        self.background.spawn(self.cancel, address, request_id)
+    def cancel_later(self, address: str, request_id: str) -> gevent.Greenlet:
+        """Cancels a request at an engine in the background.
+
+        Returns:
+            The greenlet that does it.
+        """
+        return self.background.spawn(self.cancel, address, request_id)
 
     def cancel(self, address: str, request_id: str) -> None:
         """Cancels a request at an engine; orphan collection is the fallback."""
--- a/src/coltsfootarch/gateway/completion_run.py
+++ b/src/coltsfootarch/gateway/completion_run.py
@@ -11,6 +11,7 @@
 from coltsfootarch.gateway import completions
 from coltsfootarch.gateway import failures
 from coltsfootarch.gateway import resume
+from coltsfootarch.gateway import stale_engines
 from coltsfootarch.observability import metrics
 from coltsfootarch.protocol import messages
 from coltsfootarch.scheduling import items
@@ -73,7 +74,10 @@
         self.attempt = 0
         self.replacements = 0
         self.excluded: set[str] = set()
-        self.stale: dict[str, str] = {}
+        self.stale = stale_engines.StaleEngines(
+            lambda address: pipeline.cancel_later(address, context.request_id)
+        )
+        self.engines: dict[str, register.Upstream] = {}
         self.sent = False
         self.placement: items.Assignment | None = None
         self.base_offset = 0
@@ -95,8 +99,8 @@
         try:
             yield from self.attempts()
         finally:
+            self.stale.release()
             limiter.settle(reservation, self.tokens_used())
-            self.cancel_at(set(self.stale))
 
     def tokens_used(self) -> int:
         """Returns the tokens to charge.
@@ -116,14 +120,18 @@
                 yield from self.run_placement()
             except failures.AttemptFailedError as failure:
                 self.note_failure(failure)
-                continue
+                if self.tokens_left() > 0:
+                    self.check_replacement()
+                    continue
+                # Only the engine's end mark is missing.
             except GeneratorExit:
                 self.abandon()
                 raise
             except BaseException:
                 self.cancel()
                 raise
-            self.stale.clear()
+            else:
+                self.stale.forget_all()
             yield completions.Finished(self.prompt_tokens, self.offset)
             return
 
@@ -140,10 +148,11 @@
                     self.context.service.name, self.work_item()
                 )
                 if self.is_allowed(self.placement):
-                    self.release_stale()
+                    self.engines = self.placed_engines(self.placement)
+                    self.stale.release(used=self.engines)
                     return
         except errors.RefusedError as refusal:
-            if not self.sent:
+            if not self.sent or refusal.code in failures.ENDINGS:
                 raise
             raise errors.RefusedError(
                 results.UPSTREAM_FAILED,
@@ -157,11 +166,15 @@
 
         An engine that may not is given back and excluded.
         """
-        leaving = [
-            name
-            for name in (placement.prefill, placement.decode)
-            if not self.pipeline.guard.allows(name)
-        ]
+        try:
+            leaving = [
+                name
+                for name in (placement.prefill, placement.decode)
+                if not self.pipeline.guard.allows(name)
+            ]
+        except BaseException:
+            self.notify("cancelled", placement.decode)
+            raise
         if leaving:
             self.notify("cancelled", placement.decode)
             self.excluded.update(leaving)
@@ -183,7 +196,8 @@
             prefix_digests=tuple(completions.prefix_digests(prompt)),
             digest=context.request.digest,
             priority=self.priority(),
-            excluded=frozenset(self.excluded),
+            # A cancellation names no attempt and would end the new one.
+            excluded=frozenset(self.excluded | self.stale.cancelling),
         )
 
     def priority(self) -> int:
@@ -223,20 +237,20 @@
         Raises:
             failures.AttemptFailedError: The prefill engine failed.
         """
-        placement = self.assigned()
-        upstream = self.pipeline.upstream(placement.prefill)
+        upstream = self.engines[self.assigned().prefill]
+        sent_before = self.sent
+        self.sent = True
         try:
             source = self.pipeline.engines.prefill(upstream.address, request)
         except errors.UpstreamConnectError as error:
+            self.sent = sent_before
             self.pipeline.reachability.note_failure(upstream.address)
             raise failures.AttemptFailedError(
                 upstream.name, failures.FAILED
             ) from error
         except errors.UpstreamError as error:
-            self.sent = True
             raise self.failure(upstream, error) from error
         self.pipeline.reachability.note_success(upstream.address)
-        self.sent = True
         self.notify("prefilled", upstream.name)
         return source
 
@@ -248,17 +262,21 @@
         Raises:
             failures.AttemptFailedError: The decode engine failed.
         """
-        upstream = self.pipeline.upstream(self.assigned().decode)
+        upstream = self.engines[self.assigned().decode]
+        if not self.pipeline.guard.allows(upstream.name):
+            self.excluded.add(upstream.name)
+            raise failures.AttemptFailedError(upstream.name, failures.CANCELLED)
         stream = self.pipeline.engines.decode(upstream.address, request, source)
         stalled = 0
         while True:
             try:
-                for event in stream:
-                    stalled = 0
-                    yield from self.accept(event)
-                    if event.finished:
-                        self.notify("finished", upstream.name)
-                        return
+                with completions.closing(stream):
+                    for event in stream:
+                        yield from self.accept(event)
+                        stalled = 0
+                        if event.finished:
+                            self.notify("finished", upstream.name)
+                            return
                 raise errors.UpstreamError("the stream ended early")
             except errors.UpstreamError as error:
                 stalled += 1
@@ -291,13 +309,14 @@
         Raises:
             UpstreamError: Tokens are missing before the event's offset.
         """
-        if event.attempt != self.attempt:
+        identity = (event.request_id, event.attempt)
+        if identity != (self.context.request_id, self.attempt):
             raise errors.UpstreamError("the stream is of another attempt")
         if event.offset > self.offset:
             raise errors.UpstreamError("tokens are missing in the stream")
         if event.offset + event.tokens <= self.offset and not event.finished:
             return
-        if event.offset < self.offset and event.tokens:
+        if event.offset < self.offset:
             raise errors.UpstreamError("an event overlaps the emitted tokens")
         if not self.announced:
             self.announced = True
@@ -330,17 +349,20 @@
         return completions.Started(self.context.request_id, token)
 
     def note_failure(self, failure: failures.AttemptFailedError) -> None:
-        """Tells the scheduler and decides whether another attempt follows.
-
-        Raises:
-            RefusedError: No further attempt is allowed.
-        """
+        """Notes what an attempt leaves behind and tells the scheduler."""
+        self.stale.mark(self.engines.values())
         self.notify(failure.step, failure.upstream)
         if failure.excludes:
             self.excluded.add(failure.upstream)
         if failure.upstream == self.assigned().decode and not self.announced:
             self.pipeline.metrics.increment(metrics.PREFILLS_WASTED)
-        self.mark_stale()
+
+    def check_replacement(self) -> None:
+        """Decides whether another attempt follows.
+
+        Raises:
+            RefusedError: No further attempt is allowed.
+        """
         self.pipeline.metrics.increment(metrics.REPLACEMENTS)
         if self.replacements >= MAX_REPLACEMENTS:
             code = results.UPSTREAM_FAILED
@@ -358,44 +380,28 @@
             self.cancel()
             return
         self.abandoned = True
-        self.pipeline.leave_for_resume(self.context, self.assigned())
+        placement = self.assigned()
+        self.stale.forget(self.engines)
+        self.pipeline.leave_for_resume(
+            self.context, placement, self.engines[placement.decode].address
+        )
 
     def cancel(self) -> None:
         """Frees what the request holds after it was ended."""
+        self.stale.mark(self.engines.values())
         self.notify("cancelled", self.assigned().decode)
-        self.release_engines()
-
-    def release_engines(self) -> None:
-        """Cancels the request at every engine that may hold some of it."""
-        self.mark_stale()
-        self.cancel_at(set(self.stale))
-
-    def release_stale(self) -> None:
-        """Cancels failed attempts at engines that the new one does not use.
 
-        At an engine that it does use, the higher attempt replaces the lower.
-        """
-        placement = self.assigned()
-        self.cancel_at(
-            self.stale.keys() - {placement.prefill, placement.decode}
-        )
-
-    def cancel_at(self, names: set[str]) -> None:
-        """Cancels the request at engines, in the background."""
-        for name in names:
-            address = self.stale.pop(name)
-            self.pipeline.cancel_later(address, self.context.request_id)
+    def placed_engines(
+        self, placement: items.Assignment
+    ) -> dict[str, register.Upstream]:
+        """Returns a placement's engines by name.
 
-    def mark_stale(self) -> None:
-        """Notes the engines of the current placement for cancellation.
-
-        Their addresses are kept, because the register may lose them.
+        They are kept, because the register may lose them while they run.
         """
-        placement = self.assigned()
-        upstreams = self.pipeline.register().upstreams
-        for name in (placement.prefill, placement.decode):
-            if name in upstreams:
-                self.stale[name] = upstreams[name].address
+        return {
+            name: self.pipeline.upstream(name)
+            for name in (placement.prefill, placement.decode)
+        }
 
     def is_reachable(self, address: str) -> bool:
         """Returns whether an engine still answers, on a new connection."""
--- a/src/coltsfootarch/gateway/completions.py
+++ b/src/coltsfootarch/gateway/completions.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import hashlib
+from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
 from typing import TypeAlias
@@ -13,6 +15,9 @@
 from coltsfootarch import errors
 from coltsfootarch import results
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 # English and Spanish prose averages about four bytes a token.
 BYTES_PER_TOKEN = 4
 CHUNK_TOKENS = 256
@@ -139,6 +144,21 @@
     return errors.RefusedError(results.INVALID_FIELD, message)
 
 
+@contextlib.contextmanager
+def closing(iterator: Iterator[Any]) -> Iterator[None]:
+    """Closes an iterator at the end of a block if it can be closed.
+
+    What an open stream holds, such as a connection, is freed at once and not
+    when the last reference to it goes.
+    """
+    try:
+        yield
+    finally:
+        close = getattr(iterator, "close", None)
+        if close is not None:
+            close()
+
+
 def count_tokens(text: str) -> int:
     """Returns the estimated number of tokens of a text, at least 1."""
     return max(1, -(-len(text.encode()) // BYTES_PER_TOKEN))
--- a/src/coltsfootarch/gateway/dispatch_guard.py
+++ b/src/coltsfootarch/gateway/dispatch_guard.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import gevent
+
 from coltsfootarch.config import register
 
 if TYPE_CHECKING:
@@ -34,6 +36,9 @@
         """Returns whether an upstream may get new work now."""
         self.config_tracker.ensure_fresh()
         self.watcher.ensure_fresh()
+        # A request whose key the confirmed configuration no longer has is
+        # ended here, and not at its next wait, which may follow the sending.
+        gevent.sleep(0)
         upstream = self.config_tracker.register.upstreams.get(name)
         if upstream is None:
             return False
--- a/src/coltsfootarch/gateway/failures.py
+++ b/src/coltsfootarch/gateway/failures.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from coltsfootarch import errors
+from coltsfootarch import results
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -16,6 +17,8 @@
 # Names of engine errors in docs/upstream-protocol.md.
 LOST_STATE = frozenset({"crashed", "unknown-request"})
 EXPORT_EXPIRED = "export-expired"
+# Codes with which a request is ended from outside.
+ENDINGS = frozenset({results.CLIENT_CANCELLED, results.KEY_WITHDRAWN})
 
 
 class AttemptFailedError(errors.UpstreamError):
--- a/src/coltsfootarch/gateway/intake.py
+++ b/src/coltsfootarch/gateway/intake.py
@@ -80,6 +80,12 @@
                 results.CLIENT_TOO_SLOW,
                 "The body did not arrive in time; nothing was run.",
             ) from None
+        except TimeoutError:
+            raise errors.RefusedError(results.CLIENT_TOO_SLOW) from None
+        except OSError:
+            raise errors.RefusedError(
+                results.INVALID_FIELD, "The body is incomplete or malformed."
+            ) from None
     if len(body) > limit:
         raise errors.RefusedError(results.BODY_TOO_LARGE)
     return body
--- a/src/coltsfootarch/gateway/server.py
+++ b/src/coltsfootarch/gateway/server.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+import gevent
 import structlog
 from gevent import pool
 from gevent import pywsgi
@@ -17,15 +18,43 @@
 
 # A caller that neither sends nor reads for this long loses its connection.
 SOCKET_TIMEOUT = datetime.timedelta(seconds=60)
+# Limits of what is read of a body after its request was answered.
+DISCARD_TIMEOUT = datetime.timedelta(seconds=1)
+DISCARD_BYTES = 1024 * 1024
 MAX_CONNECTIONS = 10_000
 BACKLOG = 1024
 
 logger = structlog.get_logger(__name__)
 
 
+class BodyInput(pywsgi.Input):  # type: ignore[misc]
+    """Body of a request, of which a refused caller can leave much unread."""
+
+    send_100_continue_enabled: bool
+    synchronized = True
+
+    def _discard(self) -> None:
+        """Reads a short rest, so that the connection can be used again.
+
+        pywsgi would read without limit. A connection whose rest is long, slow
+        or malformed is closed instead, since its next request can't be found.
+        """
+        self.synchronized = False
+        self.send_100_continue_enabled = False
+        timeout = DISCARD_TIMEOUT.total_seconds()
+        with contextlib.suppress(OSError), gevent.Timeout(timeout, False):
+            # After an error in the chunks nothing more can be read.
+            if not self._chunked_input_error:
+                self.synchronized = (
+                    len(self.read(DISCARD_BYTES)) < DISCARD_BYTES
+                )
+
+
 class ConnectionHandler(pywsgi.WSGIHandler):  # type: ignore[misc]
     """Handles one connection with a limit on every read and write."""
 
+    wsgi_input: Any
+
     def __init__(self, sock: Any, address: Any, server: Any) -> None:
         sock.settimeout(SOCKET_TIMEOUT.total_seconds())
         # Headers and body are written separately; without this the body
@@ -42,8 +71,19 @@
         """Returns the WSGI environment with the path as it was sent."""
         environ: dict[str, Any] = super().get_environ()
         environ["RAW_PATH"] = self.path.partition("?")[0]
+        body = self.wsgi_input
+        self.wsgi_input = BodyInput(
+            body.rfile, body.content_length, body.socket, body.chunked_input
+        )
+        environ["wsgi.input"] = self.wsgi_input
         return environ
 
+    def handle_one_response(self) -> None:
+        """Answers a request and closes a connection that is out of step."""
+        super().handle_one_response()
+        if not self.wsgi_input.synchronized:
+            self.close_connection = True
+
     def log_request(self) -> None:
         """Leaves request logs to the application."""
 
--- a/src/coltsfootarch/idempotency/claims.py
+++ b/src/coltsfootarch/idempotency/claims.py
@@ -162,6 +162,10 @@
             raise errors.RefusedError(results.CLAIM_UNAVAILABLE) from error
         except errors.TableOutcomeUnknownError:
             return self.recognise(row_key, row)
+        except BaseException:
+            # The caller left or lost its key while the write was under way.
+            self.abandon(row_key, row.attempt)
+            raise
         return Claim(row_key, row, stored.version)
 
     def new_row(self, body_digest: str) -> rows.ClaimRow:
@@ -281,14 +285,22 @@
         Returns:
             Whether it is recorded now.
         """
-        if self.write_outcome(claim, outcome):
-            return True
-        now = self.clock.monotonic()
+        try:
+            written = self.write_outcome(claim, outcome)
+        except BaseException:
+            # The caller left or lost its key while the write was under way.
+            self.record_later(claim, outcome)
+            raise
+        if not written:
+            self.record_later(claim, outcome)
+        return written
+
+    def record_later(self, claim: Claim, outcome: rows.Outcome) -> None:
+        """Has an outcome recorded in the background."""
         self.pending[claim.row.attempt] = background.Pending(
-            claim, outcome, now
+            claim, outcome, self.clock.monotonic()
         )
         self.limit_pending()
-        return False
 
     def limit_pending(self) -> None:
         """Drops the oldest outcomes that can't be kept in memory."""
