--- a/src/coltsfootarch/gateway/call_pipeline.py
+++ b/src/coltsfootarch/gateway/call_pipeline.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import hashlib
 from typing import TYPE_CHECKING
 from typing import NamedTuple
@@ -118,40 +119,84 @@
         while True:
             attempt += 1
             try:
-                upstream = self.choose(call, excluded)
+                response = self.send_anywhere(call, excluded)
+            except errors.UpstreamError as error:
+                failure = worse(failure, errors.RefusedError(error.code))
             except errors.RefusedError as refusal:
                 if refusal.code in failures.ENDINGS:
                     raise
                 # The failure of a call that was sent is the true answer.
                 raise failure or refusal from refusal
-            try:
-                response = self.send_to(upstream, call)
-            except errors.UpstreamError as error:
-                failure = worse(failure, errors.RefusedError(error.code))
             else:
                 if response.status not in UNAVAILABLE_STATUSES:
                     return CallAnswer(response, replayed=False)
                 failure = errors.RefusedError(results.UPSTREAM_FAILED)
-            excluded.add(upstream.name)
             self.check_retry(call, attempt, failure)
             self.clock.sleep(self.backoff(attempt))
             excluded = self.still_useful(call.route.service.name, excluded)
 
-    def choose(self, call: Call, excluded: set[str]) -> register.Upstream:
-        """Returns an instance that may get new work.
+    def send_anywhere(
+        self, call: Call, excluded: set[str]
+    ) -> plain_client.PlainResponse:
+        """Sends a call to one instance and adds it to the excluded ones.
 
         Raises:
+            UpstreamError: The instance did not answer.
             RefusedError: There is none.
         """
+        upstream, connection = self.connect_allowed(call, excluded)
+        excluded.add(upstream.name)
+        return self.send(call, upstream, connection)
+
+    def connect_allowed(
+        self, call: Call, excluded: set[str]
+    ) -> tuple[register.Upstream, plain_client.PlainConnection]:
+        """Connects to an instance that may get new work.
+
+        The guard comes last, because a connect can take long, so that nothing
+        lies between it and the first byte. An instance that accepts no
+        connection is added to `excluded`.
+
+        Raises:
+            UpstreamConnectError: The instance accepts no connection.
+            RefusedError: There is no instance.
+        """
         denied: set[str] = set()
         while True:
             upstream = self.balancer.choose(
                 call.route.service.name, excluded | denied
             )
-            if self.guard.allows(upstream.name):
-                return upstream
+            self.balancer.started(upstream.name)
+            try:
+                connection = self.connector.connect(
+                    upstream.address, self.timeout(call)
+                )
+            except errors.UpstreamConnectError:
+                self.balancer.failed(upstream.name)
+                excluded.add(upstream.name)
+                raise
+            except BaseException:
+                self.balancer.cancelled(upstream.name)
+                raise
+            if self.is_allowed(upstream, connection):
+                return upstream, connection
             denied.add(upstream.name)
 
+    def is_allowed(
+        self,
+        upstream: register.Upstream,
+        connection: plain_client.PlainConnection,
+    ) -> bool:
+        """Returns whether an instance may get work; else gives it back."""
+        try:
+            allowed = self.guard.allows(upstream.name)
+        except BaseException:
+            self.give_back(upstream, connection)
+            raise
+        if not allowed:
+            self.give_back(upstream, connection)
+        return allowed
+
     def check_retry(
         self, call: Call, attempt: int, failure: errors.RefusedError
     ) -> None:
@@ -171,30 +216,6 @@
         }
         return excluded if names - excluded else set()
 
-    def send_to(
-        self, upstream: register.Upstream, call: Call
-    ) -> plain_client.PlainResponse:
-        """Sends a call to one instance on a new connection.
-
-        Raises:
-            UpstreamError: The instance did not answer.
-        """
-        self.balancer.started(upstream.name)
-        try:
-            connection = self.connect(upstream, call)
-            try:
-                response = connection.send(call.request, self.timeout(call))
-            finally:
-                connection.close()
-        except errors.UpstreamError:
-            self.balancer.failed(upstream.name)
-            raise
-        except BaseException:
-            self.balancer.cancelled(upstream.name)
-            raise
-        self.balancer.finished(upstream.name)
-        return response
-
     def run_once(self, call: Call) -> CallAnswer:
         """Sends a non-idempotent call at most once."""
         if not call.idempotency_key:
@@ -212,7 +233,9 @@
             self.metrics.increment(metrics.REPLAYS)
             return CallAnswer(replayed_response(claim), replayed=True)
         try:
-            upstream, connection = self.confirm(call, upstream, connection)
+            # A claim can take long, so the instance may be leaving by now.
+            if not self.is_allowed(upstream, connection):
+                upstream, connection = self.open_connection(call)
         except BaseException:
             self.claim_book.release(claim)
             raise
@@ -223,30 +246,6 @@
         self.claim_book.record(claim, outcome)
         return CallAnswer(response, replayed=False)
 
-    def confirm(
-        self,
-        call: Call,
-        upstream: register.Upstream,
-        connection: plain_client.PlainConnection,
-    ) -> tuple[register.Upstream, plain_client.PlainConnection]:
-        """Checks an instance again, because a claim can take long.
-
-        Returns:
-            The instance and its connection, or another one.
-
-        Raises:
-            RefusedError: No instance may get the call; nothing was sent.
-        """
-        try:
-            allowed = self.guard.allows(upstream.name)
-        except BaseException:
-            self.give_back(upstream, connection)
-            raise
-        if allowed:
-            return upstream, connection
-        self.give_back(upstream, connection)
-        return self.open_connection(call)
-
     def give_back(
         self,
         upstream: register.Upstream,
@@ -266,16 +265,8 @@
         """
         excluded: set[str] = set()
         for _ in range(MAX_CONNECT_ATTEMPTS):
-            upstream = self.choose(call, excluded)
-            self.balancer.started(upstream.name)
-            try:
-                return upstream, self.connect(upstream, call)
-            except errors.UpstreamConnectError:
-                self.balancer.failed(upstream.name)
-                excluded.add(upstream.name)
-            except BaseException:
-                self.balancer.cancelled(upstream.name)
-                raise
+            with contextlib.suppress(errors.UpstreamConnectError):
+                return self.connect_allowed(call, excluded)
         raise errors.RefusedError(results.UPSTREAM_CONNECT_FAILED)
 
     def send_claimed(
@@ -290,10 +281,26 @@
         leaves the claim in place and says "may have run".
         """
         try:
-            response = connection.send(call.request, self.timeout(call))
+            return self.send(call, upstream, connection)
         except errors.UpstreamError as error:
-            self.balancer.failed(upstream.name)
             raise errors.RefusedError(may_have_run(error)) from error
+
+    def send(
+        self,
+        call: Call,
+        upstream: register.Upstream,
+        connection: plain_client.PlainConnection,
+    ) -> plain_client.PlainResponse:
+        """Sends a call on an open connection and closes it.
+
+        Raises:
+            UpstreamError: The instance did not answer.
+        """
+        try:
+            response = connection.send(call.request, self.timeout(call))
+        except errors.UpstreamError:
+            self.balancer.failed(upstream.name)
+            raise
         except BaseException:
             self.balancer.cancelled(upstream.name)
             raise
@@ -302,12 +309,6 @@
         self.balancer.finished(upstream.name)
         return response
 
-    def connect(
-        self, upstream: register.Upstream, call: Call
-    ) -> plain_client.PlainConnection:
-        """Opens a new connection to an instance."""
-        return self.connector.connect(upstream.address, self.timeout(call))
-
     def timeout(self, call: Call) -> datetime.timedelta:
         """Returns the service's longest wait."""
         return call.route.service.timeout
--- a/src/coltsfootarch/gateway/completion_run.py
+++ b/src/coltsfootarch/gateway/completion_run.py
@@ -167,11 +167,9 @@
         An engine that may not is given back and excluded.
         """
         try:
-            leaving = [
-                name
-                for name in (placement.prefill, placement.decode)
-                if not self.pipeline.guard.allows(name)
-            ]
+            leaving = self.pipeline.guard.denied(
+                (placement.prefill, placement.decode)
+            )
         except BaseException:
             self.notify("cancelled", placement.decode)
             raise
--- a/src/coltsfootarch/gateway/dispatch_guard.py
+++ b/src/coltsfootarch/gateway/dispatch_guard.py
@@ -9,6 +9,8 @@
 from coltsfootarch.config import register
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from coltsfootarch.config import tracker
     from coltsfootarch.platform import host_list_watcher
 
@@ -34,11 +36,23 @@
 
     def allows(self, name: str) -> bool:
         """Returns whether an upstream may get new work now."""
+        return not self.denied([name])
+
+    def denied(self, names: Iterable[str]) -> list[str]:
+        """Returns those upstreams that may not get new work now.
+
+        One confirmation holds for all of them, so that none leaves between
+        the checks of two.
+        """
         self.config_tracker.ensure_fresh()
         self.watcher.ensure_fresh()
         # A request whose key the confirmed configuration no longer has is
         # ended here, and not at its next wait, which may follow the sending.
         gevent.sleep(0)
+        return [name for name in names if not self.is_active(name)]
+
+    def is_active(self, name: str) -> bool:
+        """Returns whether an upstream may get work as far as is known."""
         upstream = self.config_tracker.register.upstreams.get(name)
         if upstream is None:
             return False
--- a/tests/fakes/engines.py
+++ b/tests/fakes/engines.py
@@ -268,8 +268,21 @@
         self.settled.append((reservation, used))
 
 
+class ScriptedHostList:
+    """Leaving machines, read together with the configuration."""
+
+    def __init__(self, configuration):
+        self.configuration = configuration
+
+    def ensure_fresh(self):
+        """Does nothing and, unlike the tracker, never waits."""
+
+    def leaving(self):
+        return self.configuration.in_force_leaving
+
+
 class ScriptedConfiguration:
-    """Tracker and host list; `ensure_fresh` puts what is `coming` in force."""
+    """Tracker; `ensure_fresh` puts what is `coming` in force."""
 
     def __init__(self, script, register):
         self.script = script
@@ -284,6 +297,3 @@
         self.in_force_leaving = set(self.coming_leaving)
         if self.withdrawn:
             self.on_withdrawal()
-
-    def leaving(self):
-        return self.in_force_leaving
--- a/tests/faults/test_completion_path.py
+++ b/tests/faults/test_completion_path.py
@@ -69,7 +69,7 @@
             self.scheduler,
             self.engines,
             dispatch_guard.DispatchGuard(
-                self.configuration, self.configuration
+                self.configuration, engines.ScriptedHostList(self.configuration)
             ),
             reachability.Reachability(self.clock),
             budget.RetryBudget(self.clock, 0.2),
@@ -193,50 +193,93 @@
 
 
 SURVIVED = [
-    row("prefill", "connect refused", 6, ""),
-    row("prefill", "out-of-memory", 5, ""),
-    row("prefill", "duplicate-attempt", 5, ""),
-    row("prefill", "wrong-role", 5, ""),
-    row("prefill", "cancelled", 5, ""),
-    row("prefill", "crashed", 5, ""),
-    row("prefill", "silence", 1, ""),
-    row("prefill", "ends early", 1, ""),
-    row("prefill", "crash", 5, ""),
-    row("schedule", "pause, p1 leaves", 8, ""),
-    row("schedule", "pause, d1 leaves", 8, ""),
-    row("guard", "register loses d1", 5, ""),
-    row("prefilled", "pause, d1 leaves", 8, ""),
-    row("prefilled", "register loses d1", 1, ""),
-    row("transfer", "connect refused", 1, ""),
-    row("transfer", "export-expired", 1, ""),
-    row("transfer", "out-of-memory", 1, ""),
-    row("transfer", "superseded", 5, ""),
-    row("transfer", "silence", 1, ""),
-    row("transfer", "crash", 1, ""),
-    row("first token", "silence", 1, ""),
-    row("first token", "ends early", 1, ""),
-    row("first token", "crashed", 5, ""),
-    row("first token", "crash", 5, ""),
-    row("first token", "other request", 5, ""),
-    row("first token", "other attempt", 5, ""),
-    row("first token", "missing", 5, ""),
-    row("first token", "register loses d1", 5, ""),
-    row("mid-stream", "silence", 5, ""),
-    row("mid-stream", "ends early", 5, ""),
-    row("mid-stream", "crashed", 5, ""),
-    row("mid-stream", "crash", 5, ""),
-    row("mid-stream", "cancelled", 5, ""),
-    row("mid-stream", "repeated", 2, ""),
-    row("mid-stream", "overlap", 2, ""),
-    row("mid-stream", "missing", 5, ""),
-    row("mid-stream", "other request", 5, ""),
-    row("mid-stream", "other attempt", 5, ""),
-    row("last token", "silence", 5, ""),
-    row("last token", "crash", 5, ""),
-    row("last token", "repeated", 2, ""),
-    row("end mark", "silence", 5, ""),
-    row("end mark", "ends early", 5, ""),
-    row("end mark", "crash", 5, ""),
+    row("prefill", "connect refused", 6, "replacement of failed attempts"),
+    row("prefill", "out-of-memory", 5, "replacement of failed attempts"),
+    row("prefill", "duplicate-attempt", 5, "replacement of failed attempts"),
+    row("prefill", "wrong-role", 5, "replacement of failed attempts"),
+    row("prefill", "cancelled", 5, "replacement of failed attempts"),
+    row("prefill", "crashed", 5, "replacement of failed attempts"),
+    row("prefill", "silence", 1, "StaleEngines.release"),
+    row("prefill", "ends early", 1, "StaleEngines.release"),
+    row("prefill", "crash", 5, "exclusion of failed engines"),
+    row("schedule", "pause, p1 leaves", 8, "refusal of denied placements"),
+    row("schedule", "pause, d1 leaves", 8, "refusal of denied placements"),
+    row("guard", "register loses d1", 5, "refusal of denied placements"),
+    row("prefilled", "pause, d1 leaves", 8, "dispatch guard before decode"),
+    row(
+        "prefilled",
+        "register loses d1",
+        1,
+        "engines kept by CompletionRun.placed_engines",
+    ),
+    row("transfer", "connect refused", 1, "replacement of failed attempts"),
+    row("transfer", "export-expired", 1, "replacement of failed attempts"),
+    row("transfer", "out-of-memory", 1, "replacement of failed attempts"),
+    row("transfer", "superseded", 5, "replacement of failed attempts"),
+    row("transfer", "silence", 1, "StaleEngines.release"),
+    row("transfer", "crash", 1, "exclusion of failed engines"),
+    row("first token", "silence", 1, "StaleEngines.release"),
+    row("first token", "ends early", 1, "StaleEngines.release"),
+    row("first token", "crashed", 5, "replacement of failed attempts"),
+    row("first token", "crash", 5, "exclusion of failed engines"),
+    row(
+        "first token",
+        "other request",
+        5,
+        "identity check in CompletionRun.accept",
+    ),
+    row(
+        "first token",
+        "other attempt",
+        5,
+        "identity check in CompletionRun.accept",
+    ),
+    row("first token", "missing", 5, "offset check in CompletionRun.accept"),
+    row(
+        "mid-stream", "silence", 5, "resume and replacement of stalled streams"
+    ),
+    row(
+        "mid-stream",
+        "ends early",
+        5,
+        "resume and replacement of stalled streams",
+    ),
+    row("mid-stream", "crashed", 5, "replacement of failed attempts"),
+    row("mid-stream", "crash", 5, "exclusion of failed engines"),
+    row("mid-stream", "cancelled", 5, "replacement of failed attempts"),
+    row("mid-stream", "repeated", 2, "offset check in CompletionRun.accept"),
+    row("mid-stream", "overlap", 2, "offset check in CompletionRun.accept"),
+    row("mid-stream", "missing", 5, "offset check in CompletionRun.accept"),
+    row(
+        "mid-stream",
+        "other request",
+        5,
+        "identity check in CompletionRun.accept",
+    ),
+    row(
+        "mid-stream",
+        "other attempt",
+        5,
+        "identity check in CompletionRun.accept",
+    ),
+    row(
+        "last token", "silence", 5, "resume and replacement of stalled streams"
+    ),
+    row("last token", "crash", 5, "exclusion of failed engines"),
+    row("last token", "repeated", 2, "offset check in CompletionRun.accept"),
+    row(
+        "end mark",
+        "silence",
+        5,
+        "resume and end of an answer without its end mark",
+    ),
+    row(
+        "end mark",
+        "ends early",
+        5,
+        "resume and end of an answer without its end mark",
+    ),
+    row("end mark", "crash", 5, "end of an answer without its end mark"),
 ]
 
 
@@ -249,20 +292,25 @@
 
 
 ENDED = [
-    row("reserve", "caller cancels", 6, ""),
-    row("schedule", "caller cancels", 6, ""),
-    row("guard", "caller cancels", 1, ""),
-    row("prefill", "caller cancels", 1, ""),
-    row("transfer", "caller cancels", 1, ""),
-    row("first token", "caller cancels", 1, ""),
-    row("mid-stream", "caller cancels", 1, ""),
-    row("last token", "caller cancels", 1, ""),
-    row("end mark", "caller cancels", 1, ""),
-    row("schedule", "key withdrawn", 3, ""),
-    row("prefill", "key withdrawn", 3, ""),
-    row("mid-stream", "key withdrawn", 3, ""),
-    row("schedule", "pause, key withdrawn", 3, ""),
-    row("prefilled", "pause, key withdrawn", 3, ""),
+    row("reserve", "caller cancels", 6, "RequestHandle.interrupt"),
+    row("schedule", "caller cancels", 6, "unsent mark of refused connections"),
+    row("guard", "caller cancels", 1, "give-back on an interrupted guard"),
+    row("prefill", "caller cancels", 1, "CompletionRun.cancel"),
+    row("transfer", "caller cancels", 1, "CompletionRun.cancel"),
+    row("first token", "caller cancels", 1, "CompletionRun.cancel"),
+    row("mid-stream", "caller cancels", 1, "CompletionRun.cancel"),
+    row("last token", "caller cancels", 1, "CompletionRun.cancel"),
+    row("end mark", "caller cancels", 1, "CompletionRun.cancel"),
+    row("schedule", "key withdrawn", 3, "unsent mark of refused connections"),
+    row("prefill", "key withdrawn", 3, "CompletionRun.cancel"),
+    row("mid-stream", "key withdrawn", 3, "CompletionRun.cancel"),
+    row(
+        "schedule",
+        "pause, key withdrawn",
+        3,
+        "give-back on an interrupted guard",
+    ),
+    row("prefilled", "pause, key withdrawn", 3, "dispatch guard before decode"),
 ]
 
 
@@ -275,31 +323,150 @@
     assert world.error.code in (results.CLIENT_CANCELLED, results.KEY_WITHDRAWN)
 
 
+def several(invariant, seen_red, *faults):
+    shown = [f"{step}: {fault or 'none'}" for step, fault in faults]
+    marker = pytest.mark.matrix(
+        invariant=invariant,
+        fault=", then ".join(shown),
+        step="any",
+        seen_red=seen_red,
+    )
+    return pytest.param(faults, marks=marker, id="-".join(shown))
+
+
 PAIRS_OF_FAULTS = [
-    (("prefill", "connect refused"), ("schedule", ""), ("schedule", "refused")),
-    (("prefill", "silence"), ("schedule", ""), ("schedule", "refused")),
-    (("prefill", "silence"), ("schedule", ""), ("schedule", "caller cancels")),
-    (("mid-stream", "crash"), ("schedule", ""), ("schedule", "refused")),
-    (("mid-stream", "silence"), ("resume", "silence")),
-    (("mid-stream", "silence"), ("resume", "unknown-request")),
-    (("mid-stream", "crash"), ("first token", ""), ("first token", "crash")),
-    (("transfer", "export-expired"), ("transfer", "export-expired")),
-    (("transfer", "export-expired"), ("mid-stream", "caller cancels")),
-    (("mid-stream", "silence"), ("resume", "caller cancels")),
-    (("end mark", "silence"), ("resume", "crash")),
-    (("prefill", "silence"), ("cancel", "silence")),
-    (("first token", "silence"), ("cancel", "silence"), ("cancel", "silence")),
+    several(
+        6,
+        "unsent mark of refused connections",
+        ("prefill", "connect refused"),
+        ("schedule", ""),
+        ("schedule", "refused"),
+    ),
+    several(
+        1,
+        "StaleEngines.release",
+        ("prefill", "silence"),
+        ("schedule", ""),
+        ("schedule", "refused"),
+    ),
+    several(
+        1,
+        "StaleEngines.release",
+        ("prefill", "silence"),
+        ("schedule", ""),
+        ("schedule", "caller cancels"),
+    ),
+    several(
+        6,
+        "CompletionRun.sent",
+        ("mid-stream", "crash"),
+        ("schedule", ""),
+        ("schedule", "refused"),
+    ),
+    several(
+        6,
+        "CompletionRun.sent",
+        ("mid-stream", "silence"),
+        ("resume", "silence"),
+    ),
+    several(
+        6,
+        "CompletionRun.sent",
+        ("mid-stream", "silence"),
+        ("resume", "unknown-request"),
+    ),
+    several(
+        6,
+        "CompletionRun.sent",
+        ("mid-stream", "crash"),
+        ("first token", ""),
+        ("first token", "crash"),
+    ),
+    several(
+        6,
+        "CompletionRun.sent",
+        ("transfer", "export-expired"),
+        ("transfer", "export-expired"),
+    ),
+    several(
+        1,
+        "CompletionRun.cancel",
+        ("transfer", "export-expired"),
+        ("mid-stream", "caller cancels"),
+    ),
+    several(
+        1,
+        "CompletionRun.cancel",
+        ("mid-stream", "silence"),
+        ("resume", "caller cancels"),
+    ),
+    several(
+        1,
+        "end of an answer without its end mark",
+        ("end mark", "silence"),
+        ("resume", "crash"),
+    ),
+    several(
+        1, "CANCEL_ATTEMPTS", ("prefill", "silence"), ("cancel", "silence")
+    ),
+    several(
+        1,
+        "engines kept by CompletionRun.placed_engines",
+        ("first token", "register loses d1"),
+        ("mid-stream", "caller cancels"),
+    ),
+    several(
+        1,
+        "CANCEL_ATTEMPTS",
+        ("first token", "silence"),
+        ("cancel", "silence"),
+        ("cancel", "silence"),
+    ),
 ]
 
 
-@pytest.mark.parametrize("faults", PAIRS_OF_FAULTS, ids=str)
-@pytest.mark.matrix(invariant=1, fault="pairs", step="any", seen_red="")
+@pytest.mark.parametrize("faults", PAIRS_OF_FAULTS)
 def test_pairs_of_faults_keep_the_invariants(faults):
     World(faults).run().check()
 
 
 @pytest.mark.matrix(
-    invariant=6, fault="connect refused everywhere", step="prefill", seen_red=""
+    invariant=3,
+    fault="key withdrawn",
+    step="schedule again",
+    seen_red="failures.ENDINGS",
+)
+def test_end_during_a_replacement_keeps_its_code():
+    faults = [
+        ("prefill", "silence"),
+        ("schedule", ""),
+        ("schedule", "key withdrawn"),
+    ]
+    world = World(faults).run()
+
+    world.check()
+    assert world.error.code == results.KEY_WITHDRAWN
+
+
+@pytest.mark.matrix(
+    invariant=5,
+    fault="silent connection",
+    step="mid-stream",
+    seen_red="CompletionRun.can_resume",
+)
+def test_silent_stream_is_resumed_without_another_prefill():
+    world = World([("mid-stream", "silence")] * 2).run()
+
+    world.check()
+    assert world.finished()
+    assert len(world.scheduler.assigned) == 1
+
+
+@pytest.mark.matrix(
+    invariant=6,
+    fault="connect refused everywhere",
+    step="prefill",
+    seen_red="unsent mark of refused connections",
 )
 def test_not_run_is_said_when_no_engine_accepted_a_connection():
     world = World([("prefill", "connect refused")] * 9).run()
@@ -309,7 +476,10 @@
 
 
 @pytest.mark.matrix(
-    invariant=1, fault="caller leaves", step="mid-stream", seen_red=""
+    invariant=1,
+    fault="caller leaves",
+    step="mid-stream",
+    seen_red="CompletionPipeline.leave_for_resume",
 )
 @pytest.mark.parametrize("stream", [True, False])
 def test_caller_that_leaves_frees_the_engine(stream):
@@ -326,7 +496,7 @@
     invariant=1,
     fault="caller leaves after a replacement on the same engine",
     step="mid-stream",
-    seen_red="",
+    seen_red="StaleEngines.forget of a placement left for resume",
 )
 def test_answer_left_for_resume_is_not_cancelled_as_a_leftover():
     world = World([("transfer", "export-expired")], pairs=[("p1", "d1")])
@@ -347,7 +517,10 @@
 
 
 @pytest.mark.matrix(
-    invariant=1, fault="slow cancellation", step="mid-stream", seen_red=""
+    invariant=1,
+    fault="slow cancellation",
+    step="mid-stream",
+    seen_red="exclusion of engines being cancelled",
 )
 def test_engine_with_a_cancellation_under_way_gets_no_new_attempt():
     pairs = [("p1", "d1"), ("p2", "d2")]
@@ -429,7 +602,10 @@
 
 
 @pytest.mark.matrix(
-    invariant=1, fault="random schedules of faults", step="any", seen_red=""
+    invariant=1,
+    fault="random schedules of faults",
+    step="any",
+    seen_red="completions.closing",
 )
 @settings(max_examples=300)
 @given(
