--- a/src/coltsfootarch/gateway/components.py
+++ b/src/coltsfootarch/gateway/components.py
@@ -23,6 +23,7 @@
 from coltsfootarch.gateway import reachability
 from coltsfootarch.gateway import remote_cancel
 from coltsfootarch.idempotency import claims
+from coltsfootarch.idempotency import sweeper
 from coltsfootarch.keys import authenticator
 from coltsfootarch.limits import ledger_book
 from coltsfootarch.limits import limiter
@@ -160,6 +161,19 @@
             self.agent.holders.is_live,
         )
 
+        self.sweeper = sweeper.ClaimSweeper(
+            self.clock, self.tables, self.is_sweep_home
+        )
+
+    def is_sweep_home(self) -> bool:
+        """Returns whether this host holds the shard that sweeps claims."""
+        if not self.tracker.version:
+            return False
+        zones = list(self.register().availability_zones.values())
+        home = homes.scope_home("claims", "sweep", zones)
+        own_zone = home.availability_zone == self.settings.availability_zone
+        return own_zone and self.agent.leases.epoch(home.shard) is not None
+
     def build_scheduling(self) -> None:
         """Builds schedulers and the supervision of engines."""
         self.engines = engine_client.HttpEngineClient(
--- a/src/coltsfootarch/gateway/daemon.py
+++ b/src/coltsfootarch/gateway/daemon.py
@@ -75,6 +75,7 @@
             self.task("engines", CONTROL_INTERVAL, self.parts.monitor.tick),
             self.task("orphans", SLOW_INTERVAL, self.orphan_tick),
             self.task("claims", SLOW_INTERVAL, self.parts.claim_book.tick),
+            self.task("sweep", SLOW_INTERVAL, self.parts.sweeper.tick),
             self.task(
                 "connections", GAUGE_INTERVAL, self.parts.network.close_idle
             ),
--- /dev/null
+++ b/src/coltsfootarch/idempotency/sweeper.py
@@ -0,0 +1,60 @@
+"""Periodic removal of claims whose retention is over."""
+
+from __future__ import annotations
+
+import datetime
+from typing import TYPE_CHECKING
+
+from coltsfootarch.idempotency import retention
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from coltsfootarch import clock as clocks
+    from coltsfootarch.platform import tables as platform_tables
+
+INTERVAL = datetime.timedelta(seconds=10)
+# Row keys are hexadecimal digests. One prefix of three digits at a time keeps
+# each scan small; all of them take 11.4 hours, far below the retention.
+PREFIX_DIGITS = 3
+PREFIXES = 16**PREFIX_DIGITS
+
+
+class ClaimSweeper:
+    """Sweeps the claims prefix by prefix while this host is their home.
+
+    Args:
+        clock: Source of time.
+        tables: Table service.
+        is_home: Returns whether this host is to sweep now. Two hosts that
+            sweep at once do no harm.
+    """
+
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        tables: platform_tables.TableService,
+        is_home: Callable[[], bool],
+    ) -> None:
+        self.clock = clock
+        self.tables = tables
+        self.is_home = is_home
+        self.next_prefix = 0
+        self.next_run = 0.0
+        self.deleted = 0
+
+    def tick(self) -> None:
+        """Sweeps one prefix if the interval has passed.
+
+        Raises:
+            PlatformError: The table service failed; the next prefix follows.
+        """
+        now = self.clock.monotonic()
+        if now < self.next_run or not self.is_home():
+            return
+        self.next_run = now + INTERVAL.total_seconds()
+        prefix = f"{self.next_prefix:0{PREFIX_DIGITS}x}"
+        self.next_prefix = (self.next_prefix + 1) % PREFIXES
+        self.deleted += retention.sweep(
+            self.tables, self.clock.now(), prefix=prefix
+        )
