Leave the patches of the tests alone in benchmarks

Cause: since the benchmarks package patches threads too, and tests that import it (limits, policy) end the workers of pytest-xdist with LoopExit; pytest -n 4 fails on with INTERNALERROR. Change: the package patches only where nothing is patched yet.

--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -5,4 +5,7 @@
 
 from gevent import monkey
 
-monkey.patch_all()
+# The tests have patched a part by now; with threads patched as well, the
+# workers of pytest-xdist fail with LoopExit.
+if not monkey.is_module_patched("socket"):
+    monkey.patch_all()
