Make the stand-ins' handlers public and join their store faults

Change: handlers are named after method and path; store.StoreStandin holds down, delay and lose_answers; engine_streams holds the event streams; wait_if_silent takes the connection. Behaviour and assertions are unchanged.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -16,11 +16,11 @@
 from standins import engine_load
 from standins import engine_memory
 from standins import engine_prefill
+from standins import engine_streams
 from standins import engine_text
 from standins import server
 
 if TYPE_CHECKING:
-    import socket
     from collections.abc import Callable
     from collections.abc import Iterator
 
@@ -86,15 +86,14 @@
         self.orders: list[dict[str, Any]] = []
         self.highest_fencing = 0
         self.slow_factor = 1.0
-        self.stall_after: int | None = None
-        self.stall_streams = 0
-        self.foreign_answers = 0
-        self.foreign_attempts = 0
+        self.streams = engine_streams.EngineStreams(
+            self, self.profile, self.batch
+        )
         self.load = engine_load.LoadReporter(
             self.profile, self.memory, self.prefills, self.batch
         )
         self.greenlets: list[gevent.Greenlet] = []
-        self._add_routes()
+        self.add_routes()
 
     def start(self) -> None:
         """Listens and starts the work of the engine."""
@@ -128,9 +127,7 @@
     def apply_faults(self, faults: dict[str, Any]) -> None:
         """Sets the faults named in the class description."""
         super().apply_faults(faults)
-        if "stall_after" in faults:
-            self.stall_after = faults["stall_after"]
-            self.stall_streams = faults.get("stall_streams", 1)
+        self.streams.apply_faults(faults)
         self.slow_factor = faults.get("slow_factor", self.slow_factor)
         self.batch.stall_transfers = faults.get(
             "stall_transfers", self.batch.stall_transfers
@@ -138,93 +135,70 @@
         self.cache.lose_events = faults.get(
             "lose_cache_events", self.cache.lose_events
         )
-        self.foreign_answers = faults.get(
-            "foreign_answers", self.foreign_answers
-        )
-        self.foreign_attempts = faults.get(
-            "foreign_attempts", self.foreign_attempts
-        )
         self.checks_fencing = faults.get("checks_fencing", self.checks_fencing)
         if faults.get("crash"):
             self.crash()
 
-    def _add_routes(self) -> None:
+    def add_routes(self) -> None:
+        """Registers the handlers of `docs/upstream-protocol.md`."""
         route = self.app.route
-        route("/v1/prefill", "POST", self._prefill)
-        route("/v1/decode", "POST", self._decode)
-        route("/v1/exports/<handle>", "GET", self._get_export)
-        route("/v1/exports/<handle>", "DELETE", self._delete_export)
-        route("/v1/cancel", "POST", self._cancel)
-        route("/v1/requests", "GET", self._get_requests)
-        route("/v1/load", "GET", self._get_load)
-        route("/v1/cache-events", "GET", self._get_cache_events)
-        route("/v1/orders", "POST", self._order)
-
-    def _prefill(self) -> Iterator[bytes]:
-        submission = self._submission("prefill")
+        route("/v1/prefill", "POST", self.post_prefill)
+        route("/v1/decode", "POST", self.post_decode)
+        route("/v1/exports/<handle>", "GET", self.get_export)
+        route("/v1/exports/<handle>", "DELETE", self.delete_export)
+        route("/v1/cancel", "POST", self.post_cancel)
+        route("/v1/requests", "GET", self.get_requests)
+        route("/v1/load", "GET", self.get_load)
+        route("/v1/cache-events", "GET", self.get_cache_events)
+        route("/v1/orders", "POST", self.post_order)
+
+    def post_prefill(self) -> Iterator[bytes]:
+        """Handles `POST /v1/prefill`."""
+        submission = self.read_submission("prefill")
         known = self.prefills.jobs.get(submission.request_id)
-        self._supersede(known, submission)
+        self.supersede(known, submission)
         job = self.prefills.submit(submission)
         if job is None:
             raise engine_events.refusal(503, "out-of-memory")
         bottle.response.content_type = EVENT_STREAM
-        identity = self._identity(submission)
-        return self._prefill_events(job, identity, server.current_connection())
+        identity = self.streams.identity_of(submission)
+        return self.streams.prefill_events(
+            job, identity, server.current_connection()
+        )
 
-    def _prefill_events(
-        self,
-        job: engine_prefill.PrefillJob,
-        identity: dict[str, Any],
-        connection: socket.socket,
-    ) -> Iterator[bytes]:
-        yield engine_events.encode_event("accepted", identity)
-        while job.state in ("queued", "prefilling"):
-            event = job.signal.event
-            event.wait(self.profile.progress_interval)
-            self._hold_if_silent(connection)
-            if job.state in ("queued", "prefilling"):
-                yield engine_events.encode_event(
-                    "progress", {**identity, "state": job.state}
-                )
-        if job.ending is not None:
-            yield engine_events.encode_event(
-                "error", {**identity, **job.ending._asdict()}
-            )
-            return
-        exported = {
-            **identity,
-            "handle": job.handle,
-            "address": self.address,
-            "prompt_tokens": job.prompt_tokens,
-            "cached_tokens": job.cached_tokens,
-            "lifetime": self.profile.export_lifetime,
-        }
-        yield engine_events.encode_event("exported", exported)
-
-    def _decode(self) -> Iterator[bytes]:
+    def post_decode(self) -> Iterator[bytes]:
+        """Handles `POST /v1/decode`."""
         self.batch.forget_read()
         body = server.json_body()
         if body["mode"] == "resume":
-            generation = self._resumed(body)
+            generation = self.resume_generation(body)
             offset = body["offset"]
         else:
-            generation = self._started(body)
+            generation = self.start_generation(body)
             offset = generation.submission.first_offset
         bottle.response.content_type = EVENT_STREAM
-        identity = self._identity(generation.submission)
+        identity = self.streams.identity_of(generation.submission)
         connection = server.current_connection()
-        return self._token_events(generation, offset, identity, connection)
+        return self.streams.token_events(
+            generation, offset, identity, connection
+        )
 
-    def _started(self, body: dict[str, Any]) -> engine_decode.Generation:
-        submission = self._submission("decode")
+    def start_generation(
+        self, body: dict[str, Any]
+    ) -> engine_decode.Generation:
+        """Starts a new answer."""
+        submission = self.read_submission("decode")
         known = self.batch.generations.get(submission.request_id)
-        self._supersede(known, submission)
+        self.supersede(known, submission)
         generation = self.batch.submit(submission, body["source"])
         if generation is None:
             raise engine_events.refusal(503, "out-of-memory")
         return generation
 
-    def _resumed(self, body: dict[str, Any]) -> engine_decode.Generation:
+    def resume_generation(
+        self, body: dict[str, Any]
+    ) -> engine_decode.Generation:
+        """Returns a running answer that has the requested offset."""
         generation = self.batch.generations.get(body["request_id"])
         if generation is None:
             raise engine_events.refusal(404, "unknown-request")
@@ -233,80 +207,8 @@
             raise engine_events.refusal(416, "offset-out-of-range")
         return generation
 
-    def _token_events(
-        self,
-        generation: engine_decode.Generation,
-        offset: int,
-        identity: dict[str, Any],
-        connection: socket.socket,
-    ) -> Iterator[bytes]:
-        limit = self._take_stall()
-        yield engine_events.encode_event(
-            "accepted", {**identity, "offset": offset}
-        )
-        while True:
-            self._hold_if_silent(connection)
-            changed = generation.signal.event
-            if generation.ending is not None:
-                ending = generation.ending._asdict()
-                yield engine_events.encode_event(
-                    "error", {**identity, **ending}
-                )
-                return
-            start = offset - generation.submission.first_offset
-            texts = generation.tokens[start:]
-            if limit is not None:
-                texts = texts[:limit]
-                limit -= len(texts)
-            if texts:
-                end = offset + len(texts)
-                finished = end >= generation.end_offset
-                generation.last_read = time.monotonic()
-                yield engine_events.encode_tokens(
-                    identity, offset, texts, finished
-                )
-                offset = end
-                if finished:
-                    self.batch.finish_reading(generation)
-                    return
-                continue
-            if limit == 0:
-                self.closed.wait()
-                return
-            if not changed.wait(self.profile.progress_interval) and (
-                self._is_progressing(generation)
-            ):
-                state = {"state": generation.state}
-                yield engine_events.encode_event(
-                    "progress", {**identity, **state}
-                )
-
-    def _is_progressing(self, generation: engine_decode.Generation) -> bool:
-        if generation.state == "importing":
-            return not self.batch.stall_transfers
-        return generation.state == "waiting"
-
-    def _take_stall(self) -> int | None:
-        if self.stall_after is None or not self.stall_streams:
-            return None
-        self.stall_streams -= 1
-        return self.stall_after
-
-    def _hold_if_silent(self, connection: socket.socket) -> None:
-        if connection in self.silent:
-            self.closed.wait()
-
-    def _identity(self, submission: engine_memory.Submission) -> dict[str, Any]:
-        identity = submission.identity
-        if self.foreign_answers:
-            self.foreign_answers -= 1
-            identity["request_id"] = "foreign"
-        if self.foreign_attempts:
-            self.foreign_attempts -= 1
-            identity["attempt"] += 1
-        return identity
-
-    def _submission(self, role: str) -> engine_memory.Submission:
+    def read_submission(self, role: str) -> engine_memory.Submission:
+        """Returns the submitted request if this engine can run it."""
         submission = engine_events.read_submission(server.json_body())
         if CRASH_MARK in submission.prompt:
             self.crash()
@@ -315,7 +217,7 @@
             raise engine_events.refusal(409, "wrong-role")
         return submission
 
-    def _supersede(
+    def supersede(
         self,
         known: engine_memory.Job | None,
         submission: engine_memory.Submission,
@@ -325,44 +227,52 @@
             return
         if known.submission.attempt >= submission.attempt:
             raise engine_events.refusal(409, "duplicate-attempt")
-        self._end(submission.request_id, engine_memory.SUPERSEDED)
+        self.end(submission.request_id, engine_memory.SUPERSEDED)
 
-    def _end(self, request_id: str, ending: engine_memory.Ending) -> None:
+    def end(self, request_id: str, ending: engine_memory.Ending) -> None:
+        """Ends a request in whichever queue it is."""
         self.prefills.cancel(request_id, ending)
         self.batch.cancel(request_id, ending)
 
-    def _get_export(self, handle: str) -> dict[str, Any]:
+    def get_export(self, handle: str) -> dict[str, Any]:
+        """Handles `GET /v1/exports/HANDLE`."""
         job = self.prefills.export(handle)
         if job is None:
             raise engine_events.refusal(410, "export-expired")
         return {"prompt_tokens": job.prompt_tokens}
 
-    def _delete_export(self, handle: str) -> dict[str, Any]:
+    def delete_export(self, handle: str) -> dict[str, Any]:
+        """Handles `DELETE /v1/exports/HANDLE`."""
         if not self.prefills.finish(handle):
             raise engine_events.refusal(410, "export-expired")
         return {}
 
-    def _cancel(self) -> dict[str, Any]:
+    def post_cancel(self) -> dict[str, Any]:
+        """Handles `POST /v1/cancel`."""
         self.wait_if_silent()
         request_id = server.json_body()["request_id"]
-        self._end(request_id, engine_memory.CANCELLED)
+        self.end(request_id, engine_memory.CANCELLED)
         return {}
 
-    def _get_requests(self) -> dict[str, Any]:
+    def get_requests(self) -> dict[str, Any]:
+        """Handles `GET /v1/requests`."""
         self.wait_if_silent()
         entries = self.prefills.entries() + self.batch.entries()
         return {"requests": entries}
 
-    def _get_load(self) -> dict[str, Any]:
+    def get_load(self) -> dict[str, Any]:
+        """Handles `GET /v1/load`."""
         self.wait_if_silent()
         return self.load.latest()
 
-    def _get_cache_events(self) -> dict[str, Any]:
+    def get_cache_events(self) -> dict[str, Any]:
+        """Handles `GET /v1/cache-events`."""
         self.wait_if_silent()
         after = int(bottle.request.query.get("after", "0"))
         return {"events": self.cache.visible_events(after)}
 
-    def _order(self) -> dict[str, Any]:
+    def post_order(self) -> dict[str, Any]:
+        """Handles `POST /v1/orders`."""
         body = server.json_body()
         if self.checks_fencing and body["fencing"] < self.highest_fencing:
             raise engine_events.refusal(409, "stale-fencing")
--- a/standins/engine_decode.py
+++ b/standins/engine_decode.py
@@ -90,14 +90,14 @@
             return None
         generation.pieces = pieces
         self.generations[submission.request_id] = generation
-        gevent.spawn(self._import, generation, source, tokens)
+        gevent.spawn(self.import_cache, generation, source, tokens)
         return generation
 
     def run(self) -> None:
         """Steps the batch until the greenlet is killed."""
         while True:
             event = self.wake.event
-            self._admit()
+            self.admit()
             running = self.in_state("running")
             if not running:
                 event.wait()
@@ -146,7 +146,8 @@
         for request_id in list(self.generations):
             self.cancel(request_id, engine_memory.CRASHED)
 
-    def _admit(self) -> None:
+    def admit(self) -> None:
+        """Starts waiting answers while slots are free."""
         free = self.profile.slots - len(self.in_state("running"))
         waiting = sorted(
             self.in_state("waiting"),
@@ -155,13 +156,14 @@
         for generation in waiting[:free]:
             generation.change("running")
 
-    def _import(
+    def import_cache(
         self, generation: Generation, source: dict[str, str], tokens: int
     ) -> None:
+        """Imports a KV cache; the answer then waits for a slot."""
         arrived = fetch("GET", source)
         if arrived:
             with self.link:
-                self._transfer(generation, tokens)
+                self.transfer(generation, tokens)
             arrived = generation.ending is None and fetch("DELETE", source)
         if generation.ending is not None:
             return
@@ -172,7 +174,7 @@
         generation.change("waiting")
         self.wake.notify()
 
-    def _transfer(self, generation: Generation, tokens: int) -> None:
+    def transfer(self, generation: Generation, tokens: int) -> None:
         """Occupies the link for as long as the KV cache takes."""
         left = tokens
         while left > 0 and generation.ending is None:
--- a/standins/engine_memory.py
+++ b/standins/engine_memory.py
@@ -215,7 +215,7 @@
         while len(self.chunks) > self.profile.cache_chunks:
             evicted.append(self.chunks.popitem(last=False)[0])
         if stored or evicted:
-            self._publish(stored, evicted)
+            self.publish(stored, evicted)
 
     def clear(self) -> None:
         """Loses the content, as in a crash, and leaves a gap of numbers."""
@@ -232,7 +232,8 @@
             if visible_at <= now and event["sequence"] > after
         ]
 
-    def _publish(self, stored: list[int], evicted: list[int]) -> None:
+    def publish(self, stored: list[int], evicted: list[int]) -> None:
+        """Adds a cache event, visible after the delay."""
         self.sequence += 1
         if self.lose_events:
             self.lose_events -= 1
--- a/standins/engine_prefill.py
+++ b/standins/engine_prefill.py
@@ -70,7 +70,7 @@
                 event.wait()
                 continue
             first = max(queued, key=lambda job: job.submission.priority)
-            self._prefill(first)
+            self.run_job(first)
 
     def queued(self) -> list[PrefillJob]:
         """Returns the jobs that wait, oldest first."""
@@ -92,14 +92,14 @@
         job = self.export(handle)
         if job is None:
             return False
-        self._remove(job, engine_memory.EXPIRED)
+        self.remove(job, engine_memory.EXPIRED)
         return True
 
     def cancel(self, request_id: str, ending: engine_memory.Ending) -> None:
         """Frees the request if it is known."""
         job = self.jobs.get(request_id)
         if job is not None:
-            self._remove(job, ending)
+            self.remove(job, ending)
 
     def entries(self) -> list[dict[str, Any]]:
         """Returns the entries of `GET /v1/requests`."""
@@ -111,9 +111,10 @@
     def clear(self) -> None:
         """Ends all requests, as in a crash."""
         for job in list(self.jobs.values()):
-            self._remove(job, engine_memory.CRASHED)
+            self.remove(job, engine_memory.CRASHED)
 
-    def _prefill(self, job: PrefillJob) -> None:
+    def run_job(self, job: PrefillJob) -> None:
+        """Prefills one job and exports its KV cache."""
         job.change("prefilling")
         cached = self.cache.cached_tokens(job.submission.prompt)
         job.cached_tokens = min(cached, job.prompt_tokens)
@@ -127,13 +128,15 @@
             return
         self.cache.store(job.submission.prompt)
         job.change("exported")
-        gevent.spawn_later(self.profile.export_lifetime, self._expire, job)
+        gevent.spawn_later(self.profile.export_lifetime, self.expire, job)
 
-    def _expire(self, job: PrefillJob) -> None:
+    def expire(self, job: PrefillJob) -> None:
+        """Frees an export whose lifetime is over."""
         if job.state == "exported":
-            self._remove(job, engine_memory.EXPIRED)
+            self.remove(job, engine_memory.EXPIRED)
 
-    def _remove(self, job: PrefillJob, ending: engine_memory.Ending) -> None:
+    def remove(self, job: PrefillJob, ending: engine_memory.Ending) -> None:
+        """Forgets a job and frees its memory."""
         if self.jobs.get(job.submission.request_id) is job:
             del self.jobs[job.submission.request_id]
         job.end(self.memory, ending)
--- a/standins/host_list.py
+++ b/standins/host_list.py
@@ -42,8 +42,8 @@
         self.lag = lag
         self.down = False
         self.listings = [Listing((), (), 0.0)]
-        self.app.route("/v1/hosts", "GET", self._get_hosts)
-        self.app.route("/-/list", "PUT", self._put_list)
+        self.app.route("/v1/hosts", "GET", self.get_hosts)
+        self.app.route("/-/list", "PUT", self.put_list)
 
     def apply_faults(self, faults: dict[str, Any]) -> None:
         """Sets the faults named in the class description."""
@@ -66,7 +66,8 @@
         past = [entry for entry in self.listings if entry.visible_at <= now]
         return max(past, key=lambda entry: entry.visible_at)
 
-    def _get_hosts(self) -> bottle.HTTPResponse:
+    def get_hosts(self) -> bottle.HTTPResponse:
+        """Handles `GET /v1/hosts`."""
         self.wait_if_silent()
         if self.down:
             return bottle.HTTPResponse(status=503)
@@ -75,7 +76,8 @@
             200, {"live": listing.live, "leaving": listing.leaving}
         )
 
-    def _put_list(self) -> dict[str, Any]:
+    def put_list(self) -> dict[str, Any]:
+        """Handles `PUT /-/list`."""
         body = server.json_body()
         self.set_list(body.get("live", []), body.get("leaving", []))
         return {}
--- a/standins/objects.py
+++ b/standins/objects.py
@@ -2,21 +2,16 @@
 
 from __future__ import annotations
 
-from typing import Any
-
 import bottle
-import gevent
 
 from standins import command
 from standins import server
+from standins import store
 
 
-class ObjectsStandin(server.Standin):
+class ObjectsStandin(store.StoreStandin):
     """Objects in memory.
 
-    Faults: `down` answers 503, `delay` is in seconds, `lose_answers` is the
-    number of coming writes that take effect and lose their connection.
-
     Attributes:
         objects: Objects by key.
     """
@@ -24,29 +19,19 @@
     def __init__(self, address: str = server.LISTEN_ADDRESS) -> None:
         super().__init__(address)
         self.objects: dict[str, bytes] = {}
-        self.down = False
-        self.delay = 0.0
-        self.lose_answers = 0
-        self.app.route("/v1/objects/<key:path>", "PUT", self._put)
-        self.app.route("/v1/objects/<key:path>", "GET", self._get)
+        self.app.route("/v1/objects/<key:path>", "PUT", self.put_object)
+        self.app.route("/v1/objects/<key:path>", "GET", self.get_object)
 
-    def apply_faults(self, faults: dict[str, Any]) -> None:
-        """Sets the faults named in the class description."""
-        super().apply_faults(faults)
-        self.down = faults.get("down", self.down)
-        self.delay = faults.get("delay", self.delay)
-        self.lose_answers = faults.get("lose_answers", self.lose_answers)
-
-    def _put(self, key: str) -> bottle.HTTPResponse:
-        self._meet_faults()
+    def put_object(self, key: str) -> bottle.HTTPResponse:
+        """Handles `PUT /v1/objects/KEY`."""
+        self.inject_call_faults()
         self.objects[key] = bottle.request.body.read()
-        if self.lose_answers:
-            self.lose_answers -= 1
-            server.drop(server.current_connection())
+        self.inject_answer_faults()
         return bottle.HTTPResponse(status=204)
 
-    def _get(self, key: str) -> bottle.HTTPResponse:
-        self._meet_faults()
+    def get_object(self, key: str) -> bottle.HTTPResponse:
+        """Handles `GET /v1/objects/KEY`."""
+        self.inject_call_faults()
         if key not in self.objects:
             return bottle.HTTPResponse(status=404)
         return bottle.HTTPResponse(
@@ -54,13 +39,6 @@
             headers={"Content-Type": "application/octet-stream"},
         )
 
-    def _meet_faults(self) -> None:
-        if self.delay:
-            gevent.sleep(self.delay)
-        self.wait_if_silent()
-        if self.down:
-            raise bottle.HTTPResponse(status=503)
-
 
 if __name__ == "__main__":
     arguments = command.parser(__doc__).parse_args()
--- a/standins/plain.py
+++ b/standins/plain.py
@@ -34,9 +34,9 @@
         self.die_before_answer = 0
         self.delay = 0.0
         self.refusal: gevent.Greenlet | None = None
-        self.app.route("/bookings", "POST", self._book)
-        self.app.route("/stock", "GET", self._get_stock)
-        self.app.route("/-/runs", "GET", self._get_runs)
+        self.app.route("/bookings", "POST", self.post_booking)
+        self.app.route("/stock", "GET", self.get_stock)
+        self.app.route("/-/runs", "GET", self.get_runs)
 
     def apply_faults(self, faults: dict[str, Any]) -> None:
         """Sets the faults named in the class description."""
@@ -55,23 +55,27 @@
             self.refusal.kill()
         super().close()
 
-    def _book(self) -> bottle.HTTPResponse:
+    def post_booking(self) -> bottle.HTTPResponse:
+        """Handles `POST /bookings`."""
         self.wait_if_silent()
         body = server.json_body()
         self.runs[body["booking_id"]] += 1
-        self._meet_faults()
+        self.inject_faults()
         return server.json_answer(201, {"booking_id": body["booking_id"]})
 
-    def _get_stock(self) -> bottle.HTTPResponse:
+    def get_stock(self) -> bottle.HTTPResponse:
+        """Handles `GET /stock`."""
         self.wait_if_silent()
         self.stock_reads += 1
-        self._meet_faults()
+        self.inject_faults()
         return server.json_answer(200, {"items": {"walker": 4, "bed": 2}})
 
-    def _get_runs(self) -> dict[str, Any]:
+    def get_runs(self) -> dict[str, Any]:
+        """Handles `GET /-/runs`."""
         return {"runs": dict(self.runs), "stock_reads": self.stock_reads}
 
-    def _meet_faults(self) -> None:
+    def inject_faults(self) -> None:
+        """Applies the faults between the run and its answer."""
         if self.delay:
             gevent.sleep(self.delay)
         self.wait_if_silent()
--- a/standins/server.py
+++ b/standins/server.py
@@ -38,15 +38,17 @@
     headers: dict[str, str]
 
 
-class _Handler(pywsgi.WSGIHandler):  # type: ignore[misc]
+class ConnectionHandler(pywsgi.WSGIHandler):  # type: ignore[misc]
+    """Passes the connection of a request to its handler."""
+
     def get_environ(self) -> dict[str, Any]:
         environ: dict[str, Any] = super().get_environ()
         environ[CONNECTION_KEY] = self.socket
         return environ
 
 
-class _Server(pywsgi.WSGIServer):  # type: ignore[misc]
-    """Server that knows its open connections."""
+class ConnectionServer(pywsgi.WSGIServer):  # type: ignore[misc]
+    """WSGI server that keeps a set of its open connections."""
 
     def __init__(
         self,
@@ -59,7 +61,7 @@
             application,
             log=None,
             error_log=None,
-            handler_class=_Handler,
+            handler_class=ConnectionHandler,
         )
         self.connections = connections
 
@@ -90,14 +92,14 @@
     def __init__(self, address: str = LISTEN_ADDRESS) -> None:
         self.address = address
         self.app = bottle.Bottle()
-        self.app.add_hook("before_request", self._record)
-        self.app.route("/-/faults", "POST", self._post_faults)
-        self.app.route("/-/headers", "GET", self._get_headers)
+        self.app.add_hook("before_request", self.record_request)
+        self.app.route("/-/faults", "POST", self.post_faults)
+        self.app.route("/-/headers", "GET", self.get_headers)
         self.recorded: list[RecordedRequest] = []
         self.connections: set[socket.socket] = set()
         self.silent: set[socket.socket] = set()
         self.closed = gevent.event.Event()
-        self.server: _Server | None = None
+        self.server: ConnectionServer | None = None
 
     def start(self) -> None:
         """Listens; the address is free for the next `start` after `close`."""
@@ -113,7 +115,9 @@
     def listen(self) -> None:
         """Accepts connections on the address."""
         host, _, port = self.address.rpartition(":")
-        self.server = _Server((host, int(port)), self.app, self.connections)
+        self.server = ConnectionServer(
+            (host, int(port)), self.app, self.connections
+        )
         self.server.start()
         self.address = f"{host}:{self.server.server_port}"
 
@@ -132,9 +136,16 @@
         """Makes the connections open now deliver nothing for ever."""
         self.silent.update(self.connections)
 
-    def wait_if_silent(self) -> None:
-        """Blocks the handler until `close` if its connection is silent."""
-        if current_connection() in self.silent:
+    def wait_if_silent(self, connection: socket.socket | None = None) -> None:
+        """Blocks the handler until `close` if its connection is silent.
+
+        Args:
+            connection: Connection of the handler; by default that of the
+                request in progress.
+        """
+        if connection is None:
+            connection = current_connection()
+        if connection in self.silent:
             self.closed.wait()
 
     def apply_faults(self, faults: dict[str, Any]) -> None:
@@ -146,7 +157,8 @@
         if faults.get("silence"):
             self.silence_connections()
 
-    def _record(self) -> None:
+    def record_request(self) -> None:
+        """Keeps the headers of the request in progress."""
         request = bottle.request
         headers = {
             name.lower(): value for name, value in request.headers.items()
@@ -156,11 +168,13 @@
         )
         del self.recorded[:-RECORDED_REQUESTS]
 
-    def _post_faults(self) -> dict[str, Any]:
+    def post_faults(self) -> dict[str, Any]:
+        """Handles `POST /-/faults`."""
         self.apply_faults(json_body())
         return {}
 
-    def _get_headers(self) -> dict[str, Any]:
+    def get_headers(self) -> dict[str, Any]:
+        """Handles `GET /-/headers`."""
         return {"requests": [entry._asdict() for entry in self.recorded]}
 
 
--- a/standins/tables.py
+++ b/standins/tables.py
@@ -7,10 +7,9 @@
 from typing import Any
 from typing import NamedTuple
 
-import gevent
-
 from standins import command
 from standins import server
+from standins import store
 
 if TYPE_CHECKING:
     import bottle
@@ -25,13 +24,9 @@
     version: int
 
 
-class TablesStandin(server.Standin):
+class TablesStandin(store.StoreStandin):
     """Transactional tables in memory.
 
-    Faults: `down` answers that nothing was applied, `delay` is the number of
-    seconds before each call takes effect, `lose_answers` the number of coming
-    transactions that take effect and lose their connection.
-
     Attributes:
         rows: Rows by table and key.
         last_version: Version of the last write, deletions included.
@@ -45,41 +40,38 @@
         self.last_version = 0
         self.reads = 0
         self.transactions = 0
-        self.down = False
-        self.delay = 0.0
-        self.lose_answers = 0
-        self.app.route("/v1/get", "POST", self._get)
-        self.app.route("/v1/scan", "POST", self._scan)
-        self.app.route("/v1/transact", "POST", self._transact)
-
-    def apply_faults(self, faults: dict[str, Any]) -> None:
-        """Sets the faults named in the class description."""
-        super().apply_faults(faults)
-        self.down = faults.get("down", self.down)
-        self.delay = faults.get("delay", self.delay)
-        self.lose_answers = faults.get("lose_answers", self.lose_answers)
-
-    def _get(self) -> bottle.HTTPResponse:
-        self._meet_faults()
+        self.app.route("/v1/get", "POST", self.get)
+        self.app.route("/v1/scan", "POST", self.scan)
+        self.app.route("/v1/transact", "POST", self.transact)
+
+    def unavailable(self) -> bottle.HTTPResponse:
+        """Returns the answer that nothing was applied."""
+        return server.json_answer(503, UNAVAILABLE)
+
+    def get(self) -> bottle.HTTPResponse:
+        """Handles `POST /v1/get`."""
+        self.inject_call_faults()
         self.reads += 1
         body = server.json_body()
         key = (body["table"], body["key"])
-        row = self._document(key) if key in self.rows else None
+        row = self.document(key) if key in self.rows else None
         return server.json_answer(200, {"row": row})
 
-    def _scan(self) -> bottle.HTTPResponse:
-        self._meet_faults()
+    def scan(self) -> bottle.HTTPResponse:
+        """Handles `POST /v1/scan`."""
+        self.inject_call_faults()
         self.reads += 1
         body = server.json_body()
         rows = [
-            self._document(key)
+            self.document(key)
             for key in sorted(self.rows)
             if key[0] == body["table"] and key[1].startswith(body["prefix"])
         ]
         return server.json_answer(200, {"rows": rows})
 
-    def _transact(self) -> bottle.HTTPResponse:
-        self._meet_faults()
+    def transact(self) -> bottle.HTTPResponse:
+        """Handles `POST /v1/transact`."""
+        self.inject_call_faults()
         body = server.json_body()
         for check in body["checks"]:
             row = self.rows.get((check["table"], check["key"]))
@@ -88,15 +80,14 @@
                 return server.json_answer(
                     409, {"error": name, "applied": False}
                 )
-        written = [self._write(write) for write in body["writes"]]
+        written = [self.write(write) for write in body["writes"]]
         self.transactions += 1
-        if self.lose_answers:
-            self.lose_answers -= 1
-            server.drop(server.current_connection())
-        rows = [self._document(key) for key in written if key in self.rows]
+        self.inject_answer_faults()
+        rows = [self.document(key) for key in written if key in self.rows]
         return server.json_answer(200, {"rows": rows})
 
-    def _write(self, write: dict[str, Any]) -> tuple[str, str]:
+    def write(self, write: dict[str, Any]) -> tuple[str, str]:
+        """Applies one write and returns its table and key."""
         key = (write["table"], write["key"])
         self.last_version += 1
         if write["value"] is None:
@@ -106,7 +97,8 @@
         self.rows[key] = StoredRow(value, self.last_version)
         return key
 
-    def _document(self, key: tuple[str, str]) -> dict[str, Any]:
+    def document(self, key: tuple[str, str]) -> dict[str, Any]:
+        """Returns the JSON document of a row."""
         row = self.rows[key]
         value = base64.b64encode(row.value).decode("ascii")
         return {
@@ -116,13 +108,6 @@
             "version": row.version,
         }
 
-    def _meet_faults(self) -> None:
-        if self.delay:
-            gevent.sleep(self.delay)
-        self.wait_if_silent()
-        if self.down:
-            raise server.json_answer(503, UNAVAILABLE)
-
 
 if __name__ == "__main__":
     arguments = command.parser(__doc__).parse_args()
--- a/standins/weights.py
+++ b/standins/weights.py
@@ -42,21 +42,23 @@
         self.rate = rate
         self.sizes: dict[str, int] = {}
         self.free_at = 0.0
-        self.app.route("/v1/weights/<name>", "GET", self._get)
+        self.app.route("/v1/weights/<name>", "GET", self.get_weights)
 
     def apply_faults(self, faults: dict[str, Any]) -> None:
         """Sets the faults named in the class description."""
         super().apply_faults(faults)
         self.rate = faults.get("rate", self.rate)
 
-    def _get(self, name: str) -> Iterator[bytes]:
+    def get_weights(self, name: str) -> Iterator[bytes]:
+        """Handles `GET /v1/weights/NAME`."""
         if name not in self.sizes:
             raise bottle.HTTPResponse(status=404)
         bottle.response.content_length = self.sizes[name]
         bottle.response.content_type = "application/octet-stream"
-        return self._chunks(self.sizes[name])
+        return self.chunks(self.sizes[name])
 
-    def _chunks(self, size: int) -> Iterator[bytes]:
+    def chunks(self, size: int) -> Iterator[bytes]:
+        """Yields zero bytes at the shared rate."""
         for start in range(0, size, CHUNK_BYTES):
             length = min(CHUNK_BYTES, size - start)
             now = time.monotonic()
--- a/tests/standins/test_standins.py
+++ b/tests/standins/test_standins.py
@@ -44,7 +44,7 @@
         generation = batch.submit(submission, {"address": "", "handle": ""})
         generation.change("waiting")
 
-    batch._admit()
+    batch.admit()
 
     assert batch.generations["r0"].state == "waiting"
     assert batch.generations["r1"].state == "running"
