Split the recording of outcomes from the claims

Change: OutcomeRecorder in idempotency/outcomes.py writes, repeats and reads outcomes; read_claim and is_resolved replace the names. Behaviour and assertions are unchanged; one test takes MAX_PENDING_BYTES from its new module.

--- a/src/coltsfootarch/idempotency/background.py
+++ b/src/coltsfootarch/idempotency/background.py
@@ -9,8 +9,9 @@
     from coltsfootarch.idempotency import claims
     from coltsfootarch.idempotency import rows
 
-# A write that the store delays is looked for this long, at growing intervals.
-ABANDONED_WATCH = datetime.timedelta(minutes=10)
+# A write that the store delays may still appear within this time; it is
+# checked for at growing intervals.
+ABANDONED_RETENTION = datetime.timedelta(minutes=10)
 FIRST_RETRY = datetime.timedelta(seconds=1)
 LAST_RETRY = datetime.timedelta(seconds=30)
 
@@ -20,12 +21,12 @@
 
     def __init__(self, row_key: str, now: float) -> None:
         self.row_key = row_key
-        self.until = now + ABANDONED_WATCH.total_seconds()
+        self.until = now + ABANDONED_RETENTION.total_seconds()
         self.pause = FIRST_RETRY
         self.retry_at = now
 
     def postpone(self, now: float) -> None:
-        """Sets the next look, later each time."""
+        """Sets the next check, later each time."""
         self.retry_at = now + self.pause.total_seconds()
         self.pause = min(self.pause * 2, LAST_RETRY)
 
@@ -42,6 +43,6 @@
         self.retry_at = now + self.pause.total_seconds()
 
     def postpone(self, now: float) -> None:
-        """Sets the next try, later each time."""
+        """Sets the next attempt, later each time."""
         self.pause = min(self.pause * 2, LAST_RETRY)
         self.retry_at = now + self.pause.total_seconds()
--- a/src/coltsfootarch/idempotency/claims.py
+++ b/src/coltsfootarch/idempotency/claims.py
@@ -13,6 +13,7 @@
 from coltsfootarch import errors
 from coltsfootarch import results
 from coltsfootarch.idempotency import background
+from coltsfootarch.idempotency import outcomes
 from coltsfootarch.idempotency import rows
 from coltsfootarch.platform import tables as platform_tables
 
@@ -28,12 +29,8 @@
 OUTCOME_WAIT = datetime.timedelta(seconds=2)
 OUTCOME_STEP = datetime.timedelta(milliseconds=100)
 
-# Claims that are removed and made again while this host looks at them.
-CLAIM_TRIES = 3
-
-# Outcomes kept in memory while they can't be recorded; the oldest is dropped
-# first, and a retry of its request is then answered "may have run".
-MAX_PENDING_BYTES = 4 * 1024 * 1024
+# Attempts to write a claim whose row other hosts remove in the meantime.
+CLAIM_ATTEMPTS = 3
 
 
 class Claim(NamedTuple):
@@ -92,14 +89,14 @@
         retention: datetime.timedelta = RETENTION,
     ) -> None:
         self.tables = tables
-        self.objects = objects
         self.clock = clock
         self.host = host
         self.incarnation = incarnation
         self.is_live = is_live
         self.retention = retention
         self.abandoned: dict[str, background.Abandoned] = {}
-        self.pending: dict[str, background.Pending] = {}
+        self.outcomes = outcomes.OutcomeRecorder(tables, objects, clock)
+        self.pending = self.outcomes.pending
         self.log: Any = structlog.get_logger(__name__)
 
     def claim(
@@ -122,7 +119,7 @@
         row_key = rows.row_key(account, key)
         deadline = self.clock.monotonic() + OUTCOME_WAIT.total_seconds()
         replaced = 0
-        for _ in range(CLAIM_TRIES):
+        for _ in range(CLAIM_ATTEMPTS):
             result = self.write_claim(row_key, body_digest, replaced)
             if isinstance(result, Claim):
                 return result
@@ -157,7 +154,7 @@
         try:
             (stored,) = self.tables.transact([check], [write])
         except errors.TransactionConflictError:
-            return self.look(row_key, row)
+            return self.read_claim(row_key, row)
         except errors.TableUnavailableError as error:
             raise errors.RefusedError(results.CLAIM_UNAVAILABLE) from error
         except errors.TableOutcomeUnknownError:
@@ -189,7 +186,7 @@
         given up for good, so that a late claim never leads to a send.
         """
         try:
-            found = self.look(row_key, row)
+            found = self.read_claim(row_key, row)
         except errors.RefusedError:
             self.abandon(row_key, row.attempt)
             raise
@@ -200,8 +197,10 @@
             raise errors.RefusedError(results.CLAIM_UNAVAILABLE)
         return found
 
-    def look(self, row_key: str, own: rows.ClaimRow) -> Claim | Existing | None:
-        """Reads the row of a key and tells whose it is."""
+    def read_claim(
+        self, row_key: str, own: rows.ClaimRow
+    ) -> Claim | Existing | None:
+        """Returns the claim in the row of a key, or None without a row."""
         stored = self.read(row_key)
         if stored is None:
             return None
@@ -222,7 +221,7 @@
             raise errors.RefusedError(results.CLAIM_UNAVAILABLE) from error
 
     def abandon(self, row_key: str, attempt: str) -> None:
-        """Has a claim removed that sent nothing and will send nothing."""
+        """Schedules the removal of a claim under which nothing is sent."""
         self.abandoned[attempt] = background.Abandoned(
             row_key, self.clock.monotonic()
         )
@@ -246,35 +245,13 @@
             if row.body_digest != body_digest:
                 raise errors.RefusedError(results.IDEMPOTENCY_KEY_REUSED)
             if row.state == rows.DONE:
-                return RecordedOutcome(self.load_outcome(row))
+                return RecordedOutcome(self.outcomes.load(row))
             if not self.is_live(row.host, row.incarnation):
                 raise errors.RefusedError(results.OUTCOME_UNKNOWN)
             if self.clock.monotonic() >= deadline:
                 raise errors.RefusedError(results.IN_PROGRESS)
             self.clock.sleep(OUTCOME_STEP)
 
-    def load_outcome(self, row: rows.ClaimRow) -> rows.Outcome:
-        """Returns a recorded outcome with its body.
-
-        Raises:
-            RefusedError: IN_PROGRESS; the object store can't be read now.
-        """
-        outcome = row.outcome
-        if outcome is not None and not row.object_key:
-            return outcome
-        body: bytes | None = None
-        try:
-            body = self.objects.get(row.object_key)
-        except errors.ObjectStoreUnavailableError:
-            self.log.warning("outcome_unreadable", attempt=row.attempt)
-        if outcome is None or body is None:
-            raise errors.RefusedError(
-                results.IN_PROGRESS,
-                "The outcome is recorded but can't be read now; retry with "
-                "the same key.",
-            )
-        return outcome._replace(body=body)
-
     def record(self, claim: Claim, outcome: rows.Outcome) -> bool:
         """Records an outcome, now or in the background.
 
@@ -285,68 +262,7 @@
         Returns:
             Whether it is recorded now.
         """
-        try:
-            written = self.write_outcome(claim, outcome)
-        except BaseException:
-            # The caller left or lost its key while the write was under way.
-            self.record_later(claim, outcome)
-            raise
-        if not written:
-            self.record_later(claim, outcome)
-        return written
-
-    def record_later(self, claim: Claim, outcome: rows.Outcome) -> None:
-        """Has an outcome recorded in the background."""
-        self.pending[claim.row.attempt] = background.Pending(
-            claim, outcome, self.clock.monotonic()
-        )
-        self.limit_pending()
-
-    def limit_pending(self) -> None:
-        """Drops the oldest outcomes that can't be kept in memory."""
-        kept = sum(len(item.outcome.body) for item in self.pending.values())
-        while kept > MAX_PENDING_BYTES:
-            attempt = next(iter(self.pending))
-            kept -= len(self.pending.pop(attempt).outcome.body)
-            self.log.error("outcome_not_recorded", attempt=attempt)
-
-    def write_outcome(self, claim: Claim, outcome: rows.Outcome) -> bool:
-        """Writes an outcome; returns False if it must be tried again."""
-        object_key = ""
-        kept = outcome
-        if len(outcome.body) > rows.MAX_ROW_BODY:
-            object_key = f"{rows.TABLE}/{claim.row_key}/{claim.row.attempt}"
-            kept = outcome._replace(body=b"")
-        row = claim.row._replace(
-            state=rows.DONE, outcome=kept, object_key=object_key
-        )
-        check = platform_tables.Check(rows.TABLE, claim.row_key, claim.version)
-        write = platform_tables.Write(
-            rows.TABLE, claim.row_key, rows.encode(row)
-        )
-        try:
-            if object_key:
-                self.objects.put(object_key, outcome.body)
-            self.tables.transact([check], [write])
-        except errors.TransactionConflictError:
-            return self.settled_otherwise(claim)
-        except errors.PlatformError:
-            return False
-        return True
-
-    def settled_otherwise(self, claim: Claim) -> bool:
-        """Returns whether a failed check means that nothing is left to do.
-
-        The usual reason is an earlier write of the outcome whose answer was
-        lost.
-        """
-        try:
-            stored = self.tables.get(rows.TABLE, claim.row_key)
-        except errors.TableUnavailableError:
-            return False
-        if stored is None or not self.owned(stored, claim.row.attempt):
-            self.log.error("claim_lost", attempt=claim.row.attempt)
-        return True
+        return self.outcomes.record(claim, outcome)
 
     def release(self, claim: Claim) -> None:
         """Gives up a claim; call only if nothing was sent under it.
@@ -364,13 +280,7 @@
         is down costs one time-out and not one per row.
         """
         now = self.clock.monotonic()
-        for attempt, pending in list(self.pending.items()):
-            if pending.retry_at > now:
-                continue
-            if not self.write_outcome(pending.claim, pending.outcome):
-                pending.postpone(now)
-                break
-            self.pending.pop(attempt, None)
+        self.outcomes.tick(now)
         for attempt, abandoned in list(self.abandoned.items()):
             if abandoned.retry_at > now:
                 continue
@@ -387,7 +297,7 @@
         abandoned.postpone(now)
         try:
             stored = self.tables.get(rows.TABLE, abandoned.row_key)
-            if stored is not None and self.owned(stored, attempt):
+            if stored is not None and rows.is_written_by(stored, attempt):
                 self.delete(stored)
                 self.abandoned.pop(attempt, None)
         except errors.PlatformError:
@@ -396,10 +306,6 @@
             self.abandoned.pop(attempt, None)
         return True
 
-    def owned(self, stored: platform_tables.Row, attempt: str) -> bool:
-        """Returns whether a row was written by this attempt."""
-        return rows.decode(stored.value).attempt == attempt
-
     def delete(self, stored: platform_tables.Row) -> None:
         """Deletes a row that has not changed since it was read."""
         check = platform_tables.Check(rows.TABLE, stored.key, stored.version)
--- a/src/coltsfootarch/idempotency/rows.py
+++ b/src/coltsfootarch/idempotency/rows.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import hashlib
+from typing import TYPE_CHECKING
 from typing import NamedTuple
 
 import msgspec
 
+if TYPE_CHECKING:
+    from coltsfootarch.platform import tables as platform_tables
+
 TABLE = "claims"
 
 SENT = "sent"
@@ -82,3 +86,8 @@
         msgspec.DecodeError: The value is not a claim.
     """
     return msgspec.msgpack.decode(value, type=ClaimRow)
+
+
+def is_written_by(stored: platform_tables.Row, attempt: str) -> bool:
+    """Returns whether a row was written by an attempt."""
+    return decode(stored.value).attempt == attempt
--- a/tests/idempotency/test_claims.py
+++ b/tests/idempotency/test_claims.py
@@ -9,6 +9,7 @@
 from coltsfootarch import errors
 from coltsfootarch import results
 from coltsfootarch.idempotency import claims
+from coltsfootarch.idempotency import outcomes
 from coltsfootarch.idempotency import retention
 from coltsfootarch.idempotency import rows
 from tests.fakes import objects
@@ -133,7 +134,7 @@
 def test_pending_outcomes_are_bounded_in_memory(book, store):
     made = [book.claim("acme", str(number), "d") for number in range(3)]
     store.cut = True
-    half = ANSWER._replace(body=b"x" * (claims.MAX_PENDING_BYTES // 2))
+    half = ANSWER._replace(body=b"x" * (outcomes.MAX_PENDING_BYTES // 2))
     for claim in made:
         book.record(claim, half)
 
