Test the HTTP interface on a socket and mend what failed

A body with two lengths, with a length beside chunks, or with a coding other than chunked was read in one of two possible ways, and the rest of a refused body was read as the next request or without limit.

The server refuses bodies without a clear end and closes connections that are out of step.

--- a/src/coltsfootarch/gateway/completion_pipeline.py
+++ b/src/coltsfootarch/gateway/completion_pipeline.py
@@ -29,7 +29,6 @@
     from coltsfootarch.limits import limiter
     from coltsfootarch.retries import budget
     from coltsfootarch.scheduling import client
-    from coltsfootarch.scheduling import items
     from coltsfootarch.upstreams import engine
 
 CANCEL_ATTEMPTS = 3
@@ -139,12 +138,20 @@
             if upstream is not None:
                 self.cancel_later(upstream.address, reference.request_id)
             self.metrics.increment(metrics.RESTARTS)
-            yield completions.Restarted(request_id)
-            yield from self.run(request_id, caller, request)
         except errors.RefusedError:
             if upstream is not None:
                 self.cancel_later(upstream.address, reference.request_id)
             raise
+        except GeneratorExit:
+            if upstream is not None:
+                self.leave_for_resume(
+                    reference.request_id, reference.attempt, upstream
+                )
+            raise
+        else:
+            return
+        yield completions.Restarted(request_id)
+        yield from self.run(request_id, caller, request)
 
     def attach(
         self,
@@ -232,33 +239,24 @@
         return resumes.ResumeSigner(self.register().rules.resume_secret)
 
     def leave_for_resume(
-        self,
-        context: completion_run.RunContext,
-        placement: items.Assignment,
-        address: str,
+        self, request_id: str, attempt: int, upstream: register.Upstream
     ) -> None:
         """Cancels an answer soon, unless another connection takes it up."""
-        self.background.spawn(self.cancel_unread, context, placement, address)
+        self.background.spawn(self.cancel_unread, request_id, attempt, upstream)
 
     def cancel_unread(
-        self,
-        context: completion_run.RunContext,
-        placement: items.Assignment,
-        address: str,
+        self, request_id: str, attempt: int, upstream: register.Upstream
     ) -> None:
         """Waits for a resume and cancels the answer if there was none."""
         self.clock.sleep(RESUME_GRACE)
-        if self.is_read(address, context.request_id):
+        if self.is_read(upstream.address, request_id):
             return
-        event = messages.ScheduleEvent(
-            context.request_id,
-            placement.attempt,
-            "cancelled",
-            placement.decode,
-            0,
+        self.scheduler.notify(
+            messages.ScheduleEvent(
+                request_id, attempt, "cancelled", upstream.name, 0
+            )
         )
-        self.scheduler.notify(event)
-        self.cancel(address, context.request_id)
+        self.cancel(upstream.address, request_id)
 
     def is_read(self, address: str, request_id: str) -> bool:
         """Returns whether a connection reads the answer at the engine."""
--- a/src/coltsfootarch/gateway/completion_run.py
+++ b/src/coltsfootarch/gateway/completion_run.py
@@ -381,7 +381,9 @@
         placement = self.assigned()
         self.stale.forget(self.engines)
         self.pipeline.leave_for_resume(
-            self.context, placement, self.engines[placement.decode].address
+            self.context.request_id,
+            self.attempt,
+            self.engines[placement.decode],
         )
 
     def cancel(self) -> None:
--- a/src/coltsfootarch/gateway/intake.py
+++ b/src/coltsfootarch/gateway/intake.py
@@ -16,6 +16,8 @@
 
 BODY_TIMEOUT = datetime.timedelta(seconds=30)
 MAX_HEADER_CHARACTERS = 4096
+# Set by the server on requests whose body has no clear end.
+AMBIGUOUS_BODY = "coltsfootarch.ambiguous_body"
 # Headers that decide who the caller is or where a request goes. A WSGI server
 # joins repeated headers with a comma, so a comma shows a repetition.
 SINGLE_VALUE_HEADERS = (
@@ -43,6 +45,11 @@
     Raises:
         RefusedError: A header is repeated, too long or ambiguous.
     """
+    if environ.get(AMBIGUOUS_BODY):
+        raise errors.RefusedError(
+            results.FORBIDDEN_HEADER,
+            "Send one Content-Length, or Transfer-Encoding: chunked.",
+        )
     for name in SINGLE_VALUE_HEADERS:
         value = environ.get(name, "")
         if "," in value or len(value) > MAX_HEADER_CHARACTERS:
--- a/src/coltsfootarch/gateway/server.py
+++ b/src/coltsfootarch/gateway/server.py
@@ -13,6 +13,8 @@
 from gevent import pool
 from gevent import pywsgi
 
+from coltsfootarch.gateway import intake
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -50,9 +52,27 @@
                 )
 
 
+def read_headers(stream: Any, *unused: Any) -> Any:
+    """Reads the headers of a request and notes if its body has no clear end.
+
+    Two servers could find different ends, and so different next requests. The
+    check comes first because pywsgi drops `Content-Length` beside chunks and
+    all but one of several lengths.
+    """
+    headers = pywsgi.headers_factory(stream, *unused)
+    lengths = headers.get_all("content-length", [])
+    codings = headers.get_all("transfer-encoding", [])
+    clear = len(lengths) + len(codings) <= 1
+    clear = clear and all(text.strip().isdecimal() for text in lengths)
+    clear = clear and all(text.lower() == "chunked" for text in codings)
+    headers.ambiguous_body = not clear
+    return headers
+
+
 class ConnectionHandler(pywsgi.WSGIHandler):  # type: ignore[misc]
     """Handles one connection with a limit on every read and write."""
 
+    MessageClass = staticmethod(read_headers)
     wsgi_input: Any
 
     def __init__(self, sock: Any, address: Any, server: Any) -> None:
@@ -72,6 +92,9 @@
         environ: dict[str, Any] = super().get_environ()
         environ["RAW_PATH"] = self.path.partition("?")[0]
         body = self.wsgi_input
+        if self.headers.ambiguous_body:
+            environ[intake.AMBIGUOUS_BODY] = True
+            self.close_connection = True
         self.wsgi_input = BodyInput(
             body.rfile, body.content_length, body.socket, body.chunked_input
         )
--- a/tests/fakes/engines.py
+++ b/tests/fakes/engines.py
@@ -154,7 +154,7 @@
                 self.fail(fault, address, request_id)
                 yield from self.token(fault, request, number, number == end - 1)
             self.fail(self.script.at("end mark"), address, request_id)
-            del self.held[key]
+            self.held.pop(key, None)
             yield self.event(request, end, "", 0, finished=True)
         finally:
             self.open_streams -= 1
--- a/tests/faults/test_completion_path.py
+++ b/tests/faults/test_completion_path.py
@@ -121,15 +121,28 @@
             "summary", PROMPT, TOKENS, stream, None, "digest"
         )
         request_id = self.requests.new_request_id()
+        events = self.pipeline.run(request_id, CALLER, request)
+        return self.serve(request_id, events, leave_after)
 
-        def serve():
+    def resume(self, token, offset, leave_after=None):
+        """Resumes the answer of a host that is gone."""
+        request = completions.CompletionRequest(
+            "summary", PROMPT, TOKENS, True, None, "digest"
+        )
+        request_id = self.requests.new_request_id()
+        events = self.pipeline.resume(
+            request_id, CALLER, request, token, offset
+        )
+        return self.serve(request_id, events, leave_after)
+
+    def serve(self, request_id, events, leave_after):
+        def run():
             info = inflight.RequestInfo(request_id, "a", "k1")
             self.handle = self.requests.open(info)
-            events = self.pipeline.run(request_id, CALLER, request)
             self.read(events, leave_after)
             self.requests.close(self.handle)
 
-        gevent.spawn(serve).get(timeout=WAIT_SECONDS)
+        gevent.spawn(run).get(timeout=WAIT_SECONDS)
         assert self.pipeline.background.join(WAIT_SECONDS)
         return self
 
@@ -557,6 +570,45 @@
     world.check()
 
 
+def resumed(step, fault, seen_red, leave_after=None):
+    marker = pytest.mark.matrix(
+        invariant=1,
+        fault=fault or "caller leaves",
+        step=f"resume after a lost host, {step}",
+        seen_red=seen_red,
+    )
+    return pytest.param(step, fault, leave_after, marks=marker)
+
+
+RESUME_CANCEL = "cancellation of a replaced or ended resume"
+RESUMED = [
+    resumed("resume", "silence", RESUME_CANCEL),
+    resumed("mid-stream", "silence", RESUME_CANCEL),
+    resumed("mid-stream", "missing", RESUME_CANCEL),
+    resumed("mid-stream", "other request", RESUME_CANCEL),
+    resumed("mid-stream", "caller cancels", RESUME_CANCEL),
+    resumed("mid-stream", "", "CompletionPipeline.leave_for_resume", 4),
+]
+
+
+@pytest.mark.parametrize(("step", "fault", "leave_after"), RESUMED)
+def test_resumed_answer_leaves_no_memory_behind(step, fault, leave_after):
+    world = World()
+    world.pipeline.leave_for_resume = lambda *_: None
+    world.run(leave_after=2)
+    assert world.engines.held
+    del world.pipeline.leave_for_resume
+    token = world.events[0].resume_token
+    world.script.faults[step].append(fault)
+
+    world.resume(token, offset=2, leave_after=leave_after)
+
+    assert world.engines.held == {}
+    assert world.engines.open_streams == 0
+    if fault not in ("", "caller cancels"):
+        assert world.finished()
+
+
 FAULTS = strategies.tuples(
     strategies.sampled_from(
         [
--- /dev/null
+++ b/tests/gateway/test_application.py
@@ -0,0 +1,756 @@
+"""Guards the HTTP interface: hostile, slow and leaving callers, leaked handles.
+
+The WSGI application runs on a real loopback socket; only engines, scheduler,
+limiter and configuration are fakes.
+"""
+
+from __future__ import annotations
+
+import datetime
+import http.client
+import json
+import socket
+
+import gevent
+import gevent.event
+import pytest
+
+from coltsfootarch import clock as clocks
+from coltsfootarch import results
+from coltsfootarch.config import register as registers
+from coltsfootarch.config import routes
+from coltsfootarch.gateway import admission
+from coltsfootarch.gateway import application
+from coltsfootarch.gateway import call_pipeline
+from coltsfootarch.gateway import completion_pipeline
+from coltsfootarch.gateway import completions
+from coltsfootarch.gateway import dispatch_guard
+from coltsfootarch.gateway import inflight
+from coltsfootarch.gateway import intake
+from coltsfootarch.gateway import reachability
+from coltsfootarch.gateway import remote_cancel
+from coltsfootarch.gateway import server
+from coltsfootarch.keys import authenticator
+from coltsfootarch.keys import format as formats
+from coltsfootarch.observability import metrics
+from coltsfootarch.retries import budget
+from coltsfootarch.upstreams import plain_client
+from tests.fakes import engines
+from tests.fakes import pools
+
+WAIT = datetime.timedelta(seconds=10)
+SHORT = datetime.timedelta(milliseconds=100)
+PROMPT = "Referral"
+BODY = {"model": "summary", "prompt": PROMPT, "max_tokens": 4}
+STREAMED = {**BODY, "stream": True}
+COMPLETIONS = "/v1/completions"
+
+
+class Calls:
+    """Call pipeline that records what an instance would get."""
+
+    def __init__(self):
+        self.calls = []
+
+    def run(self, call):
+        self.calls.append(call)
+        answer = plain_client.PlainResponse(200, (("X-Stock", "3"),), b"ok")
+        return call_pipeline.CallAnswer(answer, replayed=False)
+
+
+class Gateway:
+    """A served application; `key` belongs to account a, `foreign` to b."""
+
+    def __init__(self, fake_network):
+        self.clock = clocks.ManualClock()
+        self.script = engines.Script()
+        self.gate = gevent.event.Event()
+        self.reached = gevent.event.Event()
+        self.script.actions["block"] = self.block
+        issued = [formats.issue("a"), formats.issue("b")]
+        self.key, self.foreign = (key.text for key in issued)
+        names = [("p1", "prefill"), ("d1", "decode"), ("d2", "decode")]
+        register = pools.make_register(
+            [
+                pools.make_upstream(name, role, number)
+                for number, (name, role) in enumerate(names)
+            ],
+            resume_secret="aa" * 32,
+            max_body_bytes=1000,
+        )
+        stock = registers.Service(
+            "stock", registers.ServiceKind.PLAIN, path_prefix="/stock"
+        )
+        self.configuration = engines.ScriptedConfiguration(
+            self.script,
+            register._replace(
+                services={"summaries": pools.SERVICE, "stock": stock},
+                client_accounts={
+                    key.account: registers.ClientAccount(
+                        key.account, 1000.0, 10_000, keys=(key.key,)
+                    )
+                    for key in issued
+                },
+            ),
+        )
+        self.configuration.routes = routes.RouteTable(
+            self.configuration.register
+        )
+        self.keys = authenticator.Authenticator(self.configuration)
+        self.engines = engines.ScriptedEngines(self.script, PROMPT)
+        self.limiter = engines.RecordingLimiter(self.script)
+        self.requests = inflight.InflightRequests("gw", 1)
+        self.calls = Calls()
+        self.pipeline = completion_pipeline.CompletionPipeline(
+            self.clock,
+            lambda: self.configuration.register,
+            self.limiter,
+            engines.ScriptedScheduler(
+                self.script, [("p1", "d1"), ("p1", "d2")]
+            ),
+            self.engines,
+            dispatch_guard.DispatchGuard(
+                self.configuration,
+                engines.ScriptedHostList(self.configuration),
+            ),
+            reachability.Reachability(self.clock),
+            budget.RetryBudget(self.clock, 0.2),
+            metrics.NullMetrics(),
+            "gw/1",
+        )
+        self.application = application.GatewayApplication(
+            admission.Admission(self.configuration, self.keys),
+            self.pipeline,
+            self.calls,
+            self.requests,
+            remote_cancel.RemoteCanceller(
+                self.requests,
+                fake_network.endpoint("gw", 1, "regina", "peer"),
+                lambda _host, _incarnation: None,
+            ),
+            lambda: application.HostStatus(
+                "gw", "regina", 1, 1, 0.0, [], 0, True
+            ),
+            metrics.NullMetrics(),
+        )
+        self.server = server.GatewayServer("127.0.0.1:0", self.application.wsgi)
+        self.server.start()
+        self.port = int(self.server.address.rpartition(":")[2])
+        self.sockets = []
+
+    def block(self):
+        self.reached.set()
+        assert self.gate.wait(WAIT.total_seconds())
+
+    def block_at(self, step):
+        """Makes the engines stop at a step until `gate` is set."""
+        self.script.faults[step].append("block")
+
+    def withdraw(self):
+        """Puts a register without keys in force, as the daemon does."""
+        register = self.configuration.register
+        self.configuration.register = register._replace(client_accounts={})
+        self.requests.end_invalid_keys(
+            self.keys.is_valid, results.KEY_WITHDRAWN
+        )
+
+    def connect(self, receive_buffer=0):
+        sock = socket.socket()
+        if receive_buffer:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+        sock.settimeout(WAIT.total_seconds())
+        sock.connect(("127.0.0.1", self.port))
+        self.sockets.append(sock)
+        return sock
+
+    def raw(self, *parts):
+        """Sends bytes on a new connection and returns the first answer."""
+        sock = self.connect()
+        sock.sendall(b"".join(parts))
+        answer = http.client.HTTPResponse(sock)
+        answer.begin()
+        return answer, answer.read()
+
+    def http(self):
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", self.port, timeout=WAIT.total_seconds()
+        )
+        self.sockets.append(connection)
+        return connection
+
+    def request(self, method, path, body=None, key="", headers=(), via=None):
+        """Starts a request and returns its answer, not yet read."""
+        connection = via or self.http()
+        fields = {"Authorization": f"Bearer {key or self.key}"}
+        data = None if body is None else json.dumps(body)
+        connection.request(method, path, data, {**fields, **dict(headers)})
+        return connection.getresponse()
+
+    def head(self, method, path, *fields):
+        """Returns the head of a raw request with the valid key."""
+        lines = [f"{method} {path} HTTP/1.1", "Host: gateway"]
+        lines += [f"Authorization: Bearer {self.key}", *fields, "", ""]
+        return "\r\n".join(lines).encode("latin-1")
+
+    def wait_settled(self):
+        assert self.requests.wait_idle(WAIT)
+        assert self.pipeline.background.join(WAIT.total_seconds())
+
+    def check_unchanged(self):
+        """Checks that nothing was run, charged or left in progress."""
+        assert self.requests.handles == {}
+        assert self.limiter.reserved == []
+        assert self.engines.sent == []
+        assert self.calls.calls == []
+
+    def check_free(self):
+        """Checks that requests that ran have left nothing behind."""
+        assert self.requests.handles == {}
+        assert self.engines.held == {}
+        assert self.engines.open_streams == 0
+        assert len(self.limiter.settled) == len(self.limiter.reserved)
+
+    def close(self):
+        self.gate.set()
+        for item in self.sockets:
+            item.close()
+        self.server.close()
+
+
+@pytest.fixture
+def gateway(fake_network):
+    served = Gateway(fake_network)
+    yield served
+    served.close()
+
+
+def events_of(data):
+    """Returns (event, id, data) of each server-sent event."""
+    events = []
+    for block in data.decode().strip().split("\n\n"):
+        fields = dict(line.split(": ", 1) for line in block.split("\n"))
+        body = json.loads(fields["data"])
+        events.append((fields.get("event"), fields.get("id"), body))
+    return events
+
+
+def text_of(events):
+    return "".join(body["text"] for name, _, body in events if name is None)
+
+
+def encoded(**changes):
+    body = json.dumps({**BODY, **changes}).encode()
+    return [f"Content-Length: {len(body)}"], body
+
+
+CHUNKED = "Transfer-Encoding: chunked"
+LARGE = b"3e8\r\n" + b"x" * 1000 + b"\r\n"
+BAD = {
+    "unknown model": (*encoded(model="none"), results.UNKNOWN_MODEL),
+    "broken JSON": (["Content-Length: 1"], b"{", results.INVALID_JSON),
+    "unknown field": (*encoded(extra=1), results.INVALID_FIELD),
+    "no tokens": (*encoded(max_tokens=0), results.INVALID_FIELD),
+    "large body, declared": (
+        ["Content-Length: 1001"],
+        b"x" * 1001,
+        results.BODY_TOO_LARGE,
+    ),
+    "huge body, declared": (
+        ["Content-Length: 9999999999"],
+        b"x",
+        results.BODY_TOO_LARGE,
+    ),
+    "large body, chunked": (
+        [CHUNKED],
+        LARGE * 2 + b"0\r\n\r\n",
+        results.BODY_TOO_LARGE,
+    ),
+    "malformed chunk": ([CHUNKED], b"zz\r\n{}\r\n", results.INVALID_FIELD),
+    "two lengths": (
+        ["Content-Length: 2", "Content-Length: 3"],
+        b"{}",
+        results.FORBIDDEN_HEADER,
+    ),
+    "length and chunks": (
+        ["Content-Length: 2", CHUNKED],
+        b"0\r\n\r\n",
+        results.FORBIDDEN_HEADER,
+    ),
+    "other coding": (
+        ["Transfer-Encoding: gzip, chunked"],
+        b"0\r\n\r\n",
+        results.FORBIDDEN_HEADER,
+    ),
+    "two keys": (
+        ["Authorization: Bearer other", "Content-Length: 2"],
+        b"{}",
+        results.FORBIDDEN_HEADER,
+    ),
+    "long header": (
+        [f"Resume-Token: {'x' * 5000}", "Content-Length: 2"],
+        b"{}",
+        results.FORBIDDEN_HEADER,
+    ),
+    "forged resume token": (
+        ["Resume-Token: QUJD", *encoded()[0]],
+        encoded()[1],
+        results.INVALID_RESUME_TOKEN,
+    ),
+    "huge offset": (
+        ["Resume-Token: QUJD", f"Last-Event-ID: {'9' * 4000}", *encoded()[0]],
+        encoded()[1],
+        results.INVALID_FIELD,
+    ),
+}
+
+
+# What was seen to let a request pass when switched off.
+SEEN_RED = {
+    "large body, declared": "intake.read_body limit",
+    "large body, chunked": "intake.read_body limit",
+    "two lengths": "server.read_headers",
+    "length and chunks": "server.read_headers",
+    "other coding": "server.read_headers",
+    "two keys": "intake.check_headers",
+    "long header": "intake.check_headers",
+    "huge offset": "check of the offset in a resume",
+}
+
+
+def bad_request(name):
+    if name not in SEEN_RED:
+        return name
+    marker = pytest.mark.matrix(
+        invariant=6, fault=name, step="intake", seen_red=SEEN_RED[name]
+    )
+    return pytest.param(name, marks=marker)
+
+
+@pytest.mark.parametrize("name", map(bad_request, BAD))
+def test_bad_request_is_refused_and_changes_nothing(gateway, monkeypatch, name):
+    monkeypatch.setattr(server, "DISCARD_TIMEOUT", SHORT)
+    fields, body, code = BAD[name]
+
+    answer, data = gateway.raw(gateway.head("POST", COMPLETIONS, *fields), body)
+
+    assert answer.status == code.http_status
+    assert answer.getheader("Result-Code") == str(code.number)
+    assert json.loads(data)["execution"] == "not run"
+    gateway.check_unchanged()
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "code"),
+    [
+        ("GET", "/nowhere", results.UNKNOWN_ROUTE),
+        ("GET", "/", results.UNKNOWN_ROUTE),
+        ("GET", "/stock/%2e%2e/secret", results.UNKNOWN_ROUTE),
+        ("GET", COMPLETIONS, results.UNKNOWN_ROUTE),
+        ("DELETE", "/v1/requests/gw.1.99", results.UNKNOWN_REQUEST),
+        ("DELETE", "/v1/requests/nonsense", results.UNKNOWN_REQUEST),
+    ],
+)
+def test_unknown_target_is_refused_and_changes_nothing(
+    gateway, method, path, code
+):
+    answer = gateway.request(method, path)
+
+    assert answer.status == code.http_status
+    assert json.loads(answer.read())["code"] == code.number
+    gateway.check_unchanged()
+
+
+@pytest.mark.matrix(
+    invariant=3,
+    fault="request in an unread body",
+    step="intake",
+    seen_red="BodyInput._discard",
+)
+@pytest.mark.parametrize(
+    "fields", [[CHUNKED], ["Content-Length: 9999999"]], ids=str
+)
+def test_rest_of_a_refused_body_is_never_taken_for_a_request(
+    gateway, monkeypatch, fields
+):
+    monkeypatch.setattr(server, "DISCARD_TIMEOUT", SHORT)
+    hidden = gateway.head("GET", "/stock/hidden")
+    sock = gateway.connect()
+
+    sock.sendall(gateway.head("POST", COMPLETIONS, *fields) + b"zz\r\n")
+    sock.sendall(hidden)
+
+    with sock.makefile("rb") as stream:
+        received = stream.read()
+    assert received.count(b"HTTP/1.1") == 1
+    gateway.check_unchanged()
+
+
+@pytest.mark.matrix(
+    invariant=6, fault="slow caller", step="intake", seen_red="BODY_TIMEOUT"
+)
+@pytest.mark.parametrize("sent", [b"", b"{"])
+def test_body_that_does_not_arrive_is_refused(gateway, monkeypatch, sent):
+    monkeypatch.setattr(intake, "BODY_TIMEOUT", SHORT)
+    monkeypatch.setattr(server, "DISCARD_TIMEOUT", SHORT)
+    head = gateway.head("POST", COMPLETIONS, "Content-Length: 100")
+
+    answer, data = gateway.raw(head, sent)
+
+    assert answer.status == results.CLIENT_TOO_SLOW.http_status
+    assert json.loads(data)["code"] == results.CLIENT_TOO_SLOW.number
+    gateway.check_unchanged()
+
+
+@pytest.mark.matrix(
+    invariant=3,
+    fault="key withdrawn",
+    step="intake",
+    seen_red="InflightRequests.end_invalid_keys",
+)
+def test_key_withdrawn_while_the_body_arrives_runs_nothing(gateway):
+    fields, body = encoded()
+    sock = gateway.connect()
+    sock.sendall(gateway.head("POST", COMPLETIONS, *fields) + body[:5])
+    gevent.spawn(wait_for_handle, gateway.requests).get(timeout=10)
+
+    gateway.withdraw()
+    sock.sendall(body[5:])
+
+    answer = http.client.HTTPResponse(sock)
+    answer.begin()
+    assert answer.getheader("Result-Code") == str(results.KEY_WITHDRAWN.number)
+    answer.read()
+    gateway.check_unchanged()
+
+
+def wait_for_handle(requests):
+    while not requests.handles:
+        gevent.sleep(0)
+
+
+@pytest.mark.matrix(
+    invariant=3,
+    fault="key withdrawn",
+    step="keep-alive",
+    seen_red="authentication of each request",
+)
+def test_withdrawn_key_is_refused_on_an_open_connection(gateway):
+    connection = gateway.http()
+    first = gateway.request("GET", "/stock/a", via=connection)
+    assert (first.status, first.read()) == (200, b"ok")
+
+    gateway.withdraw()
+    second = gateway.request("GET", "/stock/a", via=connection)
+
+    assert second.status == results.INVALID_KEY.http_status
+    assert len(gateway.calls.calls) == 1
+
+
+@pytest.mark.matrix(
+    invariant=3,
+    fault="smuggled headers",
+    step="forward",
+    seen_red="intake.upstream_headers",
+)
+def test_smuggled_headers_do_not_reach_an_instance(gateway):
+    smuggled = {
+        "X-Client-Account": "b",
+        "X_Client_Account": "b",
+        "X-Forwarded-For": "10.0.0.1",
+        "X-Request-Id": "forged",
+        "Forwarded": "for=10.0.0.1",
+        "Cookie": "session",
+        "Host": "elsewhere",
+        "Accept": "text/plain",
+    }
+
+    gateway.request("GET", "/stock/a?x=1", headers=smuggled).read()
+
+    (call,) = gateway.calls.calls
+    assert call.account == "a"
+    assert call.request.path == "/a?x=1"
+    assert dict(call.request.headers) == {
+        "Accept": "text/plain",
+        "X-Client-Account": "a",
+        "X-Request-Id": call.request_id,
+    }
+
+
+def test_refusal_tells_code_and_time_of_a_retry(gateway):
+    gateway.script.faults["reserve"].append("refused")
+
+    answer = gateway.request("POST", COMPLETIONS, STREAMED)
+
+    code = results.RATE_EXCEEDED
+    assert answer.status == code.http_status
+    assert answer.getheader("Result-Code") == str(code.number)
+    assert answer.getheader("Retry-After") == "1"
+    assert json.loads(answer.read()) == {
+        "code": code.number,
+        "name": code.name,
+        "message": code.summary,
+        "execution": "not run",
+        "request_id": answer.getheader("X-Request-Id"),
+        "retry_after": 1.0,
+    }
+
+
+def test_streamed_answer_has_its_events_in_order(gateway):
+    answer = gateway.request("POST", COMPLETIONS, STREAMED)
+    events = events_of(answer.read())
+
+    assert answer.getheader("Content-Type") == "text/event-stream"
+    assert [name for name, _, _ in events] == ["start", *[None] * 4, "done"]
+    assert [number for _, number, _ in events[1:-1]] == list("1234")
+    assert text_of(events) == engines.text_at(0, 4)
+    assert events[-1][2]["output_tokens"] == 4
+    gateway.wait_settled()
+    gateway.check_free()
+
+
+def test_whole_answer_is_one_body(gateway):
+    answer = gateway.request("POST", COMPLETIONS, BODY)
+
+    assert json.loads(answer.read())["text"] == engines.text_at(0, 4)
+    gateway.check_free()
+
+
+@pytest.mark.matrix(
+    invariant=1,
+    fault="caller leaves",
+    step="mid-stream",
+    seen_red="CompletionPipeline.leave_for_resume",
+)
+def test_caller_that_disconnects_frees_engine_and_handle(gateway):
+    gateway.block_at("mid-stream")
+    connection = gateway.http()
+    body = {**STREAMED, "max_tokens": 2000}
+    answer = gateway.request("POST", COMPLETIONS, body, via=connection)
+    assert gateway.reached.wait(WAIT.total_seconds())
+
+    answer.close()
+    connection.close()
+    gateway.gate.set()
+
+    gateway.wait_settled()
+    gateway.check_free()
+    assert len(gateway.engines.cancelled) == 1
+    prompt = completions.count_tokens(PROMPT)
+    assert gateway.limiter.settled == [(1, prompt + 2000)]
+
+
+@pytest.mark.matrix(
+    invariant=1,
+    fault="caller does not read",
+    step="mid-stream",
+    seen_red="SOCKET_TIMEOUT",
+)
+def test_caller_that_does_not_read_is_cut_off(gateway, monkeypatch):
+    monkeypatch.setattr(server, "SOCKET_TIMEOUT", SHORT)
+    monkeypatch.setattr(engines, "text_at", lambda *_: "x" * 100_000)
+    gateway.engines.check_prompt = lambda _request: None
+    body = json.dumps({**STREAMED, "max_tokens": 500}).encode()
+    sock = gateway.connect(receive_buffer=4096)
+
+    head = gateway.head("POST", COMPLETIONS, f"Content-Length: {len(body)}")
+    sock.sendall(head + body)
+    gevent.spawn(wait_for_handle, gateway.requests).get(timeout=10)
+
+    gateway.wait_settled()
+    gateway.check_free()
+    prompt = completions.count_tokens(PROMPT)
+    assert gateway.limiter.settled == [(1, prompt + 500)]
+
+
+@pytest.mark.matrix(
+    invariant=1,
+    fault="caller cancels",
+    step="blocked write",
+    seen_red="GatewayApplication.close_events",
+)
+def test_cancel_during_a_blocked_write_frees_the_engine_at_once(
+    gateway, monkeypatch
+):
+    blocked = gevent.event.Event()
+    write = server.ConnectionHandler.write
+
+    def stall(self, data):
+        if b"t1 " in data:
+            blocked.set()
+            gevent.event.Event().wait(WAIT.total_seconds())
+        write(self, data)
+
+    monkeypatch.setattr(server.ConnectionHandler, "write", stall)
+    streaming = gateway.request("POST", COMPLETIONS, STREAMED)
+    assert blocked.wait(WAIT.total_seconds())
+    started_at = gateway.clock.monotonic()
+
+    path = f"/v1/requests/{streaming.getheader('X-Request-Id')}"
+    assert gateway.request("DELETE", path).status == 204
+
+    gateway.wait_settled()
+    gateway.check_free()
+    assert gateway.clock.monotonic() == started_at
+    prompt = completions.count_tokens(PROMPT)
+    assert gateway.limiter.settled == [(1, prompt + 2)]
+
+
+@pytest.mark.matrix(
+    invariant=1,
+    fault="caller cancels",
+    step="mid-stream",
+    seen_red="account check of InflightRequests.end",
+)
+def test_delete_ends_the_account_s_own_request_only(gateway):
+    gateway.block_at("mid-stream")
+    answer = gateway.request("POST", COMPLETIONS, STREAMED)
+    request_id = answer.getheader("X-Request-Id")
+    assert gateway.reached.wait(WAIT.total_seconds())
+    path = f"/v1/requests/{request_id}"
+
+    foreign = gateway.request("DELETE", path, key=gateway.foreign)
+    assert foreign.status == results.UNKNOWN_REQUEST.http_status
+    assert request_id in gateway.requests.handles
+    assert gateway.request("DELETE", path).status == 204
+
+    name, _, body = events_of(answer.read())[-1]
+    assert (name, body["code"]) == ("error", results.CLIENT_CANCELLED.number)
+    gateway.wait_settled()
+    gateway.check_free()
+
+
+def started_answer(gateway):
+    """Returns the start event of a stream whose caller leaves at once."""
+    answer = gateway.request("POST", COMPLETIONS, STREAMED)
+    events = events_of(answer.read())
+    return events[0][2]
+
+
+@pytest.mark.matrix(
+    invariant=5,
+    fault="engine gone at a resume",
+    step="resume",
+    seen_red="restart of a resume",
+)
+def test_resume_starts_over_when_the_engine_has_lost_the_answer(gateway):
+    token = started_answer(gateway)["resume_token"]
+
+    answer = gateway.request(
+        "POST",
+        COMPLETIONS,
+        STREAMED,
+        headers={"Resume-Token": token, "Last-Event-ID": "2"},
+    )
+
+    events = events_of(answer.read())
+    assert [name for name, _, _ in events[:2]] == ["restart", "start"]
+    assert text_of(events) == engines.text_at(0, 4)
+    gateway.wait_settled()
+    gateway.check_free()
+
+
+@pytest.mark.parametrize("cancelled", [False, True])
+@pytest.mark.matrix(
+    invariant=1,
+    fault="caller cancels",
+    step="resume",
+    seen_red="id of a resumed answer",
+)
+def test_resumed_answer_goes_on_and_can_be_cancelled(gateway, cancelled):
+    gateway.block_at("last token")
+    first = gateway.request("POST", COMPLETIONS, STREAMED)
+    while not (data := first.readline()).startswith(b"data"):
+        pass
+    token = json.loads(data[6:])["resume_token"]
+    assert gateway.reached.wait(WAIT.total_seconds())
+    gateway.reached.clear()
+    gateway.block_at("last token")
+
+    second = gateway.request(
+        "POST",
+        COMPLETIONS,
+        STREAMED,
+        headers={"Resume-Token": token, "Last-Event-ID": "1"},
+    )
+    assert gateway.reached.wait(WAIT.total_seconds())
+    if cancelled:
+        request_id = second.getheader("X-Request-Id")
+        path = f"/v1/requests/{request_id}"
+        assert gateway.request("DELETE", path).status == 204
+    gateway.gate.set()
+
+    events = events_of(second.read())
+    first.read()
+    assert events[0][2]["request_id"] == second.getheader("X-Request-Id")
+    assert events[-1][0] == ("error" if cancelled else "done")
+    gateway.wait_settled()
+    gateway.check_free()
+
+
+class Failing:
+    """Pipeline whose answers fail with an error that is not the package's."""
+
+    def __init__(self, events):
+        self.events = events
+
+    def run(self, *_):
+        yield from self.events
+        if self.events is not EMPTY:
+            raise KeyError("unexpected")
+
+
+EMPTY = ()
+STARTED = [completions.Started("gw.1.1", "token")]
+
+
+@pytest.mark.parametrize(
+    ("events", "code"),
+    [
+        pytest.param(EMPTY, results.UPSTREAM_FAILED, id="no event"),
+        pytest.param(
+            [],
+            results.INTERNAL_ERROR,
+            id="error at first",
+            marks=pytest.mark.matrix(
+                invariant=9,
+                fault="unexpected error",
+                step="first event",
+                seen_red="closing of the handle on any error",
+            ),
+        ),
+        pytest.param(STARTED, results.INTERNAL_ERROR, id="error later"),
+    ],
+)
+def test_unexpected_error_leaves_no_request_in_progress(gateway, events, code):
+    gateway.application.completion_pipeline = Failing(events)
+
+    answer = gateway.request("POST", COMPLETIONS, STREAMED)
+    data = answer.read()
+
+    body = events_of(data)[-1][2] if events else json.loads(data)
+    assert body["code"] == code.number
+    assert gateway.requests.handles == {}
+
+
+@pytest.mark.matrix(
+    invariant=9,
+    fault="graceful shutdown",
+    step="drain",
+    seen_red="GatewayServer.drain",
+)
+def test_drain_serves_open_connections_and_closes_them(gateway):
+    idle, busy = gateway.http(), gateway.http()
+    gateway.request("GET", "/stock/a", via=idle).read()
+    gateway.block_at("mid-stream")
+    streaming = gateway.request("POST", COMPLETIONS, STREAMED, via=busy)
+    assert gateway.reached.wait(WAIT.total_seconds())
+
+    gateway.server.drain()
+    gateway.server.stop_accepting()
+    answer = gateway.request("GET", "/stock/a", via=idle)
+    gateway.gate.set()
+
+    assert answer.getheader("Connection") == "close"
+    assert answer.read() == b"ok"
+    assert text_of(events_of(streaming.read())) == engines.text_at(0, 4)
+    gateway.wait_settled()
--- a/tests/gateway/test_intake.py
+++ b/tests/gateway/test_intake.py
@@ -42,7 +42,10 @@
 
 
 @pytest.mark.matrix(
-    invariant=3, fault="forged headers", step="forward", seen_red=""
+    invariant=3,
+    fault="forged headers",
+    step="forward",
+    seen_red="intake.upstream_headers",
 )
 def test_upstream_gets_neither_key_nor_forged_account():
     environ = {
