Wait for answers being written and limit the time of headers

A request counted as finished before its answer was written, so a shutdown cut an answer that a slow caller was still reading. A caller that sent single bytes of a header held its connection without limit, because the socket's time limit starts anew with each byte.

The server counts answers until they are written, and the daemon waits for them. The request line and the headers have limits for their whole.

Measured: the three new tests fail without these limits and pass with them.

--- a/src/coltsfootarch/gateway/daemon.py
+++ b/src/coltsfootarch/gateway/daemon.py
@@ -111,6 +111,7 @@
         self.server.stop_accepting()
         self.parts.agent.release_shards()
         self.parts.requests.wait_idle()
+        self.server.wait_answered()
         self.parts.completion_pipeline.wait_background()
         self.parts.agent.hand_over()
         for task in self.tasks:
--- a/src/coltsfootarch/gateway/server.py
+++ b/src/coltsfootarch/gateway/server.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import gevent
+import gevent.event
 import structlog
 from gevent import pool
 from gevent import pywsgi
@@ -17,9 +18,12 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterator
 
 # A caller that neither sends nor reads for this long loses its connection.
 SOCKET_TIMEOUT = datetime.timedelta(seconds=60)
+# Without it a caller could hold a connection by single bytes of a header.
+HEADER_TIMEOUT = datetime.timedelta(seconds=30)
 # Limits of what is read of a body after its request was answered.
 DISCARD_TIMEOUT = datetime.timedelta(seconds=1)
 DISCARD_BYTES = 1024 * 1024
@@ -101,9 +105,23 @@
         environ["wsgi.input"] = self.wsgi_input
         return environ
 
+    def read_requestline(self) -> str:
+        """Reads a request's first line, for which an idle caller has time."""
+        expired = TimeoutError("no request in time")
+        with gevent.Timeout(SOCKET_TIMEOUT.total_seconds(), expired):
+            line: str = super().read_requestline()
+        return line
+
+    def read_request(self, raw_requestline: str) -> bool:
+        """Reads a request's headers."""
+        expired = TimeoutError("the headers did not arrive in time")
+        with gevent.Timeout(HEADER_TIMEOUT.total_seconds(), expired):
+            return bool(super().read_request(raw_requestline))
+
     def handle_one_response(self) -> None:
         """Answers a request and closes a connection that is out of step."""
-        super().handle_one_response()
+        with self.server.gateway.answering():
+            super().handle_one_response()
         if not self.wsgi_input.synchronized:
             self.close_connection = True
 
@@ -141,6 +159,9 @@
         self.application = application
         self.draining = False
         self.connections = pool.Pool(MAX_CONNECTIONS)
+        self.answers = 0
+        self.idle = gevent.event.Event()
+        self.idle.set()
         self.server = pywsgi.WSGIServer(
             (host, int(port)),
             self.handle_request,
@@ -151,6 +172,7 @@
             handler_class=ConnectionHandler,
             environ={"SERVER_NAME": host},
         )
+        self.server.gateway = self
 
     @property
     def address(self) -> str:
@@ -175,6 +197,22 @@
         """Binds and starts to accept."""
         self.server.start()
 
+    @contextlib.contextmanager
+    def answering(self) -> Iterator[None]:
+        """Counts an answer until the last of it is handed to the caller."""
+        self.answers += 1
+        self.idle.clear()
+        try:
+            yield
+        finally:
+            self.answers -= 1
+            if not self.answers:
+                self.idle.set()
+
+    def wait_answered(self) -> None:
+        """Waits until no answer is being written."""
+        self.idle.wait()
+
     def drain(self) -> None:
         """Makes each connection close after its next answer."""
         self.draining = True
--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -51,10 +51,11 @@
 
     def __init__(self):
         self.calls = []
+        self.body = b"ok"
 
     def run(self, call):
         self.calls.append(call)
-        answer = plain_client.PlainResponse(200, (("X-Stock", "3"),), b"ok")
+        answer = plain_client.PlainResponse(200, (), self.body)
         return call_pipeline.CallAnswer(answer, replayed=False)
 
 
@@ -326,7 +327,7 @@
     return pytest.param(name, marks=marker)
 
 
-@pytest.mark.parametrize("name", map(bad_request, BAD))
+@pytest.mark.parametrize("name", list(map(bad_request, BAD)))
 def test_bad_request_is_refused_and_changes_nothing(gateway, monkeypatch, name):
     monkeypatch.setattr(server, "DISCARD_TIMEOUT", SHORT)
     fields, body, code = BAD[name]
@@ -754,3 +755,59 @@
     assert answer.read() == b"ok"
     assert text_of(events_of(streaming.read())) == engines.text_at(0, 4)
     gateway.wait_settled()
+
+
+@pytest.mark.matrix(
+    invariant=9,
+    fault="graceful shutdown",
+    step="answer",
+    seen_red="GatewayServer.wait_answered",
+)
+def test_shutdown_waits_for_an_answer_that_is_being_written(gateway):
+    gateway.calls.body = b"x" * 20_000_000
+    sock = gateway.connect(receive_buffer=4096)
+    sock.sendall(gateway.head("GET", "/stock/a"))
+    answer = http.client.HTTPResponse(sock)
+    answer.begin()
+    assert gateway.requests.wait_idle(WAIT)
+
+    def stop():
+        gateway.server.stop_accepting()
+        gateway.server.wait_answered()
+        gateway.server.close()
+
+    stopping = gevent.spawn(stop)
+    assert answer.read() == gateway.calls.body
+    stopping.get(timeout=WAIT.total_seconds())
+
+
+def drip(sock):
+    """Sends single bytes until the connection is closed."""
+    closed = gevent.event.Event()
+    try:
+        while not closed.wait(SHORT.total_seconds() / 10):
+            sock.sendall(b"x")
+    except OSError:
+        return
+
+
+@pytest.mark.parametrize("sent", [b"GET /-/live HT", b"GET / HTTP/1.1\r\nA: "])
+@pytest.mark.matrix(
+    invariant=6,
+    fault="slow caller",
+    step="headers",
+    seen_red="time limits of ConnectionHandler",
+)
+def test_headers_that_do_not_arrive_end_the_connection(
+    gateway, monkeypatch, sent
+):
+    monkeypatch.setattr(server, "HEADER_TIMEOUT", SHORT)
+    monkeypatch.setattr(server, "SOCKET_TIMEOUT", SHORT)
+    sock = gateway.connect()
+    sock.sendall(sent)
+    dripping = gevent.spawn(drip, sock)
+
+    with sock.makefile("rb") as stream:
+        assert b"200" not in stream.read()
+    dripping.get(timeout=WAIT.total_seconds())
+    gateway.check_unchanged()
