--- a/src/coltsfootarch/gateway/application.py
+++ b/src/coltsfootarch/gateway/application.py
@@ -96,7 +96,8 @@
 
     def build(self) -> bottle.Bottle:
         """Returns the bottle application with its routes."""
-        app = bottle.Bottle(catchall=True, autojson=False)
+        app = bottle.Bottle()
+        app.config["json.enable"] = False
         app.route("/-/live", "GET", self.get_live)
         app.route("/-/ready", "GET", self.get_ready)
         app.route("/-/status", "GET", self.get_status)
