Split the engines of a pool from its scheduler

Change: PoolEngines in scheduling/engines.py holds queues and capacities; items.ENDING_STEPS replaces both sets; some constants name their unit. Behaviour and assertions are unchanged.

--- a/src/coltsfootarch/scheduling/client.py
+++ b/src/coltsfootarch/scheduling/client.py
@@ -31,7 +31,6 @@
 FLUSH_SECONDS = 0.02
 LARGEST_BATCH = 32
 
-ENDING_STEPS = frozenset({"finished", "failed", "crashed", "cancelled"})
 URGENT_STEPS = frozenset({"failed", "crashed", "cancelled"})
 
 
@@ -132,7 +131,7 @@
         route = self.routes.get(key)
         if route is None:
             return
-        if event.step in ENDING_STEPS:
+        if event.step in items.ENDING_STEPS:
             del self.routes[key]
         if not self.pending:
             self.flush_at = self.clock.monotonic() + FLUSH_SECONDS
--- a/src/coltsfootarch/scheduling/items.py
+++ b/src/coltsfootarch/scheduling/items.py
@@ -10,6 +10,10 @@
     from coltsfootarch import results
 
 
+# Steps of `messages.ScheduleEvent` after which an attempt holds nothing.
+ENDING_STEPS = frozenset({"finished", "failed", "crashed", "cancelled"})
+
+
 class AttemptKey(NamedTuple):
     """Identifies one attempt of a request."""
 
--- a/src/coltsfootarch/scheduling/pool.py
+++ b/src/coltsfootarch/scheduling/pool.py
@@ -6,14 +6,12 @@
 from typing import TYPE_CHECKING
 
 from coltsfootarch import results
-from coltsfootarch.config import register
 from coltsfootarch.scheduling import assigned
-from coltsfootarch.scheduling import decode
+from coltsfootarch.scheduling import engines
 from coltsfootarch.scheduling import fair_queue
 from coltsfootarch.scheduling import items
 from coltsfootarch.scheduling import links
 from coltsfootarch.scheduling import placement
-from coltsfootarch.scheduling import prefill
 from coltsfootarch.scheduling import quarantine
 from coltsfootarch.scheduling import speed
 
@@ -21,6 +19,7 @@
     from collections.abc import Iterable
 
     from coltsfootarch import clock as clocks
+    from coltsfootarch.config import register
     from coltsfootarch.protocol import messages
     from coltsfootarch.upstreams import engine
 
@@ -45,8 +44,6 @@
 INITIAL_OUTPUT_SHARE = 0.5
 LOWEST_RETRY_AFTER_SECONDS = 0.1
 
-ENDED = frozenset({"finished", "failed", "crashed", "cancelled"})
-
 
 class PoolScheduler:
     """Decides where and when the requests of one model service run.
@@ -77,8 +74,9 @@
         self.queue = fair_queue.FairQueue()
         self.quarantine = quarantine.Quarantine(clock)
         self.links = links.LinkBook()
-        self.prefills: dict[str, prefill.PrefillQueue] = {}
-        self.decodes: dict[str, decode.DecodeCapacity] = {}
+        self.engines = engines.PoolEngines()
+        self.prefills = self.engines.prefills
+        self.decodes = self.engines.decodes
         self.assigned: dict[items.AttemptKey, assigned.AssignedAttempt] = {}
         self.latest_starts: list[tuple[float, items.AttemptKey]] = []
         self.waiting: dict[items.AttemptKey, items.WorkItem] = {}
@@ -91,34 +89,11 @@
     def set_upstreams(self, upstreams: Iterable[register.Upstream]) -> None:
         """Sets the pool's engines; known ones keep their state."""
         self.prefill_free_at = 0.0
-        named = {upstream.name: upstream for upstream in upstreams}
-        for name in [*self.prefills, *self.decodes]:
-            if name not in named:
-                self.prefills.pop(name, None)
-                self.decodes.pop(name, None)
-        for name, upstream in named.items():
-            if upstream.role is register.UpstreamRole.PREFILL:
-                self.decodes.pop(name, None)
-                queue = self.prefills.get(name)
-                if queue is None:
-                    queue = prefill.PrefillQueue(upstream)
-                    self.prefills[name] = queue
-                if queue.upstream.state is not upstream.state:
-                    queue.reset_cache()
-                queue.upstream = upstream
-            elif upstream.role is register.UpstreamRole.DECODE:
-                self.prefills.pop(name, None)
-                capacity = self.decodes.get(name)
-                if capacity is None:
-                    capacity = decode.DecodeCapacity(upstream)
-                    self.decodes[name] = capacity
-                capacity.upstream = upstream
+        self.engines.replace(upstreams)
 
     def upstreams(self) -> list[register.Upstream]:
         """Returns the pool's engines."""
-        sources = [queue.upstream for queue in self.prefills.values()]
-        targets = [entry.upstream for entry in self.decodes.values()]
-        return sources + targets
+        return self.engines.upstreams()
 
     def submit(self, item: items.WorkItem) -> None:
         """Adds an attempt; its decision comes from a later `poll()`."""
@@ -187,7 +162,7 @@
             self.note_prefilled(key, entry, now)
         elif event.step == "transferred":
             self.note_transferred(key, entry, now)
-        elif event.step in ENDED:
+        elif event.step in items.ENDING_STEPS:
             self.end(key, entry, event, now)
 
     def report(self, upstream: str, load: engine.LoadReport) -> None:
@@ -317,7 +292,7 @@
                 event.upstream, entry.item.digest, digests
             )
         if event.step in ("failed", "crashed"):
-            self.note_failed(event.upstream, now)
+            self.engines.note_failed(event.upstream, now)
         unused = max(0, entry.item.max_output_tokens - event.tokens)
         self.queue.charge(entry.item.account, -unused / entry.item.weight)
         self.forget(key, now)
@@ -350,14 +325,6 @@
         else:
             capacity.health.succeeded(now)
 
-    def note_failed(self, upstream: str, now: float) -> None:
-        """Counts a failure against an engine."""
-        if upstream in self.prefills:
-            self.prefills[upstream].health.failed(now)
-            self.prefills[upstream].reset_cache()
-        if upstream in self.decodes:
-            self.decodes[upstream].health.failed(now)
-
     def forget(self, key: items.AttemptKey, now: float) -> None:
         """Frees everything that an attempt holds."""
         entry = self.assigned.pop(key, None)
--- a/src/coltsfootarch/upstreams/connection.py
+++ b/src/coltsfootarch/upstreams/connection.py
@@ -22,7 +22,7 @@
 
 READ_BYTES = 64 * 1024
 # A socket timeout of 0 would switch the socket to non-blocking.
-SHORTEST_TIMEOUT = 0.001
+SHORTEST_TIMEOUT_SECONDS = 0.001
 
 
 class Deadline:
@@ -54,7 +54,7 @@
         seconds = self.expires_at - self.clock.monotonic()
         if seconds <= 0:
             raise TimeoutError
-        return max(seconds, SHORTEST_TIMEOUT)
+        return max(seconds, SHORTEST_TIMEOUT_SECONDS)
 
 
 class UpstreamConnection:
--- a/src/coltsfootarch/zone/membership.py
+++ b/src/coltsfootarch/zone/membership.py
@@ -21,8 +21,8 @@
     from coltsfootarch.zone import directory
     from coltsfootarch.zone import records
 
-FORGET_AFTER = 60.0
-RECENTLY_SEEN = 10.0
+FORGET_SECONDS = 60.0
+RECENT_SECONDS = 10.0
 
 
 class Peer:
@@ -141,7 +141,7 @@
             )
             for record in self.directory.own_view.sessions.values()
         }
-        oldest = self.clock.monotonic() - RECENTLY_SEEN
+        oldest = self.clock.monotonic() - RECENT_SECONDS
         for peer in self.peers.values():
             if peer.seen_at >= oldest:
                 found[peer.sender.host] = peer.sender
@@ -229,7 +229,7 @@
 
     def forget_peers(self) -> None:
         """Forgets peers that were not seen for a long time."""
-        oldest = self.clock.monotonic() - FORGET_AFTER
+        oldest = self.clock.monotonic() - FORGET_SECONDS
         for key, peer in list(self.peers.items()):
             if peer.seen_at < oldest:
                 del self.peers[key]
--- a/tests/scheduling/test_pool_history.py
+++ b/tests/scheduling/test_pool_history.py
@@ -75,7 +75,7 @@
         step = ending or STEPS.get(state, "finished")
         event = pools.make_event(decision, step, decision.decode, 10)
         self.scheduler.apply(event)
-        if step in pool.ENDED:
+        if step in items.ENDING_STEPS:
             del self.open[key]
             self.scheduler.apply(event)
         else:
