Resume a stalled answer again before it starts over

A resumed answer whose stream stalled was started over, charged again and cancelled at an engine that was still generating it. It is now taken up on a new connection, as an answer on its first connection is.

--- a/src/coltsfootarch/gateway/completion_pipeline.py
+++ b/src/coltsfootarch/gateway/completion_pipeline.py
@@ -168,27 +168,34 @@
         caller cancels what it is connected to.
         """
         started = False
-        stream = self.engines.resume(
-            upstream.address, reference.request_id, offset
-        )
-        with completions.closing(stream):
-            for event in stream:
-                if event.request_id != reference.request_id:
-                    raise errors.UpstreamError("the stream is of another one")
-                if event.offset != offset:
-                    raise errors.UpstreamError("the stream has another offset")
-                if not started:
-                    yield completions.Started(request_id, token)
-                    started = True
-                offset += event.tokens
-                if event.tokens:
-                    yield completions.Tokens(event.text, offset)
-                if event.finished:
-                    self.notify_finished(reference, offset)
-                    tokens = completions.count_tokens(request.prompt)
-                    yield completions.Finished(tokens, offset)
-                    return
-        raise errors.UpstreamError("the stream ended early")
+        stalled = 0
+        while True:
+            stream = self.engines.resume(
+                upstream.address, reference.request_id, offset
+            )
+            try:
+                with completions.closing(stream):
+                    for event in stream:
+                        check_event(event, reference, offset)
+                        if not started:
+                            started = True
+                            yield completions.Started(request_id, token)
+                        stalled = 0
+                        offset += event.tokens
+                        if event.tokens:
+                            yield completions.Tokens(event.text, offset)
+                        if event.finished:
+                            self.notify_finished(reference, offset)
+                            tokens = completions.count_tokens(request.prompt)
+                            yield completions.Finished(tokens, offset)
+                            return
+                raise errors.UpstreamError("the stream ended early")
+            except errors.UpstreamRefusedError:
+                raise
+            except errors.UpstreamError:
+                stalled += 1
+                if not started or stalled > completion_run.MAX_STALLED_RESUMES:
+                    raise
 
     def notify_finished(
         self, reference: resumes.ResumeReference, offset: int
@@ -287,3 +294,17 @@
                 self.clock.sleep(CANCEL_INTERVAL)
                 continue
             return
+
+
+def check_event(
+    event: engine.TokenEvent, reference: resumes.ResumeReference, offset: int
+) -> None:
+    """Checks that an event continues a resumed answer.
+
+    Raises:
+        UpstreamError: It is of another request or at another offset.
+    """
+    if event.request_id != reference.request_id:
+        raise errors.UpstreamError("the stream is of another request")
+    if event.offset != offset:
+        raise errors.UpstreamError("the stream is at another offset")
--- a/src/coltsfootarch/gateway/inflight.py
+++ b/src/coltsfootarch/gateway/inflight.py
@@ -57,11 +57,6 @@
         if not self.closed and isinstance(self.greenlet, gevent.Greenlet):
             self.greenlet.throw(self.ending)
 
-    def check(self) -> None:
-        """Raises the error with which the request was ended, if it was."""
-        if self.ending is not None:
-            raise self.ending
-
 
 class InflightRequests:
     """Registry of the requests in progress.
--- a/tests/faults/test_completion_path.py
+++ b/tests/faults/test_completion_path.py
@@ -164,6 +164,11 @@
             if isinstance(event, completions.Tokens)
         ]
 
+    def restarted(self):
+        return any(
+            isinstance(event, completions.Restarted) for event in self.events
+        )
+
     def finished(self):
         return any(
             isinstance(event, completions.Finished) for event in self.events
@@ -583,9 +588,9 @@
 RESUME_CANCEL = "cancellation of a replaced or ended resume"
 RESUMED = [
     resumed("resume", "silence", RESUME_CANCEL),
-    resumed("mid-stream", "silence", RESUME_CANCEL),
-    resumed("mid-stream", "missing", RESUME_CANCEL),
-    resumed("mid-stream", "other request", RESUME_CANCEL),
+    resumed("mid-stream", "silence", "resume of a stalled attach"),
+    resumed("mid-stream", "missing", "completion_pipeline.check_event"),
+    resumed("mid-stream", "other request", "completion_pipeline.check_event"),
     resumed("mid-stream", "caller cancels", RESUME_CANCEL),
     resumed("mid-stream", "", "CompletionPipeline.leave_for_resume", 4),
 ]
@@ -599,7 +604,8 @@
     assert world.engines.held
     del world.pipeline.leave_for_resume
     token = world.events[0].resume_token
-    world.script.faults[step].append(fault)
+    skipped = [""] if step == "mid-stream" else []
+    world.script.faults[step].extend([*skipped, fault])
 
     world.resume(token, offset=2, leave_after=leave_after)
 
@@ -607,6 +613,9 @@
     assert world.engines.open_streams == 0
     if fault not in ("", "caller cancels"):
         assert world.finished()
+        assert world.restarted() == (step == "resume")
+        text = "".join(event.text for event in world.tokens()[-TOKENS:])
+        assert text == engines.text_at(0, TOKENS)
 
 
 FAULTS = strategies.tuples(
