Log the end of each request and the host on every line

Cause: only refusals were logged, some without the client account, and no line named the host. Change: one line at the end of a request with id, account, result code and duration; the host's name on every line. Result: tests of the gateway pass.

--- a/src/coltsfootarch/console/commands/gateway.py
+++ b/src/coltsfootarch/console/commands/gateway.py
@@ -25,5 +25,5 @@
     logs = importlib.import_module("coltsfootarch.observability.logs")
     daemon = importlib.import_module("coltsfootarch.gateway.daemon")
     parsed = settings.parse(path.read_text(), str(path))
-    logs.configure(parsed.log_level.value)
+    logs.configure(parsed.log_level.value, host=parsed.name)
     daemon.Gateway(parsed).run()
--- a/src/coltsfootarch/gateway/application.py
+++ b/src/coltsfootarch/gateway/application.py
@@ -144,12 +144,15 @@
                 whole = answers.collect(events, request_id)
             self.requests.close(handle)
             return json_answer(dict(whole))
-        except BaseException as error:
+        except errors.ColtsfootarchError as error:
+            refusal = self.refuse(error, request_id, handle)
             if handle is not None:
                 self.requests.close(handle)
-            if not isinstance(error, errors.ColtsfootarchError):
-                raise
-            return self.refuse(error, request_id)
+            return refusal
+        except BaseException:
+            if handle is not None:
+                self.requests.close(handle)
+            raise
 
     def answer_events(
         self,
@@ -196,7 +199,7 @@
             for event in events:
                 yield answers.encode_event(event)
         except errors.ColtsfootarchError as error:
-            self.note_refusal(error, request_id, handle.info.account)
+            self.note_refusal(error, request_id, handle)
             yield answers.encode_failure(error, request_id)
         except Exception:
             logger.exception("unexpected error", request_id=request_id)
@@ -255,7 +258,7 @@
             call = self.make_call(environ, request_id, account, route, body)
             return self.call_answer(self.call_pipeline.run(call))
         except errors.ColtsfootarchError as error:
-            return self.refuse(error, request_id)
+            return self.refuse(error, request_id, handle)
         finally:
             if handle is not None:
                 self.requests.close(handle)
@@ -291,10 +294,13 @@
         return body
 
     def refuse(
-        self, error: errors.ColtsfootarchError, request_id: str
+        self,
+        error: errors.ColtsfootarchError,
+        request_id: str,
+        handle: inflight.RequestHandle | None = None,
     ) -> bytes:
         """Answers with a refusal."""
-        self.note_refusal(error, request_id, "")
+        self.note_refusal(error, request_id, handle)
         bottle.response.status = error.code.http_status
         bottle.response.set_header("Result-Code", str(error.code.number))
         retry_after = getattr(error, "retry_after", None)
@@ -304,10 +310,16 @@
         return json_answer(dict(answers.refusal_body(error, request_id)))
 
     def note_refusal(
-        self, error: errors.ColtsfootarchError, request_id: str, account: str
+        self,
+        error: errors.ColtsfootarchError,
+        request_id: str,
+        handle: inflight.RequestHandle | None,
     ) -> None:
         """Logs and counts a refusal."""
         number = error.code.number
+        account = handle.info.account if handle is not None else ""
+        if handle is not None:
+            handle.result_code = number
         self.metrics.increment(metrics.REFUSALS, suffix=str(number))
         logger.info(
             "request refused",
--- a/src/coltsfootarch/gateway/components.py
+++ b/src/coltsfootarch/gateway/components.py
@@ -88,7 +88,9 @@
             settings.peer,
         )
         self.exported: dict[int, messages.LedgerHandover] = {}
-        self.requests = inflight.InflightRequests(settings.name, incarnation)
+        self.requests = inflight.InflightRequests(
+            settings.name, incarnation, clock
+        )
         self.build_platform()
         self.build_zone()
         self.build_limits()
--- a/src/coltsfootarch/gateway/inflight.py
+++ b/src/coltsfootarch/gateway/inflight.py
@@ -8,6 +8,7 @@
 
 import gevent
 import gevent.event
+import structlog
 
 from coltsfootarch import errors
 
@@ -15,8 +16,11 @@
     import datetime
     from collections.abc import Callable
 
+    from coltsfootarch import clock as clocks
     from coltsfootarch import results
 
+logger = structlog.get_logger(__name__)
+
 
 class RequestInfo(NamedTuple):
     """Who a request in progress belongs to.
@@ -35,11 +39,13 @@
 class RequestHandle:
     """A request in progress and the greenlet that runs it."""
 
-    def __init__(self, info: RequestInfo) -> None:
+    def __init__(self, info: RequestInfo, started_at: float) -> None:
         self.info = info
         self.greenlet = gevent.getcurrent()
         self.ending: errors.RefusedError | None = None
         self.closed = False
+        self.result_code = 0
+        self.started_at = started_at
 
     def end(self, code: results.ResultCode) -> None:
         """Ends the request with a result code at its next wait."""
@@ -64,9 +70,13 @@
     Args:
         host: Name of this host.
         incarnation: Its incarnation.
+        clock: Source of time.
     """
 
-    def __init__(self, host: str, incarnation: int) -> None:
+    def __init__(
+        self, host: str, incarnation: int, clock: clocks.Clock
+    ) -> None:
+        self.clock = clock
         self.host = host
         self.incarnation = incarnation
         self.handles: dict[str, RequestHandle] = {}
@@ -80,7 +90,7 @@
 
     def open(self, info: RequestInfo) -> RequestHandle:
         """Registers a request that the calling greenlet runs."""
-        handle = RequestHandle(info)
+        handle = RequestHandle(info, self.clock.monotonic())
         self.handles[info.request_id] = handle
         self.idle.clear()
         return handle
@@ -88,7 +98,14 @@
     def close(self, handle: RequestHandle) -> None:
         """Removes a request that has ended."""
         handle.closed = True
-        self.handles.pop(handle.info.request_id, None)
+        if self.handles.pop(handle.info.request_id, None) is not None:
+            logger.info(
+                "request ended",
+                request_id=handle.info.request_id,
+                client_account=handle.info.account,
+                result_code=handle.result_code,
+                seconds=round(self.clock.monotonic() - handle.started_at, 3),
+            )
         if not self.handles:
             self.idle.set()
 
--- a/src/coltsfootarch/observability/logs.py
+++ b/src/coltsfootarch/observability/logs.py
@@ -28,19 +28,28 @@
     return event
 
 
-def configure(level: str, stream: TextIO | None = None) -> None:
+def configure(level: str, stream: TextIO | None = None, host: str = "") -> None:
     """Sets up logging for the process.
 
     Args:
         level: "debug", "info", "warning" or "error".
         stream: Where lines go; standard error when not given.
+        host: Name of this host, added to each line.
     """
+
+    def add_host(
+        _logger: Any, _method: str, event: MutableMapping[str, Any]
+    ) -> MutableMapping[str, Any]:
+        event.setdefault("host", host)
+        return event
+
     threshold = logging.getLevelNamesMapping()[level.upper()]
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
+            add_host,
             redact,
             structlog.processors.format_exc_info,
             structlog.processors.JSONRenderer(),
--- a/tests/faults/test_call_path.py
+++ b/tests/faults/test_call_path.py
@@ -111,7 +111,7 @@
             lambda: world.configuration.register,
             generator=random.Random(1),
         )
-        self.requests = inflight.InflightRequests(name, 1)
+        self.requests = inflight.InflightRequests(name, 1, world.clock)
         self.pipeline = call_pipeline.CallPipeline(
             world.clock,
             lambda: world.configuration.register,
--- a/tests/faults/test_completion_path.py
+++ b/tests/faults/test_completion_path.py
@@ -61,7 +61,7 @@
         self.engines.check_dispatch = self.check_dispatch
         self.scheduler = engines.ScriptedScheduler(self.script, pairs)
         self.limiter = engines.RecordingLimiter(self.script)
-        self.requests = inflight.InflightRequests("gw", 1)
+        self.requests = inflight.InflightRequests("gw", 1, self.clock)
         self.pipeline = completion_pipeline.CompletionPipeline(
             self.clock,
             lambda: self.configuration.register,
--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -100,7 +100,7 @@
         self.keys = authenticator.Authenticator(self.configuration)
         self.engines = engines.ScriptedEngines(self.script, PROMPT)
         self.limiter = engines.RecordingLimiter(self.script)
-        self.requests = inflight.InflightRequests("gw", 1)
+        self.requests = inflight.InflightRequests("gw", 1, self.clock)
         self.calls = Calls()
         self.pipeline = completion_pipeline.CompletionPipeline(
             self.clock,
--- a/tests/observability/test_logs.py
+++ b/tests/observability/test_logs.py
@@ -11,7 +11,7 @@
 
 def test_secrets_and_caller_texts_are_redacted():
     stream = io.StringIO()
-    logs.configure("info", stream)
+    logs.configure("info", stream, host="gw-1")
 
     structlog.get_logger().info(
         "event", authorization="Bearer cfa_a_b", prompt="note", request_id="r1"
@@ -21,3 +21,4 @@
     assert "cfa_a_b" not in line
     assert "note" not in line
     assert "r1" in line
+    assert "gw-1" in line
