Refuse edits that change the number of a zone's shards

Cause: the number maps accounts to their homes. Hosts learn of an edit one after the other, so an account could have two homes meanwhile; it was only documented. Change: a commit compares the zones with the version that it replaces. Ruled out: applying the number only after acceptance, which needs a second phase in every host. Result: the new test passes, and fails with the check switched off.

--- a/src/coltsfootarch/config/repository.py
+++ b/src/coltsfootarch/config/repository.py
@@ -10,8 +10,10 @@
 from coltsfootarch import errors
 from coltsfootarch import results
 from coltsfootarch.audit import trail
+from coltsfootarch.config import checker
 from coltsfootarch.config import parser
 from coltsfootarch.config import status as statuses
+from coltsfootarch.config import transitions
 from coltsfootarch.config import versions
 from coltsfootarch.platform import tables
 from coltsfootarch.zone import records
@@ -127,15 +129,17 @@
 
         Raises:
             InvalidDocumentError: The document is not a valid register.
+            ConfigurationError: The edit can't take effect while hosts run.
             VersionConflictError: Another commit was first.
             TableUnavailableError: Nothing was committed.
             TableOutcomeUnknownError: The commit may have been applied; read
                 the history before repeating it.
         """
-        parser.parse(document)
+        register = parser.parse(document)
         head = self.read_head()
         if head.version != expected_version:
             raise self.conflict(expected_version)
+        self.check_transition(expected_version, register)
         stored = versions.StoredVersion(
             version=expected_version + 1,
             document=document,
@@ -147,6 +151,22 @@
         )
         return self.write(stored, head, action)
 
+    def check_transition(
+        self, version: int, edited: registers.Register
+    ) -> None:
+        """Refuses an edit that can't replace a version while hosts run.
+
+        A version that this release can't parse is not in force on hosts of
+        this release either, and must stay replaceable.
+        """
+        if not version:
+            return
+        try:
+            before = parser.parse(self.read(version).document)
+        except checker.InvalidDocumentError:
+            return
+        transitions.check(before, edited)
+
     def write(
         self, stored: versions.StoredVersion, head: Head, action: str
     ) -> versions.StoredVersion:
--- a/tests/config/test_repository.py
+++ b/tests/config/test_repository.py
@@ -52,6 +52,21 @@
     ]
 
 
+@row("edit of shards", "commit", "check of the edit")
+def test_number_of_shards_of_a_zone_cannot_change(fleet):
+    document = fleet.repository.read(1).document
+    name = 'name = "regina"'
+    assert name in document
+
+    with pytest.raises(errors.ConfigurationError) as refused:
+        fleet.repository.commit(
+            document.replace(name, f"{name}\nshards = 16", 1), "ana", "", 1
+        )
+
+    assert refused.value.code == results.WRONG_VALUE
+    assert fleet.repository.head() == 1
+
+
 def test_invalid_document_is_not_committed(fleet):
     with pytest.raises(checker.InvalidDocumentError):
         fleet.repository.commit("[rules]\nx = 1", "ana", "", 1)
