--- a/tests/faults/test_call_path.py
+++ b/tests/faults/test_call_path.py
@@ -248,23 +248,99 @@
 CANCELLED = results.CLIENT_CANCELLED
 WITHDRAWN = results.KEY_WITHDRAWN
 ONCE = [
-    row("connect", "connect refused", 6, None, "", REPLAYED),
-    row("connect", "caller cancels", 6, CANCELLED, "", RUN),
-    row("claim", "store down", 6, results.CLAIM_UNAVAILABLE, "", RUN),
-    row("claim", "answer lost", 7, None, "", REPLAYED),
-    row("claim", "caller cancels", 7, CANCELLED, "", RUN),
-    row("claim written", "caller cancels", 7, CANCELLED, "", RUN),
-    row("claim written", "pause, key withdrawn", 3, WITHDRAWN, "", RUN),
-    row("claim written", "pause, instance leaves", 8, None, "", REPLAYED),
-    row("claim written", "pause, all leave", 8, results.NO_UPSTREAM, "", RUN),
-    row("send", "breaks", 7, results.UPSTREAM_FAILED, "", UNKNOWN),
-    row("answer", "breaks", 7, results.UPSTREAM_FAILED, "", UNKNOWN),
-    row("answer", "timeout", 7, results.UPSTREAM_TIMEOUT, "", UNKNOWN),
-    row("answer", "caller cancels", 7, CANCELLED, "", UNKNOWN),
-    row("record", "store down", 7, None, "", REPLAYED),
-    row("record", "answer lost", 7, None, "", REPLAYED),
-    row("record", "caller cancels", 7, CANCELLED, "", REPLAYED),
-    row("guard", "pause, key withdrawn", 3, WITHDRAWN, "", RUN),
+    row(
+        "connect",
+        "connect refused",
+        6,
+        None,
+        "connection attempts on other instances",
+        REPLAYED,
+    ),
+    row(
+        "connect",
+        "caller cancels",
+        6,
+        CANCELLED,
+        "RequestHandle.interrupt",
+        RUN,
+    ),
+    row(
+        "claim",
+        "store down",
+        6,
+        results.CLAIM_UNAVAILABLE,
+        "ClaimBook.claim",
+        RUN,
+    ),
+    row("claim", "answer lost", 7, None, "ClaimBook.record", REPLAYED),
+    row(
+        "claim", "caller cancels", 7, CANCELLED, "RequestHandle.interrupt", RUN
+    ),
+    row(
+        "claim written",
+        "caller cancels",
+        7,
+        CANCELLED,
+        "ClaimBook.abandon after an interrupted write",
+        RUN,
+    ),
+    row(
+        "claim written",
+        "pause, key withdrawn",
+        3,
+        WITHDRAWN,
+        "release of an unsent claim",
+        RUN,
+    ),
+    row(
+        "claim written",
+        "pause, instance leaves",
+        8,
+        None,
+        "other instances after a denied one",
+        REPLAYED,
+    ),
+    row(
+        "claim written",
+        "pause, all leave",
+        8,
+        results.NO_UPSTREAM,
+        "release of an unsent claim",
+        RUN,
+    ),
+    row("send", "breaks", 7, results.UPSTREAM_FAILED, "may_have_run", UNKNOWN),
+    row(
+        "answer", "breaks", 7, results.UPSTREAM_FAILED, "may_have_run", UNKNOWN
+    ),
+    row(
+        "answer",
+        "timeout",
+        7,
+        results.UPSTREAM_TIMEOUT,
+        "may_have_run",
+        UNKNOWN,
+    ),
+    row(
+        "answer", "caller cancels", 7, CANCELLED, "one send per claim", UNKNOWN
+    ),
+    row("record", "store down", 7, None, "ClaimBook.record_later", REPLAYED),
+    row("record", "answer lost", 7, None, "ClaimBook.record", REPLAYED),
+    row(
+        "record",
+        "caller cancels",
+        7,
+        CANCELLED,
+        "ClaimBook.record_later",
+        REPLAYED,
+    ),
+    row(
+        "guard",
+        "pause, key withdrawn",
+        3,
+        WITHDRAWN,
+        "dispatch guard after the claim",
+        RUN,
+    ),
 ]
 
 
@@ -309,13 +385,31 @@
 
 
 FREE = [
-    row("connect", "connect refused", 6, None, ""),
-    row("send", "breaks", 6, None, ""),
-    row("send", "unavailable", 6, None, ""),
-    row("answer", "timeout", 6, None, ""),
-    row("connect", "pause, instance leaves", 8, None, ""),
-    row("guard", "pause, key withdrawn", 3, results.KEY_WITHDRAWN, ""),
-    row("answer", "caller cancels", 6, results.CLIENT_CANCELLED, ""),
+    row("connect", "connect refused", 6, None, "CallPipeline.check_retry"),
+    row("send", "breaks", 6, None, "CallPipeline.check_retry"),
+    row("send", "unavailable", 6, None, "UNAVAILABLE_STATUSES"),
+    row("answer", "timeout", 6, None, "CallPipeline.check_retry"),
+    row(
+        "connect",
+        "pause, instance leaves",
+        8,
+        None,
+        "other instances after a denied one",
+    ),
+    row(
+        "guard",
+        "pause, key withdrawn",
+        3,
+        results.KEY_WITHDRAWN,
+        "wait of DispatchGuard for a pending end",
+    ),
+    row(
+        "answer",
+        "caller cancels",
+        6,
+        results.CLIENT_CANCELLED,
+        "RequestHandle.interrupt",
+    ),
 ]
 
 
--- a/tests/faults/test_completion_path.py
+++ b/tests/faults/test_completion_path.py
@@ -493,13 +493,23 @@
     assert world.error.code == results.UPSTREAM_CONNECT_FAILED
 
 
-@pytest.mark.matrix(
-    invariant=1,
-    fault="caller leaves",
-    step="mid-stream",
-    seen_red="CompletionPipeline.leave_for_resume",
+def caller_leaves(stream, seen_red):
+    marker = pytest.mark.matrix(
+        invariant=1,
+        fault="caller leaves",
+        step="mid-stream",
+        seen_red=seen_red,
+    )
+    return pytest.param(stream, marks=marker)
+
+
+@pytest.mark.parametrize(
+    "stream",
+    [
+        caller_leaves(True, "CompletionPipeline.leave_for_resume"),
+        caller_leaves(False, "CompletionRun.cancel"),
+    ],
 )
-@pytest.mark.parametrize("stream", [True, False])
 def test_caller_that_leaves_frees_the_engine(stream):
     world = World().run(stream=stream, leave_after=2)
 
