--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -9,218 +9,29 @@
 import datetime
 import http.client
 import json
-import socket
 
 import gevent
 import gevent.event
 import pytest
 
-from coltsfootarch import clock as clocks
 from coltsfootarch import results
-from coltsfootarch.config import register as registers
-from coltsfootarch.config import routes
-from coltsfootarch.gateway import admission
-from coltsfootarch.gateway import application
-from coltsfootarch.gateway import call_pipeline
-from coltsfootarch.gateway import completion_pipeline
 from coltsfootarch.gateway import completions
-from coltsfootarch.gateway import dispatch_guard
-from coltsfootarch.gateway import inflight
 from coltsfootarch.gateway import intake
-from coltsfootarch.gateway import reachability
-from coltsfootarch.gateway import remote_cancel
 from coltsfootarch.gateway import server
-from coltsfootarch.keys import authenticator
-from coltsfootarch.keys import format as formats
-from coltsfootarch.observability import metrics
-from coltsfootarch.retries import budget
-from coltsfootarch.upstreams import plain_client
 from tests.fakes import engines
-from tests.fakes import pools
+from tests.fakes import gateways
 
-WAIT = datetime.timedelta(seconds=10)
+WAIT = gateways.WAIT
 SHORT = datetime.timedelta(milliseconds=100)
-PROMPT = "Referral"
+PROMPT = gateways.PROMPT
 BODY = {"model": "summary", "prompt": PROMPT, "max_tokens": 4}
 STREAMED = {**BODY, "stream": True}
 COMPLETIONS = "/v1/completions"
 
 
-class Calls:
-    """Call pipeline that records what an instance would get."""
-
-    def __init__(self):
-        self.calls = []
-        self.body = b"ok"
-
-    def run(self, call):
-        self.calls.append(call)
-        answer = plain_client.PlainResponse(200, (), self.body)
-        return call_pipeline.CallAnswer(answer, replayed=False)
-
-
-class Gateway:
-    """A served application; `key` belongs to account a, `foreign` to b."""
-
-    def __init__(self, fake_network):
-        self.clock = clocks.ManualClock()
-        self.script = engines.Script()
-        self.gate = gevent.event.Event()
-        self.reached = gevent.event.Event()
-        self.script.actions["block"] = self.block
-        issued = [formats.issue("a"), formats.issue("b")]
-        self.key, self.foreign = (key.text for key in issued)
-        names = [("p1", "prefill"), ("d1", "decode"), ("d2", "decode")]
-        register = pools.make_register(
-            [
-                pools.make_upstream(name, role, number)
-                for number, (name, role) in enumerate(names)
-            ],
-            resume_secret="aa" * 32,
-            max_body_bytes=1000,
-        )
-        stock = registers.Service(
-            "stock", registers.ServiceKind.PLAIN, path_prefix="/stock"
-        )
-        self.configuration = engines.ScriptedConfiguration(
-            self.script,
-            register._replace(
-                services={"summaries": pools.SERVICE, "stock": stock},
-                client_accounts={
-                    key.account: registers.ClientAccount(
-                        key.account, 1000.0, 10_000, keys=(key.key,)
-                    )
-                    for key in issued
-                },
-            ),
-        )
-        self.configuration.routes = routes.RouteTable(
-            self.configuration.register
-        )
-        self.keys = authenticator.Authenticator(self.configuration)
-        self.engines = engines.ScriptedEngines(self.script, PROMPT)
-        self.limiter = engines.RecordingLimiter(self.script)
-        self.requests = inflight.InflightRequests("gw", 1)
-        self.calls = Calls()
-        self.pipeline = completion_pipeline.CompletionPipeline(
-            self.clock,
-            lambda: self.configuration.register,
-            self.limiter,
-            engines.ScriptedScheduler(
-                self.script, [("p1", "d1"), ("p1", "d2")]
-            ),
-            self.engines,
-            dispatch_guard.DispatchGuard(
-                self.configuration,
-                engines.ScriptedHostList(self.configuration),
-            ),
-            reachability.Reachability(self.clock),
-            budget.RetryBudget(self.clock, 0.2),
-            metrics.NullMetrics(),
-            "gw/1",
-        )
-        self.application = application.GatewayApplication(
-            admission.Admission(self.configuration, self.keys),
-            self.pipeline,
-            self.calls,
-            self.requests,
-            remote_cancel.RemoteCanceller(
-                self.requests,
-                fake_network.endpoint("gw", 1, "regina", "peer"),
-                lambda _host, _incarnation: None,
-            ),
-            lambda: application.HostStatus(
-                "gw", "regina", 1, 1, 0.0, [], 0, True
-            ),
-            metrics.NullMetrics(),
-        )
-        self.server = server.GatewayServer("127.0.0.1:0", self.application.wsgi)
-        self.server.start()
-        self.port = int(self.server.address.rpartition(":")[2])
-        self.sockets = []
-
-    def block(self):
-        self.reached.set()
-        assert self.gate.wait(WAIT.total_seconds())
-
-    def block_at(self, step):
-        """Makes the engines stop at a step until `gate` is set."""
-        self.script.faults[step].append("block")
-
-    def withdraw(self):
-        """Puts a register without keys in force, as the daemon does."""
-        register = self.configuration.register
-        self.configuration.register = register._replace(client_accounts={})
-        self.requests.end_invalid_keys(
-            self.keys.is_valid, results.KEY_WITHDRAWN
-        )
-
-    def connect(self, receive_buffer=0):
-        sock = socket.socket()
-        if receive_buffer:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
-        sock.settimeout(WAIT.total_seconds())
-        sock.connect(("127.0.0.1", self.port))
-        self.sockets.append(sock)
-        return sock
-
-    def raw(self, *parts):
-        """Sends bytes on a new connection and returns the first answer."""
-        sock = self.connect()
-        sock.sendall(b"".join(parts))
-        answer = http.client.HTTPResponse(sock)
-        answer.begin()
-        return answer, answer.read()
-
-    def http(self):
-        connection = http.client.HTTPConnection(
-            "127.0.0.1", self.port, timeout=WAIT.total_seconds()
-        )
-        self.sockets.append(connection)
-        return connection
-
-    def request(self, method, path, body=None, key="", headers=(), via=None):
-        """Starts a request and returns its answer, not yet read."""
-        connection = via or self.http()
-        fields = {"Authorization": f"Bearer {key or self.key}"}
-        data = None if body is None else json.dumps(body)
-        connection.request(method, path, data, {**fields, **dict(headers)})
-        return connection.getresponse()
-
-    def head(self, method, path, *fields):
-        """Returns the head of a raw request with the valid key."""
-        lines = [f"{method} {path} HTTP/1.1", "Host: gateway"]
-        lines += [f"Authorization: Bearer {self.key}", *fields, "", ""]
-        return "\r\n".join(lines).encode("latin-1")
-
-    def wait_settled(self):
-        assert self.requests.wait_idle(WAIT)
-        assert self.pipeline.background.join(WAIT.total_seconds())
-
-    def check_unchanged(self):
-        """Checks that nothing was run, charged or left in progress."""
-        assert self.requests.handles == {}
-        assert self.limiter.reserved == []
-        assert self.engines.sent == []
-        assert self.calls.calls == []
-
-    def check_free(self):
-        """Checks that requests that ran have left nothing behind."""
-        assert self.requests.handles == {}
-        assert self.engines.held == {}
-        assert self.engines.open_streams == 0
-        assert len(self.limiter.settled) == len(self.limiter.reserved)
-
-    def close(self):
-        self.gate.set()
-        for item in self.sockets:
-            item.close()
-        self.server.close()
-
-
 @pytest.fixture
 def gateway(fake_network):
-    served = Gateway(fake_network)
+    served = gateways.Gateway(fake_network)
     yield served
     served.close()
 
