--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -14,20 +14,27 @@
 import tempfile
 import time
 import tomllib
+from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
 
 import urllib3
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 ROOT = pathlib.Path(__file__).parent.parent
 EXAMPLE = ROOT / "examples" / "prairie-mobility.toml"
 KEYS = ROOT / "examples" / "demo-keys.toml"
 READY_TIMEOUT_SECONDS = 30.0
 POLL_SECONDS = 0.05
+CONNECTIONS_PER_ADDRESS = 20
 PORTS = range(10_000, 32_000)
 QUEUE_TIMEOUT = re.compile(r'queue_timeout = "\w+"')
 ADDRESS = re.compile(r'^address = "127\.0\.0\.1:\d+"', re.MULTILINE)
 
+used_ports: set[int] = set()
+
 
 class HostAddresses(NamedTuple):
     """Addresses ("ip:port") of an entry host."""
@@ -67,7 +74,9 @@
         self.time_scale = time_scale
         self.folder = tempfile.TemporaryDirectory()
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
-        self.http = urllib3.PoolManager(timeout=10, retries=False)
+        self.http = urllib3.PoolManager(
+            timeout=10, retries=False, maxsize=CONNECTIONS_PER_ADDRESS
+        )
         self.tables = free_address()
         self.objects = free_address()
         self.host_list = free_address()
@@ -237,30 +246,48 @@
             "POST", f"http://{address}/-/faults", body=json.dumps(faults)
         )
 
-    def wait_until(self, condition: Any, message: str) -> None:
+    def wait_until(
+        self,
+        condition: Callable[[], object],
+        message: str,
+        timeout: float = READY_TIMEOUT_SECONDS,
+    ) -> float:
         """Polls a condition until it holds.
 
+        Args:
+            condition: What has to become true.
+            message: Says what did not happen.
+            timeout: Longest wait in seconds.
+
+        Returns:
+            Seconds that it took.
+
         Raises:
             TimeoutError: It did not hold in time.
         """
-        deadline = time.monotonic() + READY_TIMEOUT_SECONDS
+        started = time.monotonic()
         while not condition():
-            if time.monotonic() > deadline:
+            if time.monotonic() - started > timeout:
                 raise TimeoutError(message)
             time.sleep(POLL_SECONDS)
+        return time.monotonic() - started
 
 
 def free_address() -> str:
     """Returns a loopback address with a port that is free now.
 
     The port is below the range that the system gives to outgoing connections,
-    one of which could take it before the server does.
+    one of which could take it before the server does. No port is returned
+    twice, since the server of the first address may not be listening yet.
     """
     while True:
         port = PORTS.start + secrets.randbelow(len(PORTS))
+        if port in used_ports:
+            continue
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
             except OSError:
                 continue
+        used_ports.add(port)
         return f"127.0.0.1:{port}"
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -65,9 +65,14 @@
 def pytest_runtest_makereport(item, call):
     outcome = yield
     report = outcome.get_result()
-    marker = item.get_closest_marker("matrix")
-    if marker is not None:
-        report.matrix_row = dict(marker.kwargs)
+    report.matrix_rows = [
+        dict(marker.kwargs) for marker in item.iter_markers("matrix")
+    ]
+
+
+def report_is_setup(report):
+    """Returns whether a report is about a fixture that worked."""
+    return getattr(report, "when", "") != "call" and report.passed
 
 
 def verdict_of(report):
@@ -84,10 +89,10 @@
     rows = {}
     for reports in terminalreporter.stats.values():
         for report in reports:
-            row = getattr(report, "matrix_row", None)
-            if row is None or (report.when != "call" and report.passed):
+            if report_is_setup(report):
                 continue
-            rows[report.nodeid] = (row, verdict_of(report))
+            for number, row in enumerate(getattr(report, "matrix_rows", [])):
+                rows[report.nodeid, number] = (row, verdict_of(report))
     counts = {"passed": 0, "failed": 0, "known red": 0}
     terminalreporter.write_line(
         "invariant | fault | step | seen red without | verdict | test"
@@ -95,7 +100,7 @@
     ordered = sorted(
         rows.items(), key=lambda item: (item[1][0].get("invariant", 0), item[0])
     )
-    for nodeid, (row, verdict) in ordered:
+    for (nodeid, _), (row, verdict) in ordered:
         counts[verdict] += 1
         cells = [
             str(row.get("invariant", "?")),
--- a/tests/processes/test_path.py
+++ b/tests/processes/test_path.py
@@ -8,26 +8,18 @@
 import pytest
 
 from standins import engine
-from tests.processes import conftest
-
-PROMPT = "Referral: hip surgery, lives alone."
-
-
-def upstream_addresses(running, role):
-    return [
-        upstream["address"]
-        for upstream in running.register["upstream"]
-        if upstream["role"] == role
-    ]
+from tests.processes import support
 
 
 def test_streamed_completion_is_whole(running_fleet, caller):
-    reader = conftest.StreamReader(caller.complete("regina-1", PROMPT, 20))
+    reader = support.StreamReader(
+        caller.complete("regina-1", support.PROMPT, 20)
+    )
 
     done = reader.read_until("done")
 
     assert done["output_tokens"] == 20
-    assert reader.text == engine.expected_text(PROMPT, 20)
+    assert reader.text == engine.expected_text(support.PROMPT, 20)
 
 
 def test_booking_sent_through_two_hosts_runs_once(running_fleet, caller):
@@ -37,27 +29,23 @@
     assert (first.status, second.status) == (201, 201)
     assert second.headers["Idempotency-Replayed"] == "true"
     assert first.data == second.data
-    runs = [
-        json.loads(
-            running_fleet.http.request("GET", f"http://{address}/-/runs").data
-        )
-        for address in upstream_addresses(running_fleet, "plain")
-    ]
-    assert sum(entry["runs"].get("b-1", 0) for entry in runs) == 1
+    assert support.runs(running_fleet, "b-1") == 1
 
 
 @pytest.mark.matrix(
     invariant=5, fault="kill entry host", step="stream", seen_red=""
 )
 def test_caller_resumes_at_another_host_after_a_kill(running_fleet, caller):
-    reader = conftest.StreamReader(caller.complete("regina-1", PROMPT, 60))
+    reader = support.StreamReader(
+        caller.complete("regina-1", support.PROMPT, 60)
+    )
     reader.read_tokens(5)
     running_fleet.processes["regina-1"].kill()
 
-    resumed = conftest.StreamReader(
+    resumed = support.StreamReader(
         caller.complete(
             "saskatoon-1",
-            PROMPT,
+            support.PROMPT,
             60,
             **{
                 "Resume-Token": reader.token,
@@ -69,18 +57,20 @@
 
     assert done["output_tokens"] == 60
     text = reader.text + resumed.text
-    assert text == engine.expected_text(PROMPT, 60)
+    assert text == engine.expected_text(support.PROMPT, 60)
 
 
 @pytest.mark.matrix(
     invariant=5, fault="kill decode engine", step="stream", seen_red=""
 )
 def test_stream_goes_on_after_its_engine_is_killed(running_fleet, caller):
-    reader = conftest.StreamReader(caller.complete("regina-1", PROMPT, 60))
+    reader = support.StreamReader(
+        caller.complete("regina-1", support.PROMPT, 60)
+    )
     reader.read_tokens(5)
     holder = next(
         address
-        for address in upstream_addresses(running_fleet, "decode")
+        for address in support.upstream_addresses(running_fleet, "decode")
         if json.loads(
             running_fleet.http.request(
                 "GET", f"http://{address}/v1/requests"
@@ -92,14 +82,16 @@
     done = reader.read_until("done")
 
     assert done is not None
-    assert reader.text == engine.expected_text(PROMPT, 60)
+    assert reader.text == engine.expected_text(support.PROMPT, 60)
 
 
 @pytest.mark.matrix(
     invariant=9, fault="graceful stop", step="stream", seen_red=""
 )
 def test_graceful_stop_finishes_the_stream(running_fleet, caller):
-    reader = conftest.StreamReader(caller.complete("regina-1", PROMPT, 60))
+    reader = support.StreamReader(
+        caller.complete("regina-1", support.PROMPT, 60)
+    )
     reader.read_tokens(5)
     process = running_fleet.processes["regina-1"]
     process.send_signal(signal.SIGTERM)
@@ -107,7 +99,7 @@
     done = reader.read_until("done")
 
     assert done is not None
-    assert reader.text == engine.expected_text(PROMPT, 60)
+    assert reader.text == engine.expected_text(support.PROMPT, 60)
     assert process.wait(timeout=30) == 0
 
 
@@ -118,9 +110,11 @@
     seen_red="",
 )
 def test_withdrawn_key_ends_its_stream_and_is_refused(running_fleet, caller):
-    for address in upstream_addresses(running_fleet, "decode"):
+    for address in support.upstream_addresses(running_fleet, "decode"):
         running_fleet.fault(address, slow_factor=10)
-    reader = conftest.StreamReader(caller.complete("regina-1", PROMPT, 400))
+    reader = support.StreamReader(
+        caller.complete("regina-1", support.PROMPT, 400)
+    )
     reader.read_tokens(5)
     key_id = caller.key.split("_")[1]
 
@@ -128,7 +122,7 @@
     error = reader.read_until("error")
 
     assert error["code"] == 2003
-    for host in conftest.HOSTS:
+    for host in support.HOSTS:
         assert caller.book(host, "late").status == 401
 
 
