Ask zone peers for a first configuration before any request comes

Cause: a host that was restarted during a store outage asked zone peers only when a request came, but it was not ready without a version, so a load balancer sent none; it stayed not ready until the store was back. Change: the periodic poll asks peers while there is no version.

--- a/src/coltsfootarch/config/tracker.py
+++ b/src/coltsfootarch/config/tracker.py
@@ -147,12 +147,17 @@
         return self.confirmed_age() <= limit
 
     def tick(self) -> None:
-        """Polls the table service when the poll interval has passed."""
+        """Polls the table service when the poll interval has passed.
+
+        A host without a version asks zone peers too: it is not ready before
+        it has one, so no request arrives that would make it ask them.
+        """
         if self.polled_at is not None:
             waited = self.clock.monotonic() - self.polled_at
             if waited < self.poll_interval:
                 return
-        self.confirm()
+        if not self.confirm() and self.version == 0:
+            self.confirm_with_peers()
 
     def confirm(self) -> bool:
         """Confirms the version with the table service; applies a newer one.
--- a/tests/config/test_tracker.py
+++ b/tests/config/test_tracker.py
@@ -220,6 +220,16 @@
     assert tracker.version == 5
 
 
+def test_host_without_a_version_and_without_requests_asks_peers(fleet):
+    fleet.shared.down = True
+    _, tracker = fleet.host(lambda: messages.ConfigReply(5, SECOND, 1.0))
+
+    fleet.pass_time(2)
+    tracker.tick()
+
+    assert tracker.version == 5
+
+
 def test_failed_confirmation_is_not_repeated_for_every_request(fleet):
     asked = []
     client, tracker = fleet.host(lambda: asked.append(1))
