Announce a host before it is ready, and look up hosts that just started

Cause: a host was ready before its session was in the store, so an edit was printed as accepted although that host served without it. A cancel sent to a host whose directory was up to 2 s old was answered 1009 while the request ran. Change: readiness needs a session that was written once, unless the store is down or an earlier session still stands. A cancel for an unknown host polls the directory first, at most every 0.25 s.

--- a/src/coltsfootarch/gateway/components.py
+++ b/src/coltsfootarch/gateway/components.py
@@ -221,7 +221,10 @@
         self.guard = dispatch_guard.DispatchGuard(self.tracker, self.watcher)
         self.admission = admission.Admission(self.tracker, self.keys)
         self.canceller = remote_cancel.RemoteCanceller(
-            self.requests, self.network, self.agent.directory.address_of
+            self.requests,
+            self.network,
+            self.agent.directory.address_of,
+            self.agent.directory.refresh,
         )
         self.completion_pipeline = completion_pipeline.CompletionPipeline(
             self.clock,
--- a/src/coltsfootarch/gateway/daemon.py
+++ b/src/coltsfootarch/gateway/daemon.py
@@ -139,7 +139,9 @@
             confirmed_age=age if age >= 0 else None,
             shards=parts.agent.leases.valid_shards(),
             in_progress=len(parts.requests.handles),
-            ready=self.ready and parts.tracker.version > 0,
+            ready=self.ready
+            and parts.tracker.version > 0
+            and parts.agent.announced,
         )
 
     def on_register(self, _register: register.Register) -> None:
--- a/src/coltsfootarch/gateway/remote_cancel.py
+++ b/src/coltsfootarch/gateway/remote_cancel.py
@@ -25,6 +25,7 @@
         requests: Requests in progress on this host.
         network: Network between hosts.
         address_of: Returns the peer address of a host's incarnation, or None.
+        refresh: Reads the hosts' addresses again.
     """
 
     def __init__(
@@ -32,10 +33,12 @@
         requests: inflight.InflightRequests,
         network: network.PeerNetwork,
         address_of: Callable[[str, int], str | None],
+        refresh: Callable[[], None],
     ) -> None:
         self.requests = requests
         self.network = network
         self.address_of = address_of
+        self.refresh = refresh
 
     def start(self) -> None:
         """Registers the handler for other hosts' cancellations."""
@@ -60,14 +63,21 @@
             raise errors.RefusedError(results.UNKNOWN_REQUEST)
 
     def owner_address(self, request_id: str) -> str | None:
-        """Returns the address of the host that a request id names."""
+        """Returns the address of the host that a request id names.
+
+        A host that has just started may be missing in the last view.
+        """
         host, _, rest = request_id.rpartition(".")[0].rpartition(".")
         if not host or not rest.isdecimal():
             return None
         is_own = host == self.requests.host
         if is_own and int(rest) == self.requests.incarnation:
             return None
-        return self.address_of(host, int(rest))
+        address = self.address_of(host, int(rest))
+        if address is None:
+            self.refresh()
+            address = self.address_of(host, int(rest))
+        return address
 
     def on_cancel(
         self, _sender: messages.Sender, message: messages.CancelRequest
--- a/src/coltsfootarch/zone/agent.py
+++ b/src/coltsfootarch/zone/agent.py
@@ -119,6 +119,17 @@
         """Newest committed configuration version heard of."""
         return self.directory.newest_config_version
 
+    @property
+    def announced(self) -> bool:
+        """Whether edits wait for this host, or can't be committed now.
+
+        An edit is accepted when every session in the store has it. A host
+        that served before its first session would be left out.
+        """
+        if self.session.renewed or self.session.blocked_by:
+            return True
+        return self.renewal.failing
+
     def start(self) -> None:
         """Registers the handlers; the first tick opens the session."""
         register = self.network.register
--- a/src/coltsfootarch/zone/directory.py
+++ b/src/coltsfootarch/zone/directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import math
 from typing import TYPE_CHECKING
 from typing import NamedTuple
@@ -148,6 +149,17 @@
         if self.clock.monotonic() >= self.next_poll:
             self.poll()
 
+    def refresh(self) -> None:
+        """Polls because something is missing in the view.
+
+        Polls of this kind are spaced out, since callers cause them. Without
+        the store the last view stays.
+        """
+        if self.clock.monotonic() - self.last_poll < timing.REFRESH_INTERVAL:
+            return
+        with contextlib.suppress(errors.TableUnavailableError):
+            self.poll()
+
     def poll(self) -> None:
         """Reads the heads and the zones whose revision has changed.
 
--- a/tests/zone/test_agent.py
+++ b/tests/zone/test_agent.py
@@ -189,6 +189,37 @@
     assert not zone.free_shards("regina")
 
 
+def test_host_is_announced_by_its_session_or_while_the_store_is_down(make):
+    zone = make(regina=1)
+    fresh = zone.add("regina-1", "regina")
+    assert not fresh.agent.announced
+    zone.run(fleet.STEP)
+    assert fresh.agent.announced
+
+    zone.tables.down = True
+    late = zone.add("regina-2", "regina")
+    assert not late.agent.announced
+    zone.run(fleet.STEP)
+    assert late.agent.announced
+
+
+def test_refresh_finds_a_host_that_has_just_started(make):
+    zone = make(regina=1)
+    directory = zone.hosts["regina-0"].agent.directory
+    zone.run(timing.REFRESH_INTERVAL)
+    fresh = zone.add("regina-1", "regina")
+    fresh.agent.session.renew()
+    name = ("regina-1", fresh.agent.sender.incarnation)
+    assert directory.address_of(*name) is None
+
+    reads = zone.tables.reads
+    directory.refresh()
+    assert directory.address_of(*name) == fresh.address
+    after = zone.tables.reads
+    directory.refresh()
+    assert reads < after == zone.tables.reads
+
+
 def test_directory_is_read_again_only_when_it_has_changed(make):
     zone = make(regina=1, brandon=1)
     host = zone.hosts["regina-0"]
