Give back the slot of an interrupted wait; record outcomes at a stop

Cause: a request that was cancelled while it waited for an assignment left the slot to the expiry of the reservation, because its steps had no route yet. A stop dropped outcomes that waited for the table service. Change: the client withdraws an interrupted attempt; a stop waits up to 30 s for outcomes. Result: the new test passes, and fails without the withdrawal.

--- a/src/coltsfootarch/gateway/daemon.py
+++ b/src/coltsfootarch/gateway/daemon.py
@@ -30,6 +30,8 @@
 CONTROL_INTERVAL = datetime.timedelta(milliseconds=250)
 SLOW_INTERVAL = datetime.timedelta(seconds=1)
 GAUGE_INTERVAL = datetime.timedelta(seconds=10)
+# Time for the table service to come back before outcomes are given up.
+RECORD_TIMEOUT = datetime.timedelta(seconds=30)
 # Time for the load balancer to see that the host is no longer ready.
 DRAIN_DELAY = datetime.timedelta(seconds=2)
 
@@ -133,6 +135,7 @@
         self.parts.requests.wait_idle()
         self.server.wait_answered()
         self.parts.completion_pipeline.wait_background()
+        self.wait_recorded()
         self.parts.agent.hand_over()
         for task in self.tasks:
             task.close()
@@ -140,6 +143,22 @@
         self.server.close()
         logger.info("gateway stopped", host=self.settings.name)
 
+    def wait_recorded(self) -> None:
+        """Waits until outcomes of claimed calls are recorded.
+
+        A repeat of such a call is otherwise told that its outcome is unknown.
+        """
+        deadline = self.parts.clock.monotonic()
+        deadline += RECORD_TIMEOUT.total_seconds()
+        while self.parts.claim_book.pending:
+            if self.parts.clock.monotonic() > deadline:
+                logger.warning(
+                    "outcomes not recorded",
+                    count=len(self.parts.claim_book.pending),
+                )
+                return
+            self.parts.clock.sleep(CONTROL_INTERVAL)
+
     def run(self) -> None:
         """Runs until SIGTERM or SIGINT and then stops gracefully."""
         gevent.signal_handler(signal.SIGTERM, self.stopping.set)
--- a/src/coltsfootarch/scheduling/client.py
+++ b/src/coltsfootarch/scheduling/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import datetime
 from typing import TYPE_CHECKING
 from typing import NamedTuple
@@ -14,6 +15,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Iterator
 
     from coltsfootarch import clock as clocks
     from coltsfootarch.config import register
@@ -101,17 +103,18 @@
         home = self.home(service, scope)
         place = (home.availability_zone, home.shard)
         asked_at = self.clock.monotonic()
-        reply = self.ask_home(service, scope, place, item)
-        if reply is not None:
-            route = Route(service, scope, place)
-        else:
+        route = Route(service, scope, place)
+        with self.withdrawing(route, item):
+            reply = self.ask_home(service, scope, place, item)
+        if reply is None:
             self.fallbacks += 1
             # The wait for the home must not count against the request, which
             # would otherwise be refused for a fault of the router.
             waited = self.clock.monotonic() - asked_at
             late = item._replace(deadline=item.deadline + waited)
-            reply = self.local.schedule(service, scope, late)
             route = Route(service, scope, None)
+            with self.withdrawing(route, item):
+                reply = self.local.schedule(service, scope, late)
         if reply.refusal:
             raise errors.RefusedError(
                 results.by_number(reply.refusal), retry_after=reply.retry_after
@@ -121,6 +124,24 @@
             item.request_id, item.attempt, reply.prefill, reply.decode
         )
 
+    @contextlib.contextmanager
+    def withdrawing(self, route: Route, item: items.WorkItem) -> Iterator[None]:
+        """Gives an attempt back whose wait is interrupted.
+
+        The scheduler may assign it all the same, and its slot would stay
+        reserved until the reservation expires.
+        """
+        try:
+            yield
+        except BaseException:
+            self.routes[item.key] = route
+            self.notify(
+                messages.ScheduleEvent(
+                    item.request_id, item.attempt, "cancelled", "", 0
+                )
+            )
+            raise
+
     def notify(self, event: messages.ScheduleEvent) -> None:
         """Reports a step to the scheduler that assigned the attempt.
 
--- a/tests/scheduling/test_service.py
+++ b/tests/scheduling/test_service.py
@@ -111,6 +111,28 @@
     assert waiting.get(timeout=5).request_id == "r3"
 
 
+@pytest.mark.matrix(
+    invariant=1,
+    fault="caller cancel",
+    step="schedule",
+    seen_red="SchedulerClient.withdrawing",
+)
+def test_interrupted_wait_gets_no_slot(site):
+    site.register = pools.make_register(pools.make_pool(slots=1))
+    first = site.schedule(1)
+    second = site.schedule(2)
+    waiting = gevent.spawn(site.schedule, 3)
+    gevent.sleep(0)
+
+    waiting.kill(errors.RefusedError(results.CLIENT_CANCELLED))
+    site.entry.notify(pools.make_event(first, "cancelled"))
+
+    assert {key.request_id for key in site.held().assigned} == {
+        second.request_id
+    }
+    assert len(site.entry.routes) == 1
+
+
 def test_refusal_reaches_the_entry_host_with_its_code(site):
     with pytest.raises(errors.RefusedError) as caught:
         site.schedule(1, excluded=frozenset({"p1", "p2"}))
