Use plain verbs in docstrings

Cause: docstrings said notes, tells, forgets and takes where the field says records, returns, removes and applies. Change: docstrings of my packages use these verbs; private methods of retries and the platform clients are public; figurative names in the limits benchmark are replaced. Behaviour and assertions are unchanged.

--- a/benchmarks/limits.py
+++ b/benchmarks/limits.py
@@ -163,9 +163,9 @@
         used: int,
         stay: float,
     ) -> Callable[[], None]:
-        """Returns the life of one request."""
+        """Returns a function that runs one request."""
 
-        def live() -> None:
+        def run_request() -> None:
             clock = self.fleet.clock
             host = self.entry_host(entry)
             record.requests += 1
@@ -187,12 +187,12 @@
             if host.alive or self.scenario != "host killed":
                 settle()
 
-        return live
+        return run_request
 
     def judge(
         self, record: AccountRecord, tokens: int, used: int, stay: float
     ) -> None:
-        """Puts a request to the exact bucket that sees all requests."""
+        """Tries a request at the exact bucket that sees all requests."""
         clock = self.fleet.clock
         record.exact.add(0.0, clock.monotonic())
         if record.exact.level < tokens:
@@ -211,7 +211,7 @@
         tokens: int,
         used: int,
     ) -> Callable[[], None]:
-        """Reserves with the limiter on trial; returns what settles."""
+        """Reserves with the limiter under test; returns what settles."""
         split = self.splits.get(host.name)
         if split is not None:
             split.reserve(account, tokens)
--- a/benchmarks/limits_cluster.py
+++ b/benchmarks/limits_cluster.py
@@ -97,10 +97,10 @@
             if message is not None:
                 host.send(peers[0].name, message)
 
-    def take_over(self, zone: str, dead: SimulatedHost) -> None:
-        """Gives a dead host's shards to a zone peer, if there is one."""
+    def take_over(self, zone: str, failed: SimulatedHost) -> None:
+        """Gives the shards of a failed host to a zone peer, if there is one."""
         peers = self.members(zone)
-        for shard in dead.held():
+        for shard in failed.held():
             if peers:
                 self.give(zone, shard, peers[shard % len(peers)], True)
 
--- a/src/coltsfootarch/limits/edits.py
+++ b/src/coltsfootarch/limits/edits.py
@@ -43,7 +43,7 @@
         self.by_account: dict[str, list[Edit]] = {}
 
     def follow(self, register: registers.Register, now: float) -> None:
-        """Notes the changes if the register is another one than before.
+        """Records the changes if the register is another one than before.
 
         The edit happened between the last call and this one. The smaller
         rate counts for the time in between.
--- a/src/coltsfootarch/limits/fill_maxima.py
+++ b/src/coltsfootarch/limits/fill_maxima.py
@@ -33,7 +33,7 @@
         self.entries: list[FillMaximum] = []
 
     def observe(self, fill: float) -> None:
-        """Notes the current fill in tokens."""
+        """Records the current fill in tokens."""
         self.sequence += 1
         while self.entries and self.entries[-1].value <= fill:
             self.entries.pop()
--- a/src/coltsfootarch/limits/ledger_book.py
+++ b/src/coltsfootarch/limits/ledger_book.py
@@ -117,7 +117,7 @@
         self.network.register(messages.LedgerHandover, self.handle_handover)
 
     def close(self) -> None:
-        """Forgets all ledgers; export the shards first."""
+        """Removes all ledgers; export the shards first."""
         for shard in list(self.shards):
             self.drop(shard)
 
@@ -163,7 +163,7 @@
         return messages.LedgerHandover(shard, state.epoch, exported, accrued)
 
     def drop(self, shard: int) -> None:
-        """Forgets the ledgers of a shard that is no longer held."""
+        """Removes the ledgers of a shard that is no longer held."""
         if self.shards.pop(shard, None) is not None:
             self.history(shard).dropped_at = self.clock.monotonic()
 
@@ -253,7 +253,7 @@
         return ledger
 
     def prune(self, state: ShardLedgers, now: float) -> None:
-        """Forgets ledgers that equal an unused one."""
+        """Removes ledgers that equal an unused one."""
         for account, ledger in list(state.used.items()):
             share = self.share(account)
             if share is None:
@@ -313,7 +313,7 @@
     def handle_report(
         self, sender: messages.Sender, report: messages.GrantReport
     ) -> None:
-        """Applies what a host says of its grants."""
+        """Applies the usage reports of a host."""
         state = self.open_shard(report.shard)
         if state is None or self.is_exported(report.shard, state.epoch):
             return
--- a/src/coltsfootarch/limits/limiter.py
+++ b/src/coltsfootarch/limits/limiter.py
@@ -67,7 +67,7 @@
 
 
 class AccountState:
-    """What this host knows of an account.
+    """State of an account on this host.
 
     Attributes:
         wallet: Its grants.
--- a/src/coltsfootarch/limits/wallet.py
+++ b/src/coltsfootarch/limits/wallet.py
@@ -79,7 +79,7 @@
         at once. Others become a refund, which the ledger decides on.
 
         Returns:
-            Whether the ledger must be told.
+            Whether the ledger must be notified.
         """
         unreported = self.spent - self.reported
         reusable = 0
@@ -119,7 +119,7 @@
         self.grants.sort(key=lambda item: item.expires_at)
 
     def discard_expired(self, now: float) -> None:
-        """Forgets grants that must not be spent any more."""
+        """Removes grants that must not be spent any more."""
         if self.grants and self.grants[0].expires_at <= now:
             self.grants = [
                 grant for grant in self.grants if now < grant.expires_at
--- a/src/coltsfootarch/platform/object_client.py
+++ b/src/coltsfootarch/platform/object_client.py
@@ -35,7 +35,7 @@
             ObjectStoreUnavailableError: The object may or may not have been
                 stored.
         """
-        answer = self._call("PUT", key, data)
+        answer = self.call("PUT", key, data)
         if answer.status not in SUCCESS:
             raise _unavailable(f"status {answer.status}")
 
@@ -45,7 +45,7 @@
         Raises:
             ObjectStoreUnavailableError: The store did not answer.
         """
-        answer = self._call("GET", key)
+        answer = self.call("GET", key)
         if answer.status == NOT_FOUND:
             return None
         if answer.status not in SUCCESS:
@@ -56,9 +56,10 @@
         """Closes the idle connections."""
         self.channel.close()
 
-    def _call(
+    def call(
         self, method: str, key: str, data: bytes | None = None
     ) -> json_client.HttpAnswer:
+        """Sends a request and returns the answer."""
         path = f"/v1/objects/{urllib.parse.quote(key, safe='/')}"
         try:
             return self.channel.call(
--- a/src/coltsfootarch/platform/table_client.py
+++ b/src/coltsfootarch/platform/table_client.py
@@ -74,7 +74,7 @@
         Raises:
             TableUnavailableError: The service did not answer.
         """
-        answer = self._read("/v1/get", {"table": table, "key": key}, RowAnswer)
+        answer = self.read("/v1/get", {"table": table, "key": key}, RowAnswer)
         document = answer["row"]
         return None if document is None else tables.Row(**document)
 
@@ -84,7 +84,7 @@
         Raises:
             TableUnavailableError: The service did not answer.
         """
-        answer = self._read(
+        answer = self.read(
             "/v1/scan", {"table": table, "prefix": prefix}, RowsAnswer
         )
         return [tables.Row(**document) for document in answer["rows"]]
@@ -129,9 +129,10 @@
         """Closes the idle connections."""
         self.channel.close()
 
-    def _read(
+    def read(
         self, path: str, request: dict[str, str], answer_type: type[_Document]
     ) -> _Document:
+        """Sends a read and returns the body of its answer."""
         try:
             answer = self.channel.call(
                 "POST", path, json_client.encode(request)
--- a/src/coltsfootarch/protocol/messages.py
+++ b/src/coltsfootarch/protocol/messages.py
@@ -79,7 +79,7 @@
 
 
 class IndirectProbe(NamedTuple):
-    """Asks a peer to probe another host and to tell when it last heard from it.
+    """Asks a peer to probe another host and to answer when it last heard it.
 
     Attributes:
         host: Name of the host in question.
--- a/src/coltsfootarch/retries/budget.py
+++ b/src/coltsfootarch/retries/budget.py
@@ -30,12 +30,12 @@
 
     def record(self) -> None:
         """Counts a first attempt."""
-        second = self._advance()
+        second = self.advance()
         self.requests[second] = self.requests.get(second, 0) + 1
 
     def available(self) -> float:
         """Returns how many retries may start now."""
-        self._advance()
+        self.advance()
         allowed = self.ratio * sum(self.requests.values())
         allowed += MINIMUM_RATE * WINDOW_SECONDS
         return allowed - sum(self.retries.values())
@@ -44,11 +44,12 @@
         """Takes one retry; returns False if the budget is used up."""
         if self.available() < 1.0:
             return False
-        second = self._advance()
+        second = self.advance()
         self.retries[second] = self.retries.get(second, 0) + 1
         return True
 
-    def _advance(self) -> int:
+    def advance(self) -> int:
+        """Drops counts outside the window and returns the current second."""
         second = int(self.clock.monotonic())
         oldest = second - WINDOW_SECONDS
         for counts in (self.requests, self.retries):
--- a/src/coltsfootarch/scheduling/decode.py
+++ b/src/coltsfootarch/scheduling/decode.py
@@ -143,7 +143,7 @@
     def transferred(
         self, key: items.AttemptKey, now: float, expires_at: float
     ) -> None:
-        """Notes that the attempt runs on the engine."""
+        """Records that the attempt runs on the engine."""
         reservation = self.reservations.get(key)
         if reservation is None or reservation.transferred_at is not None:
             return
--- a/src/coltsfootarch/scheduling/fair_queue.py
+++ b/src/coltsfootarch/scheduling/fair_queue.py
@@ -85,7 +85,7 @@
         self.raise_floor()
 
     def prune(self) -> None:
-        """Forgets idle accounts whose virtual time no longer matters."""
+        """Removes idle accounts whose virtual time no longer matters."""
         stale = [
             account
             for account, virtual in self.virtual.items()
--- a/src/coltsfootarch/scheduling/health.py
+++ b/src/coltsfootarch/scheduling/health.py
@@ -35,19 +35,19 @@
         return started is None or now - started > PROBE_SECONDS
 
     def dispatched(self, now: float) -> None:
-        """Notes a request; after an ejection it is the probe."""
+        """Records a request; after an ejection it is the probe."""
         if self.ejections:
             self.probe_started = now
 
     def succeeded(self, now: float) -> None:
-        """Notes a success; one from before the ejection does not restore."""
+        """Records a success; one from before the ejection does not restore."""
         self.failures = 0
         if self.probe_started is not None and now >= self.ejected_until:
             self.ejections = 0
             self.probe_started = None
 
     def failed(self, now: float) -> None:
-        """Notes a failure."""
+        """Records a failure."""
         self.failures += 1
         if self.probe_started is not None or self.failures >= self.threshold:
             self.eject(now)
--- a/src/coltsfootarch/scheduling/plain.py
+++ b/src/coltsfootarch/scheduling/plain.py
@@ -91,22 +91,22 @@
         self.reported[name] = (self.clock.monotonic(), running)
 
     def started(self, name: str) -> None:
-        """Notes that a call was sent."""
+        """Records that a call was sent."""
         self.in_flight[name] = self.in_flight.get(name, 0) + 1
         self.health_of(name).dispatched(self.clock.monotonic())
 
     def finished(self, name: str) -> None:
-        """Notes that a call was answered."""
+        """Records that a call was answered."""
         self.end(name)
         self.health_of(name).succeeded(self.clock.monotonic())
 
     def failed(self, name: str) -> None:
-        """Notes that a call failed through the upstream's fault."""
+        """Records that a call failed through the upstream's fault."""
         self.end(name)
         self.health_of(name).failed(self.clock.monotonic())
 
     def cancelled(self, name: str) -> None:
-        """Notes that a call ended without a statement on the upstream."""
+        """Records that a call ended without a statement on the upstream."""
         self.end(name)
 
     def end(self, name: str) -> None:
--- a/src/coltsfootarch/scheduling/pool.py
+++ b/src/coltsfootarch/scheduling/pool.py
@@ -166,7 +166,7 @@
             self.end(key, entry, event, now)
 
     def report(self, upstream: str, load: engine.LoadReport) -> None:
-        """Takes an engine's load report."""
+        """Applies an engine's load report."""
         now = self.clock.monotonic()
         queue = self.prefills.get(upstream)
         if queue is not None:
@@ -178,7 +178,7 @@
                 self.forget(entry.key, now)
 
     def cache_event(self, upstream: str, event: engine.CacheEvent) -> None:
-        """Takes a change of an engine's prefix cache."""
+        """Applies a change of an engine's prefix cache."""
         queue = self.prefills.get(upstream)
         if queue is not None:
             queue.cache.apply(event)
@@ -250,7 +250,7 @@
     def note_prefilled(
         self, key: items.AttemptKey, entry: assigned.AssignedAttempt, now: float
     ) -> None:
-        """Notes the end of a prefill and checks the speed of its engine."""
+        """Records the end of a prefill and checks the speed of its engine."""
         self.prefill_free_at = 0.0
         queue = self.prefills.get(entry.prefill)
         if queue is None:
--- a/src/coltsfootarch/scheduling/prefill.py
+++ b/src/coltsfootarch/scheduling/prefill.py
@@ -62,7 +62,7 @@
         self.slowdown = 1.0
 
     def reset_cache(self) -> None:
-        """Forgets the cache; a restarted engine numbers its events anew."""
+        """Clears the cache view; a restarted engine numbers its events anew."""
         self.cache = cache_view.CacheView()
 
     def uncached(self, item: items.WorkItem) -> int:
@@ -95,7 +95,7 @@
     def dispatch(
         self, key: items.AttemptKey, tokens: int, now: float
     ) -> PrefillWork:
-        """Notes an assignment."""
+        """Records an assignment."""
         if not self.open:
             self.head_started = max(now, self.foreign_until)
         seconds = tokens / self.upstream.prefill_rate
@@ -106,7 +106,7 @@
         return work
 
     def prefilled(self, key: items.AttemptKey, now: float) -> None:
-        """Notes the end of a prefill and measures the engine's speed."""
+        """Records the end of a prefill and measures the engine's speed."""
         work = self.open.get(key)
         if work is None:
             return
--- a/src/coltsfootarch/scheduling/quarantine.py
+++ b/src/coltsfootarch/scheduling/quarantine.py
@@ -73,7 +73,7 @@
             self.until[digest] = now + QUARANTINE_SECONDS
 
     def clear(self, digest: str) -> None:
-        """Forgets the crashes of a digest that ran to its end."""
+        """Removes the crashes of a digest that ran to its end."""
         self.counts.pop(digest, None)
         self.counted_at.pop(digest, None)
 
@@ -102,7 +102,7 @@
         )
 
     def prune(self, now: float) -> None:
-        """Forgets crashes and quarantines that have expired."""
+        """Removes crashes and quarantines that have expired."""
         limit = now - QUARANTINE_SECONDS
         for key in [key for key, at in self.counted_at.items() if at < limit]:
             self.clear(key)
--- a/src/coltsfootarch/upstreams/orphans.py
+++ b/src/coltsfootarch/upstreams/orphans.py
@@ -143,7 +143,7 @@
         return now - since >= GONE_SECONDS
 
     def forget_owners(self) -> None:
-        """Forgets owners that are live again or gone for very long."""
+        """Removes owners that are live again or gone for very long."""
         limit = self.clock.monotonic() - FORGET_SECONDS
         for owner, since in list(self.gone_since.items()):
             if since < limit or self.is_live(owner.host, owner.incarnation):
--- a/src/coltsfootarch/zone/agent.py
+++ b/src/coltsfootarch/zone/agent.py
@@ -186,7 +186,7 @@
     def handle_heartbeat(
         self, sender: messages.Sender, heartbeat: messages.Heartbeat
     ) -> messages.HeartbeatAck:
-        """Notes a peer's heartbeat and acknowledges it."""
+        """Records a peer's heartbeat and acknowledges it."""
         self.membership.note_heartbeat(sender, heartbeat)
         return messages.HeartbeatAck(
             self.config_version(),
@@ -197,14 +197,14 @@
     def handle_probe(
         self, sender: messages.Sender, probe: messages.Probe
     ) -> messages.ProbeAck:
-        """Tells whether this host may use its shards."""
+        """Returns whether this host may use its shards."""
         age = 0.0 if self.session.valid() else -1.0
         return messages.ProbeAck(self.sender.incarnation, age)
 
     def handle_indirect(
         self, sender: messages.Sender, probe: messages.IndirectProbe
     ) -> messages.ProbeAck:
-        """Tells when another host was last heard."""
+        """Answers how long ago another host was last heard."""
         return self.membership.answer_indirect(probe)
 
     def release_shards(self) -> None:
--- a/src/coltsfootarch/zone/membership.py
+++ b/src/coltsfootarch/zone/membership.py
@@ -93,7 +93,7 @@
     def note_heartbeat(
         self, sender: messages.Sender, heartbeat: messages.Heartbeat
     ) -> None:
-        """Notes who was heard."""
+        """Records who was heard."""
         self.directory.observe(heartbeat.heads)
         if sender.availability_zone != self.sender.availability_zone:
             return
@@ -228,7 +228,7 @@
         return [seeds[(start + i) % len(seeds)] for i in range(count)]
 
     def forget_peers(self) -> None:
-        """Forgets peers that were not seen for a long time."""
+        """Removes peers that were not seen for a long time."""
         oldest = self.clock.monotonic() - FORGET_SECONDS
         for key, peer in list(self.peers.items()):
             if peer.seen_at < oldest:
@@ -264,7 +264,7 @@
     def answer_indirect(
         self, request: messages.IndirectProbe
     ) -> messages.ProbeAck:
-        """Tells when another host was heard, and probes it if long ago."""
+        """Answers how long ago a host was heard; probes it if long ago."""
         age = self.heard_age(request.host, request.incarnation)
         target = messages.Sender(
             request.host,
--- a/src/coltsfootarch/zone/session.py
+++ b/src/coltsfootarch/zone/session.py
@@ -23,7 +23,7 @@
 
 
 class Session:
-    """Opens, renews and extends a session and knows whether it is valid.
+    """Opens, renews and extends a session and tracks whether it is valid.
 
     Validity counts from the moment a renewal was sent. Once it has ended, only
     a renewal through the store restores it, and `lapses` has grown.
@@ -94,7 +94,7 @@
         return max(0.0, self.valid_until - self.clock.monotonic())
 
     def note_tick(self, now: float) -> None:
-        """Notes that the host runs; a gap ends the right to extend.
+        """Records that the host runs; a gap ends the right to extend.
 
         A host that was paused may have left a probe unanswered.
         """
@@ -164,7 +164,7 @@
         )
 
     def forget_attempts(self, now: float) -> None:
-        """Forgets attempts that can't give validity any more."""
+        """Removes attempts that can't give validity any more."""
         oldest = now - timing.SESSION_VALIDITY
         for number in [n for n, at in self.sent.items() if at < oldest]:
             del self.sent[number]
--- a/src/coltsfootarch/zone/shards.py
+++ b/src/coltsfootarch/zone/shards.py
@@ -100,19 +100,19 @@
         return [shard for shard in self.held if self.lease(shard) is not None]
 
     def drop_lapsed(self) -> None:
-        """Forgets leases that have ended and tells the listeners."""
+        """Removes leases that have ended and notifies the listeners."""
         for shard in list(self.held):
             if self.lease(shard) is None:
                 self.drop(shard)
 
     def drop(self, shard: int) -> None:
-        """Forgets a lease and tells the listeners."""
+        """Removes a lease and notifies the listeners."""
         lease = self.held.pop(shard)
         for listener in self.lost_listeners:
             listener(shard, lease.epoch)
 
     def acquire(self, leases: dict[int, Lease]) -> None:
-        """Holds shards whose rows name this host, and tells the listeners."""
+        """Holds shards whose rows name this host; notifies the listeners."""
         for shard, lease in leases.items():
             self.held[shard] = lease
             if self.lease(shard) is None:
--- a/src/coltsfootarch/zone/takeover.py
+++ b/src/coltsfootarch/zone/takeover.py
@@ -81,7 +81,7 @@
         self.taken_over = 0
 
     def reset(self) -> None:
-        """Forgets all observations, since this host was paused."""
+        """Removes all observations, since this host was paused."""
         self.suspicions.clear()
 
     def observe(self) -> None:
--- a/standins/engine_prefill.py
+++ b/standins/engine_prefill.py
@@ -136,7 +136,7 @@
             self.remove(job, engine_memory.EXPIRED)
 
     def remove(self, job: PrefillJob, ending: engine_memory.Ending) -> None:
-        """Forgets a job and frees its memory."""
+        """Removes a job and frees its memory."""
         if self.jobs.get(job.submission.request_id) is job:
             del self.jobs[job.submission.request_id]
         job.end(self.memory, ending)
