Join the pauses of unreachable peers and state what is raised

Cause: the limiter and the scheduling client each kept the same map of peers that did not answer, and methods that became public lacked Raises. Change: protocol/unreachable.py holds the pauses of both; docstrings name the errors. Behaviour and assertions are unchanged.

--- a/src/coltsfootarch/limits/limiter.py
+++ b/src/coltsfootarch/limits/limiter.py
@@ -11,6 +11,7 @@
 from coltsfootarch.limits import reports
 from coltsfootarch.limits import wallet as wallets
 from coltsfootarch.protocol import messages
+from coltsfootarch.protocol import unreachable
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -114,7 +115,9 @@
         self.home_shard = home_shard
         self.accounts: dict[str, AccountState] = {}
         self.reports = reports.Reports(self.send_report)
-        self.unreachable_until: dict[str, float] = {}
+        self.unreachable = unreachable.UnreachablePeers(
+            clock, UNREACHABLE_PEER_PAUSE
+        )
 
     def start(self) -> None:
         """Does nothing; grants are fetched when they are needed."""
@@ -135,9 +138,7 @@
             self.return_wallet(state)
             del self.accounts[account]
         self.reports.flush(now)
-        for address, until in list(self.unreachable_until.items()):
-            if until <= now:
-                del self.unreachable_until[address]
+        self.unreachable.prune()
 
     def reserve(self, account: str, tokens: int) -> Reservation:
         """Reserves tokens, waiting up to `queue_timeout` for them.
@@ -314,7 +315,7 @@
         if holder is None:
             state.ask_at[zone] = sent_at + NO_HOLDER_PAUSE.total_seconds()
             return False
-        if sent_at < self.unreachable_until.get(holder.address, 0.0):
+        if self.unreachable.is_paused(holder.address):
             return False
         due = self.reports.take(reports.Home(zone, shard), account)
         wanted = lacking + state.wallet.recent_spending(sent_at)
@@ -354,8 +355,7 @@
                 address, request, datetime.timedelta(seconds=timeout)
             )
         except errors.PeerError:
-            pause = UNREACHABLE_PEER_PAUSE.total_seconds()
-            self.unreachable_until[address] = self.clock.monotonic() + pause
+            self.unreachable.add(address)
             return None
         return reply if isinstance(reply, messages.GrantReply) else None
 
--- a/src/coltsfootarch/platform/object_client.py
+++ b/src/coltsfootarch/platform/object_client.py
@@ -59,7 +59,11 @@
     def call(
         self, method: str, key: str, data: bytes | None = None
     ) -> json_client.HttpAnswer:
-        """Sends a request and returns the answer."""
+        """Sends a request and returns the answer.
+
+        Raises:
+            ObjectStoreUnavailableError: There was no answer.
+        """
         path = f"/v1/objects/{urllib.parse.quote(key, safe='/')}"
         try:
             return self.channel.call(
--- a/src/coltsfootarch/platform/table_client.py
+++ b/src/coltsfootarch/platform/table_client.py
@@ -132,7 +132,11 @@
     def read(
         self, path: str, request: dict[str, str], answer_type: type[_Document]
     ) -> _Document:
-        """Sends a read and returns the body of its answer."""
+        """Sends a read and returns the decoded answer.
+
+        Raises:
+            TableUnavailableError: There was no usable answer.
+        """
         try:
             answer = self.channel.call(
                 "POST", path, json_client.encode(request)
--- a/src/coltsfootarch/scheduling/client.py
+++ b/src/coltsfootarch/scheduling/client.py
@@ -9,6 +9,7 @@
 from coltsfootarch import errors
 from coltsfootarch import results
 from coltsfootarch.protocol import messages
+from coltsfootarch.protocol import unreachable
 from coltsfootarch.scheduling import items
 from coltsfootarch.scheduling import pools
 
@@ -27,7 +28,7 @@
 
 # A home that did not answer is not asked for this time, so that only one
 # request per interval waits for it.
-UNREACHABLE_HOME_SECONDS = 2.0
+UNREACHABLE_HOME_PAUSE = datetime.timedelta(seconds=2)
 FLUSH_SECONDS = 0.02
 LARGEST_BATCH = 32
 
@@ -84,7 +85,9 @@
         self.routes: dict[items.AttemptKey, Route] = {}
         self.pending: dict[Route, list[messages.ScheduleEvent]] = {}
         self.flush_at = 0.0
-        self.unreachable_until: dict[str, float] = {}
+        self.unreachable = unreachable.UnreachablePeers(
+            clock, UNREACHABLE_HOME_PAUSE
+        )
         self.fallbacks = 0
 
     def schedule(self, service: str, item: items.WorkItem) -> items.Assignment:
@@ -175,13 +178,10 @@
         place: tuple[str, int],
         item: items.WorkItem,
     ) -> messages.ScheduleReply | None:
-        """Returns the home's answer, or None if it has to be done without."""
+        """Returns the home's answer, or None without a usable one."""
         holder = self.holders.holder(*place)
         now = self.clock.monotonic()
-        if (
-            holder is None
-            or self.unreachable_until.get(holder.address, 0.0) > now
-        ):
+        if holder is None or self.unreachable.is_paused(holder.address):
             return None
         within = max(0.0, item.deadline - now)
         request = request_for(service, scope, place[1], item, within)
@@ -201,15 +201,14 @@
     ) -> messages.ScheduleReply | None:
         """Asks another host; returns None without a valid answer."""
         timeout = datetime.timedelta(seconds=within + ANSWER_SECONDS)
-        # While this request waits, later ones find the home marked only after
-        # a silence; a concurrent answer clears the mark.
+        # Requests that start while this one waits ask the home too; only a
+        # time-out pauses it, and a concurrent answer ends the pause.
         try:
             answer = self.network.request(address, request, timeout)
         except errors.PeerTimeoutError:
-            until = self.clock.monotonic() + UNREACHABLE_HOME_SECONDS
-            self.unreachable_until[address] = until
+            self.unreachable.add(address)
             return None
-        self.unreachable_until.pop(address, None)
+        self.unreachable.remove(address)
         if not isinstance(answer, messages.ScheduleReply):
             return None
         if (answer.request_id, answer.attempt) != (
--- a/src/coltsfootarch/upstreams/connection.py
+++ b/src/coltsfootarch/upstreams/connection.py
@@ -147,7 +147,12 @@
 
     @contextlib.contextmanager
     def translated(self) -> Iterator[None]:
-        """Raises errors of the connection as upstream errors."""
+        """Translates errors of the connection.
+
+        Raises:
+            UpstreamTimeoutError: No progress was made in time.
+            UpstreamError: The connection failed.
+        """
         try:
             yield
         except (TimeoutError, urllib3.exceptions.TimeoutError) as error:
--- a/src/coltsfootarch/upstreams/engine_client.py
+++ b/src/coltsfootarch/upstreams/engine_client.py
@@ -167,7 +167,12 @@
         path: str,
         body: dict[str, object] | None = None,
     ) -> bytes:
-        """Returns the body of an answer."""
+        """Returns the body of an answer.
+
+        Raises:
+            UpstreamRefusedError: The status is not 200.
+            UpstreamError: The connection failed.
+        """
         upstream = connection.UpstreamConnection(address, self.connect_timeout)
         with contextlib.closing(upstream):
             deadline = connection.Deadline(self.clock, self.progress_timeout)
@@ -185,7 +190,12 @@
         body: dict[str, object],
         request_id: str,
     ) -> Generator[event_stream.ServerSentEvent, None, None]:
-        """Yields the events of one request and drops foreign streams."""
+        """Yields the events of one request and drops foreign streams.
+
+        Raises:
+            UpstreamRefusedError: The engine refused or ended the request.
+            UpstreamError: The connection failed, or the stream is foreign.
+        """
         upstream = connection.UpstreamConnection(address, self.connect_timeout)
         with contextlib.closing(upstream):
             deadline = connection.Deadline(self.clock, self.progress_timeout)
@@ -211,7 +221,11 @@
     attempt: int | None,
     next_offset: int,
 ) -> Iterator[engine.TokenEvent]:
-    """Yields the token events from the expected offset on."""
+    """Yields the token events from the expected offset on.
+
+    Raises:
+        UpstreamError: Another attempt, a wrong offset or an early end.
+    """
     with contextlib.closing(events):
         for event in events:
             attempt = check_attempt(event, attempt)
@@ -233,7 +247,11 @@
 def check_attempt(
     event: event_stream.ServerSentEvent, attempt: int | None
 ) -> int:
-    """Returns the event's attempt if it is the expected one or the first."""
+    """Returns the event's attempt if it is the expected one or the first.
+
+    Raises:
+        UpstreamError: It is another attempt.
+    """
     identity = engine_wire.decode(event.data, engine_wire.Identity)
     if attempt is not None and identity["attempt"] != attempt:
         raise errors.UpstreamError("an engine answered another attempt")
--- a/src/coltsfootarch/upstreams/orders.py
+++ b/src/coltsfootarch/upstreams/orders.py
@@ -88,7 +88,12 @@
             raise
 
     def check_wait(self, upstream: register.Upstream, shard: int) -> None:
-        """Refuses an order while one of a former holder may still run."""
+        """Refuses an order while one of a former holder may still run.
+
+        Raises:
+            NotHomeError: This host does not hold the shard.
+            RefusedError: The wait is not over.
+        """
         if upstream.checks_fencing:
             return
         acquired = self.leases.acquired_at(shard)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -208,7 +208,12 @@
         return generation
 
     def read_submission(self, role: str) -> engine_memory.Submission:
-        """Returns the submitted request if this engine can run it."""
+        """Returns the submitted request if this engine can run it.
+
+        Raises:
+            bottle.HTTPResponse: The request is invalid, is for the other role
+                or crashes the engine.
+        """
         submission = engine_events.read_submission(server.json_body())
         if CRASH_MARK in submission.prompt:
             self.crash()
