Inherit ledgers only after a takeover; serve only when announced

Cause: a lease counted as inherited as soon as its shard row existed, so also after a release. The fake leases of the limit tests had the rule right and hid it. Change: only the takeover of a dead host inherits. A host refuses requests until it has confirmed its configuration after its session was written. Ruled out: hand-overs that are repeated until acknowledged; the host may be gone.

--- a/src/coltsfootarch/gateway/admission.py
+++ b/src/coltsfootarch/gateway/admission.py
@@ -10,6 +10,7 @@
 
     from coltsfootarch.config import routes
     from coltsfootarch.config import tracker
+    from coltsfootarch.gateway import readiness
     from coltsfootarch.keys import authenticator
     from coltsfootarch.keys import ring
 
@@ -20,13 +21,16 @@
     Args:
         config_tracker: Configuration in force on this host.
         keys: Checks keys against it.
+        readiness: Whether this host may serve yet.
     """
 
     def __init__(
         self,
         config_tracker: tracker.ConfigTracker,
         keys: authenticator.Authenticator,
+        readiness: readiness.Readiness,
     ) -> None:
+        self.readiness = readiness
         self.config_tracker = config_tracker
         self.keys = keys
 
@@ -37,6 +41,7 @@
             RefusedError: The key is missing, unknown, withdrawn or can't be
                 confirmed, or this host has no configuration yet.
         """
+        self.readiness.check()
         return self.keys.authenticate(environ.get("HTTP_AUTHORIZATION"))
 
     def route(self, environ: Mapping[str, Any]) -> routes.Route:
@@ -46,6 +51,7 @@
             RefusedError: No service has the path, or this host has no
                 configuration yet.
         """
+        self.readiness.check()
         self.config_tracker.ensure_fresh()
         return self.config_tracker.routes.match(
             environ["REQUEST_METHOD"], environ["RAW_PATH"]
--- a/src/coltsfootarch/gateway/components.py
+++ b/src/coltsfootarch/gateway/components.py
@@ -21,6 +21,7 @@
 from coltsfootarch.gateway import inflight
 from coltsfootarch.gateway import ownership
 from coltsfootarch.gateway import reachability
+from coltsfootarch.gateway import readiness
 from coltsfootarch.gateway import remote_cancel
 from coltsfootarch.idempotency import claims
 from coltsfootarch.idempotency import sweeper
@@ -235,7 +236,12 @@
         """Builds the request pipelines."""
         self.budget = budget.RetryBudget(self.clock, DEFAULT_RETRY_RATIO)
         self.guard = dispatch_guard.DispatchGuard(self.tracker, self.watcher)
-        self.admission = admission.Admission(self.tracker, self.keys)
+        self.readiness = readiness.Readiness(
+            self.tracker, lambda: self.agent.announced
+        )
+        self.admission = admission.Admission(
+            self.tracker, self.keys, self.readiness
+        )
         self.canceller = remote_cancel.RemoteCanceller(
             self.requests,
             self.network,
--- a/src/coltsfootarch/gateway/daemon.py
+++ b/src/coltsfootarch/gateway/daemon.py
@@ -72,6 +72,7 @@
             self.fast_task(),
             self.task("zone", CONTROL_INTERVAL, self.parts.agent.tick),
             self.task("config", CONTROL_INTERVAL, self.parts.tracker.tick),
+            self.task("readiness", CONTROL_INTERVAL, self.parts.readiness.tick),
             self.task("ledgers", SLOW_INTERVAL, self.ledger_tick),
             self.task("hosts", SLOW_INTERVAL, self.parts.watcher.tick),
             self.task("engines", CONTROL_INTERVAL, self.parts.monitor.tick),
@@ -181,7 +182,7 @@
             in_progress=len(parts.requests.handles),
             ready=self.ready
             and parts.tracker.version > 0
-            and parts.agent.announced,
+            and parts.readiness.ready,
         )
 
     def on_register(self, _register: register.Register) -> None:
--- a/src/coltsfootarch/zone/claims.py
+++ b/src/coltsfootarch/zone/claims.py
@@ -174,7 +174,7 @@
             self.directory.revise([check], [delete])
             return
         named = self.planner.rows_naming(old.host, old.incarnation)
-        self.claim(named, [check], [delete])
+        self.claim(named, [check], [delete], inherited=True)
         log.warning("host taken over", host=old.host, shards=len(named))
 
     def claim(
@@ -182,8 +182,17 @@
         numbers: list[int],
         checks: list[tables.Check],
         writes: list[tables.Write],
+        inherited: bool = False,
     ) -> None:
-        """Writes this host into shard rows, with the next epochs."""
+        """Writes this host into shard rows, with the next epochs.
+
+        Args:
+            numbers: Shards to claim.
+            checks: Further conditions.
+            writes: Further writes.
+            inherited: Whether this is the takeover of a dead host, after which
+                nothing of what the host granted is in use.
+        """
         view = self.directory.own_view
         now = self.clock.monotonic()
         checks = [*checks, self.own_session_check()]
@@ -193,7 +202,7 @@
             row = view.shards.get(shard)
             epoch = 1 if row is None else row.record.epoch + 1
             leases[shard] = shards.Lease(
-                epoch, now, row is not None, self.session.lapses
+                epoch, now, inherited, self.session.lapses
             )
             record = records.ShardRecord(
                 self.sender.host,
--- a/src/coltsfootarch/zone/interfaces.py
+++ b/src/coltsfootarch/zone/interfaces.py
@@ -35,7 +35,11 @@
         """Returns the monotonic instant since when the lease is held."""
 
     def inherited(self, shard: int) -> bool:
-        """Returns whether the lease was taken over and not claimed anew."""
+        """Returns whether the lease was taken over from a dead host.
+
+        Nothing that the dead host granted is in use then. A shard that was
+        released, or never held, is not inherited.
+        """
 
 
 class Holders(Protocol):
--- a/src/coltsfootarch/zone/shards.py
+++ b/src/coltsfootarch/zone/shards.py
@@ -21,7 +21,8 @@
     Attributes:
         epoch: Fencing number.
         acquired_at: Monotonic instant since when it is held.
-        inherited: Whether the shard had an earlier holder.
+        inherited: Whether it was taken over from a dead host. A shard that
+            was released may have grants of its last holder in use.
         lapses: The session's count of lapses when it was acquired; the lease
             ends with the next lapse.
     """
