--- a/tests/processes/support.py
+++ b/tests/processes/support.py
@@ -4,6 +4,7 @@
 
 import base64
 import json
+import time
 
 import gevent
 import urllib3
@@ -15,6 +16,8 @@
 TIME_SCALE = 0.2
 PROMPT = "Referral: hip surgery, lives alone."
 ZONE_SHARDS = 8
+# Longer than the interval at which hosts read the directory.
+DIRECTORY_SECONDS = 2.5
 HTTPError = urllib3.exceptions.HTTPError
 
 
@@ -237,3 +240,21 @@
             ),
             f"{host} does not hold half of the shards",
         )
+
+
+def wait_directory_settled(running):
+    """Waits until no shard has moved for as long as a directory view lasts.
+
+    Before that, a host may not know a shard's holder and decide by itself.
+    """
+    wait_shards_spread(running)
+    seen, since = None, time.monotonic()
+
+    def is_settled():
+        nonlocal seen, since
+        held = [running.host_status(host)["shards"] for host in running.hosts]
+        if held != seen:
+            seen, since = held, time.monotonic()
+        return time.monotonic() - since > DIRECTORY_SECONDS
+
+    running.wait_until(is_settled, "shards keep moving")
--- /dev/null
+++ b/tests/processes/test_streams.py
@@ -0,0 +1,162 @@
+"""Guards engine memory and answers against callers and hosts that go away."""
+
+from __future__ import annotations
+
+import pytest
+
+from standins import engine
+from tests.processes import support
+
+MEMORY_FREE_SECONDS = 30.0
+CANCELLED_SECONDS = 5.0
+QUARANTINED = 4003
+MAX_CRASHES = 2
+SLOW = 20
+
+
+def slow_down(running, factor):
+    for address in support.upstream_addresses(running, "decode"):
+        running.fault(address, slow_factor=factor)
+
+
+def start_slow_stream(running, host="regina-1"):
+    """Returns a reader of an answer that goes on for longer than the test."""
+    slow_down(running, SLOW)
+    caller = support.Caller(running)
+    answer = caller.complete(host, support.PROMPT, 400)
+    reader = support.StreamReader(answer)
+    reader.read_tokens(3)
+    assert support.engine_requests(running)
+    return reader
+
+
+def wait_memory_free(running, timeout):
+    took = running.wait_until(
+        lambda: not support.engine_requests(running),
+        "engine memory is not free",
+        timeout,
+    )
+    print(f"engine memory free after {took:.1f} s")
+
+
+@pytest.mark.matrix(
+    invariant=1,
+    fault="kill entry host",
+    step="stream",
+    seen_red="orphan collection",
+)
+def test_engine_memory_of_a_killed_hosts_streams_is_freed():
+    running = support.start_fleet([*support.HOSTS, "winnipeg-1"])
+    try:
+        readers = [start_slow_stream(running) for _ in range(4)]
+        running.processes["regina-1"].kill()
+        for reader in readers:
+            reader.answer.close()
+
+        wait_memory_free(running, MEMORY_FREE_SECONDS)
+    finally:
+        running.close()
+
+
+@pytest.mark.matrix(
+    invariant=1, fault="caller cancels", step="stream", seen_red=""
+)
+def test_cancel_through_another_host_frees_engine_memory(shared_fleet):
+    running = shared_fleet
+    reader = start_slow_stream(running)
+    caller = support.Caller(running)
+    path = f"/v1/requests/{reader.request_id}"
+
+    answer = caller.request("saskatoon-1", "DELETE", path)
+
+    assert answer.status == 204, answer.data
+    error = reader.read_until("error")
+    assert error["code"] == 1007
+    wait_memory_free(running, CANCELLED_SECONDS)
+    slow_down(running, 1)
+
+
+@pytest.mark.matrix(
+    invariant=1, fault="caller disconnects", step="stream", seen_red=""
+)
+def test_engine_memory_is_freed_when_the_caller_disconnects(shared_fleet):
+    running = shared_fleet
+    reader = start_slow_stream(running)
+
+    reader.answer.close()
+
+    wait_memory_free(running, MEMORY_FREE_SECONDS)
+    slow_down(running, 1)
+
+
+@pytest.mark.matrix(
+    invariant=5,
+    fault="silent connection",
+    step="stream",
+    seen_red="progress deadline",
+)
+@pytest.mark.matrix(
+    invariant=2, fault="silent connection", step="stream", seen_red=""
+)
+def test_answer_is_whole_after_its_connection_falls_silent(shared_fleet):
+    running = shared_fleet
+    caller = support.Caller(running)
+    slow_down(running, 5)
+    reader = support.StreamReader(
+        caller.complete("regina-1", support.PROMPT, 60)
+    )
+    reader.read_tokens(5)
+    for address in support.upstream_addresses(running, "decode"):
+        running.fault(address, silence=True)
+    # The connections of this test are silent now, too.
+    running.http.clear()
+
+    done = reader.read_until("done")
+
+    assert done["output_tokens"] == 60
+    assert reader.text == engine.expected_text(support.PROMPT, 60)
+    slow_down(running, 1)
+    wait_memory_free(running, CANCELLED_SECONDS)
+
+
+@pytest.mark.matrix(
+    invariant=5, fault="crashing request", step="prefill", seen_red="quarantine"
+)
+def test_crashing_prompt_is_quarantined_while_streams_go_on(shared_fleet):
+    running = shared_fleet
+    caller = support.Caller(running)
+    # Crashes are counted by the holder of the pool's home shard; a host that
+    # does not know it counts by itself.
+    support.wait_directory_settled(running)
+    slow_down(running, 5)
+    prompts = [f"{support.PROMPT} {number}" for number in range(6)]
+    others = [
+        support.StreamReader(caller.complete("regina-1", prompt, 60))
+        for prompt in prompts
+    ]
+    for other in others:
+        other.read_tokens(1)
+    crashes = 0
+    crashing = f"Referral {engine.CRASH_MARK} with a fault."
+
+    def restart_crashed_engines():
+        nonlocal crashes
+        for upstream in running.register["upstream"]:
+            if running.processes[upstream["address"]].poll() is not None:
+                crashes += 1
+                running.start_upstream(upstream)
+
+    def send_crashing_prompt():
+        answer = caller.complete_whole("regina-1", crashing, 4)
+        restart_crashed_engines()
+        return support.refusal(answer)[0] == QUARANTINED
+
+    running.wait_until(send_crashing_prompt, "the prompt is not quarantined")
+    assert crashes <= MAX_CRASHES
+    again = caller.complete_whole("regina-1", crashing, 4)
+
+    assert support.refusal(again) == (QUARANTINED, "not run")
+    for prompt, other in zip(prompts, others, strict=True):
+        assert other.read_until("done") is not None
+        assert other.text == engine.expected_text(prompt, 60)
+    slow_down(running, 1)
