Name the mechanisms without which three process tests were seen red

Cause: the rows of the rate bound, the privacy of keys and the start without the store named no mechanism. Change: seen_red of these rows, after runs in a scratch copy with the mechanism switched off.

--- a/tests/processes/test_configuration.py
+++ b/tests/processes/test_configuration.py
@@ -147,7 +147,10 @@
 
 
 @pytest.mark.matrix(
-    invariant=10, fault="kill, store down", step="start", seen_red=""
+    invariant=10,
+    fault="kill, store down",
+    step="start",
+    seen_red="question to peers without a version",
 )
 def test_host_restarted_without_the_store_asks_a_zone_peer(running_fleet):
     running = running_fleet
--- a/tests/processes/test_limits.py
+++ b/tests/processes/test_limits.py
@@ -77,7 +77,10 @@
 
 
 @pytest.mark.matrix(
-    invariant=4, fault="kill entry host", step="admission", seen_red=""
+    invariant=4,
+    fault="kill entry host",
+    step="admission",
+    seen_red="zones' shares of the rate",
 )
 @pytest.mark.parametrize("killed", [None, "regina-1", "saskatoon-1"])
 def test_account_never_gets_more_than_rate_and_burst(killed):
--- a/tests/processes/test_privacy.py
+++ b/tests/processes/test_privacy.py
@@ -39,7 +39,10 @@
 
 
 @pytest.mark.matrix(
-    invariant=3, fault="none", step="upstream request", seen_red=""
+    invariant=3,
+    fault="none",
+    step="upstream request",
+    seen_red="list of forwarded headers",
 )
 def test_no_upstream_sees_a_key(shared_fleet):
     running = shared_fleet
