Tell a crash by the requests that an engine holds

By reading: an engine that was restarted at once answers again, so a request whose host asked late reported a failure and one whose host asked early a crash; the counts then differed. Change: after a broken connection the engine is asked whether it holds the request; after a silence whether it answers, as before. Ruled out: counting all requests aboard at the first report; requests that had reported a failure before are no longer aboard. Result: the table of failures passes, and fails with the question switched off.

--- a/src/coltsfootarch/gateway/completion_run.py
+++ b/src/coltsfootarch/gateway/completion_run.py
@@ -322,7 +322,10 @@
     ) -> failures.AttemptFailedError:
         """Returns what an engine's error means for this attempt."""
         return failures.classify(
-            upstream.name, error, lambda: self.is_reachable(upstream.address)
+            upstream.name,
+            error,
+            answers=lambda: self.held_requests(upstream.address) is not None,
+            holds=lambda: self.is_held(upstream.address),
         )
 
     def accept(
@@ -429,14 +432,21 @@
             for name in (placement.prefill, placement.decode)
         }
 
-    def is_reachable(self, address: str) -> bool:
-        """Returns whether an engine still answers, on a new connection."""
+    def held_requests(self, address: str) -> list[engine.EngineEntry] | None:
+        """Returns what an engine holds, or None if it does not answer."""
         try:
-            self.pipeline.engines.load(address)
+            return self.pipeline.engines.requests(address)
         except errors.UpstreamError:
             self.pipeline.reachability.note_failure(address)
-            return False
-        return True
+            return None
+
+    def is_held(self, address: str) -> bool:
+        """Returns whether an engine holds this attempt."""
+        own = (self.context.request_id, self.attempt)
+        return any(
+            (entry.request_id, entry.attempt) == own
+            for entry in self.held_requests(address) or ()
+        )
 
     def notify(self, step: str, upstream: str) -> None:
         """Reports a step to the pool's scheduler."""
--- a/src/coltsfootarch/gateway/failures.py
+++ b/src/coltsfootarch/gateway/failures.py
@@ -43,18 +43,28 @@
 
 
 def classify(
-    upstream: str, error: errors.UpstreamError, alive: Callable[[], bool]
+    upstream: str,
+    error: errors.UpstreamError,
+    answers: Callable[[], bool],
+    holds: Callable[[], bool],
 ) -> AttemptFailedError:
     """Returns the failure that an engine's error amounts to.
 
+    An engine that was restarted at once answers again, but no longer holds
+    the request whose connection broke. After a silence that says nothing: the
+    engine may have ended the request meanwhile.
+
     Args:
         upstream: Name of the engine.
         error: Error of the last call.
-        alive: Returns whether the engine still answers on a new connection.
+        answers: Returns whether the engine answers on a new connection.
+        holds: Returns whether it answers and holds the request.
     """
     if isinstance(error, errors.UpstreamRefusedError):
         if error.reason == EXPORT_EXPIRED:
             return AttemptFailedError(upstream, CANCELLED)
         lost = error.reason in LOST_STATE
         return AttemptFailedError(upstream, CRASHED if lost else FAILED)
-    return AttemptFailedError(upstream, FAILED if alive() else CRASHED)
+    silent = isinstance(error, errors.UpstreamTimeoutError)
+    alive = answers() if silent else holds()
+    return AttemptFailedError(upstream, FAILED if alive else CRASHED)
--- a/tests/fakes/engines.py
+++ b/tests/fakes/engines.py
@@ -188,6 +188,9 @@
         self.held.pop((address, request_id), None)
 
     def requests(self, address):
+        gevent.sleep(0)
+        if address in self.down:
+            raise errors.UpstreamConnectError(f"{address} refuses")
         return [
             engine.EngineEntry(
                 request_id, attempt, "gw/1", "decode", self.idle(where)
