Find holders in a store outage; collect orphans of zones without hosts

Cause: a host that restarted while the store was down got its register from a zone peer but no directory, so it was ready and refused every completion (3003); and engines of a zone whose last host was gone kept the memory of its requests, because only that zone's hosts looked. Change: a host without a view takes a zone peer's; the home of an upstream moves to another zone while its own has no host.

--- a/src/coltsfootarch/gateway/components.py
+++ b/src/coltsfootarch/gateway/components.py
@@ -221,6 +221,7 @@
             self.register,
             self.settings.availability_zone,
             self.agent.directory.address_of,
+            self.agent.directory.has_hosts,
         )
         self.orphans = orphans.OrphanCollector(
             self.clock,
--- a/src/coltsfootarch/gateway/ownership.py
+++ b/src/coltsfootarch/gateway/ownership.py
@@ -31,6 +31,7 @@
         current: Returns the register in force.
         availability_zone: Zone of this host.
         address_of: Returns the peer address of a host's incarnation, or None.
+        has_hosts: Returns whether a zone has a host with a session.
     """
 
     def __init__(
@@ -41,7 +42,9 @@
         current: Callable[[], register.Register],
         availability_zone: str,
         address_of: Callable[[str, int], str | None],
+        has_hosts: Callable[[str], bool],
     ) -> None:
+        self.has_hosts = has_hosts
         self.network = network
         self.requests = requests
         self.leases = leases
@@ -54,16 +57,28 @@
         self.network.register(messages.RequestQuery, self.on_query)
 
     def is_home(self, name: str) -> bool:
-        """Returns whether this host holds an upstream's home shard."""
-        current = self.current()
-        upstream = current.upstreams.get(name)
+        """Returns whether this host holds an upstream's home shard.
+
+        The home of an upstream is in its own zone, or in another one while no
+        host of its zone has a session.
+        """
+        upstream = self.current().upstreams.get(name)
         if upstream is None:
             return False
-        if upstream.availability_zone != self.availability_zone:
+        home = self.home_of(upstream)
+        if home.availability_zone != self.availability_zone:
             return False
-        zone = current.availability_zones[self.availability_zone]
-        shard = homes.home_shard("upstream", name, zone.shards)
-        return self.leases.epoch(shard) is not None
+        return self.leases.epoch(home.shard) is not None
+
+    def home_of(self, upstream: register.Upstream) -> homes.Home:
+        """Returns the zone and shard that an upstream is homed at."""
+        zones = self.current().availability_zones
+        candidates = [zones[upstream.availability_zone]]
+        if not self.has_hosts(upstream.availability_zone):
+            candidates = [
+                zone for zone in zones.values() if self.has_hosts(zone.name)
+            ] or candidates
+        return homes.scope_home("upstream", upstream.name, candidates)
 
     def knows(self, owner: orphans.Owner, request_id: str) -> bool | None:
         """Asks a request's owner whether it still runs it.
--- a/src/coltsfootarch/protocol/codec.py
+++ b/src/coltsfootarch/protocol/codec.py
@@ -39,6 +39,8 @@
     15: messages.ConfigReply,
     16: messages.CancelRequest,
     17: messages.RequestQuery,
+    18: messages.DirectoryRequest,
+    19: messages.DirectoryReply,
 }
 NUMBERS: dict[type, int] = {kind: number for number, kind in KINDS.items()}
 
--- a/src/coltsfootarch/protocol/messages.py
+++ b/src/coltsfootarch/protocol/messages.py
@@ -362,3 +362,61 @@
     """
 
     request_id: str
+
+
+class DirectorySession(NamedTuple):
+    """A host's session as a peer last read it.
+
+    Attributes:
+        host: Name of the host.
+        incarnation: Its incarnation.
+        address: Address ("ip:port") of its peer socket.
+    """
+
+    host: str
+    incarnation: int
+    address: str
+
+
+class DirectoryShard(NamedTuple):
+    """A shard's holder as a peer last read it.
+
+    Attributes:
+        number: Number of the shard.
+        holder: Name of the holding host; empty if there is none.
+        incarnation: Its incarnation.
+        address: Address ("ip:port") of its peer socket.
+        epoch: Epoch of its lease.
+    """
+
+    number: int
+    holder: str
+    incarnation: int
+    address: str
+    epoch: int
+
+
+class ZoneDirectory(NamedTuple):
+    """An availability zone's hosts and shard holders.
+
+    Attributes:
+        availability_zone: The zone.
+        revision: Directory revision.
+        sessions: Sessions of its hosts.
+        shards: Holders of its shards.
+    """
+
+    availability_zone: str
+    revision: int
+    sessions: list[DirectorySession]
+    shards: list[DirectoryShard]
+
+
+class DirectoryRequest(NamedTuple):
+    """Asks a zone peer for its view of all zones."""
+
+
+class DirectoryReply(NamedTuple):
+    """A peer's view of all zones, as last read from the store."""
+
+    zones: list[ZoneDirectory]
--- a/src/coltsfootarch/zone/agent.py
+++ b/src/coltsfootarch/zone/agent.py
@@ -15,6 +15,7 @@
 from coltsfootarch.zone import claims
 from coltsfootarch.zone import directory
 from coltsfootarch.zone import membership
+from coltsfootarch.zone import peer_view
 from coltsfootarch.zone import session
 from coltsfootarch.zone import shards
 from coltsfootarch.zone import takeover
@@ -137,6 +138,7 @@
         register = self.network.register
         register(messages.Heartbeat, self.handle_heartbeat)
         register(messages.Probe, self.handle_probe)
+        register(messages.DirectoryRequest, self.handle_directory)
         register(messages.IndirectProbe, self.handle_indirect, blocking=True)
 
     def tick(self) -> None:
@@ -172,6 +174,8 @@
 
     def maintain(self) -> None:
         """Follows the directory, spreads shards and takes over dead hosts."""
+        if not self.directory.views:
+            self.learn_directory()
         self.directory.poll_if_due()
         if self.session.closed or self.stopping:
             return
@@ -179,6 +183,21 @@
         self.watch.take_over()
         self.claims.balance(self.membership.stopping_hosts())
 
+    def learn_directory(self) -> None:
+        """Takes a zone peer's view until this host reads its own.
+
+        A host that starts while the store is down could not find the ledgers
+        and schedulers of its zone otherwise.
+        """
+        peers = self.membership.zone_peers().values()
+        self.directory.views = peer_view.ask(self.network, peers)
+
+    def handle_directory(
+        self, sender: messages.Sender, request: messages.DirectoryRequest
+    ) -> messages.DirectoryReply:
+        """Answers with this host's view of all zones."""
+        return messages.DirectoryReply(peer_view.export(self.directory.views))
+
     def send_heartbeats(self) -> None:
         """Sends this host's heartbeat."""
         self.membership.send_heartbeats(self.make_heartbeat())
--- a/src/coltsfootarch/zone/directory.py
+++ b/src/coltsfootarch/zone/directory.py
@@ -120,6 +120,10 @@
                 return view.sessions[host].address
         return None
 
+    def has_hosts(self, availability_zone: str) -> bool:
+        """Returns whether a zone has a host with a session."""
+        return bool(self.views.get(availability_zone, EMPTY_VIEW).sessions)
+
     def view_age(self) -> float:
         """Returns the seconds since the last successful poll."""
         return self.clock.monotonic() - self.polled_at
--- a/tests/protocol/test_codec.py
+++ b/tests/protocol/test_codec.py
@@ -33,6 +33,9 @@
         messages.OutstandingGrant,
         messages.LedgerState,
         messages.ScheduleEvent,
+        messages.ZoneDirectory,
+        messages.DirectorySession,
+        messages.DirectoryShard,
     }
 
     assert set(codec.NUMBERS) == answers_and_requests - parts
