Leave the first poll to the tracker when a host starts

Cause: the check of readiness polled the table service four times a second and so put off the tracker's question to zone peers; a host that restarted in a store outage never became ready. Change: readiness waits for the first version. Tests of one file share a worker, so that a fleet is started once for each file.

--- a/Makefile
+++ b/Makefile
@@ -23,10 +23,10 @@
 	$(BIN)/ruff check --fix .
 
 test: $(STAMP)
-	$(BIN)/pytest -n 4 -q
+	$(BIN)/pytest -n 5 --dist loadfile -q
 
 matrix: $(STAMP)
-	$(BIN)/pytest -q -m matrix --matrix
+	$(BIN)/pytest -n 5 --dist loadfile -q -m matrix --matrix
 
 bench: $(STAMP)
 	$(BIN)/python -m benchmarks
--- a/src/coltsfootarch/gateway/readiness.py
+++ b/src/coltsfootarch/gateway/readiness.py
@@ -41,13 +41,15 @@
         """Confirms the configuration once the session is announced."""
         if self.ready or not self.is_announced():
             return
+        # The tracker gets the first version; a poll here would put off its
+        # question to zone peers.
+        if self.config_tracker.version == 0:
+            return
         confirmed = self.config_tracker.confirm()
         # Without the table service no edit can be committed from here; a
         # version of a zone peer is the newest that this host can know.
         unreachable = not confirmed and self.config_tracker.failed_polls > 0
-        self.ready = self.config_tracker.version > 0 and (
-            confirmed or unreachable
-        )
+        self.ready = confirmed or unreachable
 
     def check(self) -> None:
         """Raises a refusal while the host may not serve.
--- a/tests/gateway/test_readiness.py
+++ b/tests/gateway/test_readiness.py
@@ -42,6 +42,20 @@
     assert config.version == 2
 
 
+def test_host_without_a_version_leaves_the_first_poll_to_the_tracker(fleet):
+    """Guards the question to zone peers, which follows the tracker's poll."""
+    fleet.shared.down = True
+    _, config = fleet.host()
+    polled_at = config.polled_at
+    starting = readiness.Readiness(config, lambda: True)
+    fleet.pass_time(1)
+
+    starting.tick()
+
+    assert config.polled_at == polled_at
+    assert not starting.ready
+
+
 def test_host_serves_with_a_peer_version_while_the_store_is_down(fleet):
     _, config = fleet.host()
     fleet.shared.down = True
