Give each test process a block of ports of its own

Cause: two fleets of parallel workers chose the same port before either server listened; one of two matrix runs failed with 'address in use'. Change: a process takes its ports from a block that it owns while it listens on the block's first port.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -29,12 +29,12 @@
 READY_TIMEOUT_SECONDS = 30.0
 POLL_SECONDS = 0.05
 CONNECTIONS_PER_ADDRESS = 20
-PORTS = range(10_000, 32_000)
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
+BLOCK_PORTS = 500
 QUEUE_TIMEOUT = re.compile(r'queue_timeout = "\w+"')
 ADDRESS = re.compile(r'^address = "127\.0\.0\.1:\d+"', re.MULTILINE)
 
-used_ports: set[int] = set()
-
 
 class HostAddresses(NamedTuple):
     """Addresses ("ip:port") of an entry host."""
@@ -276,21 +276,52 @@
         return time.monotonic() - started
 
 
-def free_address() -> str:
-    """Returns a loopback address with a port that is free now.
+class PortRange:
+    """Ports that no other process takes addresses from.
 
-    The port is below the range that the system gives to outgoing connections,
-    one of which could take it before the server does. No port is returned
-    twice, since the server of the first address may not be listening yet.
+    The range lies below the one that the system gives to outgoing
+    connections. A process owns a block of it while it listens on the block's
+    first port, so that test processes that run side by side never choose the
+    same port for servers that are not listening yet.
     """
-    while True:
-        port = PORTS.start + secrets.randbelow(len(PORTS))
-        if port in used_ports:
-            continue
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        used_ports.add(port)
-        return f"127.0.0.1:{port}"
+
+    def __init__(self) -> None:
+        self.owner = socket.socket()
+        blocks = list(range(FIRST_PORT, LAST_PORT, BLOCK_PORTS))
+        secrets.SystemRandom().shuffle(blocks)
+        self.ports = next(
+            iter(range(block + 1, block + BLOCK_PORTS))
+            for block in blocks
+            if self.claim(block)
+        )
+
+    def claim(self, block: int) -> bool:
+        """Listens on a block's first port; returns whether that worked."""
+        try:
+            self.owner.bind(("127.0.0.1", block))
+            self.owner.listen()
+        except OSError:
+            return False
+        return True
+
+    def take(self) -> int:
+        """Returns the next port on which nothing listens; each one once."""
+        for port in self.ports:
+            with socket.socket() as probe:
+                try:
+                    probe.bind(("127.0.0.1", port))
+                except OSError:
+                    continue
+                return port
+        raise RuntimeError("the process has used up its block of ports")
+
+
+port_range: PortRange | None = None
+
+
+def free_address() -> str:
+    """Returns a loopback address that no other server uses."""
+    global port_range
+    if port_range is None:
+        port_range = PortRange()
+    return f"127.0.0.1:{port_range.take()}"
