Move the growing text of an answer out of the completion run

Change: the text, its offset and the checks of engine events are a class of their own; the rows of the fault matrix name it.

--- a/src/coltsfootarch/gateway/completion_run.py
+++ b/src/coltsfootarch/gateway/completion_run.py
@@ -8,6 +8,7 @@
 
 from coltsfootarch import errors
 from coltsfootarch import results
+from coltsfootarch.gateway import answer_text
 from coltsfootarch.gateway import completions
 from coltsfootarch.gateway import failures
 from coltsfootarch.gateway import resume
@@ -70,8 +71,7 @@
         self.pipeline = pipeline
         self.context = context
         self.prompt_tokens = completions.count_tokens(context.request.prompt)
-        self.emitted: list[str] = []
-        self.offset = 0
+        self.text = answer_text.AnswerText(context.request_id, context.request)
         self.attempt = 0
         self.replacements = 0
         self.excluded: set[str] = set()
@@ -111,7 +111,7 @@
         """
         if self.abandoned:
             return self.prompt_tokens + self.context.request.max_tokens
-        return self.prompt_tokens + self.offset if self.sent else 0
+        return self.prompt_tokens + self.text.offset if self.sent else 0
 
     def attempts(self) -> Iterator[completions.AnswerEvent]:
         """Places the request until one placement finishes it."""
@@ -121,7 +121,7 @@
                 yield from self.run_placement()
             except failures.AttemptFailedError as failure:
                 self.note_failure(failure)
-                if self.tokens_left() > 0:
+                if self.text.tokens_left() > 0:
                     self.check_replacement()
                     continue
                 # Only the engine's end mark is missing.
@@ -133,7 +133,7 @@
                 raise
             else:
                 self.stale.forget_all()
-            yield completions.Finished(self.prompt_tokens, self.offset)
+            yield completions.Finished(self.prompt_tokens, self.text.offset)
             return
 
     def place(self) -> None:
@@ -209,13 +209,13 @@
     def work_item(self) -> items.WorkItem:
         """Returns the scheduler's view of what is left to do."""
         context = self.context
-        prompt = self.current_prompt()
+        prompt = self.text.prompt()
         return items.WorkItem(
             request_id=context.request_id,
             attempt=self.attempt,
             account=context.caller.account,
             prompt_tokens=completions.count_tokens(prompt),
-            max_output_tokens=self.tokens_left(),
+            max_output_tokens=self.text.tokens_left(),
             deadline=self.deadline(),
             prefix_digests=tuple(completions.prefix_digests(prompt)),
             digest=context.request.digest,
@@ -231,26 +231,18 @@
         chosen = base if asked is None else min(asked, base)
         return chosen + (1 if self.sent else 0)
 
-    def current_prompt(self) -> str:
-        """Returns the prompt with the text emitted so far."""
-        return self.context.request.prompt + "".join(self.emitted)
-
-    def tokens_left(self) -> int:
-        """Returns the tokens that may still be generated."""
-        return self.context.request.max_tokens - self.offset
-
     def run_placement(self) -> Iterator[completions.AnswerEvent]:
         """Prefills, transfers and decodes on the current placement."""
         request = engine.EngineRequest(
             request_id=self.context.request_id,
             attempt=self.attempt,
             owner=self.pipeline.owner,
-            prompt=self.current_prompt(),
-            max_tokens=self.tokens_left(),
+            prompt=self.text.prompt(),
+            max_tokens=self.text.tokens_left(),
             priority=self.priority(),
-            first_offset=self.offset,
+            first_offset=self.text.offset,
         )
-        self.base_offset = self.offset
+        self.base_offset = self.text.offset
         self.announced = False
         source = self.prefill(request)
         yield from self.decode(request, source)
@@ -308,7 +300,7 @@
                     raise self.failure(upstream, error) from error
             self.pipeline.metrics.increment(metrics.STREAM_RESUMES)
             stream = self.pipeline.engines.resume(
-                upstream.address, request.request_id, self.offset
+                upstream.address, request.request_id, self.text.offset
             )
 
     def can_resume(self, error: errors.UpstreamError, stalled: int) -> bool:
@@ -331,35 +323,27 @@
     def accept(
         self, event: engine.TokenEvent
     ) -> Iterator[completions.AnswerEvent]:
-        """Checks an engine's event against the offset and passes it on.
+        """Passes an engine's event on if it continues the answer.
 
         Raises:
-            UpstreamError: Tokens are missing before the event's offset.
+            UpstreamError: The event does not belong here.
         """
-        identity = (event.request_id, event.attempt)
-        if identity != (self.context.request_id, self.attempt):
-            raise errors.UpstreamError("the stream is of another attempt")
-        if event.offset > self.offset:
-            raise errors.UpstreamError("tokens are missing in the stream")
-        if event.offset + event.tokens <= self.offset and not event.finished:
+        if not self.text.is_new(event, self.attempt):
             return
-        if event.offset < self.offset:
-            raise errors.UpstreamError("an event overlaps the emitted tokens")
         if not self.announced:
             self.announced = True
             yield self.first_event()
         if not event.tokens:
             return
-        self.emitted.append(event.text)
-        self.offset += event.tokens
+        self.text.append(event)
         self.pipeline.metrics.increment(metrics.TOKENS, event.tokens)
-        yield completions.Tokens(event.text, self.offset)
+        yield completions.Tokens(event.text, self.text.offset)
 
     def first_event(self) -> completions.Started:
         """Notes the first token of a placement and returns its event."""
         placement = self.assigned()
         self.notify("transferred", placement.decode)
-        if self.offset == 0:
+        if self.text.offset == 0:
             elapsed = self.pipeline.clock.monotonic() - self.started_at
             self.pipeline.metrics.timing(metrics.FIRST_TOKEN, elapsed)
         expires = self.pipeline.clock.now() + RESUME_TOKEN_LIFETIME
@@ -451,7 +435,11 @@
     def notify(self, step: str, upstream: str) -> None:
         """Reports a step to the pool's scheduler."""
         event = messages.ScheduleEvent(
-            self.context.request_id, self.attempt, step, upstream, self.offset
+            self.context.request_id,
+            self.attempt,
+            step,
+            upstream,
+            self.text.offset,
         )
         self.pipeline.scheduler.notify(event)
 
--- a/tests/faults/test_completion_path.py
+++ b/tests/faults/test_completion_path.py
@@ -244,15 +244,15 @@
         "first token",
         "other request",
         5,
-        "identity check in CompletionRun.accept",
+        "identity check in AnswerText.is_new",
     ),
     row(
         "first token",
         "other attempt",
         5,
-        "identity check in CompletionRun.accept",
+        "identity check in AnswerText.is_new",
     ),
-    row("first token", "missing", 5, "offset check in CompletionRun.accept"),
+    row("first token", "missing", 5, "offset check in AnswerText.is_new"),
     row(
         "mid-stream", "silence", 5, "resume and replacement of stalled streams"
     ),
@@ -265,26 +265,26 @@
     row("mid-stream", "crashed", 5, "replacement of failed attempts"),
     row("mid-stream", "crash", 5, "exclusion of failed engines"),
     row("mid-stream", "cancelled", 5, "replacement of failed attempts"),
-    row("mid-stream", "repeated", 2, "offset check in CompletionRun.accept"),
-    row("mid-stream", "overlap", 2, "offset check in CompletionRun.accept"),
-    row("mid-stream", "missing", 5, "offset check in CompletionRun.accept"),
+    row("mid-stream", "repeated", 2, "offset check in AnswerText.is_new"),
+    row("mid-stream", "overlap", 2, "offset check in AnswerText.is_new"),
+    row("mid-stream", "missing", 5, "offset check in AnswerText.is_new"),
     row(
         "mid-stream",
         "other request",
         5,
-        "identity check in CompletionRun.accept",
+        "identity check in AnswerText.is_new",
     ),
     row(
         "mid-stream",
         "other attempt",
         5,
-        "identity check in CompletionRun.accept",
+        "identity check in AnswerText.is_new",
     ),
     row(
         "last token", "silence", 5, "resume and replacement of stalled streams"
     ),
     row("last token", "crash", 5, "exclusion of failed engines"),
-    row("last token", "repeated", 2, "offset check in CompletionRun.accept"),
+    row("last token", "repeated", 2, "offset check in AnswerText.is_new"),
     row(
         "end mark",
         "silence",
