Use the route table for models; settings do what their pages say

The completion pipeline looked a model up by itself beside RouteTable.match_model. rules.retry_budget and queue.max_connections were checked and documented, but constants were used in their place. One metric and one result code had no sender. Change: the pipeline asks the route table; the two settings take effect; the metric inter_token and the code 9001 are gone from code and pages. The settings under [lease], max_requests and max_requests_per_account are still not used, and their descriptions now say so.

--- a/src/coltsfootarch/config/settings.py
+++ b/src/coltsfootarch/config/settings.py
@@ -92,12 +92,12 @@
         F(
             "renew_interval",
             kinds.Duration("100ms", "1m"),
-            "Time between two renewals of the host's session.",
+            "Checked, not used yet: renewals come every 2 s.",
         ),
         F(
             "validity",
             kinds.Duration("300ms", "10m"),
-            "Time that a session is valid after a renewal was sent; more than "
+            "Checked, not used yet: a session is valid for 6 s. More than "
             "twice `renew_interval` and the same on all hosts.",
         ),
     ),
@@ -108,11 +108,16 @@
     "queue",
     Queue,
     (
-        F("max_requests", COUNT, "Requests that wait at once on this host."),
+        F(
+            "max_requests",
+            COUNT,
+            "Checked, not used yet: requests that wait at once on this host.",
+        ),
         F(
             "max_requests_per_account",
             COUNT,
-            "Requests of one client account that wait at once on this host.",
+            "Checked, not used yet: requests of one client account that wait "
+            "at once on this host.",
         ),
         F("max_connections", COUNT, "Connections of callers at once."),
     ),
--- a/src/coltsfootarch/gateway/completion_pipeline.py
+++ b/src/coltsfootarch/gateway/completion_pipeline.py
@@ -23,6 +23,7 @@
 
     from coltsfootarch import clock
     from coltsfootarch.config import register
+    from coltsfootarch.config import routes
     from coltsfootarch.gateway import dispatch_guard
     from coltsfootarch.gateway import reachability
     from coltsfootarch.keys import ring
@@ -44,6 +45,7 @@
     Args:
         clock: Source of time.
         register: Returns the register in force.
+        routes: Returns the routes in force.
         limiter: Rate and burst of client accounts.
         scheduler: Places requests on engines.
         engines: Calls model engines.
@@ -58,6 +60,7 @@
         self,
         clock: clock.Clock,
         register: Callable[[], register.Register],
+        routes: Callable[[], routes.RouteTable],
         limiter: limiter.Limiter,
         scheduler: client.SchedulerClient,
         engines: engine.EngineClient,
@@ -69,6 +72,7 @@
     ) -> None:
         self.clock = clock
         self.register = register
+        self.routes = routes
         self.limiter = limiter
         self.scheduler = scheduler
         self.engines = engines
@@ -90,7 +94,7 @@
         Raises:
             RefusedError: The request was refused or could not be finished.
         """
-        service = self.service(request.model)
+        service = self.routes().match_model("POST", request.model).service
         self.metrics.increment(metrics.REQUESTS)
         self.budget.record()
         context = completion_run.RunContext(
@@ -214,17 +218,6 @@
         """Waits for cancellations that are under way."""
         self.background.join(BACKGROUND_TIMEOUT.total_seconds())
 
-    def service(self, model: str) -> register.Service:
-        """Returns the service of a model.
-
-        Raises:
-            RefusedError: No service has the model.
-        """
-        for service in self.register().services.values():
-            if service.model and service.model == model:
-                return service
-        raise errors.RefusedError(results.UNKNOWN_MODEL)
-
     def upstream(self, name: str) -> register.Upstream:
         """Returns an upstream of the register in force.
 
--- a/src/coltsfootarch/gateway/components.py
+++ b/src/coltsfootarch/gateway/components.py
@@ -252,6 +252,7 @@
         self.completion_pipeline = completion_pipeline.CompletionPipeline(
             self.clock,
             self.register,
+            lambda: self.tracker.routes,
             self.limiter,
             self.scheduler,
             self.engines,
--- a/src/coltsfootarch/gateway/daemon.py
+++ b/src/coltsfootarch/gateway/daemon.py
@@ -66,7 +66,9 @@
             self.parts.metrics,
         )
         self.server = server.GatewayServer(
-            settings.listen, self.application.wsgi
+            settings.listen,
+            self.application.wsgi,
+            settings.queue.max_connections,
         )
         self.tasks = [
             self.fast_task(),
@@ -185,8 +187,9 @@
             and parts.readiness.ready,
         )
 
-    def on_register(self, _register: register.Register) -> None:
-        """Ends requests whose key is no longer valid."""
+    def on_register(self, current: register.Register) -> None:
+        """Applies the retry budget and ends requests of withdrawn keys."""
+        self.parts.budget.ratio = current.rules.retry_budget
         ended = self.parts.requests.end_invalid_keys(
             self.parts.keys.is_valid, results.KEY_WITHDRAWN
         )
--- a/src/coltsfootarch/gateway/server.py
+++ b/src/coltsfootarch/gateway/server.py
@@ -27,7 +27,6 @@
 # Limits of what is read of a body after its request was answered.
 DISCARD_TIMEOUT = datetime.timedelta(seconds=1)
 DISCARD_BYTES = 1024 * 1024
-MAX_CONNECTIONS = 10_000
 BACKLOG = 1024
 
 logger = structlog.get_logger(__name__)
@@ -152,13 +151,20 @@
     Args:
         address: "ip:port" to listen on; port 0 takes a free one.
         application: WSGI application.
+        max_connections: Connections of callers at once; further ones wait in
+            the backlog.
     """
 
-    def __init__(self, address: str, application: Callable[..., Any]) -> None:
+    def __init__(
+        self,
+        address: str,
+        application: Callable[..., Any],
+        max_connections: int,
+    ) -> None:
         host, _, port = address.rpartition(":")
         self.application = application
         self.draining = False
-        self.connections = pool.Pool(MAX_CONNECTIONS)
+        self.connections = pool.Pool(max_connections)
         self.answers = 0
         self.idle = gevent.event.Event()
         self.idle.set()
--- a/src/coltsfootarch/observability/metrics.py
+++ b/src/coltsfootarch/observability/metrics.py
@@ -29,7 +29,6 @@
     "refusals", "counter", "requests refused; the result number is appended"
 )
 FIRST_TOKEN = Metric("first_token", "timing", "time to first token")
-INTER_TOKEN = Metric("inter_token", "timing", "time between token events")
 TOKENS = Metric("tokens", "counter", "generated tokens relayed to callers")
 STREAM_RESUMES = Metric(
     "stream_resumes", "counter", "engine streams resumed on a new connection"
--- a/src/coltsfootarch/results.py
+++ b/src/coltsfootarch/results.py
@@ -335,9 +335,6 @@
 )
 
 # 9000s: this process
-SHUTTING_DOWN = ResultCode(
-    9001, "shutting-down", 503, _NOT_RUN, "The host is stopping."
-)
 INTERNAL_ERROR = ResultCode(
     9002, "internal-error", 500, _MAY, "Unexpected error; see the log."
 )
--- a/tests/fakes/gateways.py
+++ b/tests/fakes/gateways.py
@@ -99,6 +99,7 @@
         self.pipeline = completion_pipeline.CompletionPipeline(
             self.clock,
             lambda: self.configuration.register,
+            lambda: self.configuration.routes,
             self.limiter,
             engines.ScriptedScheduler(
                 self.script, [("p1", "d1"), ("p1", "d2")]
@@ -129,7 +130,9 @@
             ),
             metrics.NullMetrics(),
         )
-        self.server = server.GatewayServer("127.0.0.1:0", self.application.wsgi)
+        self.server = server.GatewayServer(
+            "127.0.0.1:0", self.application.wsgi, max_connections=100
+        )
         self.server.start()
         self.port = int(self.server.address.rpartition(":")[2])
         self.sockets = []
--- a/tests/faults/test_completion_path.py
+++ b/tests/faults/test_completion_path.py
@@ -15,6 +15,7 @@
 from coltsfootarch import clock as clocks
 from coltsfootarch import errors
 from coltsfootarch import results
+from coltsfootarch.config import routes
 from coltsfootarch.gateway import completion_pipeline
 from coltsfootarch.gateway import completions
 from coltsfootarch.gateway import dispatch_guard
@@ -65,6 +66,7 @@
         self.pipeline = completion_pipeline.CompletionPipeline(
             self.clock,
             lambda: self.configuration.register,
+            lambda: routes.RouteTable(self.configuration.register),
             self.limiter,
             self.scheduler,
             self.engines,
