--- a/src/coltsfootarch/audit/trail.py
+++ b/src/coltsfootarch/audit/trail.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from coltsfootarch.platform import tables
+from coltsfootarch.storage import tables
 
 if TYPE_CHECKING:
     from coltsfootarch import clock as clocks
--- a/src/coltsfootarch/config/repository.py
+++ b/src/coltsfootarch/config/repository.py
@@ -15,7 +15,7 @@
 from coltsfootarch.config import status as statuses
 from coltsfootarch.config import transitions
 from coltsfootarch.config import versions
-from coltsfootarch.platform import tables
+from coltsfootarch.storage import tables
 from coltsfootarch.zone import records
 
 if TYPE_CHECKING:
--- a/src/coltsfootarch/config/status.py
+++ b/src/coltsfootarch/config/status.py
@@ -13,7 +13,7 @@
     from collections.abc import Iterable
 
     from coltsfootarch.config import register as registers
-    from coltsfootarch.platform import tables
+    from coltsfootarch.storage import tables
 
 
 class HostStatus(NamedTuple):
--- a/src/coltsfootarch/config/tracker.py
+++ b/src/coltsfootarch/config/tracker.py
@@ -19,7 +19,7 @@
 
 if TYPE_CHECKING:
     from coltsfootarch import clock as clocks
-    from coltsfootarch.platform import tables
+    from coltsfootarch.storage import tables
     from coltsfootarch.protocol import messages
 
 POLL_INTERVAL = datetime.timedelta(seconds=2)
--- a/src/coltsfootarch/console/commands/gateway.py
+++ b/src/coltsfootarch/console/commands/gateway.py
@@ -4,6 +4,9 @@
 
 import importlib
 import pathlib
+import sys
+import tomllib
+from typing import Any
 
 import click
 
@@ -17,13 +20,51 @@
     help="Settings of this host, in TOML.",
 )
 def gateway(path: pathlib.Path) -> None:
-    """Run an entry host until SIGTERM, then stop without cutting requests."""
+    """Run an entry host until SIGTERM, then stop without cutting requests.
+
+    Settings with a table [edge] attach the host to a platform that keeps its
+    configuration in a metadata store; settings with a table [gateway] join
+    the hosts of a register.
+    """
+    text = path.read_text()
+    if is_edge(text):
+        run_edge(path, text)
+        return
     # The standard library must be patched before other modules use sockets.
     monkey = importlib.import_module("gevent.monkey")
     monkey.patch_all()
     settings = importlib.import_module("coltsfootarch.config.settings")
     logs = importlib.import_module("coltsfootarch.observability.logs")
     daemon = importlib.import_module("coltsfootarch.gateway.daemon")
-    parsed = settings.parse(path.read_text(), str(path))
+    parsed = settings.parse(text, str(path))
     logs.configure(parsed.log_level.value, host=parsed.name)
     daemon.Gateway(parsed).run()
+
+
+def is_edge(text: str) -> bool:
+    """Returns whether settings are for a host on a platform."""
+    try:
+        return "edge" in tomllib.loads(text)
+    except tomllib.TOMLDecodeError:
+        return False  # The parser of the settings reports it with its number.
+
+
+def run_edge(path: pathlib.Path, text: str) -> None:
+    """Runs an entry host that is attached to a platform."""
+    gevent: Any = importlib.import_module("gevent")
+    # Addresses are numeric; the default resolver would start threads.
+    gevent.config.resolver = "block"
+    settings = importlib.import_module("coltsfootarch.config.edge_settings")
+    parsed = settings.parse(text, str(path))
+    clocks = importlib.import_module("coltsfootarch.clock")
+    logs = importlib.import_module("coltsfootarch.observability.logs")
+    log_writer = importlib.import_module(
+        "coltsfootarch.observability.log_writer"
+    )
+    daemon = importlib.import_module("coltsfootarch.forwarding.daemon")
+    platform = importlib.import_module("coltsfootarch.platform.attachment")
+    clock = clocks.SystemClock()
+    writer = log_writer.LogWriter(sys.stdout.fileno(), clock)
+    logs.configure(parsed.log_level.value, writer, parsed.name)
+    attached = platform.attach(parsed.store, clock)
+    daemon.EdgeDaemon(parsed, attached, clock, writer, path).run()
--- a/src/coltsfootarch/console/platform.py
+++ b/src/coltsfootarch/console/platform.py
@@ -18,9 +18,9 @@
 
     from coltsfootarch import clock as clocks
     from coltsfootarch.config import repository as repositories
-    from coltsfootarch.platform import tables
+    from coltsfootarch.storage import tables
 
-CLIENT_MODULE = "coltsfootarch.platform.table_client"
+CLIENT_MODULE = "coltsfootarch.storage.table_client"
 REQUEST_TIMEOUT = datetime.timedelta(seconds=5)
 
 
--- a/src/coltsfootarch/errors.py
+++ b/src/coltsfootarch/errors.py
@@ -72,6 +72,12 @@
     default_code = results.TRANSACTION_CONFLICT
 
 
+class HistoryLostError(PlatformError):
+    """The changes that were asked for are no longer kept; read all rows."""
+
+    default_code = results.TABLE_UNAVAILABLE
+
+
 class ObjectStoreUnavailableError(PlatformError):
     """The object store did not answer."""
 
--- /dev/null
+++ b/src/coltsfootarch/fleet/reports.py
@@ -0,0 +1,197 @@
+"""Reports that hosts send each other about load and use of limits."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+from typing import Protocol
+
+import gevent
+import msgspec
+import structlog
+from gevent import socket as gevent_socket
+
+from coltsfootarch.http1 import client
+
+if TYPE_CHECKING:
+    from coltsfootarch import clock as clocks
+    from coltsfootarch.fleet import hosts
+
+PROTOCOL_VERSION = 1
+# Interval of reports between few hosts. Loads change within tens of
+# milliseconds; a view this old still tells an empty engine from a full one.
+INTERVAL_S = 0.1
+# With more peers the interval grows, so that a host sends at most this many
+# datagrams a second.
+MAX_DATAGRAMS_PER_S = 80.0
+MAX_INTERVAL_S = 0.5
+MAX_DATAGRAM_BYTES = 60000
+
+logger = structlog.get_logger(__name__)
+
+
+class Report(NamedTuple):
+    """State of one host.
+
+    Attributes:
+        version: Version of this format.
+        host: Name of the sender.
+        incarnation: Unix time of its start in milliseconds.
+        sequence: Number of this report.
+        loads: Upstream id, requests in progress, their tokens.
+        usage: Client account, tokens admitted since the start.
+        breaks: Request digest, connections broken while it ran.
+    """
+
+    version: int
+    host: str
+    incarnation: int
+    sequence: int
+    loads: list[tuple[str, int, int]]
+    usage: list[tuple[str, int]]
+    breaks: list[tuple[str, int]]
+
+
+class Participant(Protocol):
+    """A part of the host whose state is reported."""
+
+    def contribute(self, report: Report) -> None:
+        """Adds this host's state to a report."""
+
+    def absorb(self, report: Report, continuous: bool) -> None:
+        """Takes a peer's state.
+
+        Args:
+            report: The peer's report.
+            continuous: Whether the peer was heard all the time since its
+                report before, within one incarnation.
+        """
+
+
+class ReportExchange:
+    """Sends reports to all hosts over UDP and receives theirs.
+
+    Datagrams need no connection that could go silent, and a lost report is
+    made good by the next one, since reports carry totals.
+
+    Args:
+        directory: The other hosts.
+        participants: What is reported.
+        clock: Source of time.
+    """
+
+    def __init__(
+        self,
+        directory: hosts.HostDirectory,
+        participants: list[Participant],
+        clock: clocks.Clock,
+    ) -> None:
+        self.directory = directory
+        self.participants = participants
+        self.clock = clock
+        self.sequence = 0
+        self.last: dict[str, tuple[int, int]] = {}
+        self.sock: gevent_socket.socket | None = None
+        self.greenlets: list[gevent.Greenlet] = []
+        self.decoder = msgspec.msgpack.Decoder(Report)
+        self.undecodable = 0
+
+    def start(self) -> None:
+        """Binds the socket and starts to send and receive."""
+        sock = gevent_socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.bind(client.split_address(self.directory.own.address))
+        self.sock = sock
+        self.greenlets = [
+            gevent.spawn(self.receive_all, sock),
+            gevent.spawn(self.send_all),
+        ]
+
+    def close(self) -> None:
+        """Stops sending and receiving."""
+        for greenlet in self.greenlets:
+            greenlet.kill()
+        self.greenlets = []
+        if self.sock is not None:
+            self.sock.close()
+            self.sock = None
+
+    def interval(self) -> float:
+        """Returns the seconds between two reports."""
+        needed = len(self.directory.peers) / MAX_DATAGRAMS_PER_S
+        return min(max(INTERVAL_S, needed), MAX_INTERVAL_S)
+
+    def send_all(self) -> None:
+        """Sends reports until the greenlet is killed."""
+        while True:
+            self.send()
+            gevent.sleep(self.interval())
+
+    def send(self) -> None:
+        """Sends one report to each peer."""
+        if self.sock is None or not self.directory.peers:
+            return
+        data = self.encode()
+        for peer in self.directory.peers.values():
+            address = client.split_address(peer.record.address)
+            # A full socket buffer loses the report as the network could.
+            with contextlib.suppress(OSError):
+                self.sock.sendto(data, address)
+
+    def encode(self) -> bytes:
+        """Returns a new report as bytes."""
+        self.sequence += 1
+        own = self.directory.own
+        report = Report(
+            PROTOCOL_VERSION,
+            own.name,
+            own.incarnation,
+            self.sequence,
+            [],
+            [],
+            [],
+        )
+        for participant in self.participants:
+            participant.contribute(report)
+        return msgspec.msgpack.encode(report)
+
+    def receive_all(self, sock: gevent_socket.socket) -> None:
+        """Receives reports until the greenlet is killed."""
+        while True:
+            try:
+                data, address = sock.recvfrom(MAX_DATAGRAM_BYTES)
+            except OSError as error:
+                # An ICMP error of an earlier datagram; the peer is down.
+                logger.debug("report not delivered", reason=str(error))
+                gevent.sleep(INTERVAL_S)
+                continue
+            self.receive(data, f"{address[0]}:{address[1]}")
+
+    def receive(self, data: bytes, address: str) -> None:
+        """Takes one datagram; an unreadable or old one is dropped."""
+        try:
+            report = self.decoder.decode(data)
+        except msgspec.DecodeError:
+            self.undecodable += 1
+            return
+        if (
+            report.version != PROTOCOL_VERSION
+            or report.host == self.directory.own.name
+        ):
+            return
+        previous = self.last.get(report.host)
+        current = (report.incarnation, report.sequence)
+        if previous is not None and current <= previous:
+            return
+        peer = self.directory.peers.get(report.host)
+        heard = peer is not None and self.directory.is_reached(peer)
+        continuous = (
+            heard
+            and previous is not None
+            and previous[0] == report.incarnation
+        )
+        self.last[report.host] = current
+        self.directory.note_heard(report.host, address, report.incarnation)
+        for participant in self.participants:
+            participant.absorb(report, continuous)
--- /dev/null
+++ b/src/coltsfootarch/fleet/upstreams.py
@@ -0,0 +1,162 @@
+"""The upstreams that may get requests."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+import structlog
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from coltsfootarch import clock as clocks
+
+# After an outage of the table service live upstreams register again within
+# about this time, in seconds; until then a missing entry proves nothing.
+REREGISTRATION_S = 2.0
+# A read that comes this long after the one before counts as after an outage.
+OUTAGE_S = 1.2
+
+logger = structlog.get_logger(__name__)
+
+
+class Stage(enum.Enum):
+    """Part of the work that a model engine does."""
+
+    PREFILL = "prefill"
+    DECODE = "decode"
+
+
+class Upstream(NamedTuple):
+    """One incarnation of a back end.
+
+    Attributes:
+        id: Identity of this incarnation.
+        service: Service that it belongs to.
+        address: "ip:port".
+        availability_zone: Where it runs.
+        ready: Whether it takes new requests; False while it drains.
+        slots: Requests that it runs at once.
+        stage: Stage of a model engine; None for a plain service.
+        started_ms: Unix time of its start in milliseconds, 0 if unknown.
+    """
+
+    id: str
+    service: str
+    address: str
+    availability_zone: str
+    ready: bool
+    slots: int
+    stage: Stage | None = None
+    started_ms: int = 0
+
+
+class UpstreamDirectory:
+    """Registered upstreams, as last read from the table service.
+
+    Args:
+        clock: Source of time.
+    """
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self.clock = clock
+        self.upstreams: dict[str, Upstream] = {}
+        self.by_service: dict[str, list[Upstream]] = {}
+        self.absent_since: dict[str, float] = {}
+        self.rejected: set[str] = set()
+        self.read_at = float("-inf")
+        self.grace_until = float("-inf")
+        self.on_change: list[Callable[[], object]] = []
+
+    def replace(self, entries: dict[str, Upstream]) -> None:
+        """Takes a whole list; entries that it lacks are gone."""
+        self.note_read()
+        for key in [key for key in self.upstreams if key not in entries]:
+            self.absent_since.setdefault(key, self.clock.monotonic())
+        for upstream in entries.values():
+            self.put(upstream)
+        self.expire()
+
+    def update(
+        self, entries: Iterable[Upstream], removed: Iterable[str]
+    ) -> None:
+        """Takes the changes since the read before."""
+        self.note_read()
+        for upstream in entries:
+            self.put(upstream)
+        now = self.clock.monotonic()
+        for key in removed:
+            if key in self.upstreams:
+                self.absent_since.setdefault(key, now)
+        self.expire()
+
+    def note_read(self) -> None:
+        """Starts the time for registering again after an outage."""
+        now = self.clock.monotonic()
+        if self.upstreams and now - self.read_at > OUTAGE_S:
+            self.grace_until = now + REREGISTRATION_S
+        self.read_at = now
+
+    def put(self, upstream: Upstream) -> None:
+        """Adds or changes an entry."""
+        self.absent_since.pop(upstream.id, None)
+        known = self.upstreams.get(upstream.id)
+        if known == upstream:
+            return
+        self.upstreams[upstream.id] = upstream
+        self.rejected.discard(upstream.id)
+        logger.info(
+            "upstream registered",
+            upstream=upstream.id,
+            service=upstream.service,
+            address=upstream.address,
+            ready=upstream.ready,
+            stage=upstream.stage.value if upstream.stage else None,
+        )
+        self.rebuild()
+
+    def reject(self, upstream_id: str) -> None:
+        """Notes that another upstream answered at this one's address."""
+        self.rejected.add(upstream_id)
+
+    def expire(self) -> None:
+        """Removes absent entries once their absence means that they left."""
+        now = self.clock.monotonic()
+        if not self.absent_since or now < self.grace_until:
+            return
+        for key in self.absent_since:
+            self.upstreams.pop(key, None)
+            self.rejected.discard(key)
+            logger.info("upstream removed", upstream=key)
+        self.absent_since.clear()
+        self.rebuild()
+
+    def rebuild(self) -> None:
+        """Groups the ready upstreams by service."""
+        groups: dict[str, list[Upstream]] = {}
+        for upstream in self.upstreams.values():
+            if upstream.ready:
+                groups.setdefault(upstream.service, []).append(upstream)
+        self.by_service = groups
+        for notify in self.on_change:
+            notify()
+
+    def candidates(self, service: str) -> list[Upstream]:
+        """Returns the upstreams of a service that take new requests."""
+        return [
+            upstream
+            for upstream in self.by_service.get(service, ())
+            if upstream.id not in self.rejected
+        ]
+
+    def is_serving(self, upstream_id: str) -> bool:
+        """Returns whether an upstream still takes new requests."""
+        upstream = self.upstreams.get(upstream_id)
+        return (
+            upstream is not None
+            and upstream.ready
+            and upstream_id not in self.rejected
+        )
--- /dev/null
+++ b/src/coltsfootarch/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Path of a request from its caller to an upstream and back."""
--- /dev/null
+++ b/src/coltsfootarch/forwarding/exchange.py
@@ -0,0 +1,168 @@
+"""One request to one upstream, with its connection."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import structlog
+
+from coltsfootarch.http1 import client
+from coltsfootarch.http1 import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from coltsfootarch import clock as clocks
+    from coltsfootarch.forwarding import calls
+    from coltsfootarch.http1 import pool
+
+# Several times the round trip between availability zones; a longer wait means
+# that the upstream or its zone can't be reached.
+CONNECT_TIMEOUT_S = 0.4
+# Answers to earlier requests that may come before the expected one.
+MAX_STRAY_ANSWERS = 3
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+
+logger = structlog.get_logger(__name__)
+
+
+class Exchange:
+    """Sends a request and reads the answer to it.
+
+    Args:
+        connections: Idle connections.
+        wire: Wire format of upstreams.
+        clock: Source of time.
+        request: The caller's request.
+        delivery: What the host adds.
+    """
+
+    def __init__(
+        self,
+        connections: pool.ConnectionPool,
+        wire: calls.UpstreamProtocol,
+        clock: clocks.Clock,
+        request: calls.CallerRequest,
+        delivery: calls.Delivery,
+    ) -> None:
+        self.connections = connections
+        self.wire = wire
+        self.clock = clock
+        self.request = request
+        self.delivery = delivery
+        self.connection: client.Connection | None = None
+        self.head: messages.ResponseHead | None = None
+        self.aborted = False
+        self.sent = False
+
+    def start(self, fresh: bool) -> None:
+        """Connects and sends the request.
+
+        Args:
+            fresh: Whether an idle connection must have been used lately.
+
+        Raises:
+            client.ConnectError: Nothing was sent.
+            client.BrokenConnectionError: The upstream may have it.
+        """
+        connection = self.connections.take(
+            self.delivery.upstream.address,
+            min(CONNECT_TIMEOUT_S, self.delivery.time_left_s),
+            fresh,
+        )
+        self.connection = connection
+        if self.aborted:
+            self.close()
+            raise client.ConnectError("the caller left")
+        self.sent = True
+        connection.send(
+            self.wire.encode(self.request, self.delivery),
+            self.request.body,
+            self.delivery.time_left_s,
+        )
+
+    def abort(self) -> None:
+        """Closes the connection; the upstream stops, a reader wakes."""
+        self.aborted = True
+        self.close()
+
+    def close(self) -> None:
+        """Closes the connection unless it was given back."""
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            connection.close()
+
+    def read_head(self, deadline: float) -> calls.UpstreamAnswer:
+        """Returns the head of the answer to this request.
+
+        Answers to other requests are skipped.
+
+        Args:
+            deadline: Instant until which to wait, in seconds.
+
+        Raises:
+            client.ResponseTimeoutError: Nothing came in time.
+            client.BrokenConnectionError: There will be no answer.
+        """
+        for _ in range(MAX_STRAY_ANSWERS + 1):
+            part = self.read_part(deadline)
+            if not isinstance(part, messages.ResponseHead):
+                break
+            answer = self.wire.decode(part)
+            if answer.request_id == self.request.id or (
+                not answer.request_id and answer.status >= 400
+            ):
+                self.head = part
+                return answer
+            logger.warning(
+                "answer to another request skipped",
+                request_id=self.request.id,
+                upstream=self.delivery.upstream.id,
+                answered=answer.request_id,
+            )
+            while self.read_part(deadline) is not None:
+                pass
+        self.close()
+        raise client.BrokenConnectionError("no answer to this request")
+
+    def read_part(
+        self, deadline: float
+    ) -> messages.ResponseHead | bytes | None:
+        """Returns the next part of the connection's answers."""
+        if self.connection is None:
+            raise client.BrokenConnectionError("closed")
+        return self.connection.read_part(deadline - self.clock.monotonic())
+
+    def body_parts(self, deadline: float) -> Iterator[bytes]:
+        """Yields the parts of the body; ends after a whole one only.
+
+        Raises:
+            client.ResponseTimeoutError: Nothing came in time.
+            client.BrokenConnectionError: The body can't be completed.
+        """
+        while True:
+            part = self.read_part(deadline)
+            if part is None:
+                break
+            if isinstance(part, messages.ResponseHead):
+                raise client.BrokenConnectionError("an answer in an answer")
+            yield part
+        self.finish()
+
+    def read_body(self, deadline: float) -> bytes:
+        """Returns the whole body; see `body_parts`."""
+        body = bytearray()
+        for part in self.body_parts(deadline):
+            body += part
+            if len(body) > MAX_ANSWER_BYTES:
+                self.close()
+                raise client.BrokenConnectionError("the answer is too long")
+        return bytes(body)
+
+    def finish(self) -> None:
+        """Gives the connection back after a whole answer."""
+        connection, self.connection = self.connection, None
+        if connection is None or self.head is None:
+            return
+        if connection.finish(self.head):
+            self.connections.give_back(connection)
--- a/src/coltsfootarch/gateway/components.py
+++ b/src/coltsfootarch/gateway/components.py
@@ -29,10 +29,10 @@
 from coltsfootarch.limits import ledger_book
 from coltsfootarch.limits import limiter
 from coltsfootarch.observability import metrics
-from coltsfootarch.platform import host_list_client
-from coltsfootarch.platform import host_list_watcher
-from coltsfootarch.platform import object_client
-from coltsfootarch.platform import table_client
+from coltsfootarch.storage import host_list_client
+from coltsfootarch.storage import host_list_watcher
+from coltsfootarch.storage import object_client
+from coltsfootarch.storage import table_client
 from coltsfootarch.protocol import messages
 from coltsfootarch.protocol import transport
 from coltsfootarch.retries import backoff
--- a/src/coltsfootarch/gateway/dispatch_guard.py
+++ b/src/coltsfootarch/gateway/dispatch_guard.py
@@ -12,7 +12,7 @@
     from collections.abc import Iterable
 
     from coltsfootarch.config import tracker
-    from coltsfootarch.platform import host_list_watcher
+    from coltsfootarch.storage import host_list_watcher
 
 
 class DispatchGuard:
--- /dev/null
+++ b/src/coltsfootarch/http1/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP/1.1 messages and connections on httptools and gevent sockets."""
--- a/src/coltsfootarch/idempotency/claims.py
+++ b/src/coltsfootarch/idempotency/claims.py
@@ -15,13 +15,13 @@
 from coltsfootarch.idempotency import background
 from coltsfootarch.idempotency import outcomes
 from coltsfootarch.idempotency import rows
-from coltsfootarch.platform import tables as platform_tables
+from coltsfootarch.storage import tables as platform_tables
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from coltsfootarch import clock as clocks
-    from coltsfootarch.platform import objects as platform_objects
+    from coltsfootarch.storage import objects as platform_objects
 
 RETENTION = datetime.timedelta(days=7)
 
--- a/src/coltsfootarch/idempotency/outcomes.py
+++ b/src/coltsfootarch/idempotency/outcomes.py
@@ -11,12 +11,12 @@
 from coltsfootarch import results
 from coltsfootarch.idempotency import background
 from coltsfootarch.idempotency import rows
-from coltsfootarch.platform import tables as platform_tables
+from coltsfootarch.storage import tables as platform_tables
 
 if TYPE_CHECKING:
     from coltsfootarch import clock as clocks
     from coltsfootarch.idempotency import claims
-    from coltsfootarch.platform import objects as platform_objects
+    from coltsfootarch.storage import objects as platform_objects
 
 # Outcomes kept in memory while they can't be recorded; the oldest is dropped
 # first, and a retry of its request is then answered "may have run".
--- a/src/coltsfootarch/idempotency/retention.py
+++ b/src/coltsfootarch/idempotency/retention.py
@@ -6,7 +6,7 @@
 
 from coltsfootarch import errors
 from coltsfootarch.idempotency import rows
-from coltsfootarch.platform import tables as platform_tables
+from coltsfootarch.storage import tables as platform_tables
 
 if TYPE_CHECKING:
     import datetime
--- a/src/coltsfootarch/idempotency/rows.py
+++ b/src/coltsfootarch/idempotency/rows.py
@@ -9,7 +9,7 @@
 import msgspec
 
 if TYPE_CHECKING:
-    from coltsfootarch.platform import tables as platform_tables
+    from coltsfootarch.storage import tables as platform_tables
 
 TABLE = "claims"
 
--- a/src/coltsfootarch/idempotency/sweeper.py
+++ b/src/coltsfootarch/idempotency/sweeper.py
@@ -11,7 +11,7 @@
     from collections.abc import Callable
 
     from coltsfootarch import clock as clocks
-    from coltsfootarch.platform import tables as platform_tables
+    from coltsfootarch.storage import tables as platform_tables
 
 INTERVAL = datetime.timedelta(seconds=10)
 # Row keys are hexadecimal digests. One prefix of three digits at a time keeps
--- /dev/null
+++ b/src/coltsfootarch/observability/registry.py
@@ -0,0 +1,74 @@
+"""Counters and histograms that a host serves on its metrics address."""
+
+from __future__ import annotations
+
+import prometheus_client
+from prometheus_client import core
+
+PREFIX = "coltsfootarch"
+# Upper bounds of latency buckets in seconds, around the objectives of calls
+# (0.2 to 0.4 s) and streams (0.9 s).
+LATENCY_BUCKETS = (0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.9, 1.4, 2, 4, 8, 14)
+
+
+class MetricRegistry:
+    """The metrics of one host; `docs/metrics.md` lists them."""
+
+    def __init__(self) -> None:
+        self.registry = core.CollectorRegistry()
+        self.requests = self.counter(
+            "requests", "answered requests", ("service", "result")
+        )
+        self.attempts = self.counter(
+            "attempts", "requests sent to upstreams", ("service", "outcome")
+        )
+        self.resumes = self.counter(
+            "resumes", "streams that went on at another engine", ("service",)
+        )
+        self.queue_time = self.histogram(
+            "queue_seconds", "time that requests waited for an engine"
+        )
+        self.answer_time = self.histogram(
+            "answer_seconds", "time to the answer or the first event"
+        )
+        self.dropped_log_lines = self.gauge(
+            "dropped_log_lines", "log lines dropped since the start"
+        )
+        self.policy_age = self.gauge(
+            "policy_age_seconds", "time since the policy was confirmed"
+        )
+        self.hosts_share = self.gauge(
+            "reached_share", "part of the limits that the reached hosts have"
+        )
+
+    def counter(
+        self, name: str, meaning: str, labels: tuple[str, ...] = ()
+    ) -> prometheus_client.Counter:
+        """Registers a counter."""
+        return prometheus_client.Counter(
+            name, meaning, labels, namespace=PREFIX, registry=self.registry
+        )
+
+    def gauge(self, name: str, meaning: str) -> prometheus_client.Gauge:
+        """Registers a gauge."""
+        return prometheus_client.Gauge(
+            name, meaning, namespace=PREFIX, registry=self.registry
+        )
+
+    def histogram(
+        self, name: str, meaning: str
+    ) -> prometheus_client.Histogram:
+        """Registers a histogram of seconds, by service."""
+        return prometheus_client.Histogram(
+            name,
+            meaning,
+            ("service",),
+            namespace=PREFIX,
+            registry=self.registry,
+            buckets=LATENCY_BUCKETS,
+        )
+
+    def render(self) -> bytes:
+        """Returns all metrics in the text format of Prometheus."""
+        text: bytes = prometheus_client.generate_latest(self.registry)
+        return text
--- /dev/null
+++ b/src/coltsfootarch/platform/attachment.py
@@ -0,0 +1,42 @@
+"""Attaches an entry host to the platform."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from coltsfootarch.forwarding import attachment
+from coltsfootarch.platform import feeds
+from coltsfootarch.platform import store
+from coltsfootarch.platform import wire
+
+if TYPE_CHECKING:
+    from coltsfootarch import clock as clocks
+
+READY_PATH = "/api/readyz"
+
+
+def attach(address: str, clock: clocks.Clock) -> attachment.Attachment:
+    """Returns the connection to the platform.
+
+    Calls that wait for changes hold a connection, so that each kind of call
+    has its own client.
+
+    Args:
+        address: "ip:port" of the platform's store.
+        clock: Source of time.
+    """
+    clients = [store.StoreClient(address, clock) for _ in range(3)]
+
+    def close() -> None:
+        for client in clients:
+            client.close()
+
+    return attachment.Attachment(
+        feeds.PolicyFeed(clients[0]),
+        feeds.UpstreamFeed(clients[1]),
+        feeds.HostTable(clients[2]),
+        wire.CallerWire(),
+        wire.RunnerWire(),
+        READY_PATH,
+        close,
+    )
--- /dev/null
+++ b/src/coltsfootarch/platform/configuration.py
@@ -0,0 +1,128 @@
+"""Decodes the operator's configuration into a policy."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from coltsfootarch.fleet import policy
+from coltsfootarch.platform import decoding
+
+MS_PER_S = 1000.0
+
+# `kind` says what may be repeated, not what a request is.
+REPEATS = {
+    "idempotent": policy.Repeat.IDEMPOTENT,
+    "non_idempotent": policy.Repeat.NON_IDEMPOTENT,
+    "streaming": policy.Repeat.STREAM,
+}
+DEFAULT_LIMITS = policy.CallerLimits()
+
+
+def decode(value: bytes) -> policy.Policy:
+    """Returns the policy of a stored configuration.
+
+    Raises:
+        decoding.UnreadableDocumentError: The one in force must stay.
+    """
+    try:
+        document = msgspec.json.decode(value)
+    except msgspec.DecodeError as error:
+        raise decoding.UnreadableDocumentError(str(error)) from error
+    if not isinstance(document, dict):
+        raise decoding.UnreadableDocumentError("the document is no object")
+    return policy.Policy(
+        int(decoding.number(document, "version")),
+        tuple(map(route, decoding.tables(document, "routes"))),
+        tuple(map(service, decoding.tables(document, "services"))),
+        tuple(map(account, decoding.tables(document, "tenants"))),
+        limits(document.get("limits")),
+    )
+
+
+def route(entry: dict[str, Any]) -> policy.Route:
+    """Returns one route."""
+    kind = decoding.text(entry, "kind")
+    if kind not in REPEATS:
+        raise decoding.UnreadableDocumentError(f"kind {kind} is unknown")
+    return policy.Route(
+        name=decoding.text(entry, "name"),
+        host=decoding.text(entry, "host").lower(),
+        prefix=decoding.text(entry, "path_prefix"),
+        repeat=REPEATS[kind],
+        timeout_s=decoding.number(entry, "timeout_ms") / MS_PER_S,
+        objective_s=decoding.number(entry, "target_latency_ms", 1000.0)
+        / MS_PER_S,
+        priority=int(decoding.number(entry, "priority", 5)),
+        targets=targets(entry),
+        max_attempts=max(int(decoding.number(entry, "max_attempts", 1)), 1),
+        public=decoding.flag(entry, "public"),
+        resumable=decoding.flag(entry, "resumable"),
+        event_gap_s=decoding.number(entry, "gap_target_ms", 0.0) / MS_PER_S,
+    )
+
+
+def targets(entry: dict[str, Any]) -> tuple[policy.Target, ...]:
+    """Returns the services of a route, which has one or a weighted list."""
+    weighted = decoding.tables(entry, "weighted_services")
+    if not weighted:
+        return (policy.Target(decoding.text(entry, "service"), 1.0),)
+    return tuple(
+        policy.Target(
+            decoding.text(each, "service"), decoding.number(each, "weight")
+        )
+        for each in weighted
+    )
+
+
+def service(entry: dict[str, Any]) -> policy.Service:
+    """Returns one service."""
+    engine = entry.get("engine")
+    return policy.Service(
+        decoding.text(entry, "name"),
+        int(decoding.number(entry, "max_connections", 100)),
+        engine_limits(engine) if isinstance(engine, dict) else None,
+    )
+
+
+def engine_limits(entry: dict[str, Any]) -> policy.EngineLimits:
+    """Returns the sizes of a service's engines."""
+    return policy.EngineLimits(
+        slots=int(decoding.number(entry, "slots", 1)),
+        memory_tokens=int(decoding.number(entry, "kv_capacity_tokens", 0)),
+        token_bytes=int(decoding.number(entry, "kv_token_bytes", 0)),
+        handle_lifetime_s=decoding.number(entry, "kv_hold_s", 0.5),
+    )
+
+
+def account(entry: dict[str, Any]) -> policy.ClientAccount:
+    """Returns one client account."""
+    priority = entry.get("priority")
+    return policy.ClientAccount(
+        name=decoding.text(entry, "name"),
+        keys=frozenset(decoding.texts(entry, "api_keys")),
+        rate=decoding.number(entry, "rate_per_s", 0.0),
+        burst=decoding.number(entry, "burst", 0.0),
+        priority=priority if isinstance(priority, int) else None,
+        default_tokens=int(decoding.number(entry, "plain_tokens", 1)),
+    )
+
+
+def limits(entry: Any) -> policy.CallerLimits:
+    """Returns the limits for callers."""
+    if not isinstance(entry, dict):
+        return DEFAULT_LIMITS
+    base = DEFAULT_LIMITS
+    return policy.CallerLimits(
+        int(decoding.number(entry, "max_header_bytes", base.header_bytes)),
+        int(decoding.number(entry, "max_body_bytes", base.body_bytes)),
+        decoding.number(
+            entry, "header_timeout_ms", base.header_timeout_s * MS_PER_S
+        )
+        / MS_PER_S,
+        decoding.number(
+            entry, "idle_timeout_ms", base.idle_timeout_s * MS_PER_S
+        )
+        / MS_PER_S,
+    )
--- /dev/null
+++ b/src/coltsfootarch/platform/wire.py
@@ -0,0 +1,179 @@
+"""Requests and answers on the platform's wire."""
+
+from __future__ import annotations
+
+import msgspec
+
+from coltsfootarch.forwarding import calls
+from coltsfootarch.http1 import messages
+
+MS_PER_S = 1000.0
+REQUEST_ID = "X-Request-Id"
+DEADLINE = "X-Deadline-Ms"
+# Prompt tokens and the maximum of generated tokens, not a count of one kind.
+SIZE = "X-Token-Count"
+LENGTH_ESTIMATE = "X-Length-Hint"
+LAST_EVENT = "Last-Event-Id"
+INSTANCE = "X-Expect-Instance"
+ACCOUNT = "X-Tenant"
+STAGE = "X-Stage"
+MEMORY_SOURCE = "X-Kv-Source"
+URGENCY = "X-Request-Priority"
+NOT_RUN = "x-not-executed"
+LOAD = "x-server-load"
+
+# Set by this system only, whatever a caller sends.
+RESERVED = frozenset(
+    {
+        "authorization",
+        DEADLINE.lower(),
+        INSTANCE.lower(),
+        ACCOUNT.lower(),
+        STAGE.lower(),
+        MEMORY_SOURCE.lower(),
+        URGENCY.lower(),
+        LAST_EVENT.lower(),
+        "x-expect-version",
+        "x-kv-backup",
+        "x-kv-hold",
+        "x-pin-ms",
+        "kv-fetch",
+    }
+)
+
+
+def decode_caller(request: messages.Request) -> calls.CallerRequest:
+    """Returns a caller's request in the product's terms."""
+    dropped = messages.connection_fields(request.fields) | RESERVED
+    values = {name.lower(): value for name, value in request.fields}
+    prompt, output = decode_size(values.get(SIZE.lower(), ""))
+    return calls.CallerRequest(
+        id=values.get(REQUEST_ID.lower(), ""),
+        method=request.method,
+        target=request.target,
+        host=values.get("host", ""),
+        key=decode_key(values.get("authorization", "")),
+        deadline_s=decode_milliseconds(values.get(DEADLINE.lower(), "")),
+        prompt_tokens=prompt,
+        output_tokens=output,
+        likely_output_tokens=decode_whole(
+            values.get(LENGTH_ESTIMATE.lower(), "")
+        ),
+        resume_after=values.get(LAST_EVENT.lower(), ""),
+        fields=tuple(
+            field for field in request.fields if field[0].lower() not in dropped
+        ),
+        body=request.body,
+        received_at=request.received_at,
+    )
+
+
+def decode_key(value: str) -> str:
+    """Returns the key of an `Authorization` field."""
+    scheme, _, key = value.partition(" ")
+    return key.strip() if scheme.lower() == "bearer" else ""
+
+
+def decode_whole(value: str) -> int:
+    """Returns a whole number, 0 where there is none."""
+    return int(value) if value.isdecimal() and len(value) < 10 else 0
+
+
+def decode_milliseconds(value: str) -> float | None:
+    """Returns seconds of a field in milliseconds, None where there is none."""
+    try:
+        return max(float(value) / MS_PER_S, 0.0)
+    except ValueError:
+        return None
+
+
+def decode_size(value: str) -> tuple[int, int]:
+    """Returns prompt tokens and the maximum of generated tokens."""
+    prompt, _, output = value.partition(",")
+    return decode_whole(prompt.strip()), decode_whole(output.strip())
+
+
+class CallerWire:
+    """The platform's wire format of callers; see `calls.CallerProtocol`."""
+
+    def decode(self, request: messages.Request) -> calls.CallerRequest:
+        """Returns the request in the product's terms."""
+        return decode_caller(request)
+
+    def refusal_fields(self, request_id: str) -> messages.Fields:
+        """Returns header fields of this host's own answers."""
+        if not request_id:
+            return ()
+        return ((REQUEST_ID, request_id),)
+
+
+class RunnerWire:
+    """The platform's wire format of runners; see `calls.UpstreamProtocol`."""
+
+    def encode(
+        self, request: calls.CallerRequest, delivery: calls.Delivery
+    ) -> bytes:
+        """Returns the head of the request for a runner."""
+        added = [
+            (DEADLINE, str(max(int(delivery.time_left_s * MS_PER_S), 1))),
+            (INSTANCE, delivery.upstream.id),
+        ]
+        if delivery.account:
+            added.append((ACCOUNT, delivery.account))
+        if delivery.prefill_only:
+            added.append((STAGE, "prefill"))
+        if delivery.memory is not None:
+            source = f"{delivery.memory.address}/{delivery.memory.handle}"
+            added.append((MEMORY_SOURCE, source))
+        if delivery.resume_after and not delivery.prefill_only:
+            added.append((LAST_EVENT, delivery.resume_after))
+        if delivery.urgency is not None:
+            added.append((URGENCY, str(delivery.urgency)))
+        if request.body or request.method not in ("GET", "HEAD", "DELETE"):
+            added.append(("Content-Length", str(len(request.body))))
+        line = f"{request.method} {request.target} HTTP/1.1"
+        return messages.render_head(line, [*request.fields, *added])
+
+    def decode(self, head: messages.ResponseHead) -> calls.UpstreamAnswer:
+        """Returns the head of a runner's answer in the product's terms."""
+        dropped = messages.connection_fields(head.fields)
+        misdirected = head.status == 421
+        connection = messages.find(head.fields, "connection").lower()
+        return calls.UpstreamAnswer(
+            status=head.status,
+            request_id=messages.find(head.fields, REQUEST_ID.lower()),
+            not_run=misdirected or messages.find(head.fields, NOT_RUN) != "",
+            misdirected=misdirected,
+            leaving="close" in connection,
+            load=decode_load(messages.find(head.fields, LOAD)),
+            fields=tuple(
+                field
+                for field in head.fields
+                if field[0].lower() not in dropped
+            ),
+        )
+
+    def decode_prefill(self, body: bytes) -> str:
+        """Returns the handle of a prefill result; empty if there is none."""
+        try:
+            document = msgspec.json.decode(body)
+        except msgspec.DecodeError:
+            return ""
+        handle = document.get("handle") if isinstance(document, dict) else None
+        return handle if isinstance(handle, str) else ""
+
+    def encode_release(self, source: calls.MemorySource) -> bytes:
+        """Returns the request that frees a prefill result."""
+        return messages.render_head(
+            f"DELETE /api/kv-handle/{source.handle} HTTP/1.1",
+            [("Host", source.address)],
+        )
+
+
+def decode_load(value: str) -> calls.ReportedLoad | None:
+    """Returns running and waiting requests and slots of a load field."""
+    parts = value.split(",")
+    if len(parts) != 3 or not all(part.strip().isdecimal() for part in parts):
+        return None
+    running, waiting, slots = (int(part) for part in parts)
+    return calls.ReportedLoad(running, waiting, slots)
--- a/src/coltsfootarch/results.py
+++ b/src/coltsfootarch/results.py
@@ -95,6 +95,24 @@
     "The resume token is forged, expired or foreign.",
 )
 
+MALFORMED_REQUEST = ResultCode(
+    1011,
+    "malformed-request",
+    400,
+    _NOT_RUN,
+    "The request is no valid HTTP, or its body has no clear end.",
+)
+HEADER_TOO_LARGE = ResultCode(
+    1012, "header-too-large", 431, _NOT_RUN, "The header fields are too long."
+)
+HEADER_TIMEOUT = ResultCode(
+    1013,
+    "header-timeout",
+    408,
+    _NOT_RUN,
+    "The request did not arrive within the time limit.",
+)
+
 # 2000s: keys and client accounts
 MISSING_KEY = ResultCode(
     2001, "missing-key", 401, _NOT_RUN, "Send `Authorization: Bearer KEY`."
@@ -190,6 +208,17 @@
     "The order carries an old fencing number.",
 )
 
+REPEATED_BREAKS = ResultCode(
+    4009,
+    "repeated-breaks",
+    503,
+    _NOT_RUN,
+    "Upstreams broke off each time that they ran the same request.",
+)
+STOPPING = ResultCode(
+    4010, "stopping", 503, _NOT_RUN, "This host stops; retry elsewhere."
+)
+
 # 5000s: non-idempotent requests
 IDEMPOTENCY_KEY_REQUIRED = ResultCode(
     5001,
--- /dev/null
+++ b/src/coltsfootarch/scheduling/dispatch_queue.py
@@ -0,0 +1,140 @@
+"""Queue of requests that wait for room at decode engines.
+
+Answers bursts above the engines' capacity. A request that can still meet its
+objective goes first, by the time left; the others follow in order of arrival,
+as their answers are worth the same whenever they come.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import gevent.event
+
+from coltsfootarch.scheduling import engine_placement
+
+if TYPE_CHECKING:
+    from coltsfootarch import clock as clocks
+    from coltsfootarch.fleet import policy
+    from coltsfootarch.scheduling import load_view
+
+# Time from a placement to the first event on an idle fleet: reading the prompt,
+# moving its KV cache and generating the first tokens, in seconds.
+SERVICE_TIME_S = 0.25
+
+
+class Waiter:
+    """A request that waits.
+
+    Args:
+        service: Its service.
+        demand: What it needs.
+        excluded: Engines that failed it.
+        priority: Rank; 0 is the most urgent.
+        arrived_at: Instant of its arrival, in seconds.
+        due_at: Instant at which its first event is due, in seconds.
+    """
+
+    def __init__(
+        self,
+        service: policy.Service,
+        demand: engine_placement.Demand,
+        excluded: frozenset[str],
+        priority: int,
+        arrived_at: float,
+        due_at: float,
+    ) -> None:
+        self.service = service
+        self.demand = demand
+        self.excluded = excluded
+        self.priority = priority
+        self.arrived_at = arrived_at
+        self.due_at = due_at
+        self.placement: engine_placement.Placement | None = None
+        self.woken = gevent.event.Event()
+
+    def rank(self, now: float) -> tuple[bool, int, float]:
+        """Returns the place in the queue; lower goes first."""
+        late = now + SERVICE_TIME_S > self.due_at
+        return (late, self.priority, self.arrived_at)
+
+
+class DispatchQueue:
+    """Places requests on engines, in order while there's no room.
+
+    Args:
+        placer: Chooses engines.
+        loads: Work in progress; a change of it may make room.
+        clock: Source of time.
+    """
+
+    def __init__(
+        self,
+        placer: engine_placement.EnginePlacer,
+        loads: load_view.LoadView,
+        clock: clocks.Clock,
+    ) -> None:
+        self.placer = placer
+        self.loads = loads
+        self.clock = clock
+        self.waiters: list[Waiter] = []
+        loads.on_change.append(self.place_waiting)
+
+    def acquire(
+        self, waiter: Waiter, timeout_s: float
+    ) -> engine_placement.Placement | None:
+        """Returns engines with reserved room, None if there's none in time.
+
+        The caller releases the room with `release`.
+
+        Args:
+            waiter: The request.
+            timeout_s: Longest wait in seconds.
+        """
+        self.waiters.append(waiter)
+        try:
+            self.place_waiting()
+            if waiter.placement is None and timeout_s > 0:
+                waiter.woken.wait(timeout_s)
+        finally:
+            if waiter in self.waiters:
+                self.waiters.remove(waiter)
+        return waiter.placement
+
+    def force(self, waiter: Waiter) -> engine_placement.Placement | None:
+        """Returns the emptiest engines, also without room."""
+        placement = self.placer.place(
+            waiter.service, waiter.demand, waiter.excluded, forced=True
+        )
+        if placement is not None:
+            self.loads.add(
+                placement.decode.id, placement.demand.memory_tokens
+            )
+        return placement
+
+    def release(self, placement: engine_placement.Placement) -> None:
+        """Frees the room of a request."""
+        self.loads.remove(placement.decode.id, placement.demand.memory_tokens)
+
+    def place_waiting(self) -> None:
+        """Places waiting requests as far as there's room."""
+        if not self.waiters:
+            return
+        now = self.clock.monotonic()
+        self.waiters.sort(key=lambda waiter: waiter.rank(now))
+        for waiter in tuple(self.waiters):
+            placement = self.placer.place(
+                waiter.service, waiter.demand, waiter.excluded
+            )
+            if placement is None:
+                continue
+            self.loads.add(
+                placement.decode.id, placement.demand.memory_tokens
+            )
+            waiter.placement = placement
+            self.waiters.remove(waiter)
+            waiter.woken.set()
+
+    def waiting(self, service: str) -> int:
+        """Returns how many requests wait for a service."""
+        return sum(each.service.name == service for each in self.waiters)
--- /dev/null
+++ b/src/coltsfootarch/scheduling/engine_placement.py
@@ -0,0 +1,210 @@
+"""Choice of the prefill and decode engines of a request.
+
+Answers the load of long prompts and long answers on engines whose memory is
+full before their slots are: a decode engine gets a request only while the
+tokens in progress on all hosts leave room for it, and a prefill starts only
+after that room has been reserved.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from coltsfootarch.fleet import upstreams
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+    from collections.abc import Sequence
+
+    from coltsfootarch.fleet import policy
+    from coltsfootarch.scheduling import load_view
+    from coltsfootarch.scheduling import outcomes
+
+# Part of an engine's memory that is planned. The rest absorbs answers that are
+# longer than estimated and requests placed by other hosts at the same time.
+MEMORY_PART = 0.92
+# An answer grows to its length while it runs, so that on average this part of
+# its tokens is in memory.
+GROWTH_PART = 0.6
+# Answers are often longer than the estimate; without one the declared maximum
+# is taken.
+ESTIMATE_FACTOR = 1.1
+# How strongly failures count against an engine.
+SUCCESS_EXPONENT = 4
+# Tokens by which an engine in another availability zone counts as busier.
+REMOTE_TOKENS = 200
+
+
+class Demand(NamedTuple):
+    """What a request needs.
+
+    Attributes:
+        prompt_tokens: Size of its prompt.
+        memory_tokens: Memory to plan at the decode engine.
+    """
+
+    prompt_tokens: int
+    memory_tokens: int
+
+
+class Placement(NamedTuple):
+    """Engines chosen for a request.
+
+    Attributes:
+        prefill: Engine that reads the prompt; None if the decode engine does.
+        decode: Engine that generates.
+        demand: What was planned there.
+        decode_load: Work at the decode engine before this request.
+        view_age_s: Age of the oldest peer report that was used, in seconds.
+    """
+
+    prefill: upstreams.Upstream | None
+    decode: upstreams.Upstream
+    demand: Demand
+    decode_load: load_view.Load
+    view_age_s: float
+
+
+def estimate(
+    prompt_tokens: int, output_tokens: int, likely_output_tokens: int
+) -> Demand:
+    """Returns the planned need of a request.
+
+    Args:
+        prompt_tokens: Declared prompt size.
+        output_tokens: Declared maximum of generated tokens.
+        likely_output_tokens: The caller's estimate; 0 if not given.
+    """
+    likely = output_tokens
+    if likely_output_tokens:
+        likely = min(int(likely_output_tokens * ESTIMATE_FACTOR), output_tokens)
+    return Demand(prompt_tokens, prompt_tokens + int(likely * GROWTH_PART))
+
+
+class EnginePlacer:
+    """Chooses engines from the registered ones.
+
+    Args:
+        directory: Registered upstreams.
+        loads: Work in progress on all hosts.
+        tracker: Recent outcomes.
+        availability_zone: Zone of this host.
+    """
+
+    def __init__(
+        self,
+        directory: upstreams.UpstreamDirectory,
+        loads: load_view.LoadView,
+        tracker: outcomes.OutcomeTracker,
+        availability_zone: str,
+    ) -> None:
+        self.directory = directory
+        self.loads = loads
+        self.tracker = tracker
+        self.availability_zone = availability_zone
+
+    def place(
+        self,
+        service: policy.Service,
+        demand: Demand,
+        excluded: Collection[str] = (),
+        forced: bool = False,
+    ) -> Placement | None:
+        """Returns the engines for a request, None if none has room.
+
+        Args:
+            service: A service with engines.
+            demand: What the request needs.
+            excluded: Ids of engines that failed it.
+            forced: Whether to take the emptiest decode engine without room.
+        """
+        engines = self.directory.candidates(service.name)
+        decode = self.choose_decode(service, engines, demand, excluded, forced)
+        if decode is None:
+            return None
+        prefill = self.choose_prefill(engines, excluded)
+        return Placement(
+            prefill,
+            decode,
+            demand,
+            self.loads.load(decode.id),
+            self.loads.age(),
+        )
+
+    def usable(
+        self,
+        engines: Sequence[upstreams.Upstream],
+        stage: upstreams.Stage,
+        excluded: Collection[str],
+    ) -> list[upstreams.Upstream]:
+        """Returns engines of a stage; ejected ones only if there's no other."""
+        fitting = [
+            engine
+            for engine in engines
+            if engine.stage is stage and engine.id not in excluded
+        ]
+        healthy = [
+            engine
+            for engine in fitting
+            if self.tracker.is_usable(engine.id)
+        ]
+        return healthy or fitting
+
+    def choose_decode(
+        self,
+        service: policy.Service,
+        engines: Sequence[upstreams.Upstream],
+        demand: Demand,
+        excluded: Collection[str],
+        forced: bool,
+    ) -> upstreams.Upstream | None:
+        """Returns the decode engine with the most room."""
+        memory = service.engine.memory_tokens if service.engine else 0
+        best: upstreams.Upstream | None = None
+        best_cost = float("inf")
+        for engine in self.usable(engines, upstreams.Stage.DECODE, excluded):
+            load = self.loads.load(engine.id)
+            fits = load.requests < engine.slots and (
+                load.tokens + demand.memory_tokens <= memory * MEMORY_PART
+                or not load.requests
+            )
+            if not fits and not forced:
+                continue
+            cost = (load.tokens + demand.memory_tokens + self.distance(engine))
+            cost /= self.tracker.success_rate(engine.id) ** SUCCESS_EXPONENT
+            if cost < best_cost:
+                best, best_cost = engine, cost
+        return best
+
+    def choose_prefill(
+        self,
+        engines: Sequence[upstreams.Upstream],
+        excluded: Collection[str],
+    ) -> upstreams.Upstream | None:
+        """Returns the prefill engine with the fewest waiting tokens."""
+        best: upstreams.Upstream | None = None
+        best_cost = float("inf")
+        for engine in self.usable(engines, upstreams.Stage.PREFILL, excluded):
+            load = self.loads.load(engine.id)
+            cost = load.tokens + 1000.0 + self.distance(engine)
+            cost /= self.tracker.success_rate(engine.id) ** SUCCESS_EXPONENT
+            if cost < best_cost:
+                best, best_cost = engine, cost
+        return best
+
+    def distance(self, engine: upstreams.Upstream) -> float:
+        """Returns the cost of an engine's zone in tokens."""
+        if engine.availability_zone == self.availability_zone:
+            return 0.0
+        return REMOTE_TOKENS
+
+    def has_decode(
+        self, service: str, excluded: Collection[str] = ()
+    ) -> bool:
+        """Returns whether any decode engine is registered."""
+        return any(
+            engine.stage is upstreams.Stage.DECODE
+            and engine.id not in excluded
+            for engine in self.directory.candidates(service)
+        )
--- /dev/null
+++ b/src/coltsfootarch/scheduling/outcomes.py
@@ -0,0 +1,127 @@
+"""How upstreams have answered lately, and which ones to avoid.
+
+Upstreams are judged by what requests meet, not by health checks.
+"""
+
+from __future__ import annotations
+
+import enum
+import math
+from typing import TYPE_CHECKING
+
+import structlog
+
+from coltsfootarch.scheduling import health
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from coltsfootarch import clock as clocks
+
+# Older outcomes count half as much after this time.
+HALF_LIFE_S = 4.0
+# Outcomes that every upstream is credited with, so that one failure among few
+# doesn't decide.
+PRIOR_SUCCESSES = 2.0
+
+logger = structlog.get_logger(__name__)
+
+
+class Outcome(enum.Enum):
+    """How an upstream treated a request."""
+
+    SUCCESS = "success"
+    REFUSED = "refused"
+    ERROR = "error"
+    UNREACHABLE = "unreachable"
+
+
+class Record:
+    """Recent outcomes of one upstream."""
+
+    def __init__(self) -> None:
+        self.successes = 0.0
+        self.failures = 0.0
+        self.latency = 0.0
+        self.updated_at = 0.0
+        self.health = health.Health()
+
+    def decay(self, now: float) -> None:
+        """Lets older outcomes count less."""
+        elapsed = max(now - self.updated_at, 0.0)
+        factor = math.pow(0.5, elapsed / HALF_LIFE_S)
+        self.successes *= factor
+        self.failures *= factor
+        self.updated_at = now
+
+
+class OutcomeTracker:
+    """Success rates and ejections of upstreams.
+
+    Args:
+        clock: Source of time.
+    """
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self.clock = clock
+        self.records: dict[str, Record] = {}
+
+    def record(
+        self, upstream: str, outcome: Outcome, latency_s: float = 0.0
+    ) -> None:
+        """Counts an outcome.
+
+        Args:
+            upstream: Id of the upstream.
+            outcome: How it treated a request.
+            latency_s: Time to the answer in seconds, for successes.
+        """
+        now = self.clock.monotonic()
+        entry = self.records.setdefault(upstream, Record())
+        entry.decay(now)
+        if outcome is Outcome.SUCCESS:
+            entry.successes += 1
+            entry.health.succeeded(now)
+            weight = 0.2 if entry.latency else 1.0
+            entry.latency += weight * (latency_s - entry.latency)
+            return
+        if outcome is Outcome.REFUSED:
+            # It is full; load, not health.
+            return
+        entry.failures += 1
+        if outcome is Outcome.UNREACHABLE:
+            usable = entry.health.usable(now)
+            entry.health.failed(now)
+            if usable and not entry.health.usable(now):
+                logger.info("upstream ejected", upstream=upstream)
+
+    def note_dispatch(self, upstream: str) -> None:
+        """Notes a request; after an ejection it is the probe."""
+        entry = self.records.get(upstream)
+        if entry is not None:
+            entry.health.dispatched(self.clock.monotonic())
+
+    def is_usable(self, upstream: str) -> bool:
+        """Returns whether an upstream is not ejected."""
+        entry = self.records.get(upstream)
+        return entry is None or entry.health.usable(self.clock.monotonic())
+
+    def success_rate(self, upstream: str) -> float:
+        """Returns the estimated share of requests that succeed."""
+        entry = self.records.get(upstream)
+        if entry is None:
+            return 1.0
+        entry.decay(self.clock.monotonic())
+        good = entry.successes + PRIOR_SUCCESSES
+        return good / (good + entry.failures)
+
+    def latency(self, upstream: str) -> float:
+        """Returns the mean time to an answer in seconds, 0 if unknown."""
+        entry = self.records.get(upstream)
+        return entry.latency if entry is not None else 0.0
+
+    def forget_except(self, upstreams: Iterable[str]) -> None:
+        """Drops the records of upstreams that are gone."""
+        kept = set(upstreams)
+        for key in [key for key in self.records if key not in kept]:
+            del self.records[key]
--- /dev/null
+++ b/src/coltsfootarch/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces and clients of the platform's services."""
--- a/src/coltsfootarch/platform/host_list_client.py
+++ b/src/coltsfootarch/storage/host_list_client.py
@@ -9,8 +9,8 @@
 import urllib3
 
 from coltsfootarch import errors
-from coltsfootarch.platform import host_list
-from coltsfootarch.platform import json_client
+from coltsfootarch.storage import host_list
+from coltsfootarch.storage import json_client
 
 if TYPE_CHECKING:
     import datetime
--- a/src/coltsfootarch/platform/host_list_watcher.py
+++ b/src/coltsfootarch/storage/host_list_watcher.py
@@ -11,7 +11,7 @@
 
 if TYPE_CHECKING:
     from coltsfootarch import clock
-    from coltsfootarch.platform import host_list
+    from coltsfootarch.storage import host_list
 
 POLL_INTERVAL = datetime.timedelta(seconds=2)
 # A leaving upstream gets no new work after this time, also through a host
--- a/src/coltsfootarch/platform/object_client.py
+++ b/src/coltsfootarch/storage/object_client.py
@@ -8,7 +8,7 @@
 import urllib3
 
 from coltsfootarch import errors
-from coltsfootarch.platform import json_client
+from coltsfootarch.storage import json_client
 
 if TYPE_CHECKING:
     import datetime
--- a/src/coltsfootarch/platform/table_client.py
+++ b/src/coltsfootarch/storage/table_client.py
@@ -16,8 +16,8 @@
 import urllib3
 
 from coltsfootarch import errors
-from coltsfootarch.platform import json_client
-from coltsfootarch.platform import tables
+from coltsfootarch.storage import json_client
+from coltsfootarch.storage import tables
 
 if TYPE_CHECKING:
     import datetime
--- a/src/coltsfootarch/zone/agent.py
+++ b/src/coltsfootarch/zone/agent.py
@@ -26,7 +26,7 @@
     from collections.abc import Sequence
 
     from coltsfootarch import clock
-    from coltsfootarch.platform import tables
+    from coltsfootarch.storage import tables
     from coltsfootarch.protocol import network
     from coltsfootarch.zone import interfaces
 
--- a/src/coltsfootarch/zone/claims.py
+++ b/src/coltsfootarch/zone/claims.py
@@ -8,7 +8,7 @@
 import structlog
 
 from coltsfootarch import errors
-from coltsfootarch.platform import tables
+from coltsfootarch.storage import tables
 from coltsfootarch.zone import planner
 from coltsfootarch.zone import records
 from coltsfootarch.zone import shards
--- a/src/coltsfootarch/zone/directory.py
+++ b/src/coltsfootarch/zone/directory.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 from coltsfootarch import errors
-from coltsfootarch.platform import tables
+from coltsfootarch.storage import tables
 from coltsfootarch.protocol import messages
 from coltsfootarch.zone import interfaces
 from coltsfootarch.zone import records
--- a/tests/config/fleets.py
+++ b/tests/config/fleets.py
@@ -7,7 +7,7 @@
 from coltsfootarch.config import repository
 from coltsfootarch.config import tracker
 from coltsfootarch.keys import format as formats
-from coltsfootarch.platform import tables
+from coltsfootarch.storage import tables
 from coltsfootarch.zone import records
 from tests.config import documents
 from tests.fakes import tables as fake
--- a/tests/config/test_tracker.py
+++ b/tests/config/test_tracker.py
@@ -8,7 +8,7 @@
 from coltsfootarch import results
 from coltsfootarch.config import tracker as trackers
 from coltsfootarch.config import versions
-from coltsfootarch.platform import tables
+from coltsfootarch.storage import tables
 from coltsfootarch.protocol import messages
 from tests.config import documents
 from tests.config import fleets
--- a/tests/fakes/tables.py
+++ b/tests/fakes/tables.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from coltsfootarch import errors
-from coltsfootarch.platform import tables
+from coltsfootarch.storage import tables
 
 
 class FakeTables:
--- a/tests/platform/test_clients.py
+++ b/tests/storage/test_clients.py
@@ -9,10 +9,10 @@
 import urllib3
 
 from coltsfootarch import errors
-from coltsfootarch.platform import host_list_client
-from coltsfootarch.platform import object_client
-from coltsfootarch.platform import table_client
-from coltsfootarch.platform import tables
+from coltsfootarch.storage import host_list_client
+from coltsfootarch.storage import object_client
+from coltsfootarch.storage import table_client
+from coltsfootarch.storage import tables
 from standins import host_list
 from standins import objects
 from standins import tables as tables_standin
--- a/tests/zone/test_agent.py
+++ b/tests/zone/test_agent.py
@@ -8,7 +8,7 @@
 import pytest
 
 from coltsfootarch import errors
-from coltsfootarch.platform import tables
+from coltsfootarch.storage import tables
 from coltsfootarch.protocol import messages
 from coltsfootarch.zone import records
 from coltsfootarch.zone import timing
