Move engines between stages, refuse early in overload, share failures

Ruled out: processor time (2.5% of a core), store calls, quota. Changed: decode engine is connected before the prefill; failures are reported to all hosts; hosts forecast the backlog and refuse at once what can't be in time; one host at a time orders a change of stage under a claim in the store.

--- a/src/coltsfootarch/fleet/policy.py
+++ b/src/coltsfootarch/fleet/policy.py
@@ -7,6 +7,13 @@
 from typing import NamedTuple
 
 
+# Callers give up a silent stream after the longest of these: a time in seconds,
+# multiples of the objective and of the longest wanted pause.
+MIN_PATIENCE_S = 2.0
+PATIENCE_OBJECTIVES = 4.0
+PATIENCE_GAPS = 8.0
+
+
 class Repeat(enum.Enum):
     """What may be repeated of a route's requests."""
 
@@ -66,6 +73,15 @@
             return self.resumable
         return self.repeat is Repeat.IDEMPOTENT
 
+    @property
+    def patience_s(self) -> float:
+        """Seconds of silence after which a stream's caller leaves."""
+        return max(
+            MIN_PATIENCE_S,
+            PATIENCE_OBJECTIVES * self.objective_s,
+            PATIENCE_GAPS * self.event_gap_s,
+        )
+
     def choose_service(self, generator: random.Random) -> str:
         """Returns a target's service, drawn by weight."""
         if len(self.targets) == 1:
--- a/src/coltsfootarch/fleet/reports.py
+++ b/src/coltsfootarch/fleet/reports.py
@@ -43,6 +43,8 @@
         loads: Upstream id, requests in progress, their tokens.
         usage: Client account, tokens admitted since the start.
         breaks: Request digest, connections broken while it ran.
+        failures: Upstream id, requests that it failed since the start.
+        waiting: Service, requests that wait for its engines.
     """
 
     version: int
@@ -52,6 +54,8 @@
     loads: list[tuple[str, int, int]]
     usage: list[tuple[str, int]]
     breaks: list[tuple[str, int]]
+    failures: list[tuple[str, int]]
+    waiting: list[tuple[str, int]]
 
 
 class Participant(Protocol):
@@ -151,6 +155,8 @@
             [],
             [],
             [],
+            [],
+            [],
         )
         for participant in self.participants:
             participant.contribute(report)
--- /dev/null
+++ b/src/coltsfootarch/fleet/stage_orders.py
@@ -0,0 +1,183 @@
+"""Orders that change the stage of engines, given by one host at a time."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+from typing import Protocol
+
+import gevent
+import structlog
+
+from coltsfootarch import errors
+
+if TYPE_CHECKING:
+    from coltsfootarch import clock as clocks
+    from coltsfootarch.fleet import followers
+    from coltsfootarch.fleet import hosts
+    from coltsfootarch.fleet import upstreams
+    from coltsfootarch.scheduling import dispatch_queue
+    from coltsfootarch.scheduling import stage_balance
+
+CHECK_INTERVAL_S = 0.5
+# The need must last this long, so that a burst of some requests moves nothing.
+MIN_NEED_S = 1.0
+# Each further host in the order of names waits this much longer, so that hosts
+# don't compete for the claim.
+RANK_DELAY_S = 1.5
+# Time between two claims of a service. It covers a change of stage (6 s), an
+# order that is carried out late, and the lease of a holder (3 s).
+CLAIM_GAP_S = 9.0
+# An order is sent only this soon after the claim was asked for, so that it
+# can't meet one of the next holder.
+CLAIM_VALIDITY_S = 1.0
+
+logger = structlog.get_logger(__name__)
+
+
+class Claim(NamedTuple):
+    """Right to give orders for a service.
+
+    Attributes:
+        holder: Name of the host.
+        fence: Number that grows with each claim.
+        asked_at: Instant at which the claim was asked for, in seconds.
+    """
+
+    holder: str
+    fence: int
+    asked_at: float
+
+
+class ClaimTable(Protocol):
+    """Durable claims."""
+
+    def claim(self, service: str, holder: str, gap_s: float) -> Claim | None:
+        """Returns a claim, or None if another one is too recent.
+
+        Raises:
+            errors.PlatformError: Not known whether it was granted; don't use.
+        """
+
+
+class StageOrders(Protocol):
+    """Gives orders to engines."""
+
+    def change_stage(
+        self, engine: upstreams.Upstream, stage: upstreams.Stage, claim: Claim
+    ) -> str:
+        """Orders a change of stage; returns what the engine answered."""
+
+
+class StageKeeper:
+    """Watches the balance of stages and gives orders.
+
+    Args:
+        tracker: The policy in force.
+        directory: Registered upstreams.
+        balancer: Decides on moves.
+        queue: Requests that wait for engines.
+        peers: The other hosts.
+        claims: Durable claims.
+        orders: Gives orders to engines.
+        clock: Source of time.
+    """
+
+    def __init__(
+        self,
+        tracker: followers.PolicyTracker,
+        directory: upstreams.UpstreamDirectory,
+        balancer: stage_balance.StageBalancer,
+        queue: dispatch_queue.DispatchQueue,
+        peers: hosts.HostDirectory,
+        claims: ClaimTable,
+        orders: StageOrders,
+        clock: clocks.Clock,
+    ) -> None:
+        self.tracker = tracker
+        self.directory = directory
+        self.balancer = balancer
+        self.queue = queue
+        self.peers = peers
+        self.claims = claims
+        self.orders = orders
+        self.clock = clock
+        self.needed_since: dict[str, float] = {}
+        self.resting_until: dict[str, float] = {}
+        self.greenlet: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Starts to watch."""
+        self.greenlet = gevent.spawn(self.run)
+
+    def close(self) -> None:
+        """Stops watching."""
+        if self.greenlet is not None:
+            self.greenlet.kill()
+            self.greenlet = None
+
+    def run(self) -> None:
+        """Watches until the greenlet is killed."""
+        while True:
+            gevent.sleep(CHECK_INTERVAL_S)
+            try:
+                self.check()
+            except errors.PlatformError as error:
+                logger.info("no claim for orders", reason=error.message)
+            except Exception:
+                logger.exception("balance of stages not checked")
+
+    def check(self) -> None:
+        """Checks all services once and gives orders where needed."""
+        current = self.tracker.policy
+        if current is None:
+            return
+        for service in current.services.values():
+            if service.engine is None:
+                continue
+            engines = self.directory.candidates(service.name)
+            shift = self.balancer.decide(
+                service, engines, self.queue.demand(service.name)
+            )
+            now = self.clock.monotonic()
+            if shift is None or now < self.resting_until.get(service.name, 0):
+                self.needed_since.pop(service.name, None)
+                continue
+            since = self.needed_since.setdefault(service.name, now)
+            if now - since >= MIN_NEED_S + self.rank() * RANK_DELAY_S:
+                self.needed_since.pop(service.name, None)
+                self.resting_until[service.name] = now + CLAIM_GAP_S
+                self.give(shift)
+
+    def rank(self) -> int:
+        """Returns how many reached hosts come before this one."""
+        name = self.peers.own.name
+        return sum(
+            other < name and self.peers.is_reached(peer)
+            for other, peer in self.peers.peers.items()
+        )
+
+    def give(self, shift: stage_balance.Shift) -> None:
+        """Claims the right to give orders and gives them."""
+        claim = self.claims.claim(
+            shift.service, self.peers.own.name, CLAIM_GAP_S
+        )
+        if claim is None:
+            logger.info("orders left to another host", service=shift.service)
+            return
+        for engine in shift.engines:
+            age = self.clock.monotonic() - claim.asked_at
+            if age > CLAIM_VALIDITY_S:
+                logger.info("claim for orders lapsed", age_s=round(age, 3))
+                return
+            answer = self.orders.change_stage(engine, shift.stage, claim)
+            logger.info(
+                "stage order given",
+                service=shift.service,
+                upstream=engine.id,
+                stage=shift.stage.value,
+                fence=claim.fence,
+                claim_age_ms=round(age * 1000),
+                gain=round(min(shift.gain, 99.0), 2),
+                outcome=answer,
+            )
--- a/src/coltsfootarch/forwarding/attachment.py
+++ b/src/coltsfootarch/forwarding/attachment.py
@@ -10,6 +10,7 @@
 
     from coltsfootarch.fleet import followers
     from coltsfootarch.fleet import hosts
+    from coltsfootarch.fleet import stage_orders
     from coltsfootarch.forwarding import calls
 
 
@@ -20,6 +21,8 @@
         policies: Where policies come from.
         upstreams: Where registrations come from.
         hosts: Durable list of hosts.
+        claims: Durable claims for orders.
+        orders: Gives orders to engines.
         callers: Wire format of callers.
         wire: Wire format of upstreams.
         ready_path: Path of the load balancer's checks.
@@ -29,6 +32,8 @@
     policies: followers.PolicySource
     upstreams: followers.UpstreamSource
     hosts: hosts.HostRegistry
+    claims: stage_orders.ClaimTable
+    orders: stage_orders.StageOrders
     callers: calls.CallerProtocol
     wire: calls.UpstreamProtocol
     ready_path: str
--- a/src/coltsfootarch/forwarding/call_pipeline.py
+++ b/src/coltsfootarch/forwarding/call_pipeline.py
@@ -209,8 +209,10 @@
             )
         elif result is attempts.Fate.NOT_RUN:
             outcome = outcomes.Outcome.REFUSED
+        elif result is attempts.Fate.NOT_SENT:
+            outcome = outcomes.Outcome.ABSENT
         else:
-            outcome = outcomes.Outcome.UNREACHABLE
+            outcome = outcomes.Outcome.BROKEN
         tracker.record(upstream.id, outcome, took)
 
     def finish(
--- a/src/coltsfootarch/forwarding/calls.py
+++ b/src/coltsfootarch/forwarding/calls.py
@@ -14,7 +14,8 @@
     from coltsfootarch.fleet import upstreams
     from coltsfootarch.forwarding import cancellation
 
-SUCCESS_STATUSES = range(200, 300)
+# A deadline below this part of the route's timeout has been running already.
+RETURNED_PART = 0.92
 
 
 class CallerRequest(NamedTuple):
@@ -221,6 +222,17 @@
             limit = min(limit, request.deadline_s)
         self.ends_at = request.received_at + limit
 
+    @property
+    def returned(self) -> bool:
+        """Whether the caller seems to come back after a refusal.
+
+        Its deadline counts from its first attempt.
+        """
+        deadline = self.request.deadline_s
+        if deadline is None:
+            return False
+        return deadline < RETURNED_PART * self.route.timeout_s
+
     @property
     def digest(self) -> str:
         """Identifies requests with the same path, caller and body."""
--- a/src/coltsfootarch/forwarding/context.py
+++ b/src/coltsfootarch/forwarding/context.py
@@ -18,6 +18,7 @@
     from coltsfootarch.scheduling import engine_placement
     from coltsfootarch.scheduling import load_view
     from coltsfootarch.scheduling import outcomes
+    from coltsfootarch.scheduling import stage_balance
 
 
 class Context(NamedTuple):
@@ -35,6 +36,7 @@
         call_placer: Chooses upstreams of plain services.
         engine_placer: Chooses engines.
         queue: Requests that wait for engines.
+        balancer: What requests need in each stage.
         metrics: Counters and histograms.
     """
 
@@ -49,4 +51,5 @@
     call_placer: call_placement.CallPlacer
     engine_placer: engine_placement.EnginePlacer
     queue: dispatch_queue.DispatchQueue
+    balancer: stage_balance.StageBalancer
     metrics: registry.MetricRegistry
--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -17,6 +17,7 @@
 from coltsfootarch.fleet import hosts
 from coltsfootarch.fleet import policy
 from coltsfootarch.fleet import reports
+from coltsfootarch.fleet import stage_orders
 from coltsfootarch.fleet import upstreams
 from coltsfootarch.forwarding import context
 from coltsfootarch.forwarding import forwarder
@@ -26,12 +27,14 @@
 from coltsfootarch.limits import shared_bucket
 from coltsfootarch.observability import registry
 from coltsfootarch.retries import shared_budget
+from coltsfootarch.scheduling import backlog
 from coltsfootarch.scheduling import break_counts
 from coltsfootarch.scheduling import call_placement
 from coltsfootarch.scheduling import dispatch_queue
 from coltsfootarch.scheduling import engine_placement
 from coltsfootarch.scheduling import load_view
 from coltsfootarch.scheduling import outcomes
+from coltsfootarch.scheduling import stage_balance
 
 if TYPE_CHECKING:
     import pathlib
@@ -116,7 +119,13 @@
         )
         self.exchange = reports.ReportExchange(
             self.hosts,
-            [self.buckets, self.parts.loads, self.parts.breaks],
+            [
+                self.buckets,
+                self.parts.loads,
+                self.parts.breaks,
+                self.parts.tracker,
+                self.parts.queue.backlog,
+            ],
             clock,
         )
         self.followers = [
@@ -126,6 +135,16 @@
             ),
         ]
         self.renewer = hosts.HostRenewer(platform.hosts, self.hosts, clock)
+        self.stages = stage_orders.StageKeeper(
+            self.tracker,
+            self.upstreams,
+            self.parts.balancer,
+            self.parts.queue,
+            self.hosts,
+            platform.claims,
+            platform.orders,
+            clock,
+        )
         self.callers = listener.CallerListener(
             settings.listen, self.forwarder, clock, self.caller_limits
         )
@@ -141,7 +160,9 @@
         placer = engine_placement.EnginePlacer(
             self.upstreams, loads, tracker, zone
         )
-        queue = dispatch_queue.DispatchQueue(placer, loads, clock)
+        queue = dispatch_queue.DispatchQueue(
+            placer, loads, backlog.Backlog(clock), clock
+        )
         self.upstreams.on_change.append(queue.place_waiting)
         return context.Context(
             clock=clock,
@@ -163,6 +184,7 @@
             ),
             engine_placer=placer,
             queue=queue,
+            balancer=stage_balance.StageBalancer(),
             metrics=registry.MetricRegistry(),
         )
 
@@ -220,6 +242,7 @@
         for follower in self.followers:
             follower.start()
         self.renewer.start()
+        self.stages.start()
         self.exchange.start()
         self.callers.start()
         for each in self.others:
@@ -274,6 +297,7 @@
         for each in self.others:
             each.close()
         self.renewer.close()
+        self.stages.close()
         self.exchange.close()
         for follower in self.followers:
             follower.close()
--- a/src/coltsfootarch/forwarding/exchange.py
+++ b/src/coltsfootarch/forwarding/exchange.py
@@ -55,15 +55,14 @@
         self.aborted = False
         self.sent = False
 
-    def start(self, fresh: bool) -> None:
-        """Connects and sends the request.
+    def connect(self, fresh: bool) -> None:
+        """Takes an idle connection or opens one.
 
         Args:
             fresh: Whether an idle connection must have been used lately.
 
         Raises:
-            client.ConnectError: Nothing was sent.
-            client.BrokenConnectionError: The upstream may have it.
+            client.ConnectError: There is none; nothing was sent.
         """
         connection = self.connections.take(
             self.delivery.upstream.address,
@@ -74,13 +73,29 @@
         if self.aborted:
             self.close()
             raise client.ConnectError("the caller left")
+
+    def send(self) -> None:
+        """Sends the request on the connection.
+
+        Raises:
+            client.ConnectError: The connection was closed; nothing was sent.
+            client.BrokenConnectionError: The upstream may have it.
+        """
+        if self.connection is None or not self.connection.is_quiet():
+            self.close()
+            raise client.ConnectError("closed before the request was sent")
         self.sent = True
-        connection.send(
+        self.connection.send(
             self.wire.encode(self.request, self.delivery),
             self.request.body,
             self.delivery.time_left_s,
         )
 
+    def start(self, fresh: bool) -> None:
+        """Connects and sends the request; see `connect` and `send`."""
+        self.connect(fresh)
+        self.send()
+
     def abort(self) -> None:
         """Closes the connection; the upstream stops, a reader wakes."""
         self.aborted = True
--- a/src/coltsfootarch/forwarding/generation_pipeline.py
+++ b/src/coltsfootarch/forwarding/generation_pipeline.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from typing import TYPE_CHECKING
 
 import gevent
@@ -37,9 +38,20 @@
 # longest wanted pause and in seconds. Callers give up a little later.
 STALL_GAPS = 5.0
 MIN_STALL_S = 1.5
+# Part of a stream's objective after which an engine that has sent no event is
+# given up, so that another one can still answer before the caller leaves. An
+# engine that fetches the prompt's memory sends the first event within some
+# milliseconds; one that reads the prompt itself takes several times as long.
+FIRST_EVENT_PART = 0.4
+FIRST_EVENT_UNREAD_PART = 0.9
 # Time to free a prefill result that won't be used, in seconds.
 RELEASE_TIMEOUT_S = 0.5
 RETRY_AFTER_S = 0.5
+# Bursts last some seconds; a request that returns within less meets the same
+# load again.
+MIN_OVERLOAD_S = 1.5
+# Callers wait at most a third of the time that they have left.
+RETURN_PART = 0.32
 
 logger = structlog.get_logger(__name__)
 
@@ -83,6 +95,8 @@
         )
         self.memory: PromptMemory | None = None
         self.prefilled = False
+        self.prompt_delivered = False
+        self.prefill_s = 0.0
         self.connect_failures = 0
         self.resume_after = call.request.resume_after
         self.answer: attempts.Answer | None = None
@@ -100,6 +114,7 @@
 
     def __init__(self, parts: context.Context) -> None:
         self.parts = parts
+        self.generator = random.Random()
 
     @property
     def clock(self) -> clocks.Clock:
@@ -165,17 +180,16 @@
             call.request.received_at,
             call.request.received_at + call.route.objective_s,
         )
-        if not self.parts.engine_placer.has_decode(
+        if not self.parts.engine_placer.decode_engines(
             call.service, waiter.excluded
         ):
-            if call.attempts == 0 and not call.tried:
-                raise errors.RefusedError(
-                    results.NO_UPSTREAM, retry_after=RETRY_AFTER_S
-                )
+            if generation.connect_failures or not call.tried:
+                return None
+            # The only engine broke off; it may be back.
             waiter.excluded = frozenset()
         with call.cancellation.attached(waiter.woken.set):
             placement = self.parts.queue.acquire(
-                waiter, call.ends_at - started - MIN_TIME_LEFT_S
+                waiter, self.longest_wait(generation)
             )
         if call.cancellation.cancelled:
             if placement is not None:
@@ -203,27 +217,97 @@
         )
         return placement
 
+    def longest_wait(self, generation: Generation) -> float:
+        """Returns how long to wait for an engine, in seconds.
+
+        A new request waits while it can be in time. One that can't is told
+        when to come back, as newer requests would go first; if it came back
+        already, or has been sent before, it waits while its caller does.
+        """
+        call = generation.call
+        now = self.clock.monotonic()
+        patience = call.request.received_at + call.route.patience_s
+        last = min(call.ends_at, patience) - dispatch_queue.SERVICE_TIME_S
+        if call.attempts or call.returned:
+            return last - now
+        due = call.request.received_at + call.route.objective_s
+        due -= dispatch_queue.SERVICE_TIME_S
+        if now + self.parts.queue.expected_wait(call.service) > due:
+            return 0.0
+        return min(due, last) - now
+
     def attempt(
         self, generation: Generation, placement: engine_placement.Placement
     ) -> None:
-        """Reads the prompt, if needed, and generates."""
-        now = self.clock.monotonic()
+        """Reads the prompt, if needed, and generates.
+
+        The decode engine is connected first: a prompt that was read for an
+        engine that is down would be read in vain.
+        """
+        call = generation.call
+        sending = self.exchange(call, self.delivery(generation, placement))
+        try:
+            if not self.connect(generation, sending):
+                return
+            memory = generation.memory
+            now = self.clock.monotonic()
+            if memory is not None and not memory.is_usable(now):
+                generation.memory = None
+            if (
+                generation.memory is None
+                and placement.prefill is not None
+                and self.may_prefill(generation)
+            ):
+                self.prefill(generation, placement.prefill)
+            call.cancellation.check()
+            if not self.parts.directory.is_serving(placement.decode.id):
+                # It left while the prompt was read; nothing was sent to it.
+                call.tried.append(placement.decode.id)
+                generation.connect_failures += 1
+                return
+            sending.delivery = self.delivery(generation, placement)
+            self.decode(generation, placement.decode, sending)
+        finally:
+            sending.close()
+
+    def delivery(
+        self, generation: Generation, placement: engine_placement.Placement
+    ) -> calls.Delivery:
+        """Returns what is sent to the decode engine, as of now."""
+        call = generation.call
         memory = generation.memory
-        if memory is not None and not memory.is_usable(now):
-            generation.memory = None
-        if (
-            generation.memory is None
-            and placement.prefill is not None
-            and self.may_prefill(generation)
-        ):
-            self.prefill(generation, placement.prefill)
-        generation.call.cancellation.check()
-        if not self.parts.directory.is_serving(placement.decode.id):
-            # It left while the prompt was read; nothing was sent to it.
-            generation.call.tried.append(placement.decode.id)
+        return calls.Delivery(
+            placement.decode,
+            call.account,
+            call.ends_at - self.clock.monotonic(),
+            memory=memory.source if memory else None,
+            resume_after=generation.resume_after,
+            urgency=call.urgency,
+        )
+
+    def connect(
+        self, generation: Generation, sending: exchange.Exchange
+    ) -> bool:
+        """Connects to the decode engine; returns whether that worked."""
+        call = generation.call
+        engine = sending.delivery.upstream
+        self.parts.tracker.note_dispatch(engine.id)
+        try:
+            with call.cancellation.attached(sending.abort):
+                sending.connect(fresh=False)
+        except client.ConnectError as error:
+            call.cancellation.check()
             generation.connect_failures += 1
-            return
-        self.decode(generation, placement)
+            call.tried.append(engine.id)
+            self.parts.tracker.record(engine.id, outcomes.Outcome.ABSENT)
+            logger.info(
+                "decode engine not reached",
+                request_id=call.request.id,
+                upstream=engine.id,
+                reason=str(error),
+            )
+            return False
+        return True
 
     def may_prefill(self, generation: Generation) -> bool:
         """Returns whether a prefill engine may read the prompt.
@@ -258,10 +342,11 @@
                 urgency=call.urgency,
             ),
         )
+        ahead = self.parts.loads.load(engine.id)
         self.parts.loads.add(engine.id, tokens)
         self.parts.tracker.note_dispatch(engine.id)
         until = min(call.ends_at, now + PREFILL_TIMEOUT_S)
-        outcome = outcomes.Outcome.UNREACHABLE
+        outcome = outcomes.Outcome.BROKEN
         reason = "done"
         try:
             with call.cancellation.attached(sending.abort):
@@ -288,8 +373,10 @@
                     if refused
                     else outcomes.Outcome.ERROR
                 )
+        except client.ConnectError as error:
+            outcome = outcomes.Outcome.ABSENT
+            reason = str(error)
         except (
-            client.ConnectError,
             client.BrokenConnectionError,
             client.ResponseTimeoutError,
         ) as error:
@@ -303,6 +390,7 @@
                 call.attempts += 1
             generation.prefilled = True
         took = self.clock.monotonic() - now
+        generation.prefill_s = took / (1 + ahead.requests)
         self.parts.tracker.record(engine.id, outcome, took)
         logger.info(
             "prefill ended",
@@ -318,25 +406,16 @@
         return service.engine.handle_lifetime_s if service.engine else 0.0
 
     def decode(
-        self, generation: Generation, placement: engine_placement.Placement
+        self,
+        generation: Generation,
+        engine: upstreams.Upstream,
+        sending: exchange.Exchange,
     ) -> None:
         """Generates at a decode engine and relays the events."""
         call = generation.call
-        engine = placement.decode
         now = self.clock.monotonic()
         memory, generation.memory = generation.memory, None
-        sending = self.exchange(
-            call,
-            calls.Delivery(
-                engine,
-                call.account,
-                call.ends_at - now,
-                memory=memory.source if memory else None,
-                resume_after=generation.resume_after,
-                urgency=call.urgency,
-            ),
-        )
-        self.parts.tracker.note_dispatch(engine.id)
+        generation.prompt_delivered = memory is not None
         reason = "done"
         result: attempts.Answer | attempts.Fate
         call.tried.append(engine.id)
@@ -375,6 +454,9 @@
             else result.value,
             reason=reason,
             started=call.responder.started,
+            first_event_ms=round((generation.first_event_at - now) * 1000)
+            if generation.first_event_at
+            else None,
             took_ms=round((self.clock.monotonic() - now) * 1000),
         )
 
@@ -383,7 +465,7 @@
     ) -> attempts.Answer | attempts.Fate:
         """Relays whole events; returns how the exchange ended."""
         call = generation.call
-        sending.start(fresh=False)
+        sending.send()
         call.offered = True
         answer = sending.read_head(self.silence_limit(generation))
         if not 200 <= answer.status < 300:
@@ -425,6 +507,7 @@
             self.parts.metrics.answer_time.labels(
                 generation.call.service
             ).observe(took)
+            self.parts.tracker.note_progress(generation.call.tried[-1])
             responder.start(answer.status, answer.fields)
         responder.send(event.data)
         if event.id:
@@ -438,6 +521,10 @@
         ):
             return call.ends_at
         silence = max(MIN_STALL_S, STALL_GAPS * call.route.event_gap_s)
+        if not call.responder.started:
+            read = generation.prompt_delivered
+            part = FIRST_EVENT_PART if read else FIRST_EVENT_UNREAD_PART
+            silence = part * call.route.objective_s
         return min(call.ends_at, self.clock.monotonic() + silence)
 
     def judge(
@@ -461,6 +548,15 @@
             generation.answer = result
             if good:
                 self.parts.breaks.clear(call.digest)
+                duration = self.clock.monotonic() - started
+                self.parts.queue.backlog.note_duration(call.service, duration)
+                if generation.prefill_s:
+                    self.parts.balancer.note(
+                        call.service,
+                        generation.prefill_s,
+                        duration,
+                        generation.demand.memory_tokens,
+                    )
             if good or not call.route.repeatable:
                 generation.finished = True
             return
@@ -469,7 +565,11 @@
         if result is attempts.Fate.NOT_RUN:
             tracker.record(engine.id, outcomes.Outcome.REFUSED)
             return
-        tracker.record(engine.id, outcomes.Outcome.UNREACHABLE)
+        sent = result is not attempts.Fate.NOT_SENT
+        tracker.record(
+            engine.id,
+            outcomes.Outcome.BROKEN if sent else outcomes.Outcome.ABSENT,
+        )
         if result is attempts.Fate.BROKEN:
             self.parts.breaks.record(call.digest)
         if result.may_have_run and not call.route.repeatable:
@@ -534,5 +634,19 @@
             code = fate.code if fate.may_have_run else results.UPSTREAM_FAILED
             raise errors.RefusedError(code)
         raise errors.RefusedError(
-            results.OVERLOADED, retry_after=RETRY_AFTER_S
+            results.OVERLOADED, retry_after=self.retry_after(generation)
         )
+
+    def retry_after(self, generation: Generation) -> float:
+        """Returns when a refused request is likely to find room, in seconds.
+
+        The backlog must have been worked off by then; callers come back at
+        different times, so that they don't all meet again.
+        """
+        call = generation.call
+        if generation.connect_failures:
+            return RETRY_AFTER_S
+        wait = self.parts.queue.expected_wait(call.service)
+        wait = max(wait, MIN_OVERLOAD_S) * (1 + self.generator.random())
+        left = call.ends_at - self.clock.monotonic()
+        return min(wait, left * RETURN_PART)
--- a/src/coltsfootarch/platform/attachment.py
+++ b/src/coltsfootarch/platform/attachment.py
@@ -6,6 +6,7 @@
 
 from coltsfootarch.forwarding import attachment
 from coltsfootarch.platform import feeds
+from coltsfootarch.platform import orders
 from coltsfootarch.platform import store
 from coltsfootarch.platform import wire
 
@@ -25,7 +26,7 @@
         address: "ip:port" of the platform's store.
         clock: Source of time.
     """
-    clients = [store.StoreClient(address, clock) for _ in range(3)]
+    clients = [store.StoreClient(address, clock) for _ in range(4)]
 
     def close() -> None:
         for client in clients:
@@ -35,6 +36,8 @@
         feeds.PolicyFeed(clients[0]),
         feeds.UpstreamFeed(clients[1]),
         feeds.HostTable(clients[2]),
+        orders.ClaimTable(clients[3], clock),
+        orders.RunnerOrders(clock),
         wire.CallerWire(),
         wire.RunnerWire(),
         READY_PATH,
--- /dev/null
+++ b/src/coltsfootarch/platform/orders.py
@@ -0,0 +1,128 @@
+"""Orders to runners, and the claims under which they are given."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from coltsfootarch.fleet import stage_orders
+from coltsfootarch.http1 import client
+from coltsfootarch.http1 import messages
+from coltsfootarch.platform import wire
+
+if TYPE_CHECKING:
+    from coltsfootarch import clock as clocks
+    from coltsfootarch.fleet import upstreams
+    from coltsfootarch.platform import store
+
+CLAIM_TABLE = "coltsfootarch-claims"
+ORDER_TIMEOUT_S = 0.8
+MS_PER_S = 1000.0
+
+
+class StoredClaim(msgspec.Struct):
+    """Row of the last claim.
+
+    Attributes:
+        holder: Name of the host.
+        fence: Number of the claim.
+        at_ms: The store's clock when it was asked for.
+    """
+
+    holder: str
+    fence: int
+    at_ms: int
+
+
+class ClaimTable:
+    """Claims as rows of the store; see `stage_orders.ClaimTable`.
+
+    Args:
+        store_client: Client of the store.
+        clock: Source of time.
+    """
+
+    def __init__(
+        self, store_client: store.StoreClient, clock: clocks.Clock
+    ) -> None:
+        self.client = store_client
+        self.clock = clock
+
+    def claim(
+        self, service: str, holder: str, gap_s: float
+    ) -> stage_orders.Claim | None:
+        """Returns a claim unless the last one is too recent."""
+        row, now_ms = self.client.read_row(CLAIM_TABLE, service)
+        fence = 0
+        revision = 0
+        if row is not None:
+            revision = row.revision
+            try:
+                last = msgspec.json.decode(row.value or b"", type=StoredClaim)
+            except msgspec.DecodeError:
+                # Its age is unknown; the row's revision still fences.
+                fence = row.revision
+            else:
+                if now_ms - last.at_ms < gap_s * MS_PER_S:
+                    return None
+                fence = last.fence
+        asked_at = self.clock.monotonic()
+        stored = StoredClaim(holder, fence + 1, now_ms)
+        if not self.client.replace_row(
+            CLAIM_TABLE, service, msgspec.json.encode(stored), revision
+        ):
+            return None
+        return stage_orders.Claim(holder, fence + 1, asked_at)
+
+
+class RunnerOrders:
+    """Sends orders to runners; see `stage_orders.StageOrders`.
+
+    Args:
+        clock: Source of time.
+    """
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self.clock = clock
+
+    def change_stage(
+        self,
+        engine: upstreams.Upstream,
+        stage: upstreams.Stage,
+        claim: stage_orders.Claim,
+    ) -> str:
+        """Orders a change of stage; returns the status or the failure."""
+        body = msgspec.json.encode(
+            {
+                "op": "stage",
+                "stage": stage.value,
+                "holder": claim.holder,
+                "fence": claim.fence,
+            }
+        )
+        head = messages.render_head(
+            "POST /api/order HTTP/1.1",
+            [
+                ("Host", engine.address),
+                (wire.INSTANCE, engine.id),
+                ("Content-Type", "application/json"),
+                ("Content-Length", str(len(body))),
+            ],
+        )
+        connection = client.Connection(engine.address, self.clock)
+        try:
+            connection.start(ORDER_TIMEOUT_S)
+            connection.send(head, body, ORDER_TIMEOUT_S)
+            part = connection.read_part(ORDER_TIMEOUT_S)
+        except (
+            client.ConnectError,
+            client.BrokenConnectionError,
+            client.ResponseTimeoutError,
+        ) as error:
+            return str(error) or type(error).__name__
+        finally:
+            connection.close()
+        if isinstance(part, messages.ResponseHead):
+            return str(part.status)
+        return "no answer"
--- a/src/coltsfootarch/platform/store.py
+++ b/src/coltsfootarch/platform/store.py
@@ -32,10 +32,12 @@
     Attributes:
         key: Key within its table.
         value: Stored bytes; None if the row was removed.
+        revision: Revision of its last change.
     """
 
     key: str
     value: bytes | None
+    revision: int = 0
 
 
 class Rows(NamedTuple):
@@ -114,6 +116,52 @@
         timeout = wait_s + max(FEED_SLACK_S, CALL_TIMEOUT_S)
         return self.fetch("rows-feed", query, timeout)[0]
 
+    def read_row(self, table: str, key: str) -> tuple[Row | None, int]:
+        """Returns a row and the store's clock in milliseconds.
+
+        Raises:
+            errors.TableUnavailableError: Not read.
+        """
+        query = {
+            "table": table,
+            "part": "",
+            "from": key,
+            "to": key + "\0",
+            "limit": 1,
+        }
+        page, document = self.fetch("rows-get", query, CALL_TIMEOUT_S)
+        now_ms = document.get("now_ms")
+        if not isinstance(now_ms, int):
+            raise errors.TableUnavailableError("the store sent no clock")
+        return (page.rows[0] if page.rows else None), now_ms
+
+    def replace_row(
+        self, table: str, key: str, value: bytes, revision: int
+    ) -> bool:
+        """Writes a row unless it changed; returns whether it was written.
+
+        Args:
+            table: Name of the table.
+            key: Key of the row.
+            value: New bytes.
+            revision: Revision that the row must have; 0 for no row.
+
+        Raises:
+            errors.TableUnavailableError: May or may not be written.
+        """
+        name = {"table": table, "part": "", "key": key}
+        encoded = base64.b64encode(value).decode("ascii")
+        document = {
+            "expected": [{**name, "ver": revision}],
+            "writes": [{**name, "value": encoded}],
+            "remove": [],
+        }
+        try:
+            self.transact(document)
+        except errors.TransactionConflictError:
+            return False
+        return True
+
     def write_row(self, table: str, key: str, value: bytes) -> None:
         """Writes a row whatever it held before.
 
@@ -181,6 +229,8 @@
             raise
         if head.status == 410:
             raise errors.HistoryLostError("the store dropped its history")
+        if head.status == 412:
+            raise errors.TransactionConflictError("the row has changed")
         if head.status != 200:
             raise errors.TableUnavailableError(
                 f"the store answered {head.status}"
@@ -227,8 +277,10 @@
     """Returns a row of an answer; unreadable values become empty."""
     if entry.get("deleted"):
         return Row(entry["key"], None)
+    revision = entry.get("ver", 0)
     try:
-        return Row(entry["key"], base64.b64decode(entry["value"]))
+        value = base64.b64decode(entry["value"])
     except (binascii.Error, KeyError, TypeError, ValueError):
         # Such a row names nothing, which its reader reports.
-        return Row(entry["key"], b"")
+        value = b""
+    return Row(entry["key"], value, revision)
--- a/src/coltsfootarch/scheduling/dispatch_queue.py
+++ b/src/coltsfootarch/scheduling/dispatch_queue.py
@@ -1,8 +1,8 @@
 """Queue of requests that wait for room at decode engines.
 
 Answers bursts above the engines' capacity. A request that can still meet its
-objective goes first, by the time left; the others follow in order of arrival,
-as their answers are worth the same whenever they come.
+objective goes first; the others follow in order of arrival, as their answers
+are worth the same whenever they come.
 """
 
 from __future__ import annotations
@@ -11,6 +11,7 @@
 
 import gevent.event
 
+from coltsfootarch.scheduling import backlog as backlogs
 from coltsfootarch.scheduling import engine_placement
 
 if TYPE_CHECKING:
@@ -65,6 +66,7 @@
     Args:
         placer: Chooses engines.
         loads: Work in progress; a change of it may make room.
+        backlog: Waiting requests of all hosts.
         clock: Source of time.
     """
 
@@ -72,10 +74,12 @@
         self,
         placer: engine_placement.EnginePlacer,
         loads: load_view.LoadView,
+        backlog: backlogs.Backlog,
         clock: clocks.Clock,
     ) -> None:
         self.placer = placer
         self.loads = loads
+        self.backlog = backlog
         self.clock = clock
         self.waiters: list[Waiter] = []
         loads.on_change.append(self.place_waiting)
@@ -92,25 +96,37 @@
             timeout_s: Longest wait in seconds.
         """
         self.waiters.append(waiter)
+        self.place_waiting()
+        if waiter.placement is not None or timeout_s <= 0:
+            self.withdraw(waiter)
+            return waiter.placement
+        self.backlog.enter(waiter.service.name)
         try:
-            self.place_waiting()
-            if waiter.placement is None and timeout_s > 0:
-                waiter.woken.wait(timeout_s)
+            waiter.woken.wait(timeout_s)
         finally:
-            if waiter in self.waiters:
-                self.waiters.remove(waiter)
+            self.backlog.leave(waiter.service.name)
+            self.withdraw(waiter)
         return waiter.placement
 
-    def force(self, waiter: Waiter) -> engine_placement.Placement | None:
-        """Returns the emptiest engines, also without room."""
-        placement = self.placer.place(
-            waiter.service, waiter.demand, waiter.excluded, forced=True
+    def withdraw(self, waiter: Waiter) -> None:
+        """Takes a request out of the queue."""
+        if waiter in self.waiters:
+            self.waiters.remove(waiter)
+
+    def expected_wait(self, service: str) -> float:
+        """Returns the seconds that a request which arrives now waits."""
+        return self.backlog.expected_wait(service, self.running(service))
+
+    def running(self, service: str) -> int:
+        """Returns how many requests run at decode engines, over all hosts."""
+        return sum(
+            self.loads.load(engine.id).requests
+            for engine in self.placer.decode_engines(service)
         )
-        if placement is not None:
-            self.loads.add(
-                placement.decode.id, placement.demand.memory_tokens
-            )
-        return placement
+
+    def demand(self, service: str) -> int:
+        """Returns how many requests run or wait, over all hosts."""
+        return self.running(service) + self.backlog.total(service)
 
     def release(self, placement: engine_placement.Placement) -> None:
         """Frees the room of a request."""
--- a/src/coltsfootarch/scheduling/engine_placement.py
+++ b/src/coltsfootarch/scheduling/engine_placement.py
@@ -109,7 +109,6 @@
         service: policy.Service,
         demand: Demand,
         excluded: Collection[str] = (),
-        forced: bool = False,
     ) -> Placement | None:
         """Returns the engines for a request, None if none has room.
 
@@ -117,10 +116,9 @@
             service: A service with engines.
             demand: What the request needs.
             excluded: Ids of engines that failed it.
-            forced: Whether to take the emptiest decode engine without room.
         """
         engines = self.directory.candidates(service.name)
-        decode = self.choose_decode(service, engines, demand, excluded, forced)
+        decode = self.choose_decode(service, engines, demand, excluded)
         if decode is None:
             return None
         prefill = self.choose_prefill(engines, excluded)
@@ -157,7 +155,6 @@
         engines: Sequence[upstreams.Upstream],
         demand: Demand,
         excluded: Collection[str],
-        forced: bool,
     ) -> upstreams.Upstream | None:
         """Returns the decode engine with the most room."""
         memory = service.engine.memory_tokens if service.engine else 0
@@ -169,7 +166,7 @@
                 load.tokens + demand.memory_tokens <= memory * MEMORY_PART
                 or not load.requests
             )
-            if not fits and not forced:
+            if not fits:
                 continue
             cost = (load.tokens + demand.memory_tokens + self.distance(engine))
             cost /= self.tracker.success_rate(engine.id) ** SUCCESS_EXPONENT
@@ -199,12 +196,13 @@
             return 0.0
         return REMOTE_TOKENS
 
-    def has_decode(
+    def decode_engines(
         self, service: str, excluded: Collection[str] = ()
-    ) -> bool:
-        """Returns whether any decode engine is registered."""
-        return any(
-            engine.stage is upstreams.Stage.DECODE
-            and engine.id not in excluded
+    ) -> list[upstreams.Upstream]:
+        """Returns the registered decode engines of a service."""
+        return [
+            engine
             for engine in self.directory.candidates(service)
-        )
+            if engine.stage is upstreams.Stage.DECODE
+            and engine.id not in excluded
+        ]
--- a/src/coltsfootarch/scheduling/health.py
+++ b/src/coltsfootarch/scheduling/health.py
@@ -16,10 +16,14 @@
 
     Args:
         threshold: Consecutive failures that eject.
+        longest: Longest ejection in seconds.
     """
 
-    def __init__(self, threshold: int = 2) -> None:
+    def __init__(
+        self, threshold: int = 2, longest: float = LONGEST_EJECTION_SECONDS
+    ) -> None:
         self.threshold = threshold
+        self.longest = longest
         self.failures = 0
         self.ejections = 0
         self.ejected_until = 0.0
@@ -57,7 +61,7 @@
         if now < self.ejected_until:
             return
         length = FIRST_EJECTION_SECONDS * 2 ** min(self.ejections, 10)
-        self.ejected_until = now + min(length, LONGEST_EJECTION_SECONDS)
+        self.ejected_until = now + min(length, self.longest)
         self.ejections += 1
         self.failures = 0
         self.probe_started = None
--- a/src/coltsfootarch/scheduling/outcomes.py
+++ b/src/coltsfootarch/scheduling/outcomes.py
@@ -17,23 +17,35 @@
     from collections.abc import Iterable
 
     from coltsfootarch import clock as clocks
+    from coltsfootarch.fleet import reports
 
 # Older outcomes count half as much after this time.
 HALF_LIFE_S = 4.0
 # Outcomes that every upstream is credited with, so that one failure among few
 # doesn't decide.
 PRIOR_SUCCESSES = 2.0
+# A failure that a peer met counts less, since its successes aren't reported.
+PEER_WEIGHT = 0.3
+# Engines are few; one that is back must not stay unused for long.
+LONGEST_EJECTION_S = 4.0
+# Failures are reported for this time; it covers several lost reports.
+REPORTED_S = 3.0
 
 logger = structlog.get_logger(__name__)
 
 
 class Outcome(enum.Enum):
-    """How an upstream treated a request."""
+    """How an upstream treated a request.
+
+    `BROKEN` means that no whole answer came, `ABSENT` that there was no
+    connection.
+    """
 
     SUCCESS = "success"
     REFUSED = "refused"
     ERROR = "error"
-    UNREACHABLE = "unreachable"
+    BROKEN = "broken"
+    ABSENT = "absent"
 
 
 class Record:
@@ -44,7 +56,7 @@
         self.failures = 0.0
         self.latency = 0.0
         self.updated_at = 0.0
-        self.health = health.Health()
+        self.health = health.Health(longest=LONGEST_EJECTION_S)
 
     def decay(self, now: float) -> None:
         """Lets older outcomes count less."""
@@ -65,6 +77,9 @@
     def __init__(self, clock: clocks.Clock) -> None:
         self.clock = clock
         self.records: dict[str, Record] = {}
+        self.reported: dict[str, int] = {}
+        self.reported_at: dict[str, float] = {}
+        self.peers: dict[str, dict[str, int]] = {}
 
     def record(
         self, upstream: str, outcome: Outcome, latency_s: float = 0.0
@@ -89,11 +104,59 @@
             # It is full; load, not health.
             return
         entry.failures += 1
-        if outcome is Outcome.UNREACHABLE:
-            usable = entry.health.usable(now)
-            entry.health.failed(now)
-            if usable and not entry.health.usable(now):
-                logger.info("upstream ejected", upstream=upstream)
+        if outcome is Outcome.ERROR:
+            return
+        self.reported[upstream] = self.reported.get(upstream, 0) + 1
+        self.reported_at[upstream] = now
+        self.fail(upstream, entry, certain=outcome is Outcome.ABSENT)
+
+    def fail(self, upstream: str, entry: Record, certain: bool) -> None:
+        """Counts a failure towards an ejection.
+
+        Args:
+            upstream: Id of the upstream.
+            entry: Its record.
+            certain: Whether one failure is enough.
+        """
+        now = self.clock.monotonic()
+        usable = entry.health.usable(now)
+        entry.health.failed(now)
+        if certain:
+            entry.health.eject(now)
+        if usable and not entry.health.usable(now):
+            logger.info("upstream ejected", upstream=upstream)
+
+    def note_progress(self, upstream: str) -> None:
+        """Notes that a long answer has begun, which ends a probe."""
+        entry = self.records.get(upstream)
+        if entry is not None:
+            entry.health.succeeded(self.clock.monotonic())
+
+    def contribute(self, report: reports.Report) -> None:
+        """Adds failures of the last seconds; see `reports.Participant`."""
+        oldest = self.clock.monotonic() - REPORTED_S
+        report.failures.extend(
+            (upstream, count)
+            for upstream, count in self.reported.items()
+            if self.reported_at[upstream] >= oldest
+        )
+
+    def absorb(self, report: reports.Report, continuous: bool) -> None:
+        """Takes failures that a peer met; see `reports.Participant`."""
+        known = self.peers.get(report.host, {})
+        current = dict(report.failures)
+        self.peers[report.host] = current
+        if not continuous:
+            return
+        for upstream, count in report.failures:
+            if count <= known.get(upstream, 0):
+                continue
+            entry = self.records.setdefault(upstream, Record())
+            entry.decay(self.clock.monotonic())
+            entry.failures += PEER_WEIGHT
+            # A report of a failure from before the ejection doesn't extend it.
+            if entry.health.usable(self.clock.monotonic()):
+                self.fail(upstream, entry, certain=False)
 
     def note_dispatch(self, upstream: str) -> None:
         """Notes a request; after an ejection it is the probe."""
@@ -123,5 +186,6 @@
     def forget_except(self, upstreams: Iterable[str]) -> None:
         """Drops the records of upstreams that are gone."""
         kept = set(upstreams)
-        for key in [key for key in self.records if key not in kept]:
-            del self.records[key]
+        for table in (self.records, self.reported, self.reported_at):
+            for key in [key for key in table if key not in kept]:
+                del table[key]
--- /dev/null
+++ b/src/coltsfootarch/scheduling/stage_balance.py
@@ -0,0 +1,158 @@
+"""How many engines of a service should read prompts and how many generate.
+
+Answers engines that leave or crash in one stage while the other has room, and
+traffic that shifts between long prompts and long answers. The request rate
+that a service can bear is the smaller of the rates of both stages, estimated
+from what requests have needed lately.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+from coltsfootarch.fleet import upstreams
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from coltsfootarch.fleet import policy
+
+# Weight of the newest request in a mean.
+WEIGHT = 0.05
+# Requests that must have been seen before engines are moved.
+MIN_SAMPLES = 3
+# A move costs an engine for several seconds, so that it must raise the
+# rate that can be borne by this factor.
+MIN_GAIN = 1.25
+# Engines are only moved while the scarcer stage is used to this part.
+MIN_USE = 0.5
+# Part of a prefill engine's time that can be planned: prompts arrive unevenly.
+PREFILL_USE = 0.8
+# Part of an engine's memory that requests take on average when it is full.
+MEMORY_USE = 0.9
+
+
+class Shift(NamedTuple):
+    """Engines that should change their stage.
+
+    Attributes:
+        service: Name of the service.
+        engines: The engines.
+        stage: Stage that they should have.
+        gain: Factor by which the rate that can be borne grows.
+    """
+
+    service: str
+    engines: tuple[upstreams.Upstream, ...]
+    stage: upstreams.Stage
+    gain: float
+
+
+class Needs:
+    """Mean needs of a service's requests."""
+
+    def __init__(self) -> None:
+        self.samples = 0
+        self.prefill_s = 0.0
+        self.decode_s = 0.0
+        self.memory_tokens = 0.0
+
+    def note(
+        self, prefill_s: float, decode_s: float, memory_tokens: int
+    ) -> None:
+        """Counts a request that ran in both stages.
+
+        Args:
+            prefill_s: Time of a prefill engine that it took, in seconds.
+            decode_s: Time for which it held memory at a decode engine.
+            memory_tokens: That memory.
+        """
+        self.samples += 1
+        weight = max(WEIGHT, 1 / self.samples)
+        self.prefill_s += weight * (prefill_s - self.prefill_s)
+        self.decode_s += weight * (decode_s - self.decode_s)
+        self.memory_tokens += weight * (memory_tokens - self.memory_tokens)
+
+
+class StageBalancer:
+    """Decides which engines should change their stage."""
+
+    def __init__(self) -> None:
+        self.needs: dict[str, Needs] = {}
+
+    def note(
+        self,
+        service: str,
+        prefill_s: float,
+        decode_s: float,
+        memory_tokens: int,
+    ) -> None:
+        """Counts a request; see `Needs.note`."""
+        needs = self.needs.setdefault(service, Needs())
+        needs.note(prefill_s, decode_s, memory_tokens)
+
+    def rate(
+        self, service: policy.Service, prefills: int, decodes: int
+    ) -> float:
+        """Returns the requests a second that engines can bear.
+
+        Args:
+            service: The service.
+            prefills: Number of prefill engines.
+            decodes: Number of decode engines.
+        """
+        needs = self.needs[service.name]
+        engine = service.engine
+        if engine is None:
+            return 0.0
+        at_once = min(
+            engine.memory_tokens * MEMORY_USE / max(needs.memory_tokens, 1.0),
+            float(engine.slots),
+        )
+        decode_rate = decodes * at_once / max(needs.decode_s, 0.001)
+        prefill_rate = prefills * PREFILL_USE / max(needs.prefill_s, 0.001)
+        return min(decode_rate, prefill_rate)
+
+    def decide(
+        self,
+        service: policy.Service,
+        engines: Sequence[upstreams.Upstream],
+        requests_in_progress: int,
+    ) -> Shift | None:
+        """Returns the engines to move now, None if the stages are balanced.
+
+        Args:
+            service: A service with engines.
+            engines: Its ready engines.
+            requests_in_progress: Requests at its decode engines, with those
+                that wait for one.
+        """
+        needs = self.needs.get(service.name)
+        if needs is None or needs.samples < MIN_SAMPLES:
+            return None
+        by_stage = {
+            stage: [each for each in engines if each.stage is stage]
+            for stage in upstreams.Stage
+        }
+        prefills = len(by_stage[upstreams.Stage.PREFILL])
+        decodes = len(by_stage[upstreams.Stage.DECODE])
+        total = prefills + decodes
+        if total < 2 or not decodes:
+            return None
+        now = self.rate(service, prefills, decodes)
+        best = max(
+            range(1, total),
+            key=lambda count: self.rate(service, count, total - count),
+        )
+        possible = self.rate(service, best, total - best)
+        load = requests_in_progress / max(needs.decode_s, 0.001)
+        gain = possible / now if now > 0 else float("inf")
+        if gain < MIN_GAIN or load < MIN_USE * now or best == prefills:
+            return None
+        source, target = upstreams.Stage.PREFILL, upstreams.Stage.DECODE
+        if best > prefills:
+            source, target = target, source
+        count = min(abs(best - prefills), max(total // 8, 1))
+        chosen = sorted(by_stage[source], key=lambda each: each.id)[:count]
+        return Shift(service.name, tuple(chosen), target, gain)
