--- a/src/coltsfootarch/fleet/reports.py
+++ b/src/coltsfootarch/fleet/reports.py
@@ -44,6 +44,7 @@
         usage: Client account, tokens admitted since the start.
         breaks: Request digest, connections broken while it ran.
         failures: Upstream id, requests that it failed since the start.
+        refusing: Upstream ids that refuse requests at present.
         waiting: Service, requests that wait for its engines.
     """
 
@@ -55,6 +56,7 @@
     usage: list[tuple[str, int]]
     breaks: list[tuple[str, int]]
     failures: list[tuple[str, int]]
+    refusing: list[str]
     waiting: list[tuple[str, int]]
 
 
@@ -157,6 +159,7 @@
             [],
             [],
             [],
+            [],
         )
         for participant in self.participants:
             participant.contribute(report)
--- a/src/coltsfootarch/fleet/stage_orders.py
+++ b/src/coltsfootarch/fleet/stage_orders.py
@@ -17,6 +17,7 @@
     from coltsfootarch.fleet import hosts
     from coltsfootarch.fleet import upstreams
     from coltsfootarch.scheduling import dispatch_queue
+    from coltsfootarch.scheduling import outcomes
     from coltsfootarch.scheduling import stage_balance
 
 CHECK_INTERVAL_S = 0.5
@@ -28,6 +29,8 @@
 # Time between two claims of a service. It covers a change of stage (6 s), an
 # order that is carried out late, and the lease of a holder (3 s).
 CLAIM_GAP_S = 9.0
+# Engines that were ordered to change their stage refuse requests until they have.
+CHANGE_S = 5.0
 # An order is sent only this soon after the claim was asked for, so that it
 # can't meet one of the next holder.
 CLAIM_VALIDITY_S = 1.0
@@ -80,6 +83,7 @@
         peers: The other hosts.
         claims: Durable claims.
         orders: Gives orders to engines.
+        outcomes: Told which engines get no requests meanwhile.
         clock: Source of time.
     """
 
@@ -92,8 +96,10 @@
         peers: hosts.HostDirectory,
         claims: ClaimTable,
         orders: StageOrders,
+        outcomes: outcomes.OutcomeTracker,
         clock: clocks.Clock,
     ) -> None:
+        self.outcomes = outcomes
         self.tracker = tracker
         self.directory = directory
         self.balancer = balancer
@@ -170,6 +176,7 @@
             if age > CLAIM_VALIDITY_S:
                 logger.info("claim for orders lapsed", age_s=round(age, 3))
                 return
+            self.outcomes.rest(engine.id, CHANGE_S)
             answer = self.orders.change_stage(engine, shift.stage, claim)
             logger.info(
                 "stage order given",
--- a/src/coltsfootarch/forwarding/call_pipeline.py
+++ b/src/coltsfootarch/forwarding/call_pipeline.py
@@ -177,7 +177,7 @@
                     call.cancellation.check()
                 self.note_failure(call, sending, error)
                 return attempts.Fate.BROKEN
-        if answer.misdirected:
+        if answer.is_from_other(sending.delivery.upstream):
             self.parts.directory.reject(sending.delivery.upstream.id)
         if answer.not_run:
             return attempts.Fate.NOT_RUN
--- a/src/coltsfootarch/forwarding/calls.py
+++ b/src/coltsfootarch/forwarding/calls.py
@@ -117,7 +117,7 @@
         status: Status code.
         request_id: Request that it answers; empty if it doesn't say.
         not_run: Whether it states that the request was not run.
-        misdirected: Whether another upstream has the address now.
+        answered_by: Id of the upstream that answered; empty if not given.
         leaving: Whether the upstream closes the connection.
         load: Reported load, if any.
         fields: Header fields for the caller.
@@ -126,11 +126,15 @@
     status: int
     request_id: str
     not_run: bool
-    misdirected: bool
+    answered_by: str
     leaving: bool
     load: ReportedLoad | None
     fields: messages.Fields
 
+    def is_from_other(self, upstream: upstreams.Upstream) -> bool:
+        """Returns whether another upstream has the address now."""
+        return self.not_run and self.answered_by not in ("", upstream.id)
+
 
 class CallerProtocol(Protocol):
     """Wire format of callers."""
--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -143,6 +143,7 @@
             self.hosts,
             platform.claims,
             platform.orders,
+            self.parts.tracker,
             clock,
         )
         self.callers = listener.CallerListener(
--- a/src/coltsfootarch/forwarding/generation_pipeline.py
+++ b/src/coltsfootarch/forwarding/generation_pipeline.py
@@ -365,7 +365,7 @@
                 outcome = outcomes.Outcome.SUCCESS
             else:
                 reason = f"status {answer.status}"
-                if answer.misdirected:
+                if answer.is_from_other(engine):
                     self.parts.directory.reject(engine.id)
                 refused = answer.not_run
                 outcome = (
@@ -470,7 +470,7 @@
         answer = sending.read_head(self.silence_limit(generation))
         if not 200 <= answer.status < 300:
             body = sending.read_body(self.silence_limit(generation))
-            if answer.misdirected:
+            if answer.is_from_other(sending.delivery.upstream):
                 self.parts.directory.reject(sending.delivery.upstream.id)
             if answer.not_run:
                 return attempts.Fate.NOT_RUN
--- a/src/coltsfootarch/platform/wire.py
+++ b/src/coltsfootarch/platform/wire.py
@@ -21,6 +21,9 @@
 URGENCY = "X-Request-Priority"
 NOT_RUN = "x-not-executed"
 LOAD = "x-server-load"
+ANSWERED_BY = "x-instance-id"
+# Sent for another instance's requests, but also for those of another stage.
+MISDIRECTED = 421
 
 # Set by this system only, whatever a caller sends.
 RESERVED = frozenset(
@@ -137,13 +140,13 @@
     def decode(self, head: messages.ResponseHead) -> calls.UpstreamAnswer:
         """Returns the head of a runner's answer in the product's terms."""
         dropped = messages.connection_fields(head.fields)
-        misdirected = head.status == 421
         connection = messages.find(head.fields, "connection").lower()
         return calls.UpstreamAnswer(
             status=head.status,
             request_id=messages.find(head.fields, REQUEST_ID.lower()),
-            not_run=misdirected or messages.find(head.fields, NOT_RUN) != "",
-            misdirected=misdirected,
+            not_run=head.status == MISDIRECTED
+            or messages.find(head.fields, NOT_RUN) != "",
+            answered_by=messages.find(head.fields, ANSWERED_BY),
             leaving="close" in connection,
             load=decode_load(messages.find(head.fields, LOAD)),
             fields=tuple(
--- a/src/coltsfootarch/scheduling/engine_placement.py
+++ b/src/coltsfootarch/scheduling/engine_placement.py
@@ -140,7 +140,9 @@
         fitting = [
             engine
             for engine in engines
-            if engine.stage is stage and engine.id not in excluded
+            if engine.stage is stage
+            and engine.id not in excluded
+            and not self.tracker.is_refusing(engine.id)
         ]
         healthy = [
             engine
--- a/src/coltsfootarch/scheduling/outcomes.py
+++ b/src/coltsfootarch/scheduling/outcomes.py
@@ -28,6 +28,11 @@
 PEER_WEIGHT = 0.3
 # Engines are few; one that is back must not stay unused for long.
 LONGEST_EJECTION_S = 4.0
+# After a refusal an upstream gets nothing for this time, which doubles with
+# each further one; a prompt that was read for it is lost each time.
+REFUSAL_REST_S = 0.25
+# A refusal that a peer met holds for this time here.
+PEER_REFUSAL_S = 0.3
 # Failures are reported for this time; it covers several lost reports.
 REPORTED_S = 3.0
 
@@ -56,6 +61,9 @@
         self.failures = 0.0
         self.latency = 0.0
         self.updated_at = 0.0
+        self.refusals = 0
+        self.refuses_until = float("-inf")
+        self.peers_refused_until = float("-inf")
         self.health = health.Health(longest=LONGEST_EJECTION_S)
 
     def decay(self, now: float) -> None:
@@ -96,12 +104,16 @@
         entry.decay(now)
         if outcome is Outcome.SUCCESS:
             entry.successes += 1
+            entry.refusals = 0
             entry.health.succeeded(now)
             weight = 0.2 if entry.latency else 1.0
             entry.latency += weight * (latency_s - entry.latency)
             return
         if outcome is Outcome.REFUSED:
-            # It is full; load, not health.
+            # It is full or changes its stage; that says nothing of its health.
+            entry.refusals += 1
+            rest = REFUSAL_REST_S * 2 ** min(entry.refusals - 1, 3)
+            entry.refuses_until = max(entry.refuses_until, now + rest)
             return
         entry.failures += 1
         if outcome is Outcome.ERROR:
@@ -132,9 +144,29 @@
         if entry is not None:
             entry.health.succeeded(self.clock.monotonic())
 
+    def rest(self, upstream: str, seconds: float) -> None:
+        """Keeps an upstream from getting requests for a time."""
+        entry = self.records.setdefault(upstream, Record())
+        until = self.clock.monotonic() + seconds
+        entry.refuses_until = max(entry.refuses_until, until)
+
+    def is_refusing(self, upstream: str) -> bool:
+        """Returns whether an upstream refused a request just now."""
+        entry = self.records.get(upstream)
+        if entry is None:
+            return False
+        now = self.clock.monotonic()
+        return now < max(entry.refuses_until, entry.peers_refused_until)
+
     def contribute(self, report: reports.Report) -> None:
         """Adds failures of the last seconds; see `reports.Participant`."""
-        oldest = self.clock.monotonic() - REPORTED_S
+        now = self.clock.monotonic()
+        report.refusing.extend(
+            upstream
+            for upstream, entry in self.records.items()
+            if now < entry.refuses_until
+        )
+        oldest = now - REPORTED_S
         report.failures.extend(
             (upstream, count)
             for upstream, count in self.reported.items()
@@ -143,6 +175,10 @@
 
     def absorb(self, report: reports.Report, continuous: bool) -> None:
         """Takes failures that a peer met; see `reports.Participant`."""
+        now = self.clock.monotonic()
+        for upstream in report.refusing:
+            entry = self.records.setdefault(upstream, Record())
+            entry.peers_refused_until = now + PEER_REFUSAL_S
         known = self.peers.get(report.host, {})
         current = dict(report.failures)
         self.peers[report.host] = current
--- a/src/coltsfootarch/scheduling/stage_balance.py
+++ b/src/coltsfootarch/scheduling/stage_balance.py
@@ -25,6 +25,10 @@
 # A move costs an engine for several seconds, so that it must raise the
 # rate that can be borne by this factor.
 MIN_GAIN = 1.25
+# Without enough prefill engines decode engines read prompts themselves, so that
+# engines are moved there for a larger gain only, and only in larger services.
+MIN_GAIN_TO_PREFILL = 2.0
+MIN_ENGINES_TO_PREFILL = 6
 # Engines are only moved while the scarcer stage is used to this part.
 MIN_USE = 0.5
 # Part of a prefill engine's time that can be planned: prompts arrive unevenly.
@@ -152,6 +156,8 @@
             return None
         source, target = upstreams.Stage.PREFILL, upstreams.Stage.DECODE
         if best > prefills:
+            if gain < MIN_GAIN_TO_PREFILL or total < MIN_ENGINES_TO_PREFILL:
+                return None
             source, target = target, source
         count = min(abs(best - prefills), max(total // 8, 1))
         chosen = sorted(by_stage[source], key=lambda each: each.id)[:count]
