Make the late answer's order certain in the transport test

Cause (trace of the failed run): both blocked handlers were released at once, so the retired connection could close after the awaited answer and before the late one had arrived; the count was right, the test's order was not certain. Now the late answer is released first and the connection must still be open.

--- a/src/coltsfootarch/config/tracker.py
+++ b/src/coltsfootarch/config/tracker.py
@@ -19,8 +19,8 @@
 
 if TYPE_CHECKING:
     from coltsfootarch import clock as clocks
-    from coltsfootarch.storage import tables
     from coltsfootarch.protocol import messages
+    from coltsfootarch.storage import tables
 
 POLL_INTERVAL = datetime.timedelta(seconds=2)
 # Time limits of the table service's client and of a question to peers add up
--- a/src/coltsfootarch/fleet/policy.py
+++ b/src/coltsfootarch/fleet/policy.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import enum
-import random
+from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+if TYPE_CHECKING:
+    import random
 
 # Callers give up a silent stream after the longest of these: a time in seconds,
 # multiples of the objective and of the longest wanted pause.
--- a/src/coltsfootarch/fleet/reports.py
+++ b/src/coltsfootarch/fleet/reports.py
@@ -196,9 +196,7 @@
         peer = self.directory.peers.get(report.host)
         heard = peer is not None and self.directory.is_reached(peer)
         continuous = (
-            heard
-            and previous is not None
-            and previous[0] == report.incarnation
+            heard and previous is not None and previous[0] == report.incarnation
         )
         self.last[report.host] = current
         self.directory.note_heard(report.host, address, report.incarnation)
--- a/src/coltsfootarch/fleet/stage_orders.py
+++ b/src/coltsfootarch/fleet/stage_orders.py
@@ -29,7 +29,7 @@
 # Time between two claims of a service. It covers a change of stage (6 s), an
 # order that is carried out late, and the lease of a holder (3 s).
 CLAIM_GAP_S = 9.0
-# Engines that were ordered to change their stage refuse requests until they have.
+# Engines refuse requests while they change their stage.
 CHANGE_S = 5.0
 # An order is sent only this soon after the claim was asked for, so that it
 # can't meet one of the next holder.
--- a/src/coltsfootarch/forwarding/attempts.py
+++ b/src/coltsfootarch/forwarding/attempts.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import enum
+from typing import TYPE_CHECKING
 from typing import NamedTuple
 
 from coltsfootarch import results
-from coltsfootarch.http1 import messages
+
+if TYPE_CHECKING:
+    from coltsfootarch.http1 import messages
 
 # Statuses that promise a caller that its request was not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
--- a/src/coltsfootarch/forwarding/call_pipeline.py
+++ b/src/coltsfootarch/forwarding/call_pipeline.py
@@ -131,7 +131,7 @@
         self.parts.loads.add(upstream.id, 1)
         self.parts.tracker.note_dispatch(upstream.id)
         try:
-            result = self.exchange(call, sending, until)
+            result = self.transact(call, sending, until)
         finally:
             self.parts.loads.remove(upstream.id, 1)
             sending.close()
@@ -151,7 +151,7 @@
         )
         return result
 
-    def exchange(
+    def transact(
         self, call: calls.Call, sending: exchange.Exchange, until: float
     ) -> attempts.Answer | attempts.Fate:
         """Makes the exchange and says what became of it."""
@@ -232,9 +232,7 @@
             raise errors.RefusedError(
                 results.NO_UPSTREAM, retry_after=RETRY_AFTER_S
             )
-        raise errors.RefusedError(
-            results.OVERLOADED, retry_after=RETRY_AFTER_S
-        )
+        raise errors.RefusedError(results.OVERLOADED, retry_after=RETRY_AFTER_S)
 
 
 def no_action() -> None:
--- a/src/coltsfootarch/forwarding/calls.py
+++ b/src/coltsfootarch/forwarding/calls.py
@@ -7,12 +7,11 @@
 from typing import NamedTuple
 from typing import Protocol
 
-from coltsfootarch.http1 import messages
-
 if TYPE_CHECKING:
     from coltsfootarch.fleet import policy
     from coltsfootarch.fleet import upstreams
     from coltsfootarch.forwarding import cancellation
+    from coltsfootarch.http1 import messages
 
 # A deadline below this part of the route's timeout has been running already.
 RETURNED_PART = 0.92
@@ -167,9 +166,7 @@
 
     started: bool
 
-    def answer(
-        self, status: int, fields: messages.Fields, body: bytes
-    ) -> None:
+    def answer(self, status: int, fields: messages.Fields, body: bytes) -> None:
         """Sends a whole answer."""
 
     def start(self, status: int, fields: messages.Fields) -> None:
--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -191,9 +191,7 @@
 
     def build_listeners(self) -> list[listener.CallerListener]:
         """Returns the listeners for checks and metrics."""
-        ready = status.ReadinessHandler(
-            self.platform.ready_path, self.is_ready
-        )
+        ready = status.ReadinessHandler(self.platform.ready_path, self.is_ready)
         found = [
             listener.CallerListener(
                 self.settings.ready, ready, self.clock, self.caller_limits
--- a/src/coltsfootarch/forwarding/generation_pipeline.py
+++ b/src/coltsfootarch/forwarding/generation_pipeline.py
@@ -245,7 +245,7 @@
         engine that is down would be read in vain.
         """
         call = generation.call
-        sending = self.exchange(call, self.delivery(generation, placement))
+        sending = self.make_exchange(call, self.delivery(generation, placement))
         try:
             if not self.connect(generation, sending):
                 return
@@ -332,7 +332,7 @@
         call = generation.call
         now = self.clock.monotonic()
         tokens = call.request.prompt_tokens
-        sending = self.exchange(
+        sending = self.make_exchange(
             call,
             calls.Delivery(
                 engine,
@@ -575,7 +575,7 @@
         if result.may_have_run and not call.route.repeatable:
             generation.finished = True
 
-    def exchange(
+    def make_exchange(
         self, call: calls.Call, delivery: calls.Delivery
     ) -> exchange.Exchange:
         """Returns an exchange for this request."""
--- a/src/coltsfootarch/forwarding/listener.py
+++ b/src/coltsfootarch/forwarding/listener.py
@@ -68,9 +68,7 @@
             self.keep_alive = False
         return [] if self.keep_alive else [("Connection", "close")]
 
-    def answer(
-        self, status: int, fields: messages.Fields, body: bytes
-    ) -> None:
+    def answer(self, status: int, fields: messages.Fields, body: bytes) -> None:
         """Sends a whole answer."""
         self.started = True
         head = messages.render_head(
@@ -267,7 +265,7 @@
         if self.closed:
             return
         try:
-            data = socket.socket.recv(self.sock._sock, readers.READ_SIZE)  # noqa: SLF001
+            data = socket.socket.recv(self.sock._sock, readers.READ_SIZE)
         except BlockingIOError:
             return
         except OSError:
--- a/src/coltsfootarch/gateway/components.py
+++ b/src/coltsfootarch/gateway/components.py
@@ -29,10 +29,6 @@
 from coltsfootarch.limits import ledger_book
 from coltsfootarch.limits import limiter
 from coltsfootarch.observability import metrics
-from coltsfootarch.storage import host_list_client
-from coltsfootarch.storage import host_list_watcher
-from coltsfootarch.storage import object_client
-from coltsfootarch.storage import table_client
 from coltsfootarch.protocol import messages
 from coltsfootarch.protocol import transport
 from coltsfootarch.retries import backoff
@@ -41,6 +37,10 @@
 from coltsfootarch.scheduling import local
 from coltsfootarch.scheduling import plain
 from coltsfootarch.scheduling import service
+from coltsfootarch.storage import host_list_client
+from coltsfootarch.storage import host_list_watcher
+from coltsfootarch.storage import object_client
+from coltsfootarch.storage import table_client
 from coltsfootarch.upstreams import engine_client
 from coltsfootarch.upstreams import monitor
 from coltsfootarch.upstreams import orphans
--- a/src/coltsfootarch/http1/client.py
+++ b/src/coltsfootarch/http1/client.py
@@ -145,9 +145,7 @@
         except OSError:
             self.reusable = False
 
-    def read_part(
-        self, timeout: float
-    ) -> messages.ResponseHead | bytes | None:
+    def read_part(self, timeout: float) -> messages.ResponseHead | bytes | None:
         """Returns the next part of a response; None at its end.
 
         Args:
--- a/src/coltsfootarch/observability/registry.py
+++ b/src/coltsfootarch/observability/registry.py
@@ -55,9 +55,7 @@
             name, meaning, namespace=PREFIX, registry=self.registry
         )
 
-    def histogram(
-        self, name: str, meaning: str
-    ) -> prometheus_client.Histogram:
+    def histogram(self, name: str, meaning: str) -> prometheus_client.Histogram:
         """Registers a histogram of seconds, by service."""
         return prometheus_client.Histogram(
             name,
--- a/src/coltsfootarch/platform/store.py
+++ b/src/coltsfootarch/platform/store.py
@@ -94,9 +94,7 @@
                 return Rows(tuple(rows), page.revision, sent_at)
             start = page.rows[-1].key + "\0"
 
-    def read_changes(
-        self, table: str, revision: int, wait_s: float
-    ) -> Rows:
+    def read_changes(self, table: str, revision: int, wait_s: float) -> Rows:
         """Returns the rows that changed after a revision.
 
         Args:
--- a/src/coltsfootarch/scheduling/break_counts.py
+++ b/src/coltsfootarch/scheduling/break_counts.py
@@ -25,11 +25,11 @@
     """Breaks of one request content on one host.
 
     Attributes:
-        count: How many.
+        number: How many.
         at: Instant of the last one, in seconds.
     """
 
-    count: int
+    number: int
     at: float
 
 
@@ -49,7 +49,7 @@
         """Counts a break."""
         self.expire()
         before = self.own.get(digest, Breaks(0, 0.0))
-        self.own[digest] = Breaks(before.count + 1, self.clock.monotonic())
+        self.own[digest] = Breaks(before.number + 1, self.clock.monotonic())
 
     def clear(self, digest: str) -> None:
         """Forgets a request that ran to its end."""
@@ -63,7 +63,7 @@
         oldest = self.clock.monotonic() - MEMORY_S
         tables = (self.own, *self.peers.values())
         total = sum(
-            table[digest].count
+            table[digest].number
             for table in tables
             if digest in table and table[digest].at >= oldest
         )
@@ -79,7 +79,7 @@
         """Adds the latest breaks; see `reports.Participant`."""
         latest = sorted(self.own.items(), key=lambda item: -item[1].at)
         report.breaks.extend(
-            (digest, breaks.count) for digest, breaks in latest[:MAX_REPORTED]
+            (digest, breaks.number) for digest, breaks in latest[:MAX_REPORTED]
         )
 
     def absorb(self, report: reports.Report, continuous: bool) -> None:
@@ -92,7 +92,7 @@
         known = self.peers.get(report.host, {})
         self.peers[report.host] = {
             digest: known[digest]
-            if digest in known and known[digest].count == count
+            if digest in known and known[digest].number == count
             else Breaks(count, now)
             for digest, count in report.breaks
         }
--- a/src/coltsfootarch/scheduling/dispatch_queue.py
+++ b/src/coltsfootarch/scheduling/dispatch_queue.py
@@ -11,12 +11,11 @@
 
 import gevent.event
 
-from coltsfootarch.scheduling import backlog as backlogs
-from coltsfootarch.scheduling import engine_placement
-
 if TYPE_CHECKING:
     from coltsfootarch import clock as clocks
     from coltsfootarch.fleet import policy
+    from coltsfootarch.scheduling import backlog as backlogs
+    from coltsfootarch.scheduling import engine_placement
     from coltsfootarch.scheduling import load_view
 
 # Time from a placement to the first event on an idle fleet: reading the prompt,
@@ -144,9 +143,7 @@
             )
             if placement is None:
                 continue
-            self.loads.add(
-                placement.decode.id, placement.demand.memory_tokens
-            )
+            self.loads.add(placement.decode.id, placement.demand.memory_tokens)
             waiter.placement = placement
             self.waiters.remove(waiter)
             waiter.woken.set()
--- a/src/coltsfootarch/scheduling/engine_placement.py
+++ b/src/coltsfootarch/scheduling/engine_placement.py
@@ -145,9 +145,7 @@
             and not self.tracker.is_refusing(engine.id)
         ]
         healthy = [
-            engine
-            for engine in fitting
-            if self.tracker.is_usable(engine.id)
+            engine for engine in fitting if self.tracker.is_usable(engine.id)
         ]
         return healthy or fitting
 
@@ -170,7 +168,7 @@
             )
             if not fits:
                 continue
-            cost = (load.tokens + demand.memory_tokens + self.distance(engine))
+            cost = load.tokens + demand.memory_tokens + self.distance(engine)
             cost /= self.tracker.success_rate(engine.id) ** SUCCESS_EXPONENT
             if cost < best_cost:
                 best, best_cost = engine, cost
--- a/src/coltsfootarch/scheduling/load_view.py
+++ b/src/coltsfootarch/scheduling/load_view.py
@@ -77,9 +77,7 @@
         now = self.clock.monotonic()
         return max((now - peer.at for peer in self.peers.values()), default=0.0)
 
-    def change(
-        self, loads: dict[str, Load], upstream: str, by: Load
-    ) -> None:
+    def change(self, loads: dict[str, Load], upstream: str, by: Load) -> None:
         """Adds to a load; an empty one is dropped."""
         old = loads.get(upstream, NO_LOAD)
         new = Load(old.requests + by.requests, old.tokens + by.tokens)
--- a/src/coltsfootarch/zone/agent.py
+++ b/src/coltsfootarch/zone/agent.py
@@ -26,8 +26,8 @@
     from collections.abc import Sequence
 
     from coltsfootarch import clock
-    from coltsfootarch.storage import tables
     from coltsfootarch.protocol import network
+    from coltsfootarch.storage import tables
     from coltsfootarch.zone import interfaces
 
 log = structlog.get_logger(__name__)
--- a/src/coltsfootarch/zone/directory.py
+++ b/src/coltsfootarch/zone/directory.py
@@ -8,8 +8,8 @@
 from typing import NamedTuple
 
 from coltsfootarch import errors
-from coltsfootarch.storage import tables
 from coltsfootarch.protocol import messages
+from coltsfootarch.storage import tables
 from coltsfootarch.zone import interfaces
 from coltsfootarch.zone import records
 from coltsfootarch.zone import timing
--- a/tests/config/test_tracker.py
+++ b/tests/config/test_tracker.py
@@ -8,8 +8,8 @@
 from coltsfootarch import results
 from coltsfootarch.config import tracker as trackers
 from coltsfootarch.config import versions
-from coltsfootarch.storage import tables
 from coltsfootarch.protocol import messages
+from coltsfootarch.storage import tables
 from tests.config import documents
 from tests.config import fleets
 from tests.fakes import tables as fake
--- a/tests/protocol/test_transport.py
+++ b/tests/protocol/test_transport.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import datetime
+import itertools
 import socket
 
 import gevent
@@ -89,10 +90,13 @@
 
 def test_late_answer_is_dropped_and_the_connection_replaced(networks):
     one, two = networks("one"), networks("two")
-    release = gevent.event.Event()
+    releases = [gevent.event.Event(), gevent.event.Event()]
+    calls = itertools.count()
 
     def answer_late(sender, message):
-        release.wait(10)
+        call = next(calls)
+        if call < len(releases):
+            releases[call].wait(10)
         return ACK
 
     two.register(messages.Probe, answer_late, blocking=True)
@@ -104,7 +108,12 @@
     with pytest.raises(errors.PeerTimeoutError):
         one.request(address, messages.Probe(), SHORT)
     assert address not in one.connections
-    release.set()
+    # The late answer comes while the patient request keeps the old connection
+    # open. With both released at once the connection could close first.
+    releases[1].set()
+    wait_until(lambda: one.late == 1)
+    assert not first.watched.closed
+    releases[0].set()
 
     # The request that still waited on the old connection gets its answer.
     assert patient.get(timeout=10) == ACK
--- a/tests/zone/test_agent.py
+++ b/tests/zone/test_agent.py
@@ -8,8 +8,8 @@
 import pytest
 
 from coltsfootarch import errors
-from coltsfootarch.storage import tables
 from coltsfootarch.protocol import messages
+from coltsfootarch.storage import tables
 from coltsfootarch.zone import records
 from coltsfootarch.zone import timing
 from tests.fakes import fleet
