--- a/src/coltsfootarch/platform/wire.py
+++ b/src/coltsfootarch/platform/wire.py
@@ -91,9 +91,14 @@
 
 
 def decode_size(value: str) -> tuple[int, int]:
-    """Returns prompt tokens and the maximum of generated tokens."""
-    prompt, _, output = value.partition(",")
-    return decode_whole(prompt.strip()), decode_whole(output.strip())
+    """Returns prompt tokens and the maximum of generated tokens.
+
+    A value that isn't two whole numbers counts as no declared size.
+    """
+    parts = [part.strip() for part in value.split(",")]
+    if len(parts) != 2 or not all(part.isdecimal() for part in parts):
+        return 0, 0
+    return decode_whole(parts[0]), decode_whole(parts[1])
 
 
 class CallerWire:
--- /dev/null
+++ b/standins/http.py
@@ -0,0 +1,144 @@
+"""HTTP server for stand-ins that must be able to misbehave on the wire."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import struct
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+import gevent
+from gevent import socket as gevent_socket
+
+from coltsfootarch import clock as clocks
+from coltsfootarch.http1 import client
+from coltsfootarch.http1 import messages
+from coltsfootarch.http1 import readers
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+MAX_BYTES = 64 * 1024 * 1024
+
+
+class Connection:
+    """A connection of a client; handlers write raw bytes to it."""
+
+    def __init__(self, sock: gevent_socket.socket) -> None:
+        self.sock = sock
+        self.open = True
+        self.on_close: Callable[[], object] | None = None
+
+    def send(self, data: bytes) -> None:
+        self.sock.sendall(data)
+
+    def answer(
+        self,
+        status: int,
+        fields: tuple[tuple[str, str], ...] = (),
+        body: bytes = b"",
+    ) -> None:
+        length = ("Content-Length", str(len(body)))
+        head = messages.render_head(
+            messages.status_line(status), [*fields, length]
+        )
+        self.send(head + body)
+
+    def chunk(self, data: bytes) -> None:
+        self.send(b"%x\r\n%b\r\n" % (len(data), data))
+
+    def close(self) -> None:
+        self.open = False
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RDWR)
+        self.sock.close()
+
+    def reset(self) -> None:
+        """Closes with a reset instead of an orderly end."""
+        self.open = False
+        with contextlib.suppress(OSError):
+            self.sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+        self.sock.close()
+
+
+class Handler(Protocol):
+    """Answers requests."""
+
+    def handle(
+        self, request: messages.Request, connection: Connection
+    ) -> None: ...
+
+
+class Server:
+    """Accepts connections and hands whole requests to a handler."""
+
+    def __init__(self, handler: Handler, address: str = "127.0.0.1:0") -> None:
+        self.handler = handler
+        self.clock = clocks.SystemClock()
+        self.connections: set[Connection] = set()
+        self.accepted = 0
+        self.sock = gevent_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.bind(client.split_address(address))
+        self.acceptor: gevent.Greenlet | None = None
+
+    @property
+    def address(self) -> str:
+        host, port = self.sock.getsockname()
+        return f"{host}:{port}"
+
+    def start(self) -> None:
+        self.sock.listen(256)
+        self.acceptor = gevent.spawn(self.accept_all)
+
+    def accept_all(self) -> None:
+        while True:
+            sock, _ = self.sock.accept()
+            self.accepted += 1
+            gevent.spawn(self.serve, sock)
+
+    def serve(self, sock: gevent_socket.socket) -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection = Connection(sock)
+        self.connections.add(connection)
+        reader = readers.RequestReader(MAX_BYTES, MAX_BYTES)
+        worker: gevent.Greenlet | None = None
+        try:
+            while connection.open:
+                data = sock.recv(readers.READ_SIZE)
+                if not data:
+                    break
+                reader.feed(data, self.clock.monotonic())
+                while reader.complete:
+                    if worker is not None:
+                        worker.join()
+                    worker = gevent.spawn(
+                        self.handle, reader.complete.popleft(), connection
+                    )
+        except (OSError, readers.MalformedMessageError):
+            pass
+        finally:
+            connection.open = False
+            if connection.on_close is not None:
+                connection.on_close()
+            self.connections.discard(connection)
+            connection.close()
+
+    def handle(
+        self, request: messages.Request, connection: Connection
+    ) -> None:
+        with contextlib.suppress(OSError):
+            self.handler.handle(request, connection)
+
+    def close_connections(self) -> None:
+        for connection in tuple(self.connections):
+            connection.close()
+
+    def close(self) -> None:
+        if self.acceptor is not None:
+            self.acceptor.kill()
+        self.sock.close()
+        self.close_connections()
--- /dev/null
+++ b/standins/runner.py
@@ -0,0 +1,290 @@
+"""Stand-in of a runner on the users' platform: plain service or model engine.
+
+    python -m standins.runner --listen 127.0.0.1:7100 --store 127.0.0.1:7000 \
+        --id i-1 --service app
+
+It notes what it runs and can misbehave; a test sets the attributes, another
+process calls `POST /standin/set` and reads `GET /standin/runs`.
+"""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+import click
+import gevent
+import msgspec
+
+from coltsfootarch import clock as clocks
+from coltsfootarch.http1 import client
+from coltsfootarch.http1 import messages
+from standins import http
+
+HEARTBEAT_S = 1.2
+
+
+class Runner:
+    """Runs requests and remembers them."""
+
+    def __init__(
+        self,
+        runner_id: str,
+        service: str,
+        stage: str | None = None,
+        address: str = "127.0.0.1:0",
+        zone: str = "north",
+    ) -> None:
+        self.server = http.Server(self, address)
+        self.id = runner_id
+        self.service = service
+        self.stage = stage
+        self.zone = zone
+        self.state = "ready"
+        self.slots = 8
+        self.running = 0
+        self.runs: list[dict[str, Any]] = []
+        self.ended: list[tuple[str, str]] = []
+        self.handles: dict[str, str] = {}
+        self.freed: list[str] = []
+        self.orders: list[dict[str, Any]] = []
+        # Faults and behaviour.
+        self.fault = ""
+        self.work_s = 0.0
+        self.events = 4
+        self.event_gap_s = 0.0
+        self.status = 200
+
+    @property
+    def address(self) -> str:
+        return self.server.address
+
+    def start(self) -> None:
+        self.server.start()
+
+    def close(self) -> None:
+        self.server.close()
+
+    def registration(self) -> dict[str, Any]:
+        entry: dict[str, Any] = {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self.slots,
+            "state": self.state,
+            "cold_remaining_ms": 0,
+            "sequence": len(self.orders),
+        }
+        if self.stage:
+            entry["stage"] = self.stage
+            entry["models"] = [{"name": "m", "version": 1, "adapters": []}]
+        return entry
+
+    def handle(
+        self, request: messages.Request, connection: http.Connection
+    ) -> None:
+        fields = {name.lower(): value for name, value in request.fields}
+        if request.target == "/standin/set":
+            for name, value in msgspec.json.decode(request.body).items():
+                setattr(self, name, value)
+            connection.answer(200)
+        elif request.target == "/standin/runs":
+            connection.answer(200, (), msgspec.json.encode(self.runs))
+        elif request.target.startswith("/api/kv-handle/"):
+            self.freed.append(request.target.rpartition("/")[2])
+            connection.answer(200)
+        elif request.target == "/api/order":
+            self.orders.append(msgspec.json.decode(request.body))
+            self.stage = self.orders[-1]["stage"]
+            connection.answer(202)
+        else:
+            self.serve(request, fields, connection)
+
+    def serve(
+        self,
+        request: messages.Request,
+        fields: dict[str, str],
+        connection: http.Connection,
+    ) -> None:
+        request_id = fields.get("x-request-id", "")
+        expected = fields.get("x-expect-instance")
+        if expected is not None and expected != self.id:
+            connection.answer(421, (("X-Instance-Id", self.id),))
+            return
+        if self.fault == "mute":
+            return
+        if self.fault == "full" or self.running >= self.slots:
+            connection.answer(503, (("X-Not-Executed", "1"),))
+            return
+        prefill = fields.get("x-stage") == "prefill"
+        if prefill != (self.stage == "prefill"):
+            connection.answer(421, (("X-Instance-Id", self.id),))
+            return
+        if prefill:
+            self.prefill(request_id, connection)
+            return
+        self.note(request, fields)
+        self.running += 1
+        connection.on_close = lambda: self.end(request_id, "closed")
+        try:
+            if self.stage == "decode":
+                self.generate(request_id, fields, connection)
+            else:
+                self.call(request_id, connection)
+        finally:
+            self.running -= 1
+            connection.on_close = None
+
+    def note(self, request: messages.Request, fields: dict[str, str]) -> None:
+        self.runs.append(
+            {
+                "id": fields.get("x-request-id", ""),
+                "target": request.target,
+                "method": request.method,
+                "body": request.body.decode("latin-1"),
+                "fields": fields,
+                "at": time.monotonic(),
+            }
+        )
+
+    def end(self, request_id: str, how: str) -> None:
+        self.ended.append((request_id, how))
+
+    def prefill(self, request_id: str, connection: http.Connection) -> None:
+        gevent.sleep(self.work_s)
+        handle = f"h{len(self.handles)}{self.id}"
+        self.handles[handle] = request_id
+        body = {"handle": handle, "tokens": 10, "version": 1}
+        connection.answer(
+            200,
+            (
+                ("X-Request-Id", request_id),
+                ("Content-Type", "application/json"),
+            ),
+            msgspec.json.encode(body),
+        )
+
+    def answer_fields(self, request_id: str) -> tuple[tuple[str, str], ...]:
+        return (
+            ("X-Request-Id", request_id),
+            ("X-Server-Seal", f"seal-{self.id}-{request_id}"),
+            ("X-Server-Load", f"{self.running},0,{self.slots}"),
+        )
+
+    def call(self, request_id: str, connection: http.Connection) -> None:
+        gevent.sleep(self.work_s)
+        body = f"answer of {self.id} to {request_id}".encode()
+        fields = self.answer_fields(request_id)
+        if self.fault == "reset":
+            connection.reset()
+        elif self.fault == "cut":
+            length = ("Content-Length", str(len(body) + 10))
+            head = messages.status_line(200)
+            connection.send(messages.render_head(head, [*fields, length]))
+            connection.send(body)
+            connection.close()
+        elif self.fault == "extra":
+            connection.answer(200, self.answer_fields("stray"), b"stray")
+            connection.answer(self.status, fields, body)
+        elif self.fault == "garbage":
+            connection.send(b"\x00\x01 this is no HTTP\r\n\r\n")
+        else:
+            connection.answer(self.status, fields, body)
+        self.end(request_id, "answered")
+
+    def generate(
+        self,
+        request_id: str,
+        fields: dict[str, str],
+        connection: http.Connection,
+    ) -> None:
+        start = int(fields.get("last-event-id") or 0) + 1
+        if self.fault == "hang":
+            while connection.open:
+                gevent.sleep(0.01)
+            return
+        head = [
+            *self.answer_fields(request_id),
+            ("Content-Type", "text/event-stream"),
+            ("Transfer-Encoding", "chunked"),
+        ]
+        connection.send(messages.render_head(messages.status_line(200), head))
+        for number in range(start, self.events + 1):
+            gevent.sleep(self.event_gap_s)
+            if not connection.open:
+                return
+            data = f"id: {number}\ndata: token {number}\n\n".encode()
+            if self.fault == "crash" and number == 3:
+                connection.chunk(data[:8])
+                connection.reset()
+                self.end(request_id, "crashed")
+                return
+            if self.fault == "stall" and number == 3:
+                while connection.open:
+                    gevent.sleep(0.01)
+                return
+            connection.chunk(data)
+        connection.send(b"0\r\n\r\n")
+        self.end(request_id, "answered")
+
+
+def register_forever(runner: Runner, store: str) -> None:
+    """Writes the runner's registration at each heartbeat."""
+    clock = clocks.SystemClock()
+    while True:
+        body = msgspec.json.encode(
+            {
+                "table": "servers",
+                "key": runner.id,
+                "value": msgspec.json.encode(runner.registration()).decode(),
+            }
+        )
+        head = messages.render_head(
+            "POST /standin/put HTTP/1.1",
+            [("Host", store), ("Content-Length", str(len(body)))],
+        )
+        connection = client.Connection(store, clock)
+        try:
+            connection.start(1.0)
+            connection.send(head, body, 1.0)
+            connection.read_part(1.0)
+        except (
+            client.ConnectError,
+            client.BrokenConnectionError,
+            client.ResponseTimeoutError,
+        ):
+            pass
+        finally:
+            connection.close()
+        gevent.sleep(HEARTBEAT_S)
+
+
+@click.command()
+@click.option("--listen", required=True)
+@click.option("--store", required=True)
+@click.option("--id", "runner_id", required=True)
+@click.option("--service", required=True)
+@click.option("--stage", type=click.Choice(["prefill", "decode"]))
+@click.option("--zone", default="north")
+@click.option("--work", default=0.01, help="Seconds for a call or a prompt.")
+def main(
+    listen: str,
+    store: str,
+    runner_id: str,
+    service: str,
+    stage: str | None,
+    zone: str,
+    work: float,
+) -> None:
+    """Run a runner until it is killed."""
+    runner = Runner(runner_id, service, stage, listen, zone)
+    runner.work_s = work
+    runner.event_gap_s = work
+    runner.start()
+    gevent.spawn(register_forever, runner, store)
+    gevent.wait()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/fleet/test_followers.py
@@ -0,0 +1,150 @@
+"""Guards against stale policies, lost changes and endless outages."""
+
+from __future__ import annotations
+
+import datetime
+
+import gevent
+import pytest
+
+from coltsfootarch import errors
+from coltsfootarch.fleet import followers
+from coltsfootarch.fleet import upstreams
+from tests.fleet import builders
+
+
+class Source:
+    """Answers with what a test queued; remembers the calls."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.calls = []
+
+    def next(self):
+        answer = self.answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    def read(self):
+        self.calls.append("read")
+        return self.next()
+
+    def read_changes(self, revision, wait_s):
+        self.calls.append(revision)
+        return self.next()
+
+
+def reading(version, revision=1, sent_at=0.0, readable=True):
+    found = builders.make_policy(version) if version else None
+    return followers.PolicyReading(found, revision, sent_at, readable)
+
+
+@pytest.fixture
+def tracker(manual_clock):
+    return followers.PolicyTracker(manual_clock)
+
+
+def test_older_version_never_replaces_a_newer_one(tracker):
+    tracker.apply(reading(7))
+    tracker.apply(reading(5))
+
+    assert tracker.policy.version == 7
+
+
+def test_confirmation_counts_from_the_call_s_start(tracker, manual_clock):
+    now = manual_clock.monotonic()
+    tracker.apply(reading(1, sent_at=now - 1.5))
+
+    assert tracker.age() == 1.5
+    assert tracker.wait_confirmed(now - 2, 0)
+    assert not tracker.wait_confirmed(now - 1, 0)
+
+
+def test_unreadable_policy_confirms_nothing(tracker, manual_clock):
+    tracker.apply(reading(1, sent_at=manual_clock.monotonic()))
+    manual_clock.advance(datetime.timedelta(seconds=9))
+
+    tracker.apply(
+        reading(None, sent_at=manual_clock.monotonic(), readable=False)
+    )
+
+    assert tracker.age() == 9
+    assert tracker.policy.version == 1
+
+
+def test_answer_without_changes_confirms_the_version(tracker, manual_clock):
+    tracker.apply(reading(1, sent_at=manual_clock.monotonic()))
+    manual_clock.advance(datetime.timedelta(seconds=9))
+
+    tracker.apply(reading(None, sent_at=manual_clock.monotonic()))
+
+    assert tracker.age() == 0
+
+
+def test_suspended_host_has_no_fresh_confirmation(tracker, manual_clock):
+    tracker.apply(reading(1, sent_at=manual_clock.monotonic()))
+    # The clock counts suspended time.
+    manual_clock.advance(datetime.timedelta(seconds=30))
+
+    assert tracker.age() == 30
+
+
+def test_whole_read_follows_lost_history(tracker, manual_clock):
+    source = Source(
+        reading(1, revision=3),
+        errors.HistoryLostError(),
+        reading(2, revision=9),
+    )
+    follower = followers.PolicyFollower(source, tracker, manual_clock)
+
+    greenlet = gevent.spawn(follower.run)
+    while len(source.calls) < 4:
+        gevent.sleep(0.01)
+    greenlet.kill()
+
+    assert source.calls[:4] == ["read", 3, "read", 9]
+    assert tracker.policy.version == 2
+
+
+def test_outage_keeps_the_place_in_the_history(tracker, manual_clock):
+    source = Source(
+        reading(1, revision=3),
+        errors.TableUnavailableError(),
+        reading(2, revision=4),
+    )
+    follower = followers.PolicyFollower(source, tracker, manual_clock)
+
+    greenlet = gevent.spawn(follower.run)
+    while len(source.calls) < 4:
+        gevent.sleep(0.01)
+    greenlet.kill()
+
+    assert source.calls[:4] == ["read", 3, 3, 4]
+
+
+def test_unexpected_error_doesn_t_end_the_follower(tracker, manual_clock):
+    source = Source(ValueError("bug"), reading(1), reading(2))
+    follower = followers.PolicyFollower(source, tracker, manual_clock)
+
+    greenlet = gevent.spawn(follower.run)
+    while tracker.policy is None:
+        gevent.sleep(0.01)
+    greenlet.kill()
+
+    assert tracker.policy.version >= 1
+
+
+def test_upstream_changes_are_applied(manual_clock):
+    one = builders.plain("i-1")
+    source = Source(
+        followers.UpstreamReading({"i-1": one}, (), 1, 0.0),
+        followers.UpstreamReading({}, ("i-1",), 2, 0.0),
+    )
+    directory = upstreams.UpstreamDirectory(manual_clock)
+    follower = followers.UpstreamFollower(source, directory, manual_clock)
+
+    follower.step()
+    assert directory.candidates("app") == [one]
+    follower.step()
+    assert directory.candidates("app") == []
--- /dev/null
+++ b/tests/fleet/test_hosts.py
@@ -0,0 +1,90 @@
+"""Guards against shares of limits that add up to more than the limit."""
+
+from __future__ import annotations
+
+import datetime
+
+import pytest
+
+from coltsfootarch.fleet import hosts
+
+
+def seconds(number):
+    return datetime.timedelta(seconds=number)
+
+
+def record(name, renewals=0):
+    return hosts.HostRecord(
+        name, f"10.0.0.{name[1:]}:7500", "north", 1, renewals
+    )
+
+
+@pytest.fixture
+def directory(manual_clock):
+    found = hosts.HostDirectory(record("h1"), manual_clock)
+    found.apply([record(f"h{number}") for number in range(1, 5)])
+    return found
+
+
+def hear(directory, *names):
+    for name in names:
+        directory.note_heard(name, record(name).address, 1)
+
+
+def test_host_alone_with_unheard_peers_has_its_part_only(directory):
+    assert directory.share() == 0.25
+
+
+def test_separated_groups_together_stay_within_the_limit(
+    directory, manual_clock
+):
+    hear(directory, "h2")
+    here = directory.share()
+
+    other = hosts.HostDirectory(record("h3"), manual_clock)
+    other.apply([record(f"h{number}") for number in range(1, 5)])
+    other.note_heard("h4", record("h4").address, 1)
+
+    assert here + other.share() <= 1.0
+
+
+def test_all_heard_is_the_whole_limit(directory):
+    hear(directory, "h2", "h3", "h4")
+
+    assert directory.share() == 1.0
+
+
+def test_host_that_neither_reports_nor_renews_keeps_no_part(
+    directory, manual_clock
+):
+    manual_clock.advance(seconds(hosts.RENEWAL_VALIDITY_S + 1))
+    hear(directory, "h2", "h3")
+
+    assert directory.share() == 1.0
+    assert directory.count() == 3
+
+
+def test_renewing_host_keeps_its_part_unheard(directory, manual_clock):
+    manual_clock.advance(seconds(hosts.RENEWAL_VALIDITY_S + 1))
+    hear(directory, "h2", "h3")
+    directory.apply(
+        [record("h1"), record("h2"), record("h3"), record("h4", renewals=2)]
+    )
+
+    assert directory.share() == 0.75
+
+
+def test_unknown_host_that_reports_counts(directory):
+    directory.note_heard("h9", "10.0.0.9:7500", 1)
+
+    assert "h9" in directory.peers
+    assert directory.count() == 5
+
+
+def test_rows_without_an_owner_are_found_for_removal(directory, manual_clock):
+    manual_clock.advance(seconds(hosts.REMOVAL_S + 1))
+    hear(directory, "h2")
+
+    directory.apply([record(f"h{number}") for number in range(1, 5)])
+
+    assert directory.stale == ["h3", "h4"]
--- /dev/null
+++ b/tests/fleet/test_policy.py
@@ -0,0 +1,81 @@
+"""Guards against requests that take another route than the operator's."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from coltsfootarch.fleet import policy
+from tests.fleet import builders
+
+ROUTES = (
+    builders.route(name="root", prefix="/"),
+    builders.route(name="short", prefix="/a/"),
+    builders.route(name="long", prefix="/a/b/"),
+    builders.route(name="other", host="two.example", prefix="/a/"),
+)
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "name"),
+    [
+        ("api.example", "/a/b/c", "long"),
+        ("api.example", "/a/b/", "long"),
+        ("api.example", "/a/b", "short"),
+        ("API.example", "/a/x/y/z", "short"),
+        ("api.example:8080", "/a/x", "short"),
+        ("api.example", "/ab/c", "root"),
+        ("two.example", "/a/b/c", "other"),
+        ("two.example", "/b/", None),
+        ("three.example", "/a/", None),
+        ("api.example", "a/b", None),
+    ],
+)
+def test_longest_prefix_of_the_host_wins(host, path, name):
+    found = builders.make_policy(routes=ROUTES).find_route(host, path)
+
+    assert (found.name if found else None) == name
+
+
+def test_services_are_drawn_by_weight():
+    targets = (policy.Target("one", 90.0), policy.Target("two", 10.0))
+    route = builders.route(targets=targets)
+    generator = random.Random(1)
+
+    drawn = [route.choose_service(generator) for _ in range(1000)]
+
+    assert 850 < drawn.count("one") < 950
+
+
+def test_targets_without_weight_are_never_drawn():
+    targets = (policy.Target("one", 0.0), policy.Target("two", 10.0))
+    route = builders.route(targets=targets)
+
+    drawn = {route.choose_service(random.Random(n)) for n in range(50)}
+
+    assert drawn == {"two"}
+
+
+@pytest.mark.parametrize(
+    ("repeat", "resumable", "expected"),
+    [
+        (policy.Repeat.IDEMPOTENT, False, True),
+        (policy.Repeat.NON_IDEMPOTENT, False, False),
+        (policy.Repeat.NON_IDEMPOTENT, True, False),
+        (policy.Repeat.STREAM, False, False),
+        (policy.Repeat.STREAM, True, True),
+    ],
+)
+def test_only_idempotent_requests_and_resumable_streams_are_repeated(
+    repeat, resumable, expected
+):
+    route = builders.route(repeat=repeat, resumable=resumable)
+
+    assert route.repeatable is expected
+
+
+def test_patience_is_the_longest_of_its_parts():
+    assert builders.route(objective_s=0.9, event_gap_s=0.3).patience_s == 3.6
+    assert builders.route(objective_s=0.1, event_gap_s=0.5).patience_s == 4.0
+    assert builders.route(objective_s=0.1, event_gap_s=0.1).patience_s == 2.0
--- /dev/null
+++ b/tests/fleet/test_upstreams.py
@@ -0,0 +1,77 @@
+"""Guards against requests to upstreams that left, and upstreams lost."""
+
+from __future__ import annotations
+
+import datetime
+
+from coltsfootarch.fleet import upstreams
+from tests.fleet import builders
+
+SHORT = datetime.timedelta(seconds=0.9)
+OUTAGE = datetime.timedelta(seconds=5)
+REREGISTRATION = datetime.timedelta(seconds=upstreams.REREGISTRATION_S)
+
+
+def names(directory):
+    return {upstream.id for upstream in directory.candidates("app")}
+
+
+def test_draining_upstream_gets_no_new_requests(manual_clock):
+    one = builders.plain("i-1")
+    directory = builders.directory(manual_clock, one)
+
+    directory.update([one._replace(ready=False)], [])
+
+    assert names(directory) == set()
+    assert not directory.is_serving("i-1")
+
+
+def test_removed_upstream_is_gone_at_once_in_normal_operation(manual_clock):
+    directory = builders.directory(
+        manual_clock, builders.plain("i-1"), builders.plain("i-2")
+    )
+    manual_clock.advance(SHORT)
+
+    directory.update([], ["i-1"])
+
+    assert names(directory) == {"i-2"}
+
+
+def test_entries_missing_after_an_outage_have_time_to_return(manual_clock):
+    one = builders.plain("i-1")
+    directory = builders.directory(manual_clock, one, builders.plain("i-2"))
+    manual_clock.advance(OUTAGE)
+
+    directory.replace({})
+    assert names(directory) == {"i-1", "i-2"}
+
+    manual_clock.advance(SHORT)
+    directory.update([one], [])
+    manual_clock.advance(REREGISTRATION)
+    directory.expire()
+    assert names(directory) == {"i-1"}
+
+
+def test_address_with_another_instance_is_avoided(manual_clock):
+    one = builders.plain("i-1")
+    directory = builders.directory(manual_clock, one)
+
+    directory.reject("i-1")
+
+    assert names(directory) == set()
+    # A new registration of the same identity counts again.
+    directory.update([one._replace(address="10.0.0.9:80")], [])
+    assert names(directory) == {"i-1"}
+
+
+def test_listeners_hear_of_changes_only(manual_clock):
+    one = builders.plain("i-1")
+    directory = builders.directory(manual_clock, one)
+    heard = []
+    directory.on_change.append(lambda: heard.append(1))
+
+    directory.update([one], [])
+    assert not heard
+
+    directory.update([one._replace(ready=False)], [])
+    assert heard
--- /dev/null
+++ b/tests/limits/test_shared_bucket.py
@@ -0,0 +1,148 @@
+"""Guards against accounts that get more than their limit over all hosts."""
+
+from __future__ import annotations
+
+import datetime
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies
+
+from coltsfootarch import clock as clocks
+from coltsfootarch.fleet import reports
+from coltsfootarch.limits import shared_bucket
+from tests.fleet import builders
+
+ACCOUNT = builders.account(rate=1000.0, burst=5000.0)
+
+
+def seconds(number):
+    return datetime.timedelta(seconds=number)
+
+
+def report(host, usage):
+    return reports.Report(1, host, 1, 1, [], list(usage), [], [], [], [])
+
+
+def report_of(buckets, host):
+    found = report(host, [])
+    buckets.contribute(found)
+    return found
+
+
+@pytest.fixture
+def buckets(manual_clock):
+    return shared_bucket.SharedBuckets(manual_clock, lambda: 1.0)
+
+
+def test_new_process_starts_empty_and_refills(buckets, manual_clock):
+    assert buckets.take(ACCOUNT, 1000) == pytest.approx(1.0)
+
+    manual_clock.advance(seconds(1))
+
+    assert buckets.take(ACCOUNT, 1000) == 0.0
+    assert buckets.take(ACCOUNT, 1) > 0
+
+
+def test_burst_is_the_most_that_is_saved(buckets, manual_clock):
+    manual_clock.advance(seconds(1000))
+
+    assert buckets.take(ACCOUNT, 5000) == 0.0
+    assert buckets.take(ACCOUNT, 1) > 0
+
+
+def test_account_without_a_rate_is_not_limited(buckets):
+    assert buckets.take(ACCOUNT._replace(rate=0.0), 10**9) == 0.0
+
+
+def test_tokens_of_a_request_that_was_not_run_return(buckets, manual_clock):
+    manual_clock.advance(seconds(5))
+    buckets.take(ACCOUNT, 5000)
+
+    buckets.give_back(ACCOUNT, 5000)
+
+    assert buckets.take(ACCOUNT, 5000) == 0.0
+
+
+def test_what_a_peer_admits_is_no_longer_there(buckets, manual_clock):
+    manual_clock.advance(seconds(5))
+    buckets.absorb(report("h2", [("acme", 100)]), False)
+
+    buckets.absorb(report("h2", [("acme", 4100)]), True)
+
+    assert buckets.take(ACCOUNT, 1001) > 0
+    assert buckets.take(ACCOUNT, 1000) == 0.0
+
+
+def test_total_is_not_counted_twice(buckets, manual_clock):
+    manual_clock.advance(seconds(5))
+    for _ in range(3):
+        buckets.absorb(report("h2", [("acme", 4000)]), True)
+
+    assert buckets.take(ACCOUNT, 1000) == 0.0
+
+
+def test_use_during_a_gap_was_covered_by_the_peer_s_part(buckets, manual_clock):
+    manual_clock.advance(seconds(5))
+    buckets.absorb(report("h2", [("acme", 100)]), True)
+    buckets.absorb(report("h2", [("acme", 9999)]), False)
+
+    assert buckets.take(ACCOUNT, 4800) == 0.0
+
+
+def test_separated_host_has_its_part_only(manual_clock):
+    buckets = shared_bucket.SharedBuckets(manual_clock, lambda: 0.25)
+    manual_clock.advance(seconds(1000))
+
+    assert buckets.take(ACCOUNT, 1251) > 0
+    assert buckets.take(ACCOUNT, 1250) == 0.0
+    manual_clock.advance(seconds(1))
+    assert buckets.take(ACCOUNT, 251) > 0
+    assert buckets.take(ACCOUNT, 250) == 0.0
+
+
+def test_overdraft_is_bounded_and_paid_back(manual_clock):
+    buckets = shared_bucket.SharedBuckets(manual_clock, lambda: 1.0, 2000.0)
+    manual_clock.advance(seconds(5))
+
+    assert buckets.take(ACCOUNT, 7000) == 0.0
+    manual_clock.advance(seconds(1))
+    assert buckets.take(ACCOUNT, 1001) > 0
+    assert buckets.take(ACCOUNT, 1000) == 0.0
+
+
+STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.integers(0, 2),  # Host.
+        strategies.integers(1, 3000),  # Tokens.
+        strategies.floats(0.0, 0.4),  # Seconds before it.
+    ),
+    max_size=60,
+)
+
+
+@given(STEPS)
+def test_all_hosts_together_stay_within_rate_and_burst(steps):
+    """Reports arrive after each step; the bound allows one step's excess."""
+    clock = clocks.ManualClock()
+    hosts = [shared_bucket.SharedBuckets(clock, lambda: 1.0) for _ in range(3)]
+    for number, buckets in enumerate(hosts):
+        for other in range(3):
+            if other != number:
+                buckets.absorb(report(f"h{other}", []), False)
+    admitted = []
+    start = clock.monotonic()
+    for host, tokens, pause in steps:
+        clock.advance(seconds(pause))
+        if hosts[host].take(ACCOUNT, tokens) == 0.0:
+            admitted.append((clock.monotonic() - start, tokens))
+        shared = report_of(hosts[host], f"h{host}")
+        for number, buckets in enumerate(hosts):
+            if number != host:
+                buckets.absorb(shared, True)
+
+    for first, (began, _) in enumerate(admitted):
+        total = 0
+        for at, tokens in admitted[first:]:
+            total += tokens
+            assert total <= 5000 + 1000 * (at - began) + 1e-6
--- /dev/null
+++ b/tests/platform/test_registrations.py
@@ -0,0 +1,58 @@
+"""Guards against registrations that name an upstream they shouldn't."""
+
+from __future__ import annotations
+
+import pytest
+
+from coltsfootarch.fleet import upstreams
+from coltsfootarch.platform import decoding
+from coltsfootarch.platform import registrations
+from tests.platform import documents
+
+
+def decode(**changes):
+    value = documents.encoded(documents.registration(**changes))
+    return registrations.decode("i-1", value)
+
+
+def test_registration_becomes_an_upstream():
+    upstream = decode(stage="decode", born=17, state="draining")
+
+    assert upstream == upstreams.Upstream(
+        "i-1",
+        "app",
+        "127.0.0.1:8080",
+        "north",
+        False,
+        8,
+        upstreams.Stage.DECODE,
+        17,
+    )
+
+
+def test_heartbeats_that_change_nothing_else_are_equal():
+    assert decode(sequence=1, cold_remaining_ms=5) == decode(sequence=2)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"service": None},
+        {"service": 3},
+        {"address": "nowhere"},
+        {"address": 8080},
+        {"state": "resting"},
+        {"stage": "dreaming"},
+        {"slots": "eight"},
+        {"zone": None},
+    ],
+)
+def test_entries_of_other_writers_name_no_upstream(changes):
+    with pytest.raises(decoding.UnreadableDocumentError):
+        decode(**changes)
+
+
+@pytest.mark.parametrize("value", [b"", b"\x80\x81", b"[]", b"null"])
+def test_bytes_that_are_no_entry_name_no_upstream(value):
+    with pytest.raises(decoding.UnreadableDocumentError):
+        registrations.decode("i-1", value)
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,153 @@
+"""Guards against a store client that guesses, hangs or misreads."""
+
+from __future__ import annotations
+
+import gevent
+import pytest
+
+from coltsfootarch import clock as clocks
+from coltsfootarch import errors
+from coltsfootarch.fleet import hosts
+from coltsfootarch.platform import feeds
+from coltsfootarch.platform import orders
+from coltsfootarch.platform import store
+from standins import metadata_store
+from tests.platform import documents
+
+
+@pytest.fixture
+def server():
+    server = metadata_store.MetadataStore()
+    server.start()
+    yield server
+    server.close()
+
+
+@pytest.fixture
+def client(server):
+    client = store.StoreClient(server.address, clocks.SystemClock())
+    yield client
+    client.close()
+
+
+def test_long_tables_are_read_in_pages(server, client, monkeypatch):
+    monkeypatch.setattr(store, "ROWS_PER_CALL", 2)
+    for number in range(5):
+        server.put("servers", f"i-{number}", b"{}")
+
+    rows = client.read_table("servers")
+
+    assert [row.key for row in rows.rows] == [f"i-{n}" for n in range(5)]
+    assert rows.revision == 5
+
+
+def test_waiting_call_returns_with_the_change(server, client):
+    revision = server.put("op", "config", b"1")
+    waiting = gevent.spawn(client.read_changes, "op", revision, 5.0)
+    gevent.sleep(0.05)
+    server.put("op", "config", b"2")
+
+    rows = waiting.get(timeout=2)
+
+    assert [row.value for row in rows.rows] == [b"2"]
+
+
+def test_removed_rows_are_told_from_empty_ones(server, client):
+    server.put("servers", "i-1", b"")
+    server.put("servers", "i-1", None)
+
+    values = [row.value for row in client.read_changes("servers", 0, 0).rows]
+
+    assert values == [b"", None]
+
+
+def test_lost_history_is_an_error_of_its_own(server, client):
+    server.put("op", "config", b"1")
+    server.put("op", "config", b"2")
+    server.forget_history()
+
+    with pytest.raises(errors.HistoryLostError):
+        client.read_changes("op", 1, 0)
+
+
+@pytest.mark.parametrize("mode", ["silent", "busy", "reset"])
+def test_store_in_trouble_is_unavailable_and_recovers(server, client, mode):
+    server.put("op", "config", b"1")
+    client.read_table("op")
+    server.mode = mode
+
+    with pytest.raises(errors.TableUnavailableError):
+        client.read_table("op")
+
+    server.mode = "serve"
+    assert client.read_table("op").revision == 1
+
+
+def test_conditional_write_fails_if_the_row_changed(server, client):
+    revision = server.put("t", "row", b"1")
+
+    assert client.replace_row("t", "row", b"2", revision)
+    assert not client.replace_row("t", "row", b"3", revision)
+    assert client.read_row("t", "row")[0].value == b"2"
+
+
+def test_write_whose_answer_is_lost_is_not_taken_for_done(server, client):
+    server.lose_answers = True
+
+    with pytest.raises(errors.TableUnavailableError):
+        client.replace_row("t", "row", b"1", 0)
+
+
+def test_unreadable_configuration_leaves_the_one_before(server, client):
+    feed = feeds.PolicyFeed(client)
+    server.put("op", "config", documents.encoded(documents.configuration(3)))
+    first = feed.read()
+    server.put("op", "config", b"\xff")
+
+    second = feed.read_changes(first.revision, 0)
+
+    assert first.policy.version == 3
+    assert second.policy is None
+    assert not second.readable
+
+
+def test_unreadable_registrations_don_t_hide_the_others(server, client):
+    good = documents.encoded(documents.registration())
+    server.put("servers", "i-1", good)
+    server.put("servers", "i-2", b"\x00\x01")
+    server.put("servers", "i-3", good)
+
+    reading = feeds.UpstreamFeed(client).read()
+
+    assert set(reading.found) == {"i-1", "i-3"}
+
+
+def test_hosts_find_each_other_through_rows(client):
+    table = feeds.HostTable(client)
+    record = hosts.HostRecord("h1", "10.0.0.1:7500", "north", 5, 1)
+
+    table.write(record)
+
+    assert table.read() == [record]
+    table.remove("h1")
+    assert table.read() == []
+
+
+def test_one_claim_at_a_time_with_growing_fences(server, client):
+    claims = orders.ClaimTable(client, clocks.SystemClock())
+
+    first = claims.claim("llm", "h1", gap_s=60)
+    second = claims.claim("llm", "h2", gap_s=60)
+    third = claims.claim("llm", "h2", gap_s=0)
+
+    assert (first.fence, first.holder) == (1, "h1")
+    assert second is None
+    assert (third.fence, third.holder) == (2, "h2")
+
+
+def test_claim_whose_answer_is_lost_is_not_used(server, client):
+    claims = orders.ClaimTable(client, clocks.SystemClock())
+    server.lose_answers = True
+
+    with pytest.raises(errors.TableUnavailableError):
+        claims.claim("llm", "h1", gap_s=0)
--- /dev/null
+++ b/tests/scheduling/test_engine_placement.py
@@ -0,0 +1,111 @@
+"""Guards against full engines, prompts read in vain and herds of requests."""
+
+from __future__ import annotations
+
+import pytest
+
+from coltsfootarch.scheduling import engine_placement
+from coltsfootarch.scheduling import load_view
+from coltsfootarch.scheduling import outcomes
+from tests.fleet import builders
+
+
+@pytest.fixture
+def parts(manual_clock):
+    directory = builders.directory(
+        manual_clock,
+        builders.decode("d-1"),
+        builders.decode("d-2"),
+        builders.prefill("p-1"),
+        builders.prefill("p-2"),
+    )
+    loads = load_view.LoadView(manual_clock)
+    tracker = outcomes.OutcomeTracker(manual_clock)
+    placer = engine_placement.EnginePlacer(directory, loads, tracker, "north")
+    return placer, loads, tracker
+
+
+def place(placer, tokens=2000, excluded=()):
+    demand = engine_placement.Demand(1000, tokens)
+    return placer.place(builders.LLM, demand, excluded)
+
+
+def test_emptiest_engines_of_each_stage_are_chosen(parts):
+    placer, loads, _ = parts
+    loads.add("d-1", 3000)
+    loads.add("p-2", 1000)
+
+    placement = place(placer)
+
+    assert (placement.decode.id, placement.prefill.id) == ("d-2", "p-1")
+
+
+def test_memory_decides_before_slots(parts):
+    placer, loads, _ = parts
+    loads.add("d-1", 9000)
+    for _ in range(5):
+        loads.add("d-2", 100)
+
+    assert place(placer).decode.id == "d-2"
+
+
+def test_no_placement_without_memory_or_slots(parts):
+    placer, loads, _ = parts
+    loads.add("d-1", 9000)
+    for _ in range(8):
+        loads.add("d-2", 1)
+
+    assert place(placer) is None
+    # A small one still fits into memory where a slot is free.
+    assert place(placer, tokens=100).decode.id == "d-1"
+
+
+def test_request_larger_than_the_plan_runs_on_an_empty_engine(parts):
+    placer, _, _ = parts
+
+    assert place(placer, tokens=9900) is not None
+
+
+def test_failed_engines_are_excluded(parts):
+    placer, _, _ = parts
+
+    assert place(placer, excluded={"d-1"}).decode.id == "d-2"
+    assert place(placer, excluded={"d-1", "d-2"}) is None
+
+
+def test_without_prefill_engines_the_decode_engine_reads(parts):
+    placer, _, _ = parts
+
+    placement = place(placer, excluded={"p-1", "p-2"})
+
+    assert placement.prefill is None
+    assert placement.decode is not None
+
+
+def test_refusing_engine_waits_even_if_it_is_the_only_one(parts):
+    """Each try would read a prompt in vain."""
+    placer, loads, tracker = parts
+    loads.add("d-2", 9000)
+    tracker.record("d-1", outcomes.Outcome.REFUSED)
+
+    assert place(placer) is None
+
+
+def test_ejected_engine_is_used_only_when_there_is_no_other(parts):
+    placer, _, tracker = parts
+    tracker.record("d-1", outcomes.Outcome.ABSENT)
+
+    assert place(placer).decode.id == "d-2"
+    assert place(placer, excluded={"d-2"}).decode.id == "d-1"
+
+
+@pytest.mark.parametrize(
+    ("output", "likely", "expected"),
+    [(1000, 0, 1600), (1000, 500, 1330), (1000, 5000, 1600)],
+)
+def test_estimate_uses_the_caller_s_hint_up_to_the_maximum(
+    output, likely, expected
+):
+    demand = engine_placement.estimate(1000, output, likely)
+
+    assert demand == engine_placement.Demand(1000, expected)
--- /dev/null
+++ b/tests/scheduling/test_stage_balance.py
@@ -0,0 +1,72 @@
+"""Guards against engines that idle in one stage while the other is full."""
+
+from __future__ import annotations
+
+import pytest
+
+from coltsfootarch.fleet import upstreams
+from coltsfootarch.scheduling import stage_balance
+from tests.fleet import builders
+
+BUSY = 1000
+
+
+def engines(prefills, decodes):
+    return [
+        *(builders.prefill(f"p-{number}") for number in range(prefills)),
+        *(builders.decode(f"d-{number}") for number in range(decodes)),
+    ]
+
+
+def balancer(prefill_s=0.1, decode_s=3.0, memory=1000, samples=20):
+    """Each decode engine bears 8 requests at once, 2.7 a second."""
+    found = stage_balance.StageBalancer()
+    for _ in range(samples):
+        found.note("llm", prefill_s, decode_s, memory)
+    return found
+
+
+def test_idle_prefill_engine_moves_when_decode_engines_are_lost():
+    shift = balancer().decide(builders.LLM, engines(2, 2), BUSY)
+
+    assert shift.stage is upstreams.Stage.DECODE
+    assert [engine.id for engine in shift.engines] == ["p-0"]
+    assert shift.gain == pytest.approx(1.5)
+
+
+def test_nothing_moves_without_load():
+    assert balancer().decide(builders.LLM, engines(2, 2), 2) is None
+
+
+def test_nothing_moves_for_a_small_gain():
+    assert balancer().decide(builders.LLM, engines(2, 5), BUSY) is None
+
+
+def test_last_prefill_engine_stays():
+    assert balancer().decide(builders.LLM, engines(1, 1), BUSY) is None
+
+
+def test_nothing_moves_before_requests_were_seen():
+    few = balancer(samples=1)
+
+    assert few.decide(builders.LLM, engines(2, 1), BUSY) is None
+
+
+def test_small_service_keeps_its_decode_engines():
+    """A decode engine that moves refuses requests for seconds."""
+    long_prompts = balancer(prefill_s=2.0, decode_s=0.5)
+
+    assert long_prompts.decide(builders.LLM, engines(1, 3), BUSY) is None
+
+
+def test_large_service_gets_prefill_engines_for_long_prompts():
+    long_prompts = balancer(prefill_s=2.0, decode_s=1.0)
+
+    shift = long_prompts.decide(builders.LLM, engines(2, 22), BUSY)
+
+    assert shift.stage is upstreams.Stage.PREFILL
+    assert len(shift.engines) == 3
+
+
+def test_engines_of_another_state_aren_t_counted():
+    assert balancer().decide(builders.LLM, engines(2, 0), BUSY) is None
