Read registrations once for all hosts; compare two upstreams in large fleets

Ruled out: processor time (2.4% of a core). A read by a peer is only taken over while its reports are continuous.

--- a/src/coltsfootarch/fleet/followers.py
+++ b/src/coltsfootarch/fleet/followers.py
@@ -20,12 +20,21 @@
     from coltsfootarch.fleet import upstreams
 
 # A call for policy changes waits this long in the store. It also confirms the
-# policy, whose age must stay well below the limit for withdrawn keys (5 s).
-POLICY_WAIT_S = 1.5
+# policy, whose age must stay below the limit for withdrawn keys (5 s).
+POLICY_WAIT_S = 2.8
+# A call that waits for changes can miss those of the last second before its
+# history is dropped, so that it confirms the policy up to then only.
+FEED_GAP_S = 1.2
 # Registrations change with every heartbeat, so that a waiting call would end
 # at once. They are read at this interval, half of the time in which a leaving
 # upstream must get no more requests (2 s).
 UPSTREAM_INTERVAL_S = 0.9
+# The first hosts by name read more often and report it at once, so that the
+# others needn't read. Two of them, since one can lose the store unnoticed.
+READERS = 2
+READER_INTERVAL_S = 0.5
+# Hosts look this often whether a peer has read the same or newer entries.
+LOOK_INTERVAL_S = 0.1
 # Pause after a failed call: doubles up to the limit.
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.5
@@ -226,6 +235,7 @@
         source: Where policies come from.
         tracker: Takes them.
         clock: Source of time.
+        wait_s: Longest time that a call waits for a change, in seconds.
     """
 
     def __init__(
@@ -233,8 +243,10 @@
         source: PolicySource,
         tracker: PolicyTracker,
         clock: clocks.Clock,
+        wait_s: float = POLICY_WAIT_S,
     ) -> None:
         super().__init__("policy", clock)
+        self.wait_s = wait_s
         self.source = source
         self.tracker = tracker
 
@@ -243,7 +255,16 @@
         if self.revision is None:
             reading = self.source.read()
         else:
-            reading = self.source.read_changes(self.revision, POLICY_WAIT_S)
+            # After an outage the policy is confirmed without a wait.
+            wait = 0.0 if self.failing_since is not None else self.wait_s
+            reading = self.source.read_changes(self.revision, wait)
+            if reading.policy is None and wait > FEED_GAP_S:
+                # Without a change the store answers after the whole wait.
+                waited = self.clock.monotonic() - reading.sent_at
+                known = min(wait, waited) - FEED_GAP_S
+                reading = reading._replace(
+                    sent_at=reading.sent_at + max(known, 0.0)
+                )
         self.revision = reading.revision
         self.tracker.apply(reading)
         return 0.0 if self.tracker.policy is not None else RETRY_MIN_S
@@ -256,6 +277,8 @@
         source: Where registrations come from.
         directory: Takes them.
         clock: Source of time.
+        rank: Returns the place of this host among the reached ones.
+        on_read: Called after each read, to report it to the other hosts.
     """
 
     def __init__(
@@ -263,18 +286,30 @@
         source: UpstreamSource,
         directory: upstreams.UpstreamDirectory,
         clock: clocks.Clock,
+        rank: Callable[[], int] = lambda: 0,
+        on_read: Callable[[], object] = lambda: None,
     ) -> None:
         super().__init__("upstreams", clock)
+        self.rank = rank
+        self.on_read = on_read
         self.source = source
         self.directory = directory
 
     def step(self) -> float:
-        """Reads once; see `Follower`."""
+        """Reads if no peer has read the same; see `Follower`."""
         if self.revision is None:
             reading = self.source.read()
             self.directory.replace(reading.found)
-        else:
+            self.revision = reading.revision
+        elif self.directory.outdated or self.directory.age() >= self.due_s():
             reading = self.source.read_changes(self.revision, 0.0)
             self.directory.update(reading.found.values(), reading.removed)
-        self.revision = reading.revision
+            self.revision = reading.revision
+            self.on_read()
+        return LOOK_INTERVAL_S
+
+    def due_s(self) -> float:
+        """Returns the age of the entries at which they are read again."""
+        if self.rank() < READERS:
+            return READER_INTERVAL_S
         return UPSTREAM_INTERVAL_S
--- a/src/coltsfootarch/fleet/hosts.py
+++ b/src/coltsfootarch/fleet/hosts.py
@@ -15,9 +15,13 @@
     from coltsfootarch import clock as clocks
 
 # Interval of renewing this host's row and reading those of the others.
-RENEWAL_INTERVAL_S = 5.0
+RENEWAL_INTERVAL_S = 10.0
 # A host that renewed its row this recently may be serving unheard.
-RENEWAL_VALIDITY_S = 12.0
+RENEWAL_VALIDITY_S = 25.0
+# While all known hosts are heard, rows are read only with each of so many
+# renewals; new hosts make themselves heard.
+RENEWALS_PER_READ = 4
+RENEWALS_AT_START = 2
 # A host that was heard this recently counts as reached. Reports come at least
 # every half second.
 HEARD_S = 1.2
@@ -138,6 +142,17 @@
                 unheard += 1
         return (1 + reached) / (1 + reached + unheard)
 
+    def all_reached(self) -> bool:
+        """Returns whether every known peer was heard lately."""
+        return all(map(self.is_reached, self.peers.values()))
+
+    def rank(self) -> int:
+        """Returns how many reached hosts come before this one by name."""
+        return sum(
+            name < self.own.name and self.is_reached(peer)
+            for name, peer in self.peers.items()
+        )
+
     def count(self) -> int:
         """Returns how many hosts may be serving, this one included."""
         now = self.clock.monotonic()
@@ -198,6 +213,13 @@
         own = self.directory.own
         self.directory.own = own._replace(renewals=own.renewals + 1)
         self.registry.write(self.directory.own)
+        renewals = self.directory.own.renewals
+        if (
+            renewals > RENEWALS_AT_START
+            and renewals % RENEWALS_PER_READ
+            and self.directory.all_reached()
+        ):
+            return
         self.directory.apply(self.registry.read())
         for name in self.directory.stale[:1]:
             self.registry.remove(name)
--- a/src/coltsfootarch/fleet/reports.py
+++ b/src/coltsfootarch/fleet/reports.py
@@ -28,6 +28,9 @@
 MAX_DATAGRAMS_PER_S = 80.0
 MAX_INTERVAL_S = 0.5
 MAX_DATAGRAM_BYTES = 60000
+# Pause between two batches of datagrams, and the size of a batch.
+BATCH_INTERVAL_S = 0.03
+MAX_BATCH = 500
 
 logger = structlog.get_logger(__name__)
 
@@ -46,6 +49,8 @@
         failures: Upstream id, requests that it failed since the start.
         refusing: Upstream ids that refuse requests at present.
         waiting: Service, requests that wait for its engines.
+        directory: Digest of the registered upstreams.
+        directory_age_ms: Time since they were read from the table service.
     """
 
     version: int
@@ -58,13 +63,15 @@
     failures: list[tuple[str, int]]
     refusing: list[str]
     waiting: list[tuple[str, int]]
+    directory: int = 0
+    directory_age_ms: int = -1
 
 
 class Participant(Protocol):
     """A part of the host whose state is reported."""
 
-    def contribute(self, report: Report) -> None:
-        """Adds this host's state to a report."""
+    def contribute(self, report: Report) -> Report:
+        """Returns a report with this host's state added."""
 
     def absorb(self, report: Report, continuous: bool) -> None:
         """Takes a peer's state.
@@ -162,18 +169,35 @@
             [],
         )
         for participant in self.participants:
-            participant.contribute(report)
+            report = participant.contribute(report)
         return msgspec.msgpack.encode(report)
 
     def receive_all(self, sock: gevent_socket.socket) -> None:
-        """Receives reports until the greenlet is killed."""
+        """Receives reports until the greenlet is killed.
+
+        Datagrams are read in batches: a wake-up for each would cost more than
+        reading it.
+        """
         while True:
+            self.receive_waiting(sock)
+            gevent.sleep(BATCH_INTERVAL_S)
+            try:
+                gevent_socket.wait_read(sock.fileno())
+            except OSError as error:
+                logger.warning("reports can't be read", reason=str(error))
+                return
+
+    def receive_waiting(self, sock: gevent_socket.socket) -> None:
+        """Takes the datagrams that have arrived."""
+        for _ in range(MAX_BATCH):
             try:
-                data, address = sock.recvfrom(MAX_DATAGRAM_BYTES)
+                # The plain socket below gevent's doesn't wait.
+                data, address = sock._sock.recvfrom(MAX_DATAGRAM_BYTES)
+            except BlockingIOError:
+                return
             except OSError as error:
                 # An ICMP error of an earlier datagram; the peer is down.
                 logger.debug("report not delivered", reason=str(error))
-                gevent.sleep(INTERVAL_S)
                 continue
             self.receive(data, f"{address[0]}:{address[1]}")
 
--- a/src/coltsfootarch/fleet/stage_orders.py
+++ b/src/coltsfootarch/fleet/stage_orders.py
@@ -150,19 +150,11 @@
                 self.needed_since.pop(service.name, None)
                 continue
             since = self.needed_since.setdefault(service.name, now)
-            if now - since >= MIN_NEED_S + self.rank() * RANK_DELAY_S:
+            if now - since >= MIN_NEED_S + self.peers.rank() * RANK_DELAY_S:
                 self.needed_since.pop(service.name, None)
                 self.resting_until[service.name] = now + CLAIM_GAP_S
                 self.give(shift)
 
-    def rank(self) -> int:
-        """Returns how many reached hosts come before this one."""
-        name = self.peers.own.name
-        return sum(
-            other < name and self.peers.is_reached(peer)
-            for other, peer in self.peers.peers.items()
-        )
-
     def give(self, shift: stage_balance.Shift) -> None:
         """Claims the right to give orders and gives them."""
         claim = self.claims.claim(
--- a/src/coltsfootarch/fleet/upstreams.py
+++ b/src/coltsfootarch/fleet/upstreams.py
@@ -7,18 +7,24 @@
 from typing import NamedTuple
 
 import structlog
+import xxhash
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
 
     from coltsfootarch import clock as clocks
+    from coltsfootarch.fleet import reports
 
 # After an outage of the table service live upstreams register again within
 # about this time, in seconds; until then a missing entry proves nothing.
 REREGISTRATION_S = 2.0
+# Reads that are older than this are not reported.
+MAX_REPORTED_AGE_S = 1.0
+# Longest usual time between sending a report and reading it, in seconds.
+DELIVERY_S = 0.1
 # A read that comes this long after the one before counts as after an outage.
-OUTAGE_S = 1.2
+OUTAGE_S = 2.5
 
 logger = structlog.get_logger(__name__)
 
@@ -69,6 +75,8 @@
         self.rejected: set[str] = set()
         self.read_at = float("-inf")
         self.grace_until = float("-inf")
+        self.digest = 0
+        self.outdated = False
         self.on_change: list[Callable[[], object]] = []
 
     def replace(self, entries: dict[str, Upstream]) -> None:
@@ -96,6 +104,7 @@
     def note_read(self) -> None:
         """Starts the time for registering again after an outage."""
         now = self.clock.monotonic()
+        self.outdated = False
         if self.upstreams and now - self.read_at > OUTAGE_S:
             self.grace_until = now + REREGISTRATION_S
         self.read_at = now
@@ -141,9 +150,41 @@
             if upstream.ready:
                 groups.setdefault(upstream.service, []).append(upstream)
         self.by_service = groups
+        seed = repr(sorted(self.upstreams.values(), key=lambda each: each.id))
+        self.digest = xxhash.xxh64_intdigest(seed.encode())
         for notify in self.on_change:
             notify()
 
+    def age(self) -> float:
+        """Returns the seconds since a read showed this state."""
+        return self.clock.monotonic() - self.read_at
+
+    def contribute(self, report: reports.Report) -> reports.Report:
+        """Adds a digest of the entries; see `reports.Participant`."""
+        age = self.age()
+        if not self.upstreams or age > MAX_REPORTED_AGE_S:
+            return report
+        return report._replace(
+            directory=self.digest, directory_age_ms=int(age * 1000)
+        )
+
+    def absorb(self, report: reports.Report, continuous: bool) -> None:
+        """Compares with a peer's digest; see `reports.Participant`.
+
+        A peer that has just read the same entries saves this host a read. One
+        that has read others makes it read at once.
+        """
+        if report.directory_age_ms < 0 or not continuous:
+            return
+        age = report.directory_age_ms / 1000 + DELIVERY_S
+        read_at = self.clock.monotonic() - age
+        if read_at <= self.read_at:
+            return
+        if report.directory == self.digest:
+            self.read_at = read_at
+        else:
+            self.outdated = True
+
     def candidates(self, service: str) -> list[Upstream]:
         """Returns the upstreams of a service that take new requests."""
         return [
--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -34,6 +34,7 @@
 from coltsfootarch.scheduling import engine_placement
 from coltsfootarch.scheduling import load_view
 from coltsfootarch.scheduling import outcomes
+from coltsfootarch.scheduling import sampling
 from coltsfootarch.scheduling import stage_balance
 
 if TYPE_CHECKING:
@@ -57,9 +58,12 @@
 # the hosts' copies of a bucket. The rest covers what is admitted in the time of
 # a report, and restarts.
 OVERDRAFT_PART = 0.35
+# Part of the time for which keys are accepted within which a confirmation must
+# have been renewed.
+CONFIRMATION_PART = 0.85
 # Part of the time for which keys are accepted after which a host that can't
 # confirm them takes no new callers.
-READY_CONFIRMATION_PART = 0.6
+READY_CONFIRMATION_PART = 0.9
 
 logger = structlog.get_logger(__name__)
 
@@ -125,13 +129,20 @@
                 self.parts.breaks,
                 self.parts.tracker,
                 self.parts.queue.backlog,
+                self.upstreams,
             ],
             clock,
         )
         self.followers = [
-            followers.PolicyFollower(platform.policies, self.tracker, clock),
+            followers.PolicyFollower(
+                platform.policies, self.tracker, clock, self.policy_wait()
+            ),
             followers.UpstreamFollower(
-                platform.upstreams, self.upstreams, clock
+                platform.upstreams,
+                self.upstreams,
+                clock,
+                self.hosts.rank,
+                self.exchange.send,
             ),
         ]
         self.renewer = hosts.HostRenewer(platform.hosts, self.hosts, clock)
@@ -152,14 +163,25 @@
         self.others = self.build_listeners()
         self.housekeeper: gevent.Greenlet | None = None
 
+    def policy_wait(self) -> float:
+        """Returns how long a call for policy changes waits, in seconds."""
+        if self.confirmation_s is None:
+            return followers.POLICY_WAIT_S
+        # A confirmation is up to a wait and a feed's gap old when the next one
+        # comes; short waits confirm from their start only.
+        usable = self.confirmation_s * CONFIRMATION_PART
+        wait = max(usable - followers.FEED_GAP_S, usable / 2)
+        return min(followers.POLICY_WAIT_S, wait)
+
     def build_parts(self, limits: edge_settings.Limits) -> context.Context:
         """Returns what the pipelines share."""
         clock = self.clock
         loads = load_view.LoadView(clock)
         tracker = outcomes.OutcomeTracker(clock)
         zone = self.settings.availability_zone
+        sampler = sampling.Sampler(self.hosts.count, random.Random())
         placer = engine_placement.EnginePlacer(
-            self.upstreams, loads, tracker, zone
+            self.upstreams, loads, tracker, zone, sampler
         )
         queue = dispatch_queue.DispatchQueue(
             placer, loads, backlog.Backlog(clock), clock
@@ -181,7 +203,7 @@
                 limits.retry_window.total_seconds(),
             ),
             call_placer=call_placement.CallPlacer(
-                self.upstreams, loads, tracker, zone
+                self.upstreams, loads, tracker, zone, sampler
             ),
             engine_placer=placer,
             queue=queue,
--- a/src/coltsfootarch/forwarding/listener.py
+++ b/src/coltsfootarch/forwarding/listener.py
@@ -265,7 +265,8 @@
         if self.closed:
             return
         try:
-            data = socket.socket.recv(self.sock._sock, readers.READ_SIZE)
+            # The plain socket below gevent's doesn't wait.
+            data = self.sock._sock.recv(readers.READ_SIZE)
         except BlockingIOError:
             return
         except OSError:
--- a/src/coltsfootarch/http1/readers.py
+++ b/src/coltsfootarch/http1/readers.py
@@ -9,6 +9,8 @@
 
 from coltsfootarch.http1 import messages
 
+# Bytes of a header field besides its name and value.
+FIELD_FRAMING = len(": \r\n")
 # Read size of sockets, in bytes.
 READ_SIZE = 65536
 
@@ -92,7 +94,13 @@
         self.fields.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
-        """Checks the announced body."""
+        """Checks the size of the head and of the announced body."""
+        size = len(self.target) + sum(
+            len(name) + len(value) + FIELD_FRAMING
+            for name, value in self.fields
+        )
+        if size > self.max_header_bytes:
+            raise HeaderTooLargeError("the head is too long")
         self.in_body = True
         self.head_bytes = 0
         fields = tuple(self.fields)
--- a/src/coltsfootarch/limits/shared_bucket.py
+++ b/src/coltsfootarch/limits/shared_bucket.py
@@ -119,7 +119,7 @@
             bucket = self.buckets[name] = Bucket(self.started_at)
         return bucket
 
-    def contribute(self, report: reports.Report) -> None:
+    def contribute(self, report: reports.Report) -> reports.Report:
         """Adds what this host admitted lately; see `reports.Participant`."""
         oldest = self.clock.monotonic() - REPORTED_S
         report.usage.extend(
@@ -127,6 +127,7 @@
             for name, bucket in self.buckets.items()
             if bucket.used_at >= oldest
         )
+        return report
 
     def absorb(self, report: reports.Report, continuous: bool) -> None:
         """Takes what a peer admitted; see `reports.Participant`.
--- a/src/coltsfootarch/scheduling/backlog.py
+++ b/src/coltsfootarch/scheduling/backlog.py
@@ -86,9 +86,10 @@
         duration = self.durations.get(service, DEFAULT_DURATION_S)
         return (ahead + 1) * duration / max(running, 1)
 
-    def contribute(self, report: reports.Report) -> None:
+    def contribute(self, report: reports.Report) -> reports.Report:
         """Adds waiting requests; see `reports.Participant`."""
         report.waiting.extend(self.waiting.items())
+        return report
 
     def absorb(self, report: reports.Report, continuous: bool) -> None:
         """Takes a peer's waiting requests; see `reports.Participant`."""
--- a/src/coltsfootarch/scheduling/break_counts.py
+++ b/src/coltsfootarch/scheduling/break_counts.py
@@ -75,12 +75,13 @@
         for digest in [d for d, each in self.own.items() if each.at < oldest]:
             del self.own[digest]
 
-    def contribute(self, report: reports.Report) -> None:
+    def contribute(self, report: reports.Report) -> reports.Report:
         """Adds the latest breaks; see `reports.Participant`."""
         latest = sorted(self.own.items(), key=lambda item: -item[1].at)
         report.breaks.extend(
             (digest, breaks.number) for digest, breaks in latest[:MAX_REPORTED]
         )
+        return report
 
     def absorb(self, report: reports.Report, continuous: bool) -> None:
         """Takes a peer's breaks; see `reports.Participant`."""
--- a/src/coltsfootarch/scheduling/call_placement.py
+++ b/src/coltsfootarch/scheduling/call_placement.py
@@ -14,6 +14,7 @@
     from coltsfootarch.fleet import upstreams
     from coltsfootarch.scheduling import load_view
     from coltsfootarch.scheduling import outcomes
+    from coltsfootarch.scheduling import sampling
 
 # Answer time that an upstream without a record is taken to have, in seconds.
 DEFAULT_LATENCY_S = 0.06
@@ -32,6 +33,7 @@
         loads: Work in progress on all hosts.
         tracker: Recent outcomes.
         availability_zone: Zone of this host.
+        sampler: Draws the upstreams that are compared.
     """
 
     def __init__(
@@ -40,7 +42,9 @@
         loads: load_view.LoadView,
         tracker: outcomes.OutcomeTracker,
         availability_zone: str,
+        sampler: sampling.Sampler,
     ) -> None:
+        self.sampler = sampler
         self.directory = directory
         self.loads = loads
         self.tracker = tracker
@@ -60,7 +64,8 @@
             for upstream in fitting
             if self.tracker.is_usable(upstream.id)
         ]
-        return min(healthy or fitting, key=self.cost, default=None)
+        candidates = self.sampler.sample(healthy or fitting)
+        return min(candidates, key=self.cost, default=None)
 
     def cost(self, upstream: upstreams.Upstream) -> float:
         """Returns the expected time to a success in seconds."""
--- a/src/coltsfootarch/scheduling/engine_placement.py
+++ b/src/coltsfootarch/scheduling/engine_placement.py
@@ -20,6 +20,7 @@
     from coltsfootarch.fleet import policy
     from coltsfootarch.scheduling import load_view
     from coltsfootarch.scheduling import outcomes
+    from coltsfootarch.scheduling import sampling
 
 # Part of an engine's memory that is planned. The rest absorbs answers that are
 # longer than estimated and requests placed by other hosts at the same time.
@@ -32,6 +33,9 @@
 ESTIMATE_FACTOR = 1.1
 # How strongly failures count against an engine.
 SUCCESS_EXPONENT = 4
+# Work that a prefill engine without any is taken to have, so that its failures
+# still count.
+MIN_PREFILL_TOKENS = 1000
 # Tokens by which an engine in another availability zone counts as busier.
 REMOTE_TOKENS = 200
 
@@ -90,6 +94,7 @@
         loads: Work in progress on all hosts.
         tracker: Recent outcomes.
         availability_zone: Zone of this host.
+        sampler: Draws the engines that are compared.
     """
 
     def __init__(
@@ -98,7 +103,9 @@
         loads: load_view.LoadView,
         tracker: outcomes.OutcomeTracker,
         availability_zone: str,
+        sampler: sampling.Sampler,
     ) -> None:
+        self.sampler = sampler
         self.directory = directory
         self.loads = loads
         self.tracker = tracker
@@ -158,21 +165,32 @@
     ) -> upstreams.Upstream | None:
         """Returns the decode engine with the most room."""
         memory = service.engine.memory_tokens if service.engine else 0
-        best: upstreams.Upstream | None = None
-        best_cost = float("inf")
+        fitting = []
         for engine in self.usable(engines, upstreams.Stage.DECODE, excluded):
             load = self.loads.load(engine.id)
-            fits = load.requests < engine.slots and (
-                load.tokens + demand.memory_tokens <= memory * MEMORY_PART
-                or not load.requests
-            )
-            if not fits:
-                continue
-            cost = load.tokens + demand.memory_tokens + self.distance(engine)
-            cost /= self.tracker.success_rate(engine.id) ** SUCCESS_EXPONENT
-            if cost < best_cost:
-                best, best_cost = engine, cost
-        return best
+            planned = load.tokens + demand.memory_tokens
+            has_memory = planned <= memory * MEMORY_PART or not load.requests
+            if has_memory and load.requests < engine.slots:
+                fitting.append(engine)
+        return self.cheapest(fitting, demand.memory_tokens)
+
+    def cheapest(
+        self, engines: Sequence[upstreams.Upstream], tokens: int
+    ) -> upstreams.Upstream | None:
+        """Returns the engine with the least work after a request.
+
+        Args:
+            engines: Engines to choose from.
+            tokens: Size of the request.
+        """
+
+        def cost(engine: upstreams.Upstream) -> float:
+            load = self.loads.load(engine.id)
+            work = load.tokens + tokens + self.distance(engine)
+            rate = self.tracker.success_rate(engine.id)
+            return float(work / rate**SUCCESS_EXPONENT)
+
+        return min(self.sampler.sample(engines), key=cost, default=None)
 
     def choose_prefill(
         self,
@@ -180,15 +198,8 @@
         excluded: Collection[str],
     ) -> upstreams.Upstream | None:
         """Returns the prefill engine with the fewest waiting tokens."""
-        best: upstreams.Upstream | None = None
-        best_cost = float("inf")
-        for engine in self.usable(engines, upstreams.Stage.PREFILL, excluded):
-            load = self.loads.load(engine.id)
-            cost = load.tokens + 1000.0 + self.distance(engine)
-            cost /= self.tracker.success_rate(engine.id) ** SUCCESS_EXPONENT
-            if cost < best_cost:
-                best, best_cost = engine, cost
-        return best
+        usable = self.usable(engines, upstreams.Stage.PREFILL, excluded)
+        return self.cheapest(usable, MIN_PREFILL_TOKENS)
 
     def distance(self, engine: upstreams.Upstream) -> float:
         """Returns the cost of an engine's zone in tokens."""
--- a/src/coltsfootarch/scheduling/load_view.py
+++ b/src/coltsfootarch/scheduling/load_view.py
@@ -91,12 +91,13 @@
         for listener in self.on_change:
             listener()
 
-    def contribute(self, report: reports.Report) -> None:
+    def contribute(self, report: reports.Report) -> reports.Report:
         """Adds this host's work; see `reports.Participant`."""
         report.loads.extend(
             (upstream, load.requests, load.tokens)
             for upstream, load in self.own.items()
         )
+        return report
 
     def absorb(self, report: reports.Report, continuous: bool) -> None:
         """Takes a peer's work; see `reports.Participant`."""
@@ -105,11 +106,20 @@
             upstream: Load(requests, tokens)
             for upstream, requests, tokens in report.loads
         }
+        before = self.peers.get(report.host)
         self.peers[report.host] = PeerLoads(self.clock.monotonic(), loads)
-        self.sum_up()
+        if before is not None and before.loads == loads:
+            return
+        if before is not None:
+            for upstream, load in before.loads.items():
+                by = Load(-load.requests, -load.tokens)
+                self.change(self.total, upstream, by)
+        for upstream, load in loads.items():
+            self.change(self.total, upstream, load)
+        self.notify()
 
     def sum_up(self) -> None:
-        """Adds up all valid reports."""
+        """Adds up all valid reports and drops the others."""
         oldest = self.clock.monotonic() - PEER_VALIDITY_S
         for host in [h for h, peer in self.peers.items() if peer.at < oldest]:
             del self.peers[host]
--- a/src/coltsfootarch/scheduling/outcomes.py
+++ b/src/coltsfootarch/scheduling/outcomes.py
@@ -158,7 +158,7 @@
         now = self.clock.monotonic()
         return now < max(entry.refuses_until, entry.peers_refused_until)
 
-    def contribute(self, report: reports.Report) -> None:
+    def contribute(self, report: reports.Report) -> reports.Report:
         """Adds failures of the last seconds; see `reports.Participant`."""
         now = self.clock.monotonic()
         report.refusing.extend(
@@ -172,6 +172,7 @@
             for upstream, count in self.reported.items()
             if self.reported_at[upstream] >= oldest
         )
+        return report
 
     def absorb(self, report: reports.Report, continuous: bool) -> None:
         """Takes failures that a peer met; see `reports.Participant`."""
--- a/standins/http.py
+++ b/standins/http.py
@@ -127,9 +127,7 @@
             self.connections.discard(connection)
             connection.close()
 
-    def handle(
-        self, request: messages.Request, connection: Connection
-    ) -> None:
+    def handle(self, request: messages.Request, connection: Connection) -> None:
         with contextlib.suppress(OSError):
             self.handler.handle(request, connection)
 
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -11,6 +11,7 @@
 import base64
 import time
 import urllib.parse
+from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
 
@@ -19,9 +20,11 @@
 import gevent.event
 import msgspec
 
-from coltsfootarch.http1 import messages
 from standins import http
 
+if TYPE_CHECKING:
+    from coltsfootarch.http1 import messages
+
 MAX_WAIT_S = 30.0
 
 
@@ -191,9 +194,7 @@
         documents = [row.document() for row in rows]
         return 200, {"rows": documents, "ver": self.revision}
 
-    def transact(
-        self, document: dict[str, Any]
-    ) -> tuple[int, dict[str, Any]]:
+    def transact(self, document: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         current = []
         failed = False
         for wanted in document.get("expected", ()):
--- a/tests/fleet/test_followers.py
+++ b/tests/fleet/test_followers.py
@@ -9,6 +9,7 @@
 
 from coltsfootarch import errors
 from coltsfootarch.fleet import followers
+from coltsfootarch.fleet import reports
 from coltsfootarch.fleet import upstreams
 from tests.fleet import builders
 
@@ -146,5 +147,120 @@
 
     follower.step()
     assert directory.candidates("app") == [one]
+    manual_clock.advance(datetime.timedelta(seconds=1))
     follower.step()
     assert directory.candidates("app") == []
+
+
+def test_long_wait_without_a_change_confirms_most_of_it(tracker, manual_clock):
+    """Changes of the last second before lost history can be missing."""
+    start = manual_clock.monotonic()
+    source = Source(reading(1, sent_at=start), reading(None, sent_at=start))
+    follower = followers.PolicyFollower(source, tracker, manual_clock, 2.8)
+    follower.step()
+    manual_clock.advance(datetime.timedelta(seconds=2.8))
+
+    follower.step()
+
+    assert tracker.age() == pytest.approx(followers.FEED_GAP_S)
+
+
+def test_early_answer_without_a_change_confirms_its_start_only(
+    tracker, manual_clock
+):
+    start = manual_clock.monotonic()
+    source = Source(reading(1, sent_at=start - 9), reading(None, sent_at=start))
+    follower = followers.PolicyFollower(source, tracker, manual_clock, 2.8)
+    follower.step()
+    manual_clock.advance(datetime.timedelta(seconds=0.5))
+
+    follower.step()
+
+    assert tracker.age() == pytest.approx(0.5)
+
+
+def peer_report(**changes):
+    base = reports.Report(1, "h2", 1, 1, [], [], [], [], [], [])
+    return base._replace(**changes)
+
+
+def test_peer_s_read_of_the_same_entries_saves_a_read(manual_clock):
+    one = builders.plain("i-1")
+    source = Source(
+        followers.UpstreamReading({"i-1": one}, (), 1, 0.0),
+    )
+    directory = upstreams.UpstreamDirectory(manual_clock)
+    follower = followers.UpstreamFollower(
+        source, directory, manual_clock, rank=lambda: followers.READERS
+    )
+    follower.step()
+    for _ in range(5):
+        manual_clock.advance(datetime.timedelta(seconds=0.5))
+        directory.absorb(
+            peer_report(directory=directory.digest, directory_age_ms=0), True
+        )
+        follower.step()
+
+    assert source.calls == ["read"]
+
+
+def test_first_hosts_read_for_the_others_and_report_it(manual_clock):
+    one = builders.plain("i-1")
+    answer = followers.UpstreamReading({"i-1": one}, (), 1, 0.0)
+    source = Source(answer, answer)
+    reported = []
+    follower = followers.UpstreamFollower(
+        source,
+        upstreams.UpstreamDirectory(manual_clock),
+        manual_clock,
+        rank=lambda: 0,
+        on_read=lambda: reported.append(1),
+    )
+    follower.step()
+    manual_clock.advance(
+        datetime.timedelta(seconds=followers.READER_INTERVAL_S + 0.01)
+    )
+
+    follower.step()
+
+    assert source.calls == ["read", 1]
+    assert reported == [1]
+
+
+def test_peer_s_newer_read_of_other_entries_causes_a_read(manual_clock):
+    one = builders.plain("i-1")
+    source = Source(
+        followers.UpstreamReading({"i-1": one}, (), 1, 0.0),
+        followers.UpstreamReading({}, ("i-1",), 2, 0.0),
+    )
+    directory = upstreams.UpstreamDirectory(manual_clock)
+    follower = followers.UpstreamFollower(source, directory, manual_clock)
+    follower.step()
+    manual_clock.advance(datetime.timedelta(seconds=0.3))
+
+    directory.absorb(peer_report(directory=5, directory_age_ms=10), True)
+    follower.step()
+
+    assert not directory.candidates("app")
+
+
+def test_peer_s_older_read_changes_nothing(manual_clock):
+    one = builders.plain("i-1")
+    directory = builders.directory(manual_clock, one)
+
+    directory.absorb(peer_report(directory=5, directory_age_ms=10), True)
+
+    assert not directory.outdated
+
+
+def test_read_is_reported_with_its_age(manual_clock):
+    directory = builders.directory(manual_clock, builders.plain("i-1"))
+    manual_clock.advance(datetime.timedelta(seconds=0.4))
+
+    fresh = directory.contribute(peer_report())
+    manual_clock.advance(datetime.timedelta(seconds=5))
+    old = directory.contribute(peer_report())
+
+    assert fresh.directory == directory.digest
+    assert fresh.directory_age_ms == pytest.approx(400, abs=1)
+    assert old.directory_age_ms == -1
--- a/tests/fleet/test_hosts.py
+++ b/tests/fleet/test_hosts.py
@@ -88,3 +88,51 @@
     directory.apply([record(f"h{number}") for number in range(1, 5)])
 
     assert directory.stale == ["h3", "h4"]
+
+
+class Registry:
+    def __init__(self):
+        self.rows = {}
+        self.reads = 0
+
+    def write(self, written):
+        self.rows[written.name] = written
+
+    def remove(self, name):
+        del self.rows[name]
+
+    def read(self):
+        self.reads += 1
+        return list(self.rows.values())
+
+
+def test_rows_are_read_rarely_while_all_hosts_are_heard(manual_clock):
+    registry = Registry()
+    directory = hosts.HostDirectory(record("h1"), manual_clock)
+    renewer = hosts.HostRenewer(registry, directory, manual_clock)
+
+    for _ in range(8):
+        renewer.renew()
+
+    assert registry.rows["h1"].renewals == 8
+    assert registry.reads == hosts.RENEWALS_AT_START + 2
+
+
+def test_rows_are_read_at_each_renewal_while_a_host_is_unheard(manual_clock):
+    registry = Registry()
+    registry.write(record("h2"))
+    directory = hosts.HostDirectory(record("h1"), manual_clock)
+    renewer = hosts.HostRenewer(registry, directory, manual_clock)
+
+    for _ in range(8):
+        renewer.renew()
+
+    assert registry.reads == 8
+
+
+def test_rank_counts_reached_hosts_only(directory):
+    directory.own = record("h3")
+    directory.peers.pop("h3", None)
+    hear(directory, "h2")
+
+    assert directory.rank() == 1
--- /dev/null
+++ b/tests/fleet/test_report_exchange.py
@@ -0,0 +1,39 @@
+"""Guards against hosts that don't hear each other over real sockets."""
+
+from __future__ import annotations
+
+import socket
+
+import gevent
+
+from coltsfootarch import clock as clocks
+from coltsfootarch.fleet import hosts
+from coltsfootarch.fleet import reports
+from coltsfootarch.scheduling import load_view
+from tests.forwarding import fleet
+
+
+def test_hosts_see_each_other_s_load():
+    clock = clocks.SystemClock()
+    addresses = fleet.free_addresses(2, socket.SOCK_DGRAM)
+    records = [
+        hosts.HostRecord(f"h{number}", address, "z", number, 0)
+        for number, address in enumerate(addresses)
+    ]
+    views, exchanges = [], []
+    for record in records:
+        directory = hosts.HostDirectory(record, clock)
+        directory.apply(records)
+        views.append(load_view.LoadView(clock))
+        exchanges.append(reports.ReportExchange(directory, [views[-1]], clock))
+        exchanges[-1].start()
+    views[0].add("i-1", 70)
+
+    with gevent.Timeout(5):
+        while views[1].load("i-1").tokens != 70:
+            gevent.sleep(0.01)
+        while exchanges[0].directory.share() < 1.0:
+            gevent.sleep(0.01)
+
+    for exchange in exchanges:
+        exchange.close()
--- a/tests/fleet/test_reports.py
+++ b/tests/fleet/test_reports.py
@@ -17,6 +17,7 @@
 
     def contribute(self, report):
         report.usage.append(("acme", 5))
+        return report
 
     def absorb(self, report, continuous):
         self.seen.append((report.host, report.sequence, continuous))
--- /dev/null
+++ b/tests/forwarding/test_admission.py
@@ -0,0 +1,211 @@
+"""Guards routes, keys, limits and framing before anything is forwarded."""
+
+from __future__ import annotations
+
+import datetime
+
+import gevent
+import msgspec
+import pytest
+
+from coltsfootarch.forwarding import forwarder
+from tests.platform import documents
+
+CONFIRMATION = datetime.timedelta(seconds=1)
+
+
+@pytest.mark.parametrize(
+    ("target", "fields", "status", "code"),
+    [
+        ("/none/a", {}, 404, "unknown-route"),
+        ("/read/a", {"Host": "other.example"}, 404, "unknown-route"),
+        ("/read/a", {"Authorization": ""}, 401, "missing-key"),
+        ("/read/a", {"Authorization": "Bearer wrong"}, 401, "invalid-key"),
+        ("/read/a", {"Authorization": "Basic abc"}, 401, "missing-key"),
+    ],
+)
+def test_requests_that_must_not_run_are_refused(
+    app, target, fields, status, code
+):
+    response = app.ask(target, **fields)
+
+    assert (response.status, response.code) == (status, code)
+    assert not app.runs()
+
+
+def test_public_route_needs_no_key_and_names_no_account(app):
+    response = app.ask("/open/a", Authorization="", X_Tenant="acme")
+
+    assert response.status == 200
+    (runs,) = [found.runs for found in app.runners.values() if found.runs]
+    assert "x-tenant" not in runs[0]["fields"]
+
+
+def test_withdrawn_key_stops_working(app):
+    document = documents.configuration(2)
+    document["tenants"][0]["api_keys"] = ["another"]
+    caller = app.caller()
+    assert caller.ask("/read/a").status == 200
+
+    app.configure(document)
+    app.wait(lambda: app.daemon.tracker.policy.version == 2)
+
+    assert caller.ask("/read/a").status == 401
+
+
+def test_keys_that_can_t_be_confirmed_are_refused_and_public_routes_go_on(
+    fleet, monkeypatch
+):
+    monkeypatch.setattr(forwarder, "CONFIRMATION_WAIT_S", 0.05)
+    fleet.add_runner("i-1", "app")
+    fleet.start(key_confirmation=CONFIRMATION)
+    assert fleet.ask("/read/a").status == 200
+
+    fleet.store.mode = "busy"
+    fleet.store.server.close_connections()
+    limit = CONFIRMATION.total_seconds()
+    fleet.wait(lambda: fleet.daemon.tracker.age() > limit)
+
+    refused = fleet.ask("/read/a", request_id="r2")
+    assert (refused.status, refused.code) == (503, "key-unconfirmed")
+    assert fleet.ask("/open/a", request_id="r3").status == 200
+    assert not fleet.daemon.is_ready()
+    assert fleet.runs() == {"i-1": ["r1", "r3"]}
+
+    fleet.store.mode = "serve"
+    fleet.wait(fleet.daemon.is_ready)
+    assert fleet.ask("/read/a", request_id="r4").status == 200
+
+
+def test_account_over_its_limit_is_told_when_to_come_back(fleet):
+    document = documents.configuration()
+    document["tenants"][0].update(rate_per_s=1000, burst=1000)
+    fleet.configure(document)
+    fleet.add_runner("i-1", "app")
+    fleet.start()
+
+    statuses = [
+        fleet.ask("/read/a", request_id=f"r{number}").status
+        for number in range(12)
+    ]
+
+    assert 10 <= statuses.count(200) <= 11
+    last = fleet.ask("/read/a", X_Token_Count="400,200")
+    assert (last.status, last.code) == (429, "rate-exceeded")
+    assert 0.3 < float(last.fields["retry-after"]) <= 0.7
+
+
+def test_refused_request_costs_no_tokens(fleet):
+    document = documents.configuration()
+    document["tenants"][0].update(rate_per_s=1, burst=50, plain_tokens=50)
+    fleet.configure(document)
+    fleet.add_runner("i-1", "app", fault="full")
+    fleet.start()
+
+    statuses = [fleet.ask("/read/a").status for _ in range(3)]
+
+    assert statuses == [503, 503, 503]
+
+
+def test_change_of_a_route_takes_effect_on_open_connections(app):
+    app.add_runner("n-1", "new")
+    app.wait(lambda: app.daemon.upstreams.is_serving("n-1"))
+    caller = app.caller()
+    caller.ask("/read/a")
+    moved = documents.route("read", "/read/", "idempotent", "new")
+
+    app.configure(documents.configuration(2, routes=[moved]))
+    app.wait(lambda: app.daemon.tracker.policy.version == 2)
+    caller.ask("/read/a", request_id="r2")
+
+    assert app.runs()["n-1"] == ["r2"]
+
+
+def test_unreadable_configuration_leaves_the_one_in_force(app):
+    app.store.put("op", "config", b"not a document")
+    gevent.sleep(0.1)
+
+    assert app.ask("/read/a").status == 200
+
+
+MALFORMED = {
+    "space before the colon": b"Transfer-Encoding : chunked\r\n"
+    b"Content-Length: 3\r\n\r\nabc",
+    "two framings": b"Transfer-Encoding: chunked\r\nContent-Length: 3\r\n"
+    b"\r\n0\r\n\r\n",
+    "two lengths": b"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+    "folded line": b"X-A: a\r\n b\r\nContent-Length: 3\r\n\r\nabc",
+    "control character": b"X-A: a\0b\r\nContent-Length: 3\r\n\r\nabc",
+    "signed length": b"Content-Length: +3\r\n\r\nabc",
+    "unknown coding": b"Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("name", MALFORMED)
+def test_ambiguous_framing_is_refused_before_anything_is_forwarded(app, name):
+    caller = app.caller()
+    caller.send_raw(
+        b"POST /open/a HTTP/1.1\r\nHost: api.example\r\n" + MALFORMED[name]
+    )
+
+    response = caller.read()
+
+    assert response.status == 400
+    assert not app.runs()
+    assert caller.read() is None
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"GET /open/a HTTP/1.1\r\nX-Long: " + b"a" * 9000 + b"\r\n\r\n", 431),
+        (b"POST /open/a HTTP/1.1\r\nContent-Length: 99999\r\n\r\n", 413),
+        (b"GET /open/a HTTP/1.1\r\nHost: api", 408),
+    ],
+)
+def test_what_callers_may_send_is_bounded(app, data, status):
+    caller = app.caller()
+
+    caller.send_raw(data)
+
+    assert caller.read().status == status
+
+
+def test_idle_connection_is_closed_after_its_time(fleet):
+    document = documents.configuration()
+    document["limits"]["idle_timeout_ms"] = 200
+    fleet.configure(document)
+    fleet.add_runner("i-1", "app")
+    fleet.start()
+    caller = fleet.caller()
+    assert caller.ask("/read/a").status == 200
+
+    with gevent.Timeout(2):
+        assert caller.read() is None
+
+
+def test_status_pages(app):
+    ready = app.daemon.settings.ready
+    metrics = app.daemon.settings.metrics
+    app.ask("/read/a")
+
+    def get(address, path):
+        caller = app.caller()
+        caller.close()
+        caller.__init__(address)
+        return caller.ask(path)
+
+    assert get(ready, "/api/readyz").status == 200
+    assert get(ready, "/other").status == 404
+    text = get(metrics, "/metrics").body.decode()
+    assert 'requests_total{result="answered",service="app"} 1.0' in text
+    app.daemon.stopping.set()
+    assert get(ready, "/api/readyz").status == 503
+
+
+def test_refusals_carry_the_number_and_the_request(app):
+    document = msgspec.json.decode(app.ask("/none/a").body)
+
+    assert document["code"] == 1004
+    assert document["execution"] == "not run"
+    assert document["request_id"] == "r1"
--- /dev/null
+++ b/tests/forwarding/test_calls.py
@@ -0,0 +1,218 @@
+"""Guards calls: whole answers, at most once, true refusals."""
+
+from __future__ import annotations
+
+import gevent
+import pytest
+
+from tests.platform import documents
+
+
+def set_fault(fleet, fault, **attributes):
+    for runner in fleet.runners.values():
+        runner.fault = fault
+        for name, value in attributes.items():
+            setattr(runner, name, value)
+
+
+def run_count(fleet):
+    return sum(len(runs) for runs in fleet.runs().values())
+
+
+def test_answer_is_relayed_with_its_seal(app):
+    response = app.ask("/read/a?b=c")
+
+    (name,) = app.runs()
+    assert response.status == 200
+    assert response.body == f"answer of {name} to r1".encode()
+    assert response.fields["x-server-seal"] == f"seal-{name}-r1"
+    (run,) = app.runners[name].runs
+    assert (run["method"], run["target"]) == ("GET", "/read/a?b=c")
+    assert run["fields"]["x-tenant"] == "acme"
+    assert "authorization" not in run["fields"]
+
+
+def test_connection_serves_many_requests(app):
+    caller = app.caller()
+
+    bodies = [
+        caller.ask("/read/a", request_id=f"r{number}").body
+        for number in range(5)
+    ]
+
+    assert [body.rpartition(b" ")[2] for body in bodies] == [
+        f"r{number}".encode() for number in range(5)
+    ]
+
+
+def test_body_is_forwarded_unchanged_from_chunks(app):
+    caller = app.caller()
+    caller.send_raw(
+        b"POST /book/a HTTP/1.1\r\nHost: api.example\r\nX-Request-Id: r1\r\n"
+        b"Authorization: Bearer " + documents.KEY.encode() + b"\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+    )
+
+    assert caller.read().status == 200
+    (runs,) = [found.runs for found in app.runners.values() if found.runs]
+    assert runs[0]["body"] == "abcde"
+    assert runs[0]["fields"]["content-length"] == "5"
+
+
+@pytest.mark.parametrize("fault", ["reset", "cut", "garbage"])
+def test_idempotent_call_goes_to_another_upstream(app, fault):
+    app.runners["i-1"].fault = fault
+    app.daemon.parts.loads.add("i-2", 1)  # The first choice is i-1.
+
+    response = app.ask("/read/a")
+
+    assert response.status == 200
+    assert response.body == b"answer of i-2 to r1"
+    assert app.runs() == {"i-1": ["r1"], "i-2": ["r1"]}
+
+
+@pytest.mark.parametrize("fault", ["reset", "cut", "garbage"])
+def test_non_idempotent_call_runs_once_and_may_have_run(app, fault):
+    set_fault(app, fault)
+
+    response = app.ask("/book/a", "POST", b"x")
+
+    assert response.status == 502
+    assert response.code == "upstream-failed"
+    assert run_count(app) == 1
+
+
+def test_refusal_of_an_upstream_is_passed_on_as_not_run(app):
+    set_fault(app, "full")
+
+    response = app.ask("/book/a", "POST", b"x")
+
+    assert response.status == 503
+    assert float(response.fields["retry-after"]) > 0
+    assert "x-server-seal" not in response.fields
+    assert run_count(app) == 0
+
+
+def test_status_that_would_promise_not_run_is_not_relayed(app):
+    """An upstream's own 503 without the statement was run."""
+    set_fault(app, "", status=503)
+
+    response = app.ask("/book/a", "POST", b"x")
+
+    assert response.status == 502
+    assert "x-server-seal" not in response.fields
+    assert run_count(app) == 1
+
+
+def test_application_error_is_retried_and_then_relayed(app):
+    set_fault(app, "", status=500)
+
+    response = app.ask("/read/a")
+
+    assert response.status == 500
+    assert "x-server-seal" in response.fields
+    assert run_count(app) == 2
+
+
+def test_attempts_are_bounded(app):
+    app.add_runner("i-3", "app")
+    app.wait(lambda: app.daemon.upstreams.is_serving("i-3"))
+    set_fault(app, "reset")
+
+    assert app.ask("/read/a").status == 502
+    assert run_count(app) == 2
+
+
+def test_answer_to_another_request_is_skipped(app):
+    set_fault(app, "extra")
+
+    response = app.ask("/read/a")
+
+    assert response.body.endswith(b" to r1")
+
+
+def test_upstream_that_is_down_costs_no_attempt(app):
+    app.runners["i-1"].close()
+    app.daemon.parts.loads.add("i-2", 1)
+
+    assert app.ask("/book/a", "POST", b"x").status == 200
+    assert app.runs() == {"i-2": ["r1"]}
+
+
+def test_hanging_upstream_costs_no_objective(app):
+    app.runners["i-1"].fault = "mute"
+    app.daemon.parts.loads.add("i-2", 1)
+
+    with gevent.Timeout(0.9):
+        response = app.ask("/read/a")
+
+    assert response.status == 200
+
+
+def test_timeout_of_the_route_ends_a_call_that_may_have_run(fleet):
+    slow = documents.route(
+        "book", "/book/", "non_idempotent", "app", timeout_ms=200
+    )
+    fleet.configure(documents.configuration(2, routes=[slow]))
+    fleet.add_runner("i-1", "app", work_s=2.0)
+    fleet.start()
+
+    with gevent.Timeout(1.0):
+        response = fleet.ask("/book/a", "POST", b"x")
+
+    assert response.status == 504
+    (run,) = fleet.runners["i-1"].runs
+    assert int(run["fields"]["x-deadline-ms"]) <= 200
+
+
+def test_upstream_gets_no_more_time_than_is_left(app):
+    app.ask("/read/a", X_Deadline_Ms="500")
+
+    (runs,) = [found.runs for found in app.runners.values() if found.runs]
+    assert 0 < int(runs[0]["fields"]["x-deadline-ms"]) <= 500
+
+
+def test_idempotent_call_is_ended_when_its_caller_leaves(app):
+    set_fault(app, "", work_s=3.0)
+    caller = app.caller()
+    caller.send("/read/a")
+    app.wait(lambda: run_count(app) == 1)
+
+    caller.close()
+
+    ended = [found.ended for found in app.runners.values()]
+    app.wait(lambda: [("r1", "closed")] in ended)
+
+
+def test_booking_runs_to_its_end_when_its_caller_leaves(app):
+    set_fault(app, "", work_s=0.2)
+    caller = app.caller()
+    caller.send("/book/a", "POST", b"x")
+    app.wait(lambda: run_count(app) == 1)
+
+    caller.close()
+
+    ended = [found.ended for found in app.runners.values()]
+    app.wait(lambda: [("r1", "answered")] in ended)
+
+
+def test_upstream_that_drains_gets_nothing(app):
+    leaving = app.runners["i-1"]
+    leaving.state = "draining"
+    app.register(leaving)
+    app.wait(lambda: not app.daemon.upstreams.is_serving("i-1"))
+
+    for number in range(6):
+        assert app.ask("/read/a", request_id=f"r{number}").status == 200
+
+    assert set(app.runs()) == {"i-2"}
+
+
+def test_reused_address_gets_no_further_requests(app):
+    moved = app.runners["i-1"]
+    moved.id = "i-9"
+    app.daemon.parts.loads.add("i-2", 1)
+
+    assert app.ask("/read/a").status == 200
+    assert not app.daemon.upstreams.is_serving("i-1")
+    assert not moved.runs
--- a/tests/scheduling/test_call_placement.py
+++ b/tests/scheduling/test_call_placement.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 
 from coltsfootarch.scheduling import call_placement
 from coltsfootarch.scheduling import load_view
 from coltsfootarch.scheduling import outcomes
+from coltsfootarch.scheduling import sampling
 from tests.fleet import builders
 
+ALL = sampling.Sampler(lambda: 1, random.Random(1))
+
 
 @pytest.fixture
 def parts(manual_clock):
@@ -20,7 +25,7 @@
     )
     loads = load_view.LoadView(manual_clock)
     tracker = outcomes.OutcomeTracker(manual_clock)
-    placer = call_placement.CallPlacer(directory, loads, tracker, "north")
+    placer = call_placement.CallPlacer(directory, loads, tracker, "north", ALL)
     return placer, loads, tracker
 
 
--- a/tests/scheduling/test_dispatch_queue.py
+++ b/tests/scheduling/test_dispatch_queue.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import datetime
+import random
 
 import gevent
 import pytest
@@ -12,10 +13,13 @@
 from coltsfootarch.scheduling import engine_placement
 from coltsfootarch.scheduling import load_view
 from coltsfootarch.scheduling import outcomes
+from coltsfootarch.scheduling import sampling
 from tests.fleet import builders
 
 OBJECTIVE = 0.9
 
+ALL = sampling.Sampler(lambda: 1, random.Random(1))
+
 
 @pytest.fixture
 def loads(manual_clock):
@@ -28,7 +32,7 @@
         manual_clock, builders.decode("d-1"), builders.prefill("p-1")
     )
     placer = engine_placement.EnginePlacer(
-        directory, loads, outcomes.OutcomeTracker(manual_clock), "north"
+        directory, loads, outcomes.OutcomeTracker(manual_clock), "north", ALL
     )
     waiting = backlog.Backlog(manual_clock)
     return dispatch_queue.DispatchQueue(placer, loads, waiting, manual_clock)
