--- a/src/coltsfootarch/fleet/stage_orders.py
+++ b/src/coltsfootarch/fleet/stage_orders.py
@@ -143,7 +143,10 @@
                 continue
             engines = self.directory.candidates(service.name)
             shift = self.balancer.decide(
-                service, engines, self.queue.demand(service.name)
+                service,
+                engines,
+                self.queue.demand(service.name),
+                lambda engine: self.queue.loads.load(engine.id).tokens,
             )
             now = self.clock.monotonic()
             if shift is None or now < self.resting_until.get(service.name, 0):
--- a/src/coltsfootarch/forwarding/generation_pipeline.py
+++ b/src/coltsfootarch/forwarding/generation_pipeline.py
@@ -97,6 +97,8 @@
         self.prefilled = False
         self.prompt_delivered = False
         self.prefill_s = 0.0
+        self.placement: engine_placement.Placement | None = None
+        self.prompt_read = False
         self.connect_failures = 0
         self.resume_after = call.request.resume_after
         self.answer: attempts.Answer | None = None
@@ -135,10 +137,12 @@
                 placement = self.place(generation)
                 if placement is None:
                     break
+                generation.placement = placement
+                generation.prompt_read = False
                 try:
                     self.attempt(generation, placement)
                 finally:
-                    self.parts.queue.release(placement)
+                    self.parts.queue.release(placement, generation.prompt_read)
         finally:
             self.release_memory(generation)
         self.finish(generation)
@@ -193,7 +197,7 @@
             )
         if call.cancellation.cancelled:
             if placement is not None:
-                self.parts.queue.release(placement)
+                self.parts.queue.release(placement, prompt_read=False)
             call.cancellation.check()
         waited = self.clock.monotonic() - started
         self.parts.metrics.queue_time.labels(call.service).observe(waited)
@@ -499,6 +503,9 @@
     ) -> None:
         """Sends an event to the caller; the first one starts the answer."""
         responder = generation.call.responder
+        if generation.placement is not None and not generation.prompt_read:
+            generation.prompt_read = True
+            self.parts.queue.note_prompt_read(generation.placement)
         if not responder.started:
             generation.first_event_at = self.clock.monotonic()
             took = generation.first_event_at - (
--- a/src/coltsfootarch/scheduling/dispatch_queue.py
+++ b/src/coltsfootarch/scheduling/dispatch_queue.py
@@ -11,11 +11,12 @@
 
 import gevent.event
 
+from coltsfootarch.scheduling import engine_placement
+
 if TYPE_CHECKING:
     from coltsfootarch import clock as clocks
     from coltsfootarch.fleet import policy
     from coltsfootarch.scheduling import backlog as backlogs
-    from coltsfootarch.scheduling import engine_placement
     from coltsfootarch.scheduling import load_view
 
 # Time from a placement to the first event on an idle fleet: reading the prompt,
@@ -127,10 +128,32 @@
         """Returns how many requests run or wait, over all hosts."""
         return self.running(service) + self.backlog.total(service)
 
-    def release(self, placement: engine_placement.Placement) -> None:
-        """Frees the room of a request."""
+    def reserve(self, placement: engine_placement.Placement) -> None:
+        """Takes the room of a request."""
+        self.loads.add(placement.decode.id, placement.demand.memory_tokens)
+        if placement.prefill is None:
+            key = engine_placement.reading_key(placement.decode)
+            self.loads.add(key, placement.demand.prompt_tokens)
+
+    def release(
+        self, placement: engine_placement.Placement, prompt_read: bool
+    ) -> None:
+        """Frees the room of a request.
+
+        Args:
+            placement: Where it ran.
+            prompt_read: Whether `note_prompt_read` was called.
+        """
+        if not prompt_read:
+            self.note_prompt_read(placement)
         self.loads.remove(placement.decode.id, placement.demand.memory_tokens)
 
+    def note_prompt_read(self, placement: engine_placement.Placement) -> None:
+        """Lets the decode engine read the prompt of another request."""
+        if placement.prefill is None:
+            key = engine_placement.reading_key(placement.decode)
+            self.loads.remove(key, placement.demand.prompt_tokens)
+
     def place_waiting(self) -> None:
         """Places waiting requests as far as there's room."""
         if not self.waiters:
@@ -143,7 +166,7 @@
             )
             if placement is None:
                 continue
-            self.loads.add(placement.decode.id, placement.demand.memory_tokens)
+            self.reserve(placement)
             waiter.placement = placement
             self.waiters.remove(waiter)
             waiter.woken.set()
--- a/src/coltsfootarch/scheduling/engine_placement.py
+++ b/src/coltsfootarch/scheduling/engine_placement.py
@@ -33,6 +33,9 @@
 ESTIMATE_FACTOR = 1.1
 # How strongly failures count against an engine.
 SUCCESS_EXPONENT = 4
+# Prompts at a prefill engine from which on decode engines read some themselves;
+# each takes about a tenth of a second.
+MAX_PROMPTS = 4
 # Work that a prefill engine without any is taken to have, so that its failures
 # still count.
 MIN_PREFILL_TOKENS = 1000
@@ -57,7 +60,8 @@
 
     Attributes:
         prefill: Engine that reads the prompt; None if the decode engine does.
-        decode: Engine that generates.
+        decode: Engine that generates; without a prefill engine it also reads
+            the prompt.
         demand: What was planned there.
         decode_load: Work at the decode engine before this request.
         view_age_s: Age of the oldest peer report that was used, in seconds.
@@ -86,6 +90,11 @@
     return Demand(prompt_tokens, prompt_tokens + int(likely * GROWTH_PART))
 
 
+def reading_key(engine: upstreams.Upstream) -> str:
+    """Returns the key under which prompts that an engine reads are counted."""
+    return f"{engine.id}/prompt"
+
+
 class EnginePlacer:
     """Chooses engines from the registered ones.
 
@@ -125,10 +134,19 @@
             excluded: Ids of engines that failed it.
         """
         engines = self.directory.candidates(service.name)
-        decode = self.choose_decode(service, engines, demand, excluded)
+        prefill = self.choose_prefill(engines, excluded)
+        decode = None
+        if prefill is None or self.is_crowded(prefill):
+            # A decode engine reads one prompt at a time, or the pauses of its
+            # streams become too long.
+            idle = [each for each in engines if not self.is_reading(each)]
+            decode = self.choose_decode(service, idle, demand, excluded)
+            if decode is not None:
+                prefill = None
+        if decode is None and prefill is not None:
+            decode = self.choose_decode(service, engines, demand, excluded)
         if decode is None:
             return None
-        prefill = self.choose_prefill(engines, excluded)
         return Placement(
             prefill,
             decode,
@@ -201,6 +219,14 @@
         usable = self.usable(engines, upstreams.Stage.PREFILL, excluded)
         return self.cheapest(usable, MIN_PREFILL_TOKENS)
 
+    def is_crowded(self, engine: upstreams.Upstream) -> bool:
+        """Returns whether prompts wait too long at a prefill engine."""
+        return self.loads.load(engine.id).requests >= MAX_PROMPTS
+
+    def is_reading(self, engine: upstreams.Upstream) -> bool:
+        """Returns whether a decode engine reads a prompt itself."""
+        return self.loads.load(reading_key(engine)).requests > 0
+
     def distance(self, engine: upstreams.Upstream) -> float:
         """Returns the cost of an engine's zone in tokens."""
         if engine.availability_zone == self.availability_zone:
--- a/src/coltsfootarch/scheduling/stage_balance.py
+++ b/src/coltsfootarch/scheduling/stage_balance.py
@@ -14,6 +14,7 @@
 from coltsfootarch.fleet import upstreams
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Sequence
 
     from coltsfootarch.fleet import policy
@@ -29,6 +30,9 @@
 # engines are moved there for a larger gain only, and only in larger services.
 MIN_GAIN_TO_PREFILL = 2.0
 MIN_ENGINES_TO_PREFILL = 6
+# Without any prefill engine most streams pause too long, as decode engines read
+# prompts between the tokens of other requests.
+MIN_DECODES_WITHOUT_PREFILL = 2
 # Engines are only moved while the scarcer stage is used to this part.
 MIN_USE = 0.5
 # Part of a prefill engine's time that can be planned: prompts arrive unevenly.
@@ -123,6 +127,7 @@
         service: policy.Service,
         engines: Sequence[upstreams.Upstream],
         requests_in_progress: int,
+        work: Callable[[upstreams.Upstream], float] = lambda engine: 0.0,
     ) -> Shift | None:
         """Returns the engines to move now, None if the stages are balanced.
 
@@ -131,17 +136,33 @@
             engines: Its ready engines.
             requests_in_progress: Requests at its decode engines, with those
                 that wait for one.
+            work: Returns what an engine has to do; the idlest ones move.
         """
+
+        def idlest(
+            stage: upstreams.Stage, count: int
+        ) -> tuple[upstreams.Upstream, ...]:
+            found = [each for each in engines if each.stage is stage]
+            found.sort(key=lambda each: (work(each), each.id))
+            return tuple(found[:count])
+
+        prefills = sum(
+            engine.stage is upstreams.Stage.PREFILL for engine in engines
+        )
+        decodes = sum(
+            engine.stage is upstreams.Stage.DECODE for engine in engines
+        )
+        total = prefills + decodes
+        if not prefills and decodes >= MIN_DECODES_WITHOUT_PREFILL:
+            return Shift(
+                service.name,
+                idlest(upstreams.Stage.DECODE, 1),
+                upstreams.Stage.PREFILL,
+                float("inf"),
+            )
         needs = self.needs.get(service.name)
         if needs is None or needs.samples < MIN_SAMPLES:
             return None
-        by_stage = {
-            stage: [each for each in engines if each.stage is stage]
-            for stage in upstreams.Stage
-        }
-        prefills = len(by_stage[upstreams.Stage.PREFILL])
-        decodes = len(by_stage[upstreams.Stage.DECODE])
-        total = prefills + decodes
         if total < 2 or not decodes:
             return None
         now = self.rate(service, prefills, decodes)
@@ -160,5 +181,4 @@
                 return None
             source, target = target, source
         count = min(abs(best - prefills), max(total // 8, 1))
-        chosen = sorted(by_stage[source], key=lambda each: each.id)[:count]
-        return Shift(service.name, tuple(chosen), target, gain)
+        return Shift(service.name, idlest(source, count), target, gain)
--- a/tests/scheduling/test_dispatch_queue.py
+++ b/tests/scheduling/test_dispatch_queue.py
@@ -63,7 +63,7 @@
     placement = queue.acquire(waiter(manual_clock), 0)
 
     assert loads.load("d-1") == load_view.Load(1, 3000)
-    queue.release(placement)
+    queue.release(placement, prompt_read=False)
     assert loads.load("d-1") == load_view.NO_LOAD
 
 
@@ -144,3 +144,16 @@
     # Four requests of about three seconds: one ends every 0.75 s.
     assert queue.expected_wait("llm") == pytest.approx(1.5)
     gevent.killall(greenlets)
+
+
+def test_decode_engine_reads_one_prompt_at_a_time(queue, loads, manual_clock):
+    """Two prompts between the tokens of a stream make its pauses too long."""
+    queue.placer.directory.update([], ["p-1"])
+    first = queue.acquire(waiter(manual_clock, tokens=1000), 0)
+    assert first.prefill is None
+    assert queue.acquire(waiter(manual_clock, tokens=1000), 0) is None
+
+    queue.note_prompt_read(first)
+
+    assert queue.acquire(waiter(manual_clock, tokens=1000), 0) is not None
+    queue.release(first, prompt_read=True)
--- a/tests/scheduling/test_engine_placement.py
+++ b/tests/scheduling/test_engine_placement.py
@@ -116,3 +116,17 @@
     demand = engine_placement.estimate(1000, output, likely)
 
     assert demand == engine_placement.Demand(1000, expected)
+
+
+def test_decode_engine_helps_out_when_prompts_queue_up(parts):
+    placer, loads, _ = parts
+    for _ in range(engine_placement.MAX_PROMPTS):
+        loads.add("p-1", 1000)
+        loads.add("p-2", 1000)
+
+    first = place(placer)
+    assert first.prefill is None
+
+    for name in ("d-1", "d-2"):
+        loads.add(f"{name}/prompt", 1000)
+    assert place(placer).prefill is not None
--- a/tests/scheduling/test_stage_balance.py
+++ b/tests/scheduling/test_stage_balance.py
@@ -59,6 +59,24 @@
     assert long_prompts.decide(builders.LLM, engines(1, 3), BUSY) is None
 
 
+def test_service_without_prefill_engines_gets_the_idlest_one():
+    """Decode engines that read prompts make their streams pause."""
+    work = {"d-0": 9, "d-1": 1, "d-2": 5}
+
+    shift = stage_balance.StageBalancer().decide(
+        builders.LLM, engines(0, 3), 0, lambda engine: work[engine.id]
+    )
+
+    assert shift.stage is upstreams.Stage.PREFILL
+    assert [engine.id for engine in shift.engines] == ["d-1"]
+
+
+def test_single_decode_engine_stays():
+    found = stage_balance.StageBalancer()
+
+    assert found.decide(builders.LLM, engines(0, 1), 5) is None
+
+
 def test_large_service_gets_prefill_engines_for_long_prompts():
     long_prompts = balancer(prefill_s=2.0, decode_s=1.0)
 
