--- a/src/coltsfootarch/fleet/followers.py
+++ b/src/coltsfootarch/fleet/followers.py
@@ -35,9 +35,11 @@
 READER_INTERVAL_S = 0.5
 # Hosts look this often whether a peer has read the same or newer entries.
 LOOK_INTERVAL_S = 0.1
-# Pause after a failed call: doubles up to the limit.
+# Pause after a failed call: doubles up to the limit. Peers tell of upstreams
+# meanwhile, so that their reads can pause longer.
 RETRY_MIN_S = 0.1
-RETRY_MAX_S = 0.5
+RETRY_MAX_S = 0.8
+UPSTREAM_RETRY_MAX_S = 2.0
 
 logger = structlog.get_logger(__name__)
 
@@ -171,6 +173,7 @@
         self.failing_since: float | None = None
         self.greenlet: gevent.Greenlet | None = None
         self.pause = RETRY_MIN_S
+        self.longest_pause = RETRY_MAX_S
 
     def start(self) -> None:
         """Starts the loop."""
@@ -193,7 +196,7 @@
                     self.revision = None
                 self.note_failure(error)
                 wait = self.pause
-                self.pause = min(self.pause * 2, RETRY_MAX_S)
+                self.pause = min(self.pause * 2, self.longest_pause)
             except Exception:
                 logger.exception("read failed unexpectedly", source=self.name)
                 self.revision = None
@@ -290,6 +293,7 @@
         on_read: Callable[[], object] = lambda: None,
     ) -> None:
         super().__init__("upstreams", clock)
+        self.longest_pause = UPSTREAM_RETRY_MAX_S
         self.rank = rank
         self.on_read = on_read
         self.source = source
--- a/src/coltsfootarch/fleet/hosts.py
+++ b/src/coltsfootarch/fleet/hosts.py
@@ -22,6 +22,7 @@
 # renewals; new hosts make themselves heard.
 RENEWALS_PER_READ = 4
 RENEWALS_AT_START = 2
+RETRY_INTERVAL_S = 2.0
 # A host that was heard this recently counts as reached. Reports come at least
 # every half second.
 HEARD_S = 1.2
@@ -202,7 +203,7 @@
                 self.renew()
                 self.failing = False
             except errors.PlatformError as error:
-                delay = 1.0
+                delay = RETRY_INTERVAL_S
                 if not self.failing:
                     logger.warning("host row not renewed", reason=error.message)
                 self.failing = True
--- a/src/coltsfootarch/forwarding/call_pipeline.py
+++ b/src/coltsfootarch/forwarding/call_pipeline.py
@@ -115,7 +115,10 @@
         now = self.clock.monotonic()
         until = call.ends_at
         last = call.attempts + 1 >= call.route.max_attempts
-        if call.route.repeatable and not last:
+        # In a crowded service a second copy of a call that waits for a slot would
+        # only add to the load.
+        idle = self.parts.loads.load(upstream.id).requests < upstream.slots
+        if call.route.repeatable and not last and idle:
             until = min(until, now + ATTEMPT_PART * call.route.objective_s)
         delivery = calls.Delivery(
             upstream, call.account, call.ends_at - now, urgency=call.urgency
--- a/src/coltsfootarch/forwarding/generation_pipeline.py
+++ b/src/coltsfootarch/forwarding/generation_pipeline.py
@@ -105,6 +105,8 @@
         self.fate = attempts.Fate.NOT_SENT
         self.finished = False
         self.first_event_at: float | None = None
+        # Instant at which the caller last got something, or sent its request.
+        self.heard_at = call.request.received_at
 
 
 class GenerationPipeline:
@@ -230,7 +232,7 @@
         """
         call = generation.call
         now = self.clock.monotonic()
-        patience = call.request.received_at + call.route.patience_s
+        patience = generation.heard_at + call.route.patience_s
         last = min(call.ends_at, patience) - dispatch_queue.SERVICE_TIME_S
         if call.attempts or call.returned:
             return last - now
@@ -517,6 +519,7 @@
             self.parts.tracker.note_progress(generation.call.tried[-1])
             responder.start(answer.status, answer.fields)
         responder.send(event.data)
+        generation.heard_at = self.clock.monotonic()
         if event.id:
             generation.resume_after = event.id
 
--- a/src/coltsfootarch/scheduling/stage_balance.py
+++ b/src/coltsfootarch/scheduling/stage_balance.py
@@ -25,7 +25,7 @@
 MIN_SAMPLES = 3
 # A move costs an engine for several seconds, so that it must raise the
 # rate that can be borne by this factor.
-MIN_GAIN = 1.25
+MIN_GAIN = 1.4
 # Without enough prefill engines decode engines read prompts themselves, so that
 # engines are moved there for a larger gain only, and only in larger services.
 MIN_GAIN_TO_PREFILL = 2.0
@@ -37,6 +37,10 @@
 MIN_USE = 0.5
 # Part of a prefill engine's time that can be planned: prompts arrive unevenly.
 PREFILL_USE = 0.8
+# Part of a decode engine's time in which it can read prompts itself, and how many
+# times longer that takes than at a prefill engine.
+READING_USE = 0.25
+READING_SLOWDOWN = 2.0
 # Part of an engine's memory that requests take on average when it is full.
 MEMORY_USE = 0.9
 
@@ -119,8 +123,9 @@
             float(engine.slots),
         )
         decode_rate = decodes * at_once / max(needs.decode_s, 0.001)
-        prefill_rate = prefills * PREFILL_USE / max(needs.prefill_s, 0.001)
-        return min(decode_rate, prefill_rate)
+        readers = prefills * PREFILL_USE
+        readers += decodes * READING_USE / READING_SLOWDOWN
+        return min(decode_rate, readers / max(needs.prefill_s, 0.001))
 
     def decide(
         self,
--- a/tests/forwarding/test_calls.py
+++ b/tests/forwarding/test_calls.py
@@ -149,6 +149,17 @@
     assert response.status == 200
 
 
+def test_call_that_waits_in_a_crowded_service_is_not_sent_again(app):
+    """A second copy would only add to the load."""
+    set_fault(app, "", work_s=1.0)
+    for name in ("i-1", "i-2"):
+        for _ in range(8):
+            app.daemon.parts.loads.add(name, 1)
+
+    assert app.ask("/read/a").status == 200
+    assert run_count(app) == 1
+
+
 def test_timeout_of_the_route_ends_a_call_that_may_have_run(fleet):
     slow = documents.route(
         "book", "/book/", "non_idempotent", "app", timeout_ms=200
--- a/tests/forwarding/test_generations.py
+++ b/tests/forwarding/test_generations.py
@@ -74,6 +74,30 @@
     assert run["fields"]["last-event-id"] == "2"
 
 
+def test_stream_that_ran_long_waits_for_room_to_go_on(engines, monkeypatch):
+    """The caller's patience counts from the last event, not its request."""
+    monkeypatch.setattr(generation_pipeline, "MIN_STALL_S", 0.6)
+    monkeypatch.setattr(generation_pipeline, "STALL_GAPS", 0.1)
+    monkeypatch.setattr(generation_pipeline, "FIRST_EVENT_PART", 1.0)
+    route = engines.daemon.tracker.policy.find_route("api.example", "/write/")
+    monkeypatch.setattr(type(route), "patience_s", 1.0)
+    engines.runners["d-1"].fault = "stall"
+    engines.runners["d-1"].event_gap_s = 0.5
+    prefer(engines, "d-1")
+    loads = engines.daemon.parts.loads
+    asked = gevent.spawn(ask, engines)
+    engines.wait(lambda: engines.runs())
+    loads.add("d-2", 9000)
+    engines.wait(lambda: engines.daemon.parts.queue.waiters)
+    assert not asked.ready()
+
+    loads.remove("d-2", 9000)
+
+    response = asked.get(timeout=3)
+    assert response.complete
+    assert tokens(response) == [1, 2, 3, 4]
+
+
 def test_stream_that_may_not_be_resumed_is_cut_and_looks_cut(engines):
     engines.runners["d-1"].fault = "crash"
     prefer(engines, "d-1")
--- a/tests/scheduling/test_stage_balance.py
+++ b/tests/scheduling/test_stage_balance.py
@@ -34,6 +34,13 @@
     assert shift.gain == pytest.approx(1.5)
 
 
+def test_busy_prefill_engines_don_t_hold_a_move_back():
+    """One engine reads 8 prompts a second; decode engines read the rest."""
+    shift = balancer(decode_s=2.2).decide(builders.LLM, engines(2, 2), BUSY)
+
+    assert shift.stage is upstreams.Stage.DECODE
+
+
 def test_nothing_moves_without_load():
     assert balancer().decide(builders.LLM, engines(2, 2), 2) is None
 
