--- a/src/coltsfootarch/forwarding/call_pipeline.py
+++ b/src/coltsfootarch/forwarding/call_pipeline.py
@@ -115,8 +115,8 @@
         now = self.clock.monotonic()
         until = call.ends_at
         last = call.attempts + 1 >= call.route.max_attempts
-        # In a crowded service a second copy of a call that waits for a slot would
-        # only add to the load.
+        # In a crowded service a second copy of a call that waits for a slot
+        # would only add to the load.
         idle = self.parts.loads.load(upstream.id).requests < upstream.slots
         if call.route.repeatable and not last and idle:
             until = min(until, now + ATTEMPT_PART * call.route.objective_s)
--- a/src/coltsfootarch/scheduling/stage_balance.py
+++ b/src/coltsfootarch/scheduling/stage_balance.py
@@ -37,8 +37,8 @@
 MIN_USE = 0.5
 # Part of a prefill engine's time that can be planned: prompts arrive unevenly.
 PREFILL_USE = 0.8
-# Part of a decode engine's time in which it can read prompts itself, and how many
-# times longer that takes than at a prefill engine.
+# Part of a decode engine's time in which it can read prompts itself, and how
+# many times longer that takes than at a prefill engine.
 READING_USE = 0.25
 READING_SLOWDOWN = 2.0
 # Part of an engine's memory that requests take on average when it is full.
--- /dev/null
+++ b/tests/fleet/test_stage_orders.py
@@ -0,0 +1,164 @@
+"""Guards against orders of two hosts, stale claims and orders without need."""
+
+from __future__ import annotations
+
+import datetime
+
+import pytest
+
+from coltsfootarch import errors
+from coltsfootarch.fleet import followers
+from coltsfootarch.fleet import hosts
+from coltsfootarch.fleet import stage_orders
+from coltsfootarch.fleet import upstreams
+from coltsfootarch.scheduling import backlog
+from coltsfootarch.scheduling import dispatch_queue
+from coltsfootarch.scheduling import engine_placement
+from coltsfootarch.scheduling import load_view
+from coltsfootarch.scheduling import outcomes
+from coltsfootarch.scheduling import stage_balance
+from tests.fleet import builders
+
+
+class Claims:
+    """Grants one claim in each gap; can be slow or fail."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.granted = []
+        self.delay = 0.0
+        self.error = None
+
+    def claim(self, service, holder, gap_s):
+        now = self.clock.monotonic()
+        if self.error is not None:
+            raise self.error
+        if self.granted and now - self.granted[-1] < gap_s:
+            return None
+        self.granted.append(now)
+        self.clock.advance(datetime.timedelta(seconds=self.delay))
+        return stage_orders.Claim(holder, len(self.granted), now)
+
+
+class Orders:
+    def __init__(self):
+        self.given = []
+
+    def change_stage(self, engine, stage, claim):
+        self.given.append((engine.id, stage, claim.holder, claim.fence))
+        return "202"
+
+
+@pytest.fixture
+def claims(manual_clock):
+    return Claims(manual_clock)
+
+
+@pytest.fixture
+def orders():
+    return Orders()
+
+
+@pytest.fixture
+def make_keeper(manual_clock, claims, orders):
+    def make(name, peers=()):
+        directory = builders.directory(
+            manual_clock, builders.decode("d-1"), builders.decode("d-2")
+        )
+        tracker = followers.PolicyTracker(manual_clock)
+        tracker.policy = builders.make_policy()
+        loads = load_view.LoadView(manual_clock)
+        judged = outcomes.OutcomeTracker(manual_clock)
+        placer = engine_placement.EnginePlacer(
+            directory, loads, judged, "north", None
+        )
+        own = hosts.HostRecord(name, "10.0.0.1:1", "north", 1, 0)
+        known = hosts.HostDirectory(own, manual_clock)
+        for peer in peers:
+            known.note_heard(peer, "10.0.0.2:1", 1)
+        return stage_orders.StageKeeper(
+            tracker,
+            directory,
+            stage_balance.StageBalancer(),
+            dispatch_queue.DispatchQueue(
+                placer, loads, backlog.Backlog(manual_clock), manual_clock
+            ),
+            known,
+            claims,
+            orders,
+            judged,
+            manual_clock,
+        )
+
+    return make
+
+
+def check_for(keeper, clock, seconds):
+    for _ in range(int(seconds / stage_orders.CHECK_INTERVAL_S)):
+        keeper.check()
+        clock.advance(datetime.timedelta(seconds=stage_orders.CHECK_INTERVAL_S))
+
+
+def test_lasting_need_leads_to_one_order(make_keeper, manual_clock, orders):
+    keeper = make_keeper("h1")
+
+    check_for(keeper, manual_clock, 8)
+
+    assert orders.given == [("d-1", upstreams.Stage.PREFILL, "h1", 1)]
+    # The engine refuses requests until it has changed.
+    assert keeper.resting_until["llm"] > manual_clock.monotonic()
+
+
+def test_short_need_leads_to_none(make_keeper, manual_clock, orders):
+    keeper = make_keeper("h1")
+    keeper.check()
+    manual_clock.advance(datetime.timedelta(seconds=0.5))
+    keeper.directory.update([builders.prefill("p-1")], [])
+    check_for(keeper, manual_clock, 8)
+
+    assert not orders.given
+
+
+def test_hosts_don_t_take_turns(make_keeper, manual_clock, orders):
+    one, two = make_keeper("h1"), make_keeper("h2")
+    for _ in range(16):
+        one.check()
+        two.check()
+        manual_clock.advance(datetime.timedelta(seconds=0.5))
+
+    assert len(orders.given) == 1
+
+
+def test_later_host_leaves_the_order_to_the_first(
+    make_keeper, manual_clock, orders
+):
+    keeper = make_keeper("h2", peers=["h1"])
+
+    for _ in range(int(stage_orders.MIN_NEED_S) + 1):
+        keeper.peers.note_heard("h1", "10.0.0.2:1", 1)
+        check_for(keeper, manual_clock, 1)
+
+    assert not orders.given
+
+
+def test_claim_that_came_late_is_not_used(
+    make_keeper, manual_clock, orders, claims
+):
+    """The next holder may have given orders meanwhile."""
+    claims.delay = stage_orders.CLAIM_VALIDITY_S + 0.1
+
+    check_for(make_keeper("h1"), manual_clock, 3)
+
+    assert not orders.given
+
+
+def test_claim_of_unknown_outcome_is_not_used(
+    make_keeper, manual_clock, orders, claims
+):
+    claims.error = errors.TableUnavailableError()
+    keeper = make_keeper("h1")
+
+    with pytest.raises(errors.TableUnavailableError):
+        check_for(keeper, manual_clock, 3)
+
+    assert not orders.given
