Tell changed registrations to the other hosts; serve engines without stages

Hosts that can follow a told change by its digests now read nothing. Streams of services without stages or engine sizes go through the stream pipeline; before, the call pipeline would have held them back to their end.

--- a/src/coltsfootarch/fleet/followers.py
+++ b/src/coltsfootarch/fleet/followers.py
@@ -301,14 +301,16 @@
 
     def step(self) -> float:
         """Reads if no peer has read the same; see `Follower`."""
-        if self.revision is None:
+        directory = self.directory
+        if self.revision is None or directory.revision is None:
             reading = self.source.read()
-            self.directory.replace(reading.found)
-            self.revision = reading.revision
-        elif self.directory.outdated or self.directory.age() >= self.due_s():
-            reading = self.source.read_changes(self.revision, 0.0)
-            self.directory.update(reading.found.values(), reading.removed)
+            directory.replace(reading.found, reading.revision)
             self.revision = reading.revision
+        elif directory.outdated or directory.age() >= self.due_s():
+            reading = self.source.read_changes(directory.revision, 0.0)
+            directory.update(
+                reading.found.values(), reading.removed, reading.revision
+            )
             self.on_read()
         return LOOK_INTERVAL_S
 
--- a/src/coltsfootarch/fleet/reports.py
+++ b/src/coltsfootarch/fleet/reports.py
@@ -13,6 +13,7 @@
 import structlog
 from gevent import socket as gevent_socket
 
+from coltsfootarch.fleet import upstreams  # noqa: TC001  Needed to decode.
 from coltsfootarch.http1 import client
 
 if TYPE_CHECKING:
@@ -51,6 +52,10 @@
         waiting: Service, requests that wait for its engines.
         directory: Digest of the registered upstreams.
         directory_age_ms: Time since they were read from the table service.
+        directory_revision: Revision of the table service that they show.
+        directory_base: Digest before the last change.
+        directory_changed: Upstreams that this change added or replaced.
+        directory_removed: Ids of upstreams that it removed.
     """
 
     version: int
@@ -65,6 +70,10 @@
     waiting: list[tuple[str, int]]
     directory: int = 0
     directory_age_ms: int = -1
+    directory_revision: int = 0
+    directory_base: int = 0
+    directory_changed: tuple[upstreams.Upstream, ...] = ()
+    directory_removed: tuple[str, ...] = ()
 
 
 class Participant(Protocol):
--- a/src/coltsfootarch/fleet/upstreams.py
+++ b/src/coltsfootarch/fleet/upstreams.py
@@ -21,6 +21,10 @@
 REREGISTRATION_S = 2.0
 # Reads that are older than this are not reported.
 MAX_REPORTED_AGE_S = 1.0
+# A change is reported for this time; it covers lost reports.
+CHANGE_REPORTED_S = 1.5
+# Longer changes, as after a start, are read by each host.
+MAX_REPORTED_ENTRIES = 20
 # Longest usual time between sending a report and reading it, in seconds.
 DELIVERY_S = 0.1
 # A read that comes this long after the one before counts as after an outage.
@@ -60,6 +64,22 @@
     started_ms: int = 0
 
 
+class Change(NamedTuple):
+    """Last change of the entries.
+
+    Attributes:
+        at: Instant of the change, in seconds.
+        base: Digest of the entries before it.
+        changed: Entries that it added or replaced.
+        removed: Ids of the entries that it removed.
+    """
+
+    at: float
+    base: int
+    changed: tuple[Upstream, ...]
+    removed: tuple[str, ...]
+
+
 class UpstreamDirectory:
     """Registered upstreams, as last read from the table service.
 
@@ -77,29 +97,66 @@
         self.grace_until = float("-inf")
         self.digest = 0
         self.outdated = False
+        self.revision: int | None = None
+        self.change: Change | None = None
         self.on_change: list[Callable[[], object]] = []
 
-    def replace(self, entries: dict[str, Upstream]) -> None:
+    def replace(self, entries: dict[str, Upstream], revision: int = 0) -> None:
         """Takes a whole list; entries that it lacks are gone."""
-        self.note_read()
-        for key in [key for key in self.upstreams if key not in entries]:
-            self.absent_since.setdefault(key, self.clock.monotonic())
-        for upstream in entries.values():
-            self.put(upstream)
-        self.expire()
+        removed = [key for key in self.upstreams if key not in entries]
+        self.update(entries.values(), removed, revision)
 
     def update(
-        self, entries: Iterable[Upstream], removed: Iterable[str]
+        self,
+        entries: Iterable[Upstream],
+        removed: Iterable[str],
+        revision: int = 0,
     ) -> None:
-        """Takes the changes since the read before."""
+        """Takes the changes since the read before.
+
+        Args:
+            entries: Entries that may be new or changed.
+            removed: Ids of entries that are gone.
+            revision: Revision of the table service that this shows.
+        """
         self.note_read()
-        for upstream in entries:
-            self.put(upstream)
+        self.revision = revision
         now = self.clock.monotonic()
         for key in removed:
             if key in self.upstreams:
                 self.absent_since.setdefault(key, now)
-        self.expire()
+        changed = [
+            upstream
+            for upstream in entries
+            if self.absent_since.pop(upstream.id, None) is not None
+            or self.upstreams.get(upstream.id) != upstream
+        ]
+        self.apply(changed, self.expired())
+
+    def apply(
+        self, changed: Iterable[Upstream], removed: Iterable[str]
+    ) -> None:
+        """Changes entries and remembers how."""
+        base = self.digest
+        known = {
+            upstream.id: upstream
+            for upstream in changed
+            if self.upstreams.get(upstream.id) != upstream
+        }
+        gone = [key for key in removed if key in self.upstreams]
+        for key in gone:
+            del self.upstreams[key]
+            self.absent_since.pop(key, None)
+            self.rejected.discard(key)
+            logger.info("upstream removed", upstream=key)
+        for upstream in known.values():
+            self.put(upstream)
+        if not known and not gone:
+            return
+        self.rebuild()
+        self.change = Change(
+            self.clock.monotonic(), base, tuple(known.values()), tuple(gone)
+        )
 
     def note_read(self) -> None:
         """Starts the time for registering again after an outage."""
@@ -111,10 +168,6 @@
 
     def put(self, upstream: Upstream) -> None:
         """Adds or changes an entry."""
-        self.absent_since.pop(upstream.id, None)
-        known = self.upstreams.get(upstream.id)
-        if known == upstream:
-            return
         self.upstreams[upstream.id] = upstream
         self.rejected.discard(upstream.id)
         logger.info(
@@ -125,7 +178,6 @@
             ready=upstream.ready,
             stage=upstream.stage.value if upstream.stage else None,
         )
-        self.rebuild()
 
     def reject(self, upstream_id: str) -> None:
         """Notes that another upstream answered at this one's address."""
@@ -133,15 +185,13 @@
 
     def expire(self) -> None:
         """Removes absent entries once their absence means that they left."""
-        now = self.clock.monotonic()
-        if not self.absent_since or now < self.grace_until:
-            return
-        for key in self.absent_since:
-            self.upstreams.pop(key, None)
-            self.rejected.discard(key)
-            logger.info("upstream removed", upstream=key)
-        self.absent_since.clear()
-        self.rebuild()
+        self.apply((), self.expired())
+
+    def expired(self) -> list[str]:
+        """Returns the absent entries that had time to register again."""
+        if self.clock.monotonic() < self.grace_until:
+            return []
+        return list(self.absent_since)
 
     def rebuild(self) -> None:
         """Groups the ready upstreams by service."""
@@ -164,26 +214,44 @@
         age = self.age()
         if not self.upstreams or age > MAX_REPORTED_AGE_S:
             return report
+        report = report._replace(
+            directory=self.digest,
+            directory_age_ms=int(age * 1000),
+            directory_revision=self.revision or 0,
+        )
+        change = self.change
+        if (
+            change is None
+            or len(change.changed) > MAX_REPORTED_ENTRIES
+            or self.clock.monotonic() - change.at > CHANGE_REPORTED_S
+        ):
+            return report
         return report._replace(
-            directory=self.digest, directory_age_ms=int(age * 1000)
+            directory_base=change.base,
+            directory_changed=change.changed,
+            directory_removed=change.removed,
         )
 
     def absorb(self, report: reports.Report, continuous: bool) -> None:
-        """Compares with a peer's digest; see `reports.Participant`.
+        """Takes what a peer has read; see `reports.Participant`.
 
-        A peer that has just read the same entries saves this host a read. One
-        that has read others makes it read at once.
+        A peer that has just read the same entries saves this host a read, and
+        so does one that tells the one change in between. Otherwise this host
+        reads at once.
         """
         if report.directory_age_ms < 0 or not continuous:
             return
         age = report.directory_age_ms / 1000 + DELIVERY_S
         read_at = self.clock.monotonic() - age
-        if read_at <= self.read_at:
+        if read_at <= self.read_at or self.revision is None:
             return
-        if report.directory == self.digest:
-            self.read_at = read_at
-        else:
+        if report.directory_base == self.digest != report.directory:
+            self.apply(report.directory_changed, report.directory_removed)
+        if report.directory != self.digest:
             self.outdated = True
+            return
+        self.read_at = read_at
+        self.revision = max(self.revision, report.directory_revision)
 
     def candidates(self, service: str) -> list[Upstream]:
         """Returns the upstreams of a service that take new requests."""
--- a/src/coltsfootarch/forwarding/forwarder.py
+++ b/src/coltsfootarch/forwarding/forwarder.py
@@ -11,6 +11,7 @@
 
 from coltsfootarch import errors
 from coltsfootarch import results
+from coltsfootarch.fleet import policy as policies
 from coltsfootarch.forwarding import call_pipeline
 from coltsfootarch.forwarding import calls
 from coltsfootarch.forwarding import cancellation as cancellations
@@ -21,7 +22,6 @@
 
     from coltsfootarch import clock as clocks
     from coltsfootarch.fleet import followers
-    from coltsfootarch.fleet import policy
     from coltsfootarch.forwarding import context
     from coltsfootarch.http1 import messages
     from coltsfootarch.limits import shared_bucket
@@ -49,9 +49,9 @@
         tokens: Size counted against the account's limit.
     """
 
-    route: policy.Route
-    account: policy.ClientAccount | None
-    policy: policy.Policy
+    route: policies.Route
+    account: policies.ClientAccount | None
+    policy: policies.Policy
     tokens: int
 
 
@@ -181,8 +181,8 @@
         return Admitted(route, account, current, tokens)
 
     def find_route(
-        self, current: policy.Policy, request: calls.CallerRequest
-    ) -> policy.Route:
+        self, current: policies.Policy, request: calls.CallerRequest
+    ) -> policies.Route:
         """Returns the route of a request.
 
         Raises:
@@ -213,10 +213,10 @@
 
     def authenticate(
         self,
-        current: policy.Policy,
-        route: policy.Route,
+        current: policies.Policy,
+        route: policies.Route,
         request: calls.CallerRequest,
-    ) -> policy.ClientAccount | None:
+    ) -> policies.ClientAccount | None:
         """Returns the account of a request; None where no key is needed.
 
         Raises:
@@ -254,11 +254,15 @@
 
     def run(self, call: calls.Call, admitted: Admitted) -> None:
         """Runs the pipeline of the call's service."""
-        service = admitted.policy.services.get(call.service)
-        if service is not None and service.engine is not None:
-            self.generations.run(call, service)
-        else:
+        if admitted.route.repeat is not policies.Repeat.STREAM:
             self.calls.run(call)
+            return
+        service = admitted.policy.services.get(call.service)
+        if service is None:
+            raise errors.RefusedError(
+                results.NO_UPSTREAM, retry_after=UNCONFIRMED_RETRY_AFTER_S
+            )
+        self.generations.run(call, service)
 
     def settle(
         self,
@@ -351,6 +355,9 @@
             policy_age_ms=round(age * 1000) if math.isfinite(age) else None,
             attempts=call.attempts if call else 0,
             upstreams=call.tried if call else [],
+            deadline_ms=round(request.deadline_s * 1000)
+            if request.deadline_s is not None
+            else None,
             took_ms=round(
                 (self.clock.monotonic() - request.received_at) * 1000
             ),
--- a/src/coltsfootarch/scheduling/engine_placement.py
+++ b/src/coltsfootarch/scheduling/engine_placement.py
@@ -90,6 +90,11 @@
     return Demand(prompt_tokens, prompt_tokens + int(likely * GROWTH_PART))
 
 
+def stage_of(engine: upstreams.Upstream) -> upstreams.Stage:
+    """Returns the stage of an engine; one without a stage does both."""
+    return engine.stage or upstreams.Stage.DECODE
+
+
 def reading_key(engine: upstreams.Upstream) -> str:
     """Returns the key under which prompts that an engine reads are counted."""
     return f"{engine.id}/prompt"
@@ -165,7 +170,7 @@
         fitting = [
             engine
             for engine in engines
-            if engine.stage is stage
+            if stage_of(engine) is stage
             and engine.id not in excluded
             and not self.tracker.is_refusing(engine.id)
         ]
@@ -182,12 +187,14 @@
         excluded: Collection[str],
     ) -> upstreams.Upstream | None:
         """Returns the decode engine with the most room."""
-        memory = service.engine.memory_tokens if service.engine else 0
+        memory = float("inf")
+        if service.engine is not None:
+            memory = service.engine.memory_tokens * MEMORY_PART
         fitting = []
         for engine in self.usable(engines, upstreams.Stage.DECODE, excluded):
             load = self.loads.load(engine.id)
             planned = load.tokens + demand.memory_tokens
-            has_memory = planned <= memory * MEMORY_PART or not load.requests
+            has_memory = planned <= memory or not load.requests
             if has_memory and load.requests < engine.slots:
                 fitting.append(engine)
         return self.cheapest(fitting, demand.memory_tokens)
@@ -225,6 +232,8 @@
 
     def is_reading(self, engine: upstreams.Upstream) -> bool:
         """Returns whether a decode engine reads a prompt itself."""
+        if engine.stage is None:
+            return False  # It is made for reading prompts beside its streams.
         return self.loads.load(reading_key(engine)).requests > 0
 
     def distance(self, engine: upstreams.Upstream) -> float:
@@ -240,6 +249,6 @@
         return [
             engine
             for engine in self.directory.candidates(service)
-            if engine.stage is upstreams.Stage.DECODE
+            if stage_of(engine) is upstreams.Stage.DECODE
             and engine.id not in excluded
         ]
--- a/tests/fleet/test_followers.py
+++ b/tests/fleet/test_followers.py
@@ -244,9 +244,58 @@
     assert not directory.candidates("app")
 
 
+def linked(clock, *entries):
+    """Returns two directories that have read the same entries."""
+    found = []
+    for _ in range(2):
+        directory = upstreams.UpstreamDirectory(clock)
+        directory.replace({entry.id: entry for entry in entries}, 5)
+        found.append(directory)
+    return found
+
+
+def test_change_that_a_peer_tells_saves_a_read(manual_clock):
+    one, two = builders.plain("i-1"), builders.plain("i-2")
+    reader, other = linked(manual_clock, one, two)
+    manual_clock.advance(datetime.timedelta(seconds=0.5))
+    reader.update([one._replace(ready=False)], ["i-2"], 9)
+
+    other.absorb(reader.contribute(peer_report()), True)
+
+    assert other.upstreams == reader.upstreams
+    assert other.revision == 9
+    assert not other.outdated
+
+
+def test_host_that_missed_a_change_reads_itself(manual_clock):
+    one, two = builders.plain("i-1"), builders.plain("i-2")
+    reader, other = linked(manual_clock, one, two)
+    manual_clock.advance(datetime.timedelta(seconds=0.5))
+    reader.update([one._replace(ready=False)], [], 8)
+    reader.update([], ["i-2"], 9)
+
+    other.absorb(reader.contribute(peer_report()), True)
+
+    assert other.outdated
+    assert other.revision == 5
+
+
+def test_old_change_is_not_told_again(manual_clock):
+    one = builders.plain("i-1")
+    reader, _ = linked(manual_clock, one)
+    reader.update([one._replace(ready=False)], [], 8)
+    manual_clock.advance(
+        datetime.timedelta(seconds=upstreams.CHANGE_REPORTED_S + 0.1)
+    )
+    reader.update([], [], 9)
+
+    assert reader.contribute(peer_report()).directory_changed == ()
+
+
 def test_peer_s_older_read_changes_nothing(manual_clock):
     one = builders.plain("i-1")
     directory = builders.directory(manual_clock, one)
+    directory.revision = 1
 
     directory.absorb(peer_report(directory=5, directory_age_ms=10), True)
 
--- a/tests/fleet/test_reports.py
+++ b/tests/fleet/test_reports.py
@@ -9,6 +9,7 @@
 
 from coltsfootarch.fleet import hosts
 from coltsfootarch.fleet import reports
+from tests.fleet import builders
 
 
 class Recorder:
@@ -98,3 +99,18 @@
         here.directory.note_heard(f"h{number}", "10.0.0.1:1", 1)
 
     assert reports.INTERVAL_S < here.interval() <= reports.MAX_INTERVAL_S
+
+
+def test_entries_of_upstreams_survive_the_wire(here, manual_clock):
+    peer = exchange("peer", manual_clock)
+    directory = builders.directory(
+        manual_clock, builders.decode("d-1"), builders.plain("i-1")
+    )
+    peer.participants = [directory]
+    seen = []
+    here.participants[0].absorb = lambda report, continuous: seen.append(report)
+
+    here.receive(peer.encode(), "127.0.0.1:1")
+
+    assert set(seen[0].directory_changed) == set(directory.upstreams.values())
+    assert seen[0].directory == directory.digest
--- a/tests/forwarding/test_generations.py
+++ b/tests/forwarding/test_generations.py
@@ -6,6 +6,7 @@
 import pytest
 
 from coltsfootarch.forwarding import generation_pipeline
+from tests.platform import documents
 
 SIZES = {"X_Token_Count": "1000,500", "X_Model": "m"}
 
@@ -231,3 +232,16 @@
     assert response.status == 503
     assert response.code == "repeated-breaks"
     assert sum(len(found.runs) for found in engines.runners.values()) == ran
+
+
+def test_stream_of_a_service_without_stages_is_relayed(fleet):
+    runner = fleet.add_runner("i-1", "llm", "decode")
+    entry = runner.registration()
+    del entry["stage"]
+    fleet.store.put("servers", "i-1", documents.encoded(entry))
+    fleet.start()
+
+    response = ask(fleet)
+
+    assert response.complete
+    assert tokens(response) == [1, 2, 3, 4]
