--- a/src/coltsfootarch/fleet/reports.py
+++ b/src/coltsfootarch/fleet/reports.py
@@ -9,6 +9,7 @@
 from typing import Protocol
 
 import gevent
+import gevent.event
 import msgspec
 import structlog
 from gevent import socket as gevent_socket
@@ -28,6 +29,8 @@
 # datagrams a second.
 MAX_DATAGRAMS_PER_S = 80.0
 MAX_INTERVAL_S = 0.5
+# Time in which important changes are collected for one report.
+URGENT_DELAY_S = 0.06
 MAX_DATAGRAM_BYTES = 60000
 # Pause between two batches of datagrams, and the size of a batch.
 BATCH_INTERVAL_S = 0.03
@@ -45,7 +48,8 @@
         incarnation: Unix time of its start in milliseconds.
         sequence: Number of this report.
         loads: Upstream id, requests in progress, their tokens.
-        usage: Client account, tokens admitted since the start.
+        usage: Client account, tokens admitted since the start: before its use
+            of the last seconds, and in all.
         breaks: Request digest, connections broken while it ran.
         failures: Upstream id, requests that it failed since the start.
         refusing: Upstream ids that refuse requests at present.
@@ -63,7 +67,7 @@
     incarnation: int
     sequence: int
     loads: list[tuple[str, int, int]]
-    usage: list[tuple[str, int]]
+    usage: list[tuple[str, int, int]]
     breaks: list[tuple[str, int]]
     failures: list[tuple[str, int]]
     refusing: list[str]
@@ -119,6 +123,7 @@
         self.greenlets: list[gevent.Greenlet] = []
         self.decoder = msgspec.msgpack.Decoder(Report)
         self.undecodable = 0
+        self.urgent = gevent.event.Event()
 
     def start(self) -> None:
         """Binds the socket and starts to send and receive."""
@@ -148,7 +153,14 @@
         """Sends reports until the greenlet is killed."""
         while True:
             self.send()
-            gevent.sleep(self.interval())
+            if self.urgent.wait(self.interval()):
+                # Changes that follow closely share a report.
+                gevent.sleep(URGENT_DELAY_S)
+                self.urgent.clear()
+
+    def hurry(self) -> None:
+        """Sends the next report soon, since much has changed."""
+        self.urgent.set()
 
     def send(self) -> None:
         """Sends one report to each peer."""
--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -61,8 +61,10 @@
 POLL_S = 0.05
 # Part of the excess that the platform's users allow for differences between
 # the hosts' copies of a bucket. The rest covers what is admitted in the time of
-# a report, and restarts.
-OVERDRAFT_PART = 0.35
+# a report, and restarts. Many hosts admit more in that time.
+OVERDRAFT_PART = 0.6
+OVERDRAFT_PART_MANY = 0.2
+MANY_HOSTS = 16
 # Part of the time for which keys are accepted within which a confirmation must
 # have been renewed.
 CONFIRMATION_PART = 0.85
@@ -110,7 +112,11 @@
         self.upstreams = upstreams.UpstreamDirectory(clock)
         self.tracker = followers.PolicyTracker(clock)
         self.buckets = shared_bucket.SharedBuckets(
-            clock, self.hosts.share, limits.rate_slack * OVERDRAFT_PART
+            clock,
+            self.hosts.share,
+            self.find_account,
+            self.overdraft,
+            self.hurry,
         )
         self.parts = self.build_parts(limits)
         self.confirmation_s = (
@@ -168,6 +174,22 @@
         self.others = self.build_listeners()
         self.housekeeper: gevent.Greenlet | None = None
 
+    def find_account(self, name: str) -> policy.ClientAccount | None:
+        """Returns an account of the policy in force."""
+        current = self.tracker.policy
+        return current.accounts.get(name) if current else None
+
+    def overdraft(self) -> float:
+        """Returns the tokens by which buckets may go below zero."""
+        many = self.hosts.count() > MANY_HOSTS
+        part = OVERDRAFT_PART_MANY if many else OVERDRAFT_PART
+        return self.settings.limits.rate_slack * part
+
+    def hurry(self) -> None:
+        """Reports soon, if the usual interval is long."""
+        if self.hosts.count() > MANY_HOSTS:
+            self.exchange.hurry()
+
     def policy_wait(self) -> float:
         """Returns how long a call for policy changes waits, in seconds."""
         if self.confirmation_s is None:
@@ -361,7 +383,6 @@
         ]
         limits = newer.limits
         self.settings = self.settings._replace(limits=limits)
-        self.buckets.overdraft = limits.rate_slack * OVERDRAFT_PART
         budget = self.parts.budget
         budget.ratio = limits.retry_ratio
         budget.minimum = limits.retry_minimum
--- a/src/coltsfootarch/limits/shared_bucket.py
+++ b/src/coltsfootarch/limits/shared_bucket.py
@@ -30,6 +30,7 @@
         level: Tokens that can be admitted.
         updated_at: Instant of the last refill, in seconds.
         admitted: Tokens that this host admitted since its start.
+        base: The same before the first admission that is still reported.
         used_at: Instant of the last change of `admitted`.
     """
 
@@ -37,6 +38,7 @@
         self.level = 0.0
         self.updated_at = started_at
         self.admitted = 0
+        self.base = 0
         self.used_at = float("-inf")
 
 
@@ -49,17 +51,23 @@
     Args:
         clock: Source of time.
         share: Returns the part of a limit that the reached hosts have.
-        overdraft: Tokens by which a bucket may go below zero. It makes up for
-            differences between copies; users of the platform allow a larger
-            excess.
+        find_account: Returns an account of the policy in force by its name.
+        overdraft: Returns the tokens by which a bucket may go below zero. They
+            make up for differences between copies; users of the platform allow
+            a larger excess.
+        on_take: Called after an admission, which the other hosts must know.
     """
 
     def __init__(
         self,
         clock: clocks.Clock,
         share: Callable[[], float],
-        overdraft: float = 0.0,
+        find_account: Callable[[str], policy.ClientAccount | None],
+        overdraft: Callable[[], float] = lambda: 0.0,
+        on_take: Callable[[], object] = lambda: None,
     ) -> None:
+        self.find_account = find_account
+        self.on_take = on_take
         self.clock = clock
         self.share = share
         self.overdraft = overdraft
@@ -81,11 +89,12 @@
             return 0.0
         part = self.share()
         bucket = self.refill(account, part)
-        missing = tokens - bucket.level - self.overdraft * part
+        missing = tokens - bucket.level - self.overdraft() * part
         if missing > 0:
             return missing / (account.rate * part)
         bucket.level -= tokens
         self.count(bucket, tokens)
+        self.on_take()
         return 0.0
 
     def give_back(self, account: policy.ClientAccount, tokens: int) -> None:
@@ -98,8 +107,11 @@
 
     def count(self, bucket: Bucket, tokens: int) -> None:
         """Adds to what this host reports."""
+        now = self.clock.monotonic()
+        if now - bucket.used_at > REPORTED_S:
+            bucket.base = bucket.admitted
         bucket.admitted += tokens
-        bucket.used_at = self.clock.monotonic()
+        bucket.used_at = now
 
     def refill(self, account: policy.ClientAccount, part: float) -> Bucket:
         """Returns the account's bucket as of now."""
@@ -123,7 +135,7 @@
         """Adds what this host admitted lately; see `reports.Participant`."""
         oldest = self.clock.monotonic() - REPORTED_S
         report.usage.extend(
-            (name, bucket.admitted)
+            (name, bucket.base, bucket.admitted)
             for name, bucket in self.buckets.items()
             if bucket.used_at >= oldest
         )
@@ -138,11 +150,16 @@
         known = self.reported.setdefault(report.host, {})
         if not continuous:
             known.clear()
-        for name, admitted in report.usage:
-            before = known.get(name)
-            if before is None and continuous:
-                # First use since the peer was last heard without it.
-                before = 0 if not known else admitted
+        for name, base, admitted in report.usage:
+            # An account that wasn't reported before was last used before
+            # `base` was noted.
+            before = known.get(name, base)
             known[name] = admitted
-            if before is not None:
-                self.bucket(name).level -= admitted - before
+            account = self.find_account(name)
+            if continuous and account is not None:
+                # Refilled first: what a full bucket can't take is lost before
+                # the use, not after it.
+                self.refill(account, self.share()).level -= admitted - before
+        reported = {name for name, _, _ in report.usage}
+        for name in [name for name in known if name not in reported]:
+            del known[name]
--- a/tests/fleet/test_report_exchange.py
+++ b/tests/fleet/test_report_exchange.py
@@ -37,3 +37,25 @@
 
     for exchange in exchanges:
         exchange.close()
+
+
+def test_important_changes_are_reported_soon(monkeypatch):
+    clock = clocks.SystemClock()
+    (address,) = fleet.free_addresses(1, socket.SOCK_DGRAM)
+    record = hosts.HostRecord("h1", address, "z", 1, 0)
+    exchange = reports.ReportExchange(
+        hosts.HostDirectory(record, clock), [], clock
+    )
+    monkeypatch.setattr(exchange, "interval", lambda: 60.0)
+    sent = []
+    monkeypatch.setattr(exchange, "send", lambda: sent.append(1))
+    exchange.start()
+    gevent.sleep(0.01)
+    assert sent == [1]
+
+    for _ in range(5):
+        exchange.hurry()
+    gevent.sleep(reports.URGENT_DELAY_S + 0.1)
+
+    assert sent == [1, 1]
+    exchange.close()
--- a/tests/fleet/test_reports.py
+++ b/tests/fleet/test_reports.py
@@ -17,7 +17,7 @@
         self.seen = []
 
     def contribute(self, report):
-        report.usage.append(("acme", 5))
+        report.usage.append(("acme", 0, 5))
         return report
 
     def absorb(self, report, continuous):
--- a/tests/limits/test_shared_bucket.py
+++ b/tests/limits/test_shared_bucket.py
@@ -14,6 +14,7 @@
 from tests.fleet import builders
 
 ACCOUNT = builders.account(rate=1000.0, burst=5000.0)
+FIND = {"acme": ACCOUNT}.get
 
 
 def seconds(number):
@@ -32,7 +33,7 @@
 
 @pytest.fixture
 def buckets(manual_clock):
-    return shared_bucket.SharedBuckets(manual_clock, lambda: 1.0)
+    return shared_bucket.SharedBuckets(manual_clock, lambda: 1.0, FIND)
 
 
 def test_new_process_starts_empty_and_refills(buckets, manual_clock):
@@ -66,32 +67,68 @@
 
 def test_what_a_peer_admits_is_no_longer_there(buckets, manual_clock):
     manual_clock.advance(seconds(5))
-    buckets.absorb(report("h2", [("acme", 100)]), False)
+    buckets.absorb(report("h2", [("acme", 0, 100)]), False)
 
-    buckets.absorb(report("h2", [("acme", 4100)]), True)
+    buckets.absorb(report("h2", [("acme", 0, 4100)]), True)
 
     assert buckets.take(ACCOUNT, 1001) > 0
     assert buckets.take(ACCOUNT, 1000) == 0.0
 
 
+def test_first_use_of_another_account_counts(buckets, manual_clock):
+    """Otherwise each host could admit a request of its own unseen."""
+    manual_clock.advance(seconds(5))
+    buckets.absorb(report("h2", [("other", 0, 100)]), True)
+
+    buckets.absorb(report("h2", [("other", 0, 100), ("acme", 300, 4300)]), True)
+
+    assert buckets.take(ACCOUNT, 1001) > 0
+    assert buckets.take(ACCOUNT, 1000) == 0.0
+
+
+def test_account_that_rested_is_counted_from_its_new_use(manual_clock):
+    here = shared_bucket.SharedBuckets(manual_clock, lambda: 1.0, FIND)
+    there = shared_bucket.SharedBuckets(manual_clock, lambda: 1.0, FIND)
+    manual_clock.advance(seconds(5))
+    there.take(ACCOUNT, 3000)
+    manual_clock.advance(seconds(60))
+    here.absorb(report_of(there, "h2"), False)
+    there.take(ACCOUNT, 2000)
+
+    here.absorb(report_of(there, "h2"), True)
+
+    assert here.take(ACCOUNT, 3001) > 0
+    assert here.take(ACCOUNT, 3000) == 0.0
+
+
+def test_use_after_a_rest_isn_t_made_good_by_the_rest(buckets, manual_clock):
+    """A host that rarely serves an account still takes off what others do."""
+    buckets.absorb(report("h2", []), False)
+    manual_clock.advance(seconds(60))
+
+    buckets.absorb(report("h2", [("acme", 0, 5000)]), True)
+
+    assert buckets.take(ACCOUNT, 1) > 0
+
+
 def test_total_is_not_counted_twice(buckets, manual_clock):
     manual_clock.advance(seconds(5))
     for _ in range(3):
-        buckets.absorb(report("h2", [("acme", 4000)]), True)
+        buckets.absorb(report("h2", [("acme", 0, 4000)]), True)
 
     assert buckets.take(ACCOUNT, 1000) == 0.0
 
 
 def test_use_during_a_gap_was_covered_by_the_peer_s_part(buckets, manual_clock):
     manual_clock.advance(seconds(5))
-    buckets.absorb(report("h2", [("acme", 100)]), True)
-    buckets.absorb(report("h2", [("acme", 9999)]), False)
+    buckets.absorb(report("h2", [("acme", 0, 100)]), True)
+    buckets.absorb(report("h2", [("acme", 0, 9999)]), False)
 
     assert buckets.take(ACCOUNT, 4800) == 0.0
 
 
 def test_separated_host_has_its_part_only(manual_clock):
-    buckets = shared_bucket.SharedBuckets(manual_clock, lambda: 0.25)
+    buckets = shared_bucket.SharedBuckets(manual_clock, lambda: 0.25, FIND)
     manual_clock.advance(seconds(1000))
 
     assert buckets.take(ACCOUNT, 1251) > 0
@@ -101,8 +138,24 @@
     assert buckets.take(ACCOUNT, 250) == 0.0
 
 
+def test_admissions_are_announced(manual_clock):
+    """Late news of an admission lets other hosts admit the same tokens."""
+    announced = []
+    buckets = shared_bucket.SharedBuckets(
+        manual_clock, lambda: 1.0, FIND, on_take=lambda: announced.append(1)
+    )
+    manual_clock.advance(seconds(1))
+
+    buckets.take(ACCOUNT, 900)
+    buckets.take(ACCOUNT, 900)
+
+    assert announced == [1]
+
+
 def test_overdraft_is_bounded_and_paid_back(manual_clock):
-    buckets = shared_bucket.SharedBuckets(manual_clock, lambda: 1.0, 2000.0)
+    buckets = shared_bucket.SharedBuckets(
+        manual_clock, lambda: 1.0, FIND, lambda: 2000.0
+    )
     manual_clock.advance(seconds(5))
 
     assert buckets.take(ACCOUNT, 7000) == 0.0
@@ -125,7 +178,9 @@
 def test_all_hosts_together_stay_within_rate_and_burst(steps):
     """Reports arrive after each step; the bound allows one step's excess."""
     clock = clocks.ManualClock()
-    hosts = [shared_bucket.SharedBuckets(clock, lambda: 1.0) for _ in range(3)]
+    hosts = [
+        shared_bucket.SharedBuckets(clock, lambda: 1.0, FIND) for _ in range(3)
+    ]
     for number, buckets in enumerate(hosts):
         for other in range(3):
             if other != number:
