--- a/src/coltsfootarch/fleet/policy.py
+++ b/src/coltsfootarch/fleet/policy.py
@@ -102,12 +102,15 @@
         memory_tokens: KV cache memory in tokens.
         token_bytes: KV cache bytes of one token.
         handle_lifetime_s: Time that a prefill result is kept, in seconds.
+        reservation_s: Longest time for which memory can be reserved, in
+            seconds; 0 if it can't be.
     """
 
     slots: int
     memory_tokens: int
     token_bytes: int
     handle_lifetime_s: float
+    reservation_s: float = 0.0
 
 
 class Service(NamedTuple):
--- a/src/coltsfootarch/forwarding/calls.py
+++ b/src/coltsfootarch/forwarding/calls.py
@@ -82,6 +82,7 @@
         time_left_s: Time that the upstream has, in seconds.
         prefill_only: Whether only the prompt is to be read.
         memory: KV cache of the prompt, if it was read elsewhere.
+        reservation: Name of the room reserved at the upstream; empty for none.
         resume_after: Last event that the caller has; empty for none.
         urgency: Rank from 0 (first) to 9; None to leave it out.
     """
@@ -91,6 +92,7 @@
     time_left_s: float
     prefill_only: bool = False
     memory: MemorySource | None = None
+    reservation: str = ""
     resume_after: str = ""
     urgency: int | None = None
 
@@ -157,6 +159,19 @@
     def decode_prefill(self, body: bytes) -> str:
         """Returns the handle of a prefill result; empty if there is none."""
 
+    def encode_reservation(
+        self, upstream: upstreams.Upstream, tokens: int, seconds: float
+    ) -> bytes:
+        """Returns the call that reserves a slot and memory."""
+
+    def decode_reservation(self, body: bytes) -> str:
+        """Returns the name of a reservation; empty if there is none."""
+
+    def encode_cancel_reservation(
+        self, upstream: upstreams.Upstream, reservation: str
+    ) -> bytes:
+        """Returns the call that frees a reservation."""
+
     def encode_release(self, source: MemorySource) -> bytes:
         """Returns the request that frees a prefill result."""
 
--- a/src/coltsfootarch/forwarding/exchange.py
+++ b/src/coltsfootarch/forwarding/exchange.py
@@ -21,6 +21,8 @@
 CONNECT_TIMEOUT_S = 0.4
 # Answers to earlier requests that may come before the expected one.
 MAX_STRAY_ANSWERS = 3
+# A reservation is answered within milliseconds.
+RESERVATION_TIMEOUT_S = 0.3
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 logger = structlog.get_logger(__name__)
@@ -96,6 +98,42 @@
         self.connect(fresh)
         self.send()
 
+    def reserve(self, tokens: int, seconds: float) -> str | None:
+        """Reserves room for the request at the connected upstream.
+
+        Args:
+            tokens: Memory to reserve.
+            seconds: Time for which it is reserved.
+
+        Returns:
+            The name of the reservation, None if there is no room.
+
+        Raises:
+            client.BrokenConnectionError: There may be a reservation, which
+                lapses by itself.
+            client.ResponseTimeoutError: The same.
+        """
+        connection = self.connection
+        if connection is None:
+            raise client.BrokenConnectionError("closed")
+        call = self.wire.encode_reservation(
+            self.delivery.upstream, tokens, seconds
+        )
+        connection.send(call, b"", RESERVATION_TIMEOUT_S)
+        deadline = self.clock.monotonic() + RESERVATION_TIMEOUT_S
+        head: messages.ResponseHead | None = None
+        body = b""
+        while (part := self.read_part(deadline)) is not None:
+            if isinstance(part, messages.ResponseHead):
+                head = part
+            else:
+                body += part
+        if head is None or not connection.finish(head):
+            self.connection = None
+        if head is None or head.status != 200:
+            return None
+        return self.wire.decode_reservation(body) or None
+
     def abort(self) -> None:
         """Closes the connection; the upstream stops, a reader wakes."""
         self.aborted = True
--- a/src/coltsfootarch/forwarding/generation_pipeline.py
+++ b/src/coltsfootarch/forwarding/generation_pipeline.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
 from typing import TYPE_CHECKING
 
@@ -26,6 +27,8 @@
     from coltsfootarch.forwarding import context
 
 MAX_CONNECT_FAILURES = 3
+# Engines that may refuse a reservation, per request.
+MAX_REFUSALS = 6
 # Time for which a generation is worth starting, in seconds.
 MIN_TIME_LEFT_S = 0.15
 # Part of a prefill result's lifetime in which it can still be used by another
@@ -98,6 +101,9 @@
         self.prompt_delivered = False
         self.prefill_s = 0.0
         self.placement: engine_placement.Placement | None = None
+        # Room at the decode engine, and how often there was none.
+        self.reservation = ""
+        self.refusals = 0
         self.prompt_read = False
         self.connect_failures = 0
         self.resume_after = call.request.resume_after
@@ -141,6 +147,7 @@
                     break
                 generation.placement = placement
                 generation.prompt_read = False
+                generation.reservation = ""
                 try:
                     self.attempt(generation, placement)
                 finally:
@@ -154,6 +161,8 @@
         call = generation.call
         if generation.connect_failures >= MAX_CONNECT_FAILURES:
             return False
+        if generation.refusals >= MAX_REFUSALS:
+            return False
         if call.ends_at - self.clock.monotonic() < MIN_TIME_LEFT_S:
             return False
         if call.attempts == 0:
@@ -266,8 +275,11 @@
                 and placement.prefill is not None
                 and self.may_prefill(generation)
             ):
+                if not self.reserve(generation, sending):
+                    return
                 self.prefill(generation, placement.prefill)
             call.cancellation.check()
+            sending = self.reconnected(generation, sending)
             if not self.parts.directory.is_serving(placement.decode.id):
                 # It left while the prompt was read; nothing was sent to it.
                 call.tried.append(placement.decode.id)
@@ -278,6 +290,63 @@
         finally:
             sending.close()
 
+    def reconnected(
+        self, generation: Generation, sending: exchange.Exchange
+    ) -> exchange.Exchange:
+        """Returns an exchange with a connection.
+
+        An engine may end the connection with the answer to a reservation.
+        """
+        if sending.connection is None and generation.reservation:
+            with contextlib.suppress(client.ConnectError):
+                sending.connect(fresh=True)
+        return sending
+
+    def reserve(
+        self, generation: Generation, sending: exchange.Exchange
+    ) -> bool:
+        """Reserves room for a prompt before it is read, on large fleets.
+
+        Other hosts may have taken the room that the view of loads shows; the
+        engine knows. The view of a few hosts is newer than that, and an engine
+        refuses more than needed, since it can't tell which requests end soon.
+
+        Returns:
+            Whether to go on with this engine.
+        """
+        engine = generation.service.engine
+        many_hosts = self.parts.engine_placer.sampler.many_hosts
+        if engine is None or engine.reservation_s <= 0 or not many_hosts:
+            return True
+        call = generation.call
+        upstream = sending.delivery.upstream
+        tokens = generation.demand.prompt_tokens
+        reason = "no room"
+        try:
+            with call.cancellation.attached(sending.abort):
+                generation.reservation = (
+                    sending.reserve(tokens, engine.reservation_s) or ""
+                )
+        except (
+            client.BrokenConnectionError,
+            client.ResponseTimeoutError,
+        ) as error:
+            reason = str(error) or type(error).__name__
+            sending.close()
+        call.cancellation.check()
+        if generation.reservation:
+            return True
+        generation.refusals += 1
+        self.parts.tracker.record(upstream.id, outcomes.Outcome.REFUSED)
+        logger.info(
+            "reservation refused",
+            request_id=call.request.id,
+            upstream=upstream.id,
+            tokens=tokens,
+            reason=reason,
+        )
+        return False
+
     def delivery(
         self, generation: Generation, placement: engine_placement.Placement
     ) -> calls.Delivery:
@@ -289,6 +358,7 @@
             call.account,
             call.ends_at - self.clock.monotonic(),
             memory=memory.source if memory else None,
+            reservation=generation.reservation,
             resume_after=generation.resume_after,
             urgency=call.urgency,
         )
--- a/src/coltsfootarch/platform/configuration.py
+++ b/src/coltsfootarch/platform/configuration.py
@@ -92,7 +92,9 @@
         slots=int(decoding.number(entry, "slots", 1)),
         memory_tokens=int(decoding.number(entry, "kv_capacity_tokens", 0)),
         token_bytes=int(decoding.number(entry, "kv_token_bytes", 0)),
+        # `kv_hold_s` is about prefill results, `hold_ms` about reservations.
         handle_lifetime_s=decoding.number(entry, "kv_hold_s", 0.5),
+        reservation_s=decoding.number(entry, "hold_ms", 0.0) / MS_PER_S,
     )
 
 
--- a/src/coltsfootarch/platform/wire.py
+++ b/src/coltsfootarch/platform/wire.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import msgspec
 
 from coltsfootarch.forwarding import calls
 from coltsfootarch.http1 import messages
 
+if TYPE_CHECKING:
+    from coltsfootarch.fleet import upstreams
+
 MS_PER_S = 1000.0
 REQUEST_ID = "X-Request-Id"
 DEADLINE = "X-Deadline-Ms"
@@ -18,6 +23,7 @@
 ACCOUNT = "X-Tenant"
 STAGE = "X-Stage"
 MEMORY_SOURCE = "X-Kv-Source"
+RESERVATION = "X-Kv-Hold"
 URGENCY = "X-Request-Priority"
 NOT_RUN = "x-not-executed"
 LOAD = "x-server-load"
@@ -38,7 +44,7 @@
         LAST_EVENT.lower(),
         "x-expect-version",
         "x-kv-backup",
-        "x-kv-hold",
+        RESERVATION.lower(),
         "x-pin-ms",
         "kv-fetch",
     }
@@ -133,6 +139,8 @@
         if delivery.memory is not None:
             source = f"{delivery.memory.address}/{delivery.memory.handle}"
             added.append((MEMORY_SOURCE, source))
+        if delivery.reservation:
+            added.append((RESERVATION, delivery.reservation))
         if delivery.resume_after and not delivery.prefill_only:
             added.append((LAST_EVENT, delivery.resume_after))
         if delivery.urgency is not None:
@@ -163,12 +171,37 @@
 
     def decode_prefill(self, body: bytes) -> str:
         """Returns the handle of a prefill result; empty if there is none."""
-        try:
-            document = msgspec.json.decode(body)
-        except msgspec.DecodeError:
-            return ""
-        handle = document.get("handle") if isinstance(document, dict) else None
-        return handle if isinstance(handle, str) else ""
+        return decode_name(body, "handle")
+
+    def encode_reservation(
+        self, upstream: upstreams.Upstream, tokens: int, seconds: float
+    ) -> bytes:
+        """Returns the call that reserves a slot and memory."""
+        milliseconds = int(seconds * MS_PER_S)
+        body = msgspec.json.encode({"tokens": tokens, "ttl_ms": milliseconds})
+        head = messages.render_head(
+            "POST /api/hold-take HTTP/1.1",
+            [
+                ("Host", upstream.address),
+                (INSTANCE, upstream.id),
+                ("Content-Type", "application/json"),
+                ("Content-Length", str(len(body))),
+            ],
+        )
+        return head + body
+
+    def decode_reservation(self, body: bytes) -> str:
+        """Returns the name of a reservation; empty if there is none."""
+        return decode_name(body, "hold")
+
+    def encode_cancel_reservation(
+        self, upstream: upstreams.Upstream, reservation: str
+    ) -> bytes:
+        """Returns the call that frees a reservation."""
+        return messages.render_head(
+            f"DELETE /api/hold-drop/{reservation} HTTP/1.1",
+            [("Host", upstream.address), (INSTANCE, upstream.id)],
+        )
 
     def encode_release(self, source: calls.MemorySource) -> bytes:
         """Returns the request that frees a prefill result."""
@@ -178,6 +211,16 @@
         )
 
 
+def decode_name(body: bytes, key: str) -> str:
+    """Returns a text of a JSON object; empty if there is none."""
+    try:
+        document = msgspec.json.decode(body)
+    except msgspec.DecodeError:
+        return ""
+    name = document.get(key) if isinstance(document, dict) else None
+    return name if isinstance(name, str) else ""
+
+
 def decode_load(value: str) -> calls.ReportedLoad | None:
     """Returns running and waiting requests and slots of a load field."""
     parts = value.split(",")
--- a/src/coltsfootarch/scheduling/sampling.py
+++ b/src/coltsfootarch/scheduling/sampling.py
@@ -36,13 +36,15 @@
         self.hosts = hosts
         self.generator = generator
 
+    @property
+    def many_hosts(self) -> bool:
+        """Whether several hosts choose between two reports."""
+        return self.hosts() > MAX_HOSTS_COMPARING_ALL
+
     def sample(
         self, candidates: Sequence[upstreams.Upstream]
     ) -> Sequence[upstreams.Upstream]:
         """Returns the candidates to compare."""
-        if (
-            len(candidates) <= SAMPLE_SIZE
-            or self.hosts() <= MAX_HOSTS_COMPARING_ALL
-        ):
+        if len(candidates) <= SAMPLE_SIZE or not self.many_hosts:
             return candidates
         return self.generator.sample(candidates, SAMPLE_SIZE)
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -47,6 +47,7 @@
         self.ended: list[tuple[str, str]] = []
         self.handles: dict[str, str] = {}
         self.freed: list[str] = []
+        self.held: list[dict[str, Any]] = []
         self.orders: list[dict[str, Any]] = []
         # Faults and behaviour.
         self.fault = ""
@@ -98,6 +99,13 @@
         elif request.target.startswith("/api/kv-handle/"):
             self.freed.append(request.target.rpartition("/")[2])
             connection.answer(200)
+        elif request.target == "/api/hold-take":
+            if self.fault == "full":
+                connection.answer(503)
+            else:
+                self.held.append(msgspec.json.decode(request.body))
+                hold = msgspec.json.encode({"hold": f"k{len(self.held)}"})
+                connection.answer(200, (), hold)
         elif request.target == "/api/order":
             self.orders.append(msgspec.json.decode(request.body))
             self.stage = self.orders[-1]["stage"]
--- a/tests/forwarding/test_generations.py
+++ b/tests/forwarding/test_generations.py
@@ -126,7 +126,38 @@
     assert len(engines.runners["p-1"].handles) == 1
 
 
-def test_full_engine_s_prompt_is_used_at_another(engines):
+@pytest.fixture
+def many_hosts(engines, monkeypatch):
+    """The host believes that many others choose engines beside it."""
+    monkeypatch.setattr(
+        engines.daemon.parts.engine_placer.sampler, "hosts", lambda: 70
+    )
+
+
+@pytest.mark.usefixtures("many_hosts")
+def test_room_is_reserved_before_the_prompt_is_read(engines):
+    response = ask(engines)
+
+    assert response.complete
+    (name,) = engines.runs()
+    runner = engines.runners[name]
+    assert runner.held == [{"tokens": 1000, "ttl_ms": 2000}]
+    assert runner.runs[0]["fields"]["x-kv-hold"] == "k1"
+
+
+@pytest.mark.usefixtures("many_hosts")
+def test_full_engine_costs_no_prompt_and_no_attempt(engines):
+    engines.runners["d-1"].fault = "full"
+    prefer(engines, "d-1")
+
+    response = ask(engines, "/once/a")
+
+    assert response.complete
+    assert engines.runs() == {"d-2": ["r1"]}
+    assert len(engines.runners["p-1"].handles) == 1
+
+
+def test_prompt_of_an_engine_that_refuses_is_used_at_another(engines):
     engines.runners["d-1"].fault = "full"
     prefer(engines, "d-1")
 
--- a/tests/platform/documents.py
+++ b/tests/platform/documents.py
@@ -46,6 +46,7 @@
                     "kv_capacity_tokens": 10000,
                     "kv_token_bytes": 18432,
                     "kv_hold_s": 0.5,
+                    "hold_ms": 2000.0,
                 },
             },
             {"name": "app", "health_path": "/healthz", "max_connections": 50},
