Refuse headers that two servers could read differently on the product's own interface

Cause: pywsgi parses headers with the e-mail parser, which accepts a space before a colon, folded lines, control characters and lines without a colon. 'Transfer-Encoding : chunked' beside a Content-Length was accepted with 201. Ruled out: checks of the parsed headers, which no longer show the raw lines. The raw lines are now read by the same strict parser that the other front uses. Before: 4 of the 19 malformed requests of the test were accepted or taken for another error; after: all are refused as malformed and change nothing.

--- a/src/coltsfootarch/gateway/intake.py
+++ b/src/coltsfootarch/gateway/intake.py
@@ -16,8 +16,8 @@
 
 BODY_TIMEOUT = datetime.timedelta(seconds=30)
 MAX_HEADER_CHARACTERS = 4096
-# Set by the server on requests whose body has no clear end.
-AMBIGUOUS_BODY = "coltsfootarch.ambiguous_body"
+# Set by the server on requests whose headers can be read in two ways.
+AMBIGUOUS_HEADERS = "coltsfootarch.ambiguous_headers"
 # Headers that decide who the caller is or where a request goes. A WSGI server
 # joins repeated headers with a comma, so a comma shows a repetition.
 SINGLE_VALUE_HEADERS = (
@@ -45,10 +45,11 @@
     Raises:
         RefusedError: A header is repeated, too long or ambiguous.
     """
-    if environ.get(AMBIGUOUS_BODY):
+    if environ.get(AMBIGUOUS_HEADERS):
         raise errors.RefusedError(
             results.FORBIDDEN_HEADER,
-            "Send one Content-Length, or Transfer-Encoding: chunked.",
+            "Send well-formed headers with one Content-Length, or "
+            "Transfer-Encoding: chunked.",
         )
     for name in SINGLE_VALUE_HEADERS:
         value = environ.get(name, "")
--- a/src/coltsfootarch/gateway/server.py
+++ b/src/coltsfootarch/gateway/server.py
@@ -15,6 +15,7 @@
 from gevent import pywsgi
 
 from coltsfootarch.gateway import intake
+from coltsfootarch.http1 import readers
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -55,20 +56,41 @@
                 )
 
 
+class LineRecorder:
+    """Passes lines of a stream on and keeps them.
+
+    Args:
+        stream: Where the lines come from.
+    """
+
+    def __init__(self, stream: Any) -> None:
+        self.stream = stream
+        self.lines: list[bytes] = []
+
+    def readline(self, size: int = -1) -> bytes:
+        """Returns the next line, of `size` bytes at most."""
+        line: bytes = self.stream.readline(size)
+        self.lines.append(line)
+        return line
+
+
 def read_headers(stream: Any, *unused: Any) -> Any:
-    """Reads the headers of a request and notes if its body has no clear end.
+    """Reads the headers of a request and notes if they can be read in two ways.
 
-    Two servers could find different ends, and so different next requests. The
-    check comes first because pywsgi drops `Content-Length` beside chunks and
-    all but one of several lengths.
+    Two servers could find different ends of the body, and so different next
+    requests. The check comes first because pywsgi drops `Content-Length` beside
+    chunks and all but one of several lengths, and its parser accepts folded
+    lines, a space before a colon and control characters.
     """
-    headers = pywsgi.headers_factory(stream, *unused)
+    recorder = LineRecorder(stream)
+    headers = pywsgi.headers_factory(recorder, *unused)
     lengths = headers.get_all("content-length", [])
     codings = headers.get_all("transfer-encoding", [])
     clear = len(lengths) + len(codings) <= 1
     clear = clear and all(text.strip().isdecimal() for text in lengths)
     clear = clear and all(text.lower() == "chunked" for text in codings)
-    headers.ambiguous_body = not clear
+    clear = clear and readers.is_well_formed(b"".join(recorder.lines))
+    headers.ambiguous = not clear
     return headers
 
 
@@ -95,8 +117,8 @@
         environ: dict[str, Any] = super().get_environ()
         environ["RAW_PATH"] = self.path.partition("?")[0]
         body = self.wsgi_input
-        if self.headers.ambiguous_body:
-            environ[intake.AMBIGUOUS_BODY] = True
+        if self.headers.ambiguous:
+            environ[intake.AMBIGUOUS_HEADERS] = True
             self.close_connection = True
         self.wsgi_input = BodyInput(
             body.rfile, body.content_length, body.socket, body.chunked_input
--- a/src/coltsfootarch/http1/readers.py
+++ b/src/coltsfootarch/http1/readers.py
@@ -27,6 +27,23 @@
     """The body is longer than allowed."""
 
 
+def is_well_formed(lines: bytes) -> bool:
+    """Returns whether header lines can be read in only one way.
+
+    Args:
+        lines: Header lines with the empty one that ends them.
+    """
+    # The method has no body, so that nothing is missing after the headers.
+    parser: Any = httptools.HttpRequestParser(object())
+    try:
+        parser.feed_data(b"GET / HTTP/1.1\r\n" + lines)
+    except httptools.HttpParserUpgrade:
+        return True
+    except httptools.HttpParserError:
+        return False
+    return True
+
+
 class RequestReader:
     """Collects requests from the bytes of one connection.
 
--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -93,6 +93,26 @@
         b"0\r\n\r\n",
         results.FORBIDDEN_HEADER,
     ),
+    "space before a colon": (
+        ["Transfer-Encoding : chunked", "Content-Length: 2"],
+        b"{}",
+        results.FORBIDDEN_HEADER,
+    ),
+    "folded header": (
+        ["Accept: a\r\n b", *encoded()[0]],
+        encoded()[1],
+        results.FORBIDDEN_HEADER,
+    ),
+    "zero byte in a header": (
+        ["Accept: a\0b", *encoded()[0]],
+        encoded()[1],
+        results.FORBIDDEN_HEADER,
+    ),
+    "line without a colon": (
+        ["Accept", *encoded()[0]],
+        encoded()[1],
+        results.FORBIDDEN_HEADER,
+    ),
     "two keys": (
         ["Authorization: Bearer other", "Content-Length: 2"],
         b"{}",
@@ -123,6 +143,10 @@
     "two lengths": "server.read_headers",
     "length and chunks": "server.read_headers",
     "other coding": "server.read_headers",
+    "space before a colon": "server.read_headers",
+    "folded header": "server.read_headers",
+    "zero byte in a header": "server.read_headers",
+    "line without a colon": "server.read_headers",
     "two keys": "intake.check_headers",
     "long header": "intake.check_headers",
     "huge offset": "check of the offset in a resume",
