Take an accepted stage order to hold until the engine has changed

Ruled out: two hosts giving orders in turn; the claims show one host. Before: test_engine_that_is_back_from_a_cut_is_not_replaced_by_another saw an order for a second engine; after: none.

--- a/src/coltsfootarch/fleet/stage_orders.py
+++ b/src/coltsfootarch/fleet/stage_orders.py
@@ -34,6 +34,13 @@
 # An order is sent only this soon after the claim was asked for, so that it
 # can't meet one of the next holder.
 CLAIM_VALIDITY_S = 1.0
+# Time for which an accepted order is taken to hold, though the engine is still
+# registered with its old stage: it first ends its requests, which takes as long
+# as a long answer, and then changes.
+ORDER_VALIDITY_S = 15.0
+
+# Answers of an engine that carries out the order, or already has.
+ACCEPTED = frozenset({"202", "200"})
 
 logger = structlog.get_logger(__name__)
 
@@ -52,6 +59,18 @@
     asked_at: float
 
 
+class Order(NamedTuple):
+    """An accepted order.
+
+    Attributes:
+        stage: Stage that the engine will have.
+        until: Instant until which it is taken to hold, in seconds.
+    """
+
+    stage: upstreams.Stage
+    until: float
+
+
 class ClaimTable(Protocol):
     """Durable claims."""
 
@@ -110,6 +129,7 @@
         self.clock = clock
         self.needed_since: dict[str, float] = {}
         self.resting_until: dict[str, float] = {}
+        self.ordered: dict[str, Order] = {}
         self.greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -141,7 +161,10 @@
         for service in current.services.values():
             if service.engine is None:
                 continue
-            engines = self.directory.candidates(service.name)
+            engines = [
+                self.as_ordered(engine)
+                for engine in self.directory.candidates(service.name)
+            ]
             shift = self.balancer.decide(
                 service,
                 engines,
@@ -158,6 +181,20 @@
                 self.resting_until[service.name] = now + CLAIM_GAP_S
                 self.give(shift)
 
+    def as_ordered(self, engine: upstreams.Upstream) -> upstreams.Upstream:
+        """Returns an engine with the stage that it is changing to.
+
+        An engine that can't be seen for a time, behind a cut, may come back
+        with its old stage; another one would be moved in its place.
+        """
+        order = self.ordered.get(engine.id)
+        if order is None:
+            return engine
+        if self.clock.monotonic() >= order.until:
+            del self.ordered[engine.id]
+            return engine
+        return engine._replace(stage=order.stage)
+
     def give(self, shift: stage_balance.Shift) -> None:
         """Claims the right to give orders and gives them."""
         claim = self.claims.claim(
@@ -173,6 +210,9 @@
                 return
             self.outcomes.rest(engine.id, CHANGE_S)
             answer = self.orders.change_stage(engine, shift.stage, claim)
+            if answer in ACCEPTED:
+                until = self.clock.monotonic() + ORDER_VALIDITY_S
+                self.ordered[engine.id] = Order(shift.stage, until)
             logger.info(
                 "stage order given",
                 service=shift.service,
--- a/tests/fleet/test_stage_orders.py
+++ b/tests/fleet/test_stage_orders.py
@@ -16,6 +16,7 @@
 from coltsfootarch.scheduling import engine_placement
 from coltsfootarch.scheduling import load_view
 from coltsfootarch.scheduling import outcomes
+from coltsfootarch.scheduling import prompt_reading
 from coltsfootarch.scheduling import stage_balance
 from tests.fleet import builders
 
@@ -70,7 +71,12 @@
         loads = load_view.LoadView(manual_clock)
         judged = outcomes.OutcomeTracker(manual_clock)
         placer = engine_placement.EnginePlacer(
-            directory, loads, judged, "north", None
+            directory,
+            loads,
+            judged,
+            "north",
+            None,
+            prompt_reading.ReadingTimes(),
         )
         own = hosts.HostRecord(name, "10.0.0.1:1", "north", 1, 0)
         known = hosts.HostDirectory(own, manual_clock)
@@ -119,6 +125,33 @@
     assert not orders.given
 
 
+def test_engine_that_is_back_from_a_cut_is_not_replaced_by_another(
+    make_keeper, manual_clock, orders
+):
+    """The ordered engine is seen again before it has changed its stage."""
+    keeper = make_keeper("h1")
+    check_for(keeper, manual_clock, 2)
+    assert [engine for engine, *_ in orders.given] == ["d-1"]
+
+    keeper.directory.update([builders.decode("d-3")], ["d-1"])
+    check_for(keeper, manual_clock, 8.5)
+    keeper.directory.update([builders.decode("d-1")], [])
+    keeper.queue.loads.add("d-1", 100)
+    check_for(keeper, manual_clock, 3)
+
+    assert [engine for engine, *_ in orders.given] == ["d-1"]
+
+
+def test_order_without_an_effect_is_given_again(
+    make_keeper, manual_clock, orders
+):
+    keeper = make_keeper("h1")
+
+    check_for(keeper, manual_clock, 25)
+
+    assert [engine for engine, *_ in orders.given] == ["d-1", "d-1"]
+
+
 def test_hosts_don_t_take_turns(make_keeper, manual_clock, orders):
     one, two = make_keeper("h1"), make_keeper("h2")
     for _ in range(16):
