Let decode engines read only prompts whose pause their streams bear

Cause: without a prefill engine, or with a crowded one, decode engines read prompts between the tokens of their streams. Now the time per prompt token is measured, a prompt whose pause is too long goes to an idle engine or waits, and an engine reads the next prompt after its streams have gone on. Retries that can't be prefilled again follow the same rule. Ruled out: first events too late (150 to 420 ms of 900 allowed).

--- a/src/coltsfootarch/forwarding/call_pipeline.py
+++ b/src/coltsfootarch/forwarding/call_pipeline.py
@@ -120,9 +120,7 @@
         idle = self.parts.loads.load(upstream.id).requests < upstream.slots
         if call.route.repeatable and not last and idle:
             until = min(until, now + ATTEMPT_PART * call.route.objective_s)
-        delivery = calls.Delivery(
-            upstream, call.account, call.ends_at - now, urgency=call.urgency
-        )
+        delivery = calls.Delivery(upstream, call.account, call.ends_at - now)
         sending = exchange.Exchange(
             self.parts.connections,
             self.parts.wire,
--- a/src/coltsfootarch/forwarding/calls.py
+++ b/src/coltsfootarch/forwarding/calls.py
@@ -84,7 +84,6 @@
         memory: KV cache of the prompt, if it was read elsewhere.
         reservation: Name of the room reserved at the upstream; empty for none.
         resume_after: Last event that the caller has; empty for none.
-        urgency: Rank from 0 (first) to 9; None to leave it out.
     """
 
     upstream: upstreams.Upstream
@@ -94,7 +93,6 @@
     memory: MemorySource | None = None
     reservation: str = ""
     resume_after: str = ""
-    urgency: int | None = None
 
 
 class ReportedLoad(NamedTuple):
@@ -227,7 +225,6 @@
         self.policy_version = policy_version
         self.cancellation = cancellation
         self.responder = responder
-        self.urgency: int | None = None
         self.attempts = 0
         self.tried: list[str] = []
         # Whether an upstream may have run it.
--- a/src/coltsfootarch/forwarding/context.py
+++ b/src/coltsfootarch/forwarding/context.py
@@ -18,6 +18,7 @@
     from coltsfootarch.scheduling import engine_placement
     from coltsfootarch.scheduling import load_view
     from coltsfootarch.scheduling import outcomes
+    from coltsfootarch.scheduling import prompt_reading
     from coltsfootarch.scheduling import stage_balance
 
 
@@ -37,6 +38,7 @@
         engine_placer: Chooses engines.
         queue: Requests that wait for engines.
         balancer: What requests need in each stage.
+        reading_times: How long prompts take.
         metrics: Counters and histograms.
     """
 
@@ -52,4 +54,5 @@
     engine_placer: engine_placement.EnginePlacer
     queue: dispatch_queue.DispatchQueue
     balancer: stage_balance.StageBalancer
+    reading_times: prompt_reading.ReadingTimes
     metrics: registry.MetricRegistry
--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -34,6 +34,7 @@
 from coltsfootarch.scheduling import engine_placement
 from coltsfootarch.scheduling import load_view
 from coltsfootarch.scheduling import outcomes
+from coltsfootarch.scheduling import prompt_reading
 from coltsfootarch.scheduling import sampling
 from coltsfootarch.scheduling import stage_balance
 
@@ -207,8 +208,9 @@
         tracker = outcomes.OutcomeTracker(clock)
         zone = self.settings.availability_zone
         sampler = sampling.Sampler(self.hosts.count, random.Random())
+        reading_times = prompt_reading.ReadingTimes()
         placer = engine_placement.EnginePlacer(
-            self.upstreams, loads, tracker, zone, sampler
+            self.upstreams, loads, tracker, zone, sampler, reading_times
         )
         queue = dispatch_queue.DispatchQueue(
             placer, loads, backlog.Backlog(clock), clock
@@ -235,6 +237,7 @@
             engine_placer=placer,
             queue=queue,
             balancer=stage_balance.StageBalancer(),
+            reading_times=reading_times,
             metrics=registry.MetricRegistry(),
         )
 
--- a/src/coltsfootarch/platform/wire.py
+++ b/src/coltsfootarch/platform/wire.py
@@ -143,8 +143,6 @@
             added.append((RESERVATION, delivery.reservation))
         if delivery.resume_after and not delivery.prefill_only:
             added.append((LAST_EVENT, delivery.resume_after))
-        if delivery.urgency is not None:
-            added.append((URGENCY, str(delivery.urgency)))
         if request.body or request.method not in ("GET", "HEAD", "DELETE"):
             added.append(("Content-Length", str(len(request.body))))
         line = f"{request.method} {request.target} HTTP/1.1"
--- a/src/coltsfootarch/scheduling/call_placement.py
+++ b/src/coltsfootarch/scheduling/call_placement.py
@@ -59,12 +59,7 @@
             for upstream in self.directory.candidates(service)
             if upstream.id not in excluded
         ]
-        healthy = [
-            upstream
-            for upstream in fitting
-            if self.tracker.is_usable(upstream.id)
-        ]
-        candidates = self.sampler.sample(healthy or fitting)
+        candidates = self.sampler.sample(self.tracker.preferred(fitting))
         return min(candidates, key=self.cost, default=None)
 
     def cost(self, upstream: upstreams.Upstream) -> float:
--- a/src/coltsfootarch/scheduling/engine_placement.py
+++ b/src/coltsfootarch/scheduling/engine_placement.py
@@ -20,6 +20,7 @@
     from coltsfootarch.fleet import policy
     from coltsfootarch.scheduling import load_view
     from coltsfootarch.scheduling import outcomes
+    from coltsfootarch.scheduling import prompt_reading
     from coltsfootarch.scheduling import sampling
 
 # Part of an engine's memory that is planned. The rest absorbs answers that are
@@ -49,10 +50,15 @@
     Attributes:
         prompt_tokens: Size of its prompt.
         memory_tokens: Memory to plan at the decode engine.
+        event_gap_s: Longest pause between events that callers of the service
+            accept, in seconds.
+        prefill: Whether a prefill engine may read the prompt.
     """
 
     prompt_tokens: int
     memory_tokens: int
+    event_gap_s: float = float("inf")
+    prefill: bool = True
 
 
 class Placement(NamedTuple):
@@ -75,7 +81,10 @@
 
 
 def estimate(
-    prompt_tokens: int, output_tokens: int, likely_output_tokens: int
+    prompt_tokens: int,
+    output_tokens: int,
+    likely_output_tokens: int,
+    event_gap_s: float = float("inf"),
 ) -> Demand:
     """Returns the planned need of a request.
 
@@ -83,11 +92,13 @@
         prompt_tokens: Declared prompt size.
         output_tokens: Declared maximum of generated tokens.
         likely_output_tokens: The caller's estimate; 0 if not given.
+        event_gap_s: Longest pause between events, in seconds.
     """
     likely = output_tokens
     if likely_output_tokens:
         likely = min(int(likely_output_tokens * ESTIMATE_FACTOR), output_tokens)
-    return Demand(prompt_tokens, prompt_tokens + int(likely * GROWTH_PART))
+    memory_tokens = prompt_tokens + int(likely * GROWTH_PART)
+    return Demand(prompt_tokens, memory_tokens, event_gap_s)
 
 
 def stage_of(engine: upstreams.Upstream) -> upstreams.Stage:
@@ -109,6 +120,7 @@
         tracker: Recent outcomes.
         availability_zone: Zone of this host.
         sampler: Draws the engines that are compared.
+        reading_times: How long prompts take.
     """
 
     def __init__(
@@ -118,8 +130,10 @@
         tracker: outcomes.OutcomeTracker,
         availability_zone: str,
         sampler: sampling.Sampler,
+        reading_times: prompt_reading.ReadingTimes,
     ) -> None:
         self.sampler = sampler
+        self.reading_times = reading_times
         self.directory = directory
         self.loads = loads
         self.tracker = tracker
@@ -139,13 +153,13 @@
             excluded: Ids of engines that failed it.
         """
         engines = self.directory.candidates(service.name)
-        prefill = self.choose_prefill(engines, excluded)
+        prefill = None
+        if demand.prefill:
+            prefill = self.choose_prefill(engines, excluded)
         decode = None
         if prefill is None or self.is_crowded(prefill):
-            # A decode engine reads one prompt at a time, or the pauses of its
-            # streams become too long.
-            idle = [each for each in engines if not self.is_reading(each)]
-            decode = self.choose_decode(service, idle, demand, excluded)
+            readers = self.readers(service.name, engines, demand)
+            decode = self.choose_decode(service, readers, demand, excluded)
             if decode is not None:
                 prefill = None
         if decode is None and prefill is not None:
@@ -165,7 +179,7 @@
         engines: Sequence[upstreams.Upstream],
         stage: upstreams.Stage,
         excluded: Collection[str],
-    ) -> list[upstreams.Upstream]:
+    ) -> Sequence[upstreams.Upstream]:
         """Returns engines of a stage; ejected ones only if there's no other."""
         fitting = [
             engine
@@ -174,10 +188,7 @@
             and engine.id not in excluded
             and not self.tracker.is_refusing(engine.id)
         ]
-        healthy = [
-            engine for engine in fitting if self.tracker.is_usable(engine.id)
-        ]
-        return healthy or fitting
+        return self.tracker.preferred(fitting)
 
     def choose_decode(
         self,
@@ -230,10 +241,37 @@
         """Returns whether prompts wait too long at a prefill engine."""
         return self.loads.load(engine.id).requests >= MAX_PROMPTS
 
+    def readers(
+        self,
+        service: str,
+        engines: Sequence[upstreams.Upstream],
+        demand: Demand,
+    ) -> list[upstreams.Upstream]:
+        """Returns the engines whose streams bear that they read a prompt.
+
+        Args:
+            service: Name of the service.
+            engines: Its engines.
+            demand: The prompt's request.
+        """
+        accepted = self.reading_times.is_accepted(
+            service, demand.prompt_tokens, demand.event_gap_s
+        )
+        # Without a second engine there can't be one that only reads.
+        accepted = accepted or len(engines) < 2
+        return [
+            engine
+            for engine in engines
+            # One without a stage is made for reading beside its streams.
+            if engine.stage is None
+            or (
+                not self.is_reading(engine)
+                and (accepted or not self.loads.load(engine.id).requests)
+            )
+        ]
+
     def is_reading(self, engine: upstreams.Upstream) -> bool:
         """Returns whether a decode engine reads a prompt itself."""
-        if engine.stage is None:
-            return False  # It is made for reading prompts beside its streams.
         return self.loads.load(reading_key(engine)).requests > 0
 
     def distance(self, engine: upstreams.Upstream) -> float:
--- a/src/coltsfootarch/scheduling/outcomes.py
+++ b/src/coltsfootarch/scheduling/outcomes.py
@@ -15,9 +15,11 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Sequence
 
     from coltsfootarch import clock as clocks
     from coltsfootarch.fleet import reports
+    from coltsfootarch.fleet import upstreams
 
 # Older outcomes count half as much after this time.
 HALF_LIFE_S = 4.0
@@ -206,6 +208,13 @@
         entry = self.records.get(upstream)
         return entry is None or entry.health.usable(self.clock.monotonic())
 
+    def preferred(
+        self, candidates: Sequence[upstreams.Upstream]
+    ) -> Sequence[upstreams.Upstream]:
+        """Returns those that aren't ejected; all of them if every one is."""
+        usable = [each for each in candidates if self.is_usable(each.id)]
+        return usable or candidates
+
     def success_rate(self, upstream: str) -> float:
         """Returns the estimated share of requests that succeed."""
         entry = self.records.get(upstream)
@@ -220,9 +229,9 @@
         entry = self.records.get(upstream)
         return entry.latency if entry is not None else 0.0
 
-    def forget_except(self, upstreams: Iterable[str]) -> None:
+    def forget_except(self, ids: Iterable[str]) -> None:
         """Drops the records of upstreams that are gone."""
-        kept = set(upstreams)
+        kept = set(ids)
         for table in (self.records, self.reported, self.reported_at):
             for key in [key for key in table if key not in kept]:
                 del table[key]
--- a/src/coltsfootarch/scheduling/stage_balance.py
+++ b/src/coltsfootarch/scheduling/stage_balance.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 from coltsfootarch.fleet import upstreams
+from coltsfootarch.scheduling import prompt_reading
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -37,10 +38,8 @@
 MIN_USE = 0.5
 # Part of a prefill engine's time that can be planned: prompts arrive unevenly.
 PREFILL_USE = 0.8
-# Part of a decode engine's time in which it can read prompts itself, and how
-# many times longer that takes than at a prefill engine.
+# Part of a decode engine's time in which it can read prompts itself.
 READING_USE = 0.25
-READING_SLOWDOWN = 2.0
 # Part of an engine's memory that requests take on average when it is full.
 MEMORY_USE = 0.9
 
@@ -124,7 +123,7 @@
         )
         decode_rate = decodes * at_once / max(needs.decode_s, 0.001)
         readers = prefills * PREFILL_USE
-        readers += decodes * READING_USE / READING_SLOWDOWN
+        readers += decodes * READING_USE / prompt_reading.READING_SLOWDOWN
         return min(decode_rate, readers / max(needs.prefill_s, 0.001))
 
     def decide(
--- a/tests/forwarding/test_generations.py
+++ b/tests/forwarding/test_generations.py
@@ -5,7 +5,7 @@
 import gevent
 import pytest
 
-from coltsfootarch.forwarding import generation_pipeline
+from coltsfootarch.forwarding import decode_stage
 from tests.platform import documents
 
 SIZES = {"X_Token_Count": "1000,500", "X_Model": "m"}
@@ -61,8 +61,8 @@
 def test_resumable_stream_goes_on_without_a_gap_or_a_repeat(
     engines, fault, monkeypatch
 ):
-    monkeypatch.setattr(generation_pipeline, "MIN_STALL_S", 0.2)
-    monkeypatch.setattr(generation_pipeline, "STALL_GAPS", 0.1)
+    monkeypatch.setattr(decode_stage, "MIN_STALL_S", 0.2)
+    monkeypatch.setattr(decode_stage, "STALL_GAPS", 0.1)
     engines.runners["d-1"].fault = fault
     prefer(engines, "d-1")
 
@@ -77,9 +77,9 @@
 
 def test_stream_that_ran_long_waits_for_room_to_go_on(engines, monkeypatch):
     """The caller's patience counts from the last event, not its request."""
-    monkeypatch.setattr(generation_pipeline, "MIN_STALL_S", 0.6)
-    monkeypatch.setattr(generation_pipeline, "STALL_GAPS", 0.1)
-    monkeypatch.setattr(generation_pipeline, "FIRST_EVENT_PART", 1.0)
+    monkeypatch.setattr(decode_stage, "MIN_STALL_S", 0.6)
+    monkeypatch.setattr(decode_stage, "STALL_GAPS", 0.1)
+    monkeypatch.setattr(decode_stage, "FIRST_EVENT_PART", 1.0)
     route = engines.daemon.tracker.policy.find_route("api.example", "/write/")
     monkeypatch.setattr(type(route), "patience_s", 1.0)
     engines.runners["d-1"].fault = "stall"
@@ -179,6 +179,24 @@
     assert "x-kv-source" not in run["fields"]
 
 
+def test_next_prompt_waits_until_the_engine_s_streams_went_on(fleet):
+    """Two prompts in a row would double the pause of the engine's streams."""
+    fleet.add_runner("d-1", "llm", "decode").event_gap_s = 0.2
+    fleet.start()
+    caller = fleet.caller()
+    caller.send("/write/a", "POST", b"prompt", **SIZES)
+    parts = caller.read_parts()
+    loads = fleet.daemon.parts.loads
+
+    for _ in ("head", "first event"):
+        next(parts)
+    assert loads.load("d-1/prompt").requests == 1
+
+    next(parts)
+    fleet.wait(lambda: not loads.load("d-1/prompt").requests)
+    assert loads.load("d-1").requests == 1
+
+
 def test_hanging_engine_is_given_up_before_the_caller_leaves(engines):
     engines.runners["d-1"].fault = "hang"
     prefer(engines, "d-1")
--- a/tests/scheduling/test_dispatch_queue.py
+++ b/tests/scheduling/test_dispatch_queue.py
@@ -13,6 +13,7 @@
 from coltsfootarch.scheduling import engine_placement
 from coltsfootarch.scheduling import load_view
 from coltsfootarch.scheduling import outcomes
+from coltsfootarch.scheduling import prompt_reading
 from coltsfootarch.scheduling import sampling
 from tests.fleet import builders
 
@@ -32,7 +33,12 @@
         manual_clock, builders.decode("d-1"), builders.prefill("p-1")
     )
     placer = engine_placement.EnginePlacer(
-        directory, loads, outcomes.OutcomeTracker(manual_clock), "north", ALL
+        directory,
+        loads,
+        outcomes.OutcomeTracker(manual_clock),
+        "north",
+        ALL,
+        prompt_reading.ReadingTimes(),
     )
     waiting = backlog.Backlog(manual_clock)
     return dispatch_queue.DispatchQueue(placer, loads, waiting, manual_clock)
--- a/tests/scheduling/test_engine_placement.py
+++ b/tests/scheduling/test_engine_placement.py
@@ -9,6 +9,7 @@
 from coltsfootarch.scheduling import engine_placement
 from coltsfootarch.scheduling import load_view
 from coltsfootarch.scheduling import outcomes
+from coltsfootarch.scheduling import prompt_reading
 from coltsfootarch.scheduling import sampling
 from tests.fleet import builders
 
@@ -27,7 +28,7 @@
     loads = load_view.LoadView(manual_clock)
     tracker = outcomes.OutcomeTracker(manual_clock)
     placer = engine_placement.EnginePlacer(
-        directory, loads, tracker, "north", ALL
+        directory, loads, tracker, "north", ALL, prompt_reading.ReadingTimes()
     )
     return placer, loads, tracker
 
