--- a/src/coltsfootarch/scheduling/stage_balance.py
+++ b/src/coltsfootarch/scheduling/stage_balance.py
@@ -24,8 +24,8 @@
 WEIGHT = 0.05
 # Requests that must have been seen before engines are moved.
 MIN_SAMPLES = 3
-# A move costs an engine for several seconds, so that it must raise the rate that
-# can be borne by this factor. It is less than what one of six engines adds.
+# A move costs an engine for several seconds, so that it must raise the rate
+# that can be borne by this factor. It is less than one of six engines adds.
 MIN_GAIN = 1.2
 # Without enough prefill engines decode engines read prompts themselves, so that
 # engines are moved there for a larger gain only, and only in larger services.
