Hear a host again whose clock was set back before its restart

Cause: reports are ordered by the sender's start time and number. A host that starts while its clock is ahead and again after the clock was set back has a smaller start time, so that all peers drop its reports, and with them its load and use of limits, until the clock has caught up. Found by reading the code for what a stepped clock can change; ruled out: rows in the store, which are compared for a change only. A smaller start time is now taken once nothing more comes from the process before. Before: the test saw no report of the restarted host; after: all.

--- a/src/coltsfootarch/fleet/reports.py
+++ b/src/coltsfootarch/fleet/reports.py
@@ -238,13 +238,14 @@
             return
         previous = self.last.get(report.host)
         current = (report.incarnation, report.sequence)
-        if previous is not None and current <= previous:
-            return
         peer = self.directory.peers.get(report.host)
         heard = peer is not None and self.directory.is_reached(peer)
-        continuous = (
-            heard and previous is not None and previous[0] == report.incarnation
-        )
+        same = previous is not None and previous[0] == report.incarnation
+        # A host whose clock was set back restarts with a smaller incarnation;
+        # it is taken once nothing more comes from the one before.
+        if previous is not None and current <= previous and (same or heard):
+            return
+        continuous = heard and same
         self.last[report.host] = current
         self.directory.note_heard(report.host, address, report.incarnation)
         for participant in self.participants:
--- a/tests/fleet/test_reports.py
+++ b/tests/fleet/test_reports.py
@@ -55,6 +55,25 @@
     ]
 
 
+def test_host_whose_clock_was_set_back_is_heard_after_a_restart(
+    here, manual_clock
+):
+    """Otherwise its load and use stay unknown until the clock catches up."""
+    before = exchange("peer", manual_clock, incarnation=2000)
+    after = exchange("peer", manual_clock, incarnation=1000)
+    here.receive(before.encode(), "127.0.0.1:1")
+    # A late report of an earlier process must not replace a living one.
+    here.receive(after.encode(), "127.0.0.1:1")
+    seen = here.participants[0].seen
+    assert len(seen) == 1
+
+    manual_clock.advance(datetime.timedelta(seconds=hosts.HEARD_S + 0.1))
+    here.receive(after.encode(), "127.0.0.1:1")
+    here.receive(after.encode(), "127.0.0.1:1")
+
+    assert [entry[2] for entry in seen] == [False, False, True]
+
+
 def test_repeated_and_overtaken_reports_are_dropped(here, manual_clock):
     peer = exchange("peer", manual_clock)
     first, second = peer.encode(), peer.encode()
