--- a/soak/checks.py
+++ b/soak/checks.py
@@ -17,6 +17,8 @@
 ONCE = frozenset({"book", "once"})
 # Unplanned faults excuse what they cut, and what follows within this time.
 STABLE_S = 3.0
+# Time after which a leaving runner gets no more requests.
+DRAIN_S = 2.0
 # A close that the caller sees this soon after its request crossed it.
 CROSSING_S = 0.2
 
@@ -37,9 +39,23 @@
             f"{request.id} ({request.kind}, {request.host}): {problem}"
             for problem in problems(request, ran, schedule)
         ]
+    for request_id, runner, at in runs:
+        if is_sent_late(runner, at, schedule):
+            found.append(f"{request_id}: reached {runner} while it drained")
     return found
 
 
+def is_sent_late(runner: str, at: float, schedule: faults.Faults) -> bool:
+    """Returns whether a run reached a runner long after it began to leave."""
+    for name, start, end in schedule.draining:
+        if name == runner and start + DRAIN_S < at < end:
+            return not any(
+                fault_start - STABLE_S < at and start < fault_end + STABLE_S
+                for fault_start, fault_end in schedule.unplanned
+            )
+    return False
+
+
 def problems(
     request: callers.Seen,
     ran: list[tuple[str, float]],
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 import signal
 import time
@@ -29,6 +30,12 @@
     "cut_store",
     "misbehave",
 )
+# Drawn apart from the others, in a series of their own.
+QUIET_PLANNED = ("drain_runner", "step_clock")
+# Longest time until the store has a runner's new state, in seconds.
+REGISTRATION_S = 4.0
+# Largest step of a host's time of day, in seconds.
+MAX_STEP_S = 3600.0
 STORE_MODES: tuple[dict[str, Any], ...] = (
     {"mode": "busy"},
     {"mode": "silent"},
@@ -47,6 +54,8 @@
         withdrawn: Keys that are withdrawn, with the instant.
         planned: Intervals of planned restarts: host, start, end.
         unplanned: Intervals of other faults.
+        draining: Intervals in which the store had a runner as draining: its
+            name, start, end.
     """
 
     def __init__(
@@ -66,19 +75,65 @@
         self.withdrawn: dict[str, float] = {}
         self.planned: list[tuple[str, float, float]] = []
         self.unplanned: list[tuple[float, float]] = []
+        self.draining: list[tuple[str, float, float]] = []
+        self.quiet_generator = random.Random(f"quiet {seed}")
         self.busy: set[str] = set()
         self.applied: list[str] = []
 
     def run(self, seconds: float) -> None:
         """Applies faults for a time and ends them all."""
         deadline = time.monotonic() + seconds
-        running = []
+        running = [gevent.spawn(self.run_quiet, deadline)]
         while time.monotonic() < deadline:
             kind = self.generator.choice(self.kinds)
             running.append(gevent.spawn(self.apply, kind))
             gevent.sleep(self.generator.uniform(0.2, 0.9))
         gevent.joinall(running, timeout=30)
 
+    def run_quiet(self, deadline: float) -> None:
+        """Applies planned work that nobody may notice."""
+        kinds = itertools.cycle(QUIET_PLANNED)
+        while time.monotonic() < deadline:
+            self.apply(next(kinds))
+            gevent.sleep(self.quiet_generator.uniform(0.2, 0.9))
+
+    def drain_runner(self) -> None:
+        """Lets a runner leave of which its service has another one."""
+        free = [
+            runner
+            for runner in self.fleet.runners
+            if runner.stage != "prefill"
+            and not any(
+                other.name in self.busy
+                for other in self.fleet.runners
+                if other.service == runner.service
+            )
+        ]
+        if not free:
+            return
+        runner = self.quiet_generator.choice(free)
+        self.busy.add(runner.name)
+        target = runner.listen
+        state = {"state": "draining"}
+        processes.call(target, "POST", "/standin/set", state)
+        until = time.monotonic() + REGISTRATION_S
+        while self.fleet.registered_state(runner) != "draining":
+            if time.monotonic() > until:
+                break
+            gevent.sleep(0.1)
+        else:
+            started = time.monotonic()
+            gevent.sleep(self.quiet_generator.uniform(2.5, 4.0))
+            self.draining.append((runner.name, started, time.monotonic()))
+        processes.call(target, "POST", "/standin/set", {"state": "ready"})
+        self.busy.discard(runner.name)
+
+    def step_clock(self) -> None:
+        """Sets a host's time of day ahead or back."""
+        host = self.quiet_generator.choice(self.fleet.hosts)
+        ahead = self.quiet_generator.uniform(-MAX_STEP_S, MAX_STEP_S)
+        host.clock_file.write_text(str(ahead))
+
     def apply(self, kind: str) -> None:
         self.applied.append(kind)
         started = time.monotonic()
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import base64
 import contextlib
 import itertools
 import os
@@ -143,7 +144,9 @@
                 confirmation=int(CONFIRMATION_S * 1000),
             )
         )
-        arguments = ["coltsfootarch", "gateway", "--settings", str(path)]
+        self.clock_file = folder / f"{name}.clock"
+        arguments = ["soak.stepped_clock", str(self.clock_file)]
+        arguments += ["gateway", "--settings", str(path)]
         super().__init__(name, arguments, folder / f"{name}.log")
 
     def is_ready(self) -> bool:
@@ -163,6 +166,8 @@
         store: str,
         folder: pathlib.Path,
     ) -> None:
+        self.service = service
+        self.stage = stage
         self.listen = free_address()
         self.proxy = proxy.Proxy(self.listen)
         self.proxy.start()
@@ -207,6 +212,22 @@
         row = {"table": table, "key": key, "value": value}
         call(self.store_address, "POST", "/standin/put", row)
 
+    def registered_state(self, runner: Runner) -> str:
+        """Returns the state that the store has of a runner."""
+        target = "/api/rows-get?table=servers&part=&limit=100"
+        with contextlib.suppress(
+            client.ConnectError,
+            client.BrokenConnectionError,
+            client.ResponseTimeoutError,
+            msgspec.DecodeError,
+        ):
+            _, data = call(self.store_address, "GET", target)
+            for row in msgspec.json.decode(data)["rows"]:
+                if row["key"] == runner.name:
+                    entry = msgspec.json.decode(base64.b64decode(row["value"]))
+                    return str(entry["state"])
+        return ""
+
     def set_store(self, **values: Any) -> None:
         call(self.store_address, "POST", "/standin/set", values)
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -30,7 +30,13 @@
 
 
 def check(request, ran=(), **schedule):
-    values = {"withdrawn": {}, "planned": [], "unplanned": [], **schedule}
+    values = {
+        "withdrawn": {},
+        "planned": [],
+        "unplanned": [],
+        "draining": [],
+        **schedule,
+    }
     runs = [("r1", runner, 10.1) for runner in ran]
     return checks.violations([request], runs, types.SimpleNamespace(**values))
 
@@ -57,12 +63,26 @@
             ["a-1"],
             {"planned": [("h-0", 9.0, 11.0)]},
         ),
+        (seen(), ["a-1"], {"draining": [("a-1", 8.0, 11.0)]}),
     ],
 )
 def test_each_broken_promise_is_seen(request_seen, ran, schedule):
     assert len(check(request_seen, ran, **schedule)) == 1
 
 
+@pytest.mark.parametrize(
+    "schedule",
+    [
+        {"draining": [("a-1", 8.5, 11.0)]},
+        {"draining": [("a-2", 8.0, 11.0)]},
+        {"draining": [("a-1", 8.0, 10.0)]},
+        {"draining": [("a-1", 8.0, 11.0)], "unplanned": [(9.0, 9.5)]},
+    ],
+)
+def test_runner_that_leaves_may_get_requests_for_a_time(schedule):
+    assert check(seen(), ["a-1"], **schedule) == []
+
+
 def test_unplanned_faults_excuse_a_cut():
     assert (
         check(
