Let returned requests take room only while no newer one waits for it

Cause: requests that had come back were counted in the backlog, so that newer ones that would go first were refused as too late, came back in turn, and so on; and a host without newer requests gave its room to returned ones while other hosts had newer ones waiting. Returned requests now aren't counted, and take room only while no newer request waits on any host.

--- a/src/coltsfootarch/forwarding/generation_pipeline.py
+++ b/src/coltsfootarch/forwarding/generation_pipeline.py
@@ -115,9 +115,6 @@
         """Waits for engines with room; None if there will be none in time."""
         call = generation.call
         started = self.clock.monotonic()
-        due_at = call.request.received_at
-        if not generation.returned:
-            due_at += call.route.objective_s
         is_read = generation.memory is not None
         demand = generation.demand._replace(
             prefill=is_read or generation.has_prefill_left
@@ -128,7 +125,8 @@
             frozenset(call.tried),
             call.route.priority,
             call.request.received_at,
-            due_at,
+            call.request.received_at + call.route.objective_s,
+            generation.returned,
         )
         if not self.parts.engine_placer.decode_engines(
             call.service, waiter.excluded
--- a/src/coltsfootarch/scheduling/backlog.py
+++ b/src/coltsfootarch/scheduling/backlog.py
@@ -2,7 +2,8 @@
 
 Answers bursts above the engines' capacity: a request that would wait beyond
 its objective is told at once when to come back, instead of being held while
-newer requests that can still be in time take the room.
+newer requests that can still be in time take the room. Requests that have come
+back aren't counted, since nobody waits for them.
 """
 
 from __future__ import annotations
@@ -11,6 +12,8 @@
 from typing import NamedTuple
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from coltsfootarch import clock as clocks
     from coltsfootarch.fleet import reports
 
@@ -46,6 +49,7 @@
         self.waiting: dict[str, int] = {}
         self.peers: dict[str, PeerWaiting] = {}
         self.durations: dict[str, float] = {}
+        self.on_change: list[Callable[[], object]] = []
 
     def enter(self, service: str) -> None:
         """Counts a request that waits here."""
@@ -94,6 +98,9 @@
     def absorb(self, report: reports.Report, continuous: bool) -> None:
         """Takes a peer's waiting requests; see `reports.Participant`."""
         del continuous  # Reports of waiting requests are complete.
-        self.peers[report.host] = PeerWaiting(
-            self.clock.monotonic(), dict(report.waiting)
-        )
+        counts = dict(report.waiting)
+        before = self.peers.get(report.host)
+        self.peers[report.host] = PeerWaiting(self.clock.monotonic(), counts)
+        if before is not None and before.counts != counts:
+            for listener in self.on_change:
+                listener()
--- a/src/coltsfootarch/scheduling/dispatch_queue.py
+++ b/src/coltsfootarch/scheduling/dispatch_queue.py
@@ -1,9 +1,10 @@
 """Queue of requests that wait for room at decode engines.
 
 Answers bursts above the engines' capacity. A request that can still meet its
-objective goes first; the others, also those that come back after a refusal,
-follow in order of arrival, as their answers are worth the same whenever they
-come.
+objective goes first; the others follow in order of arrival, as their answers
+are worth the same whenever they come. A request that comes back after a
+refusal is late already, and takes room only while no newer one waits for it on
+any host.
 """
 
 from __future__ import annotations
@@ -23,6 +24,9 @@
 # Time from a placement to the first event on an idle fleet: reading the prompt,
 # moving its KV cache and generating the first tokens, in seconds.
 SERVICE_TIME_S = 0.25
+# Interval at which a request looks for room though no change was reported: what
+# a silent peer reported last is forgotten after a second.
+RECHECK_S = 0.25
 
 
 class Waiter:
@@ -34,8 +38,8 @@
         excluded: Engines that failed it.
         priority: Rank; 0 is the most urgent.
         arrived_at: Instant of its arrival, in seconds.
-        due_at: Instant at which its first event is due, in seconds; one that
-            was refused before is late from its arrival on.
+        due_at: Instant at which its first event is due, in seconds.
+        returned: Whether it comes back after a refusal.
     """
 
     def __init__(
@@ -46,8 +50,10 @@
         priority: int,
         arrived_at: float,
         due_at: float,
+        returned: bool = False,
     ) -> None:
         self.service = service
+        self.returned = returned
         self.demand = demand
         self.excluded = excluded
         self.priority = priority
@@ -58,7 +64,7 @@
 
     def rank(self, now: float) -> tuple[bool, int, float]:
         """Returns the place in the queue; lower goes first."""
-        late = now + SERVICE_TIME_S > self.due_at
+        late = self.returned or now + SERVICE_TIME_S > self.due_at
         return (late, self.priority, self.arrived_at)
 
 
@@ -85,6 +91,7 @@
         self.clock = clock
         self.waiters: list[Waiter] = []
         loads.on_change.append(self.place_waiting)
+        backlog.on_change.append(self.place_waiting)
 
     def acquire(
         self, waiter: Waiter, timeout_s: float
@@ -102,11 +109,19 @@
         if waiter.placement is not None or timeout_s <= 0:
             self.withdraw(waiter)
             return waiter.placement
-        self.backlog.enter(waiter.service.name)
+        deadline = self.clock.monotonic() + timeout_s
+        if not waiter.returned:
+            self.backlog.enter(waiter.service.name)
         try:
-            waiter.woken.wait(timeout_s)
+            while not waiter.woken.is_set():
+                left = deadline - self.clock.monotonic()
+                if left <= 0:
+                    break
+                if not waiter.woken.wait(min(left, RECHECK_S)):
+                    self.place_waiting()
         finally:
-            self.backlog.leave(waiter.service.name)
+            if not waiter.returned:
+                self.backlog.leave(waiter.service.name)
             self.withdraw(waiter)
         return waiter.placement
 
@@ -163,6 +178,8 @@
         now = self.clock.monotonic()
         self.waiters.sort(key=lambda waiter: waiter.rank(now))
         for waiter in tuple(self.waiters):
+            if waiter.returned and self.backlog.total(waiter.service.name):
+                continue
             placement = self.placer.place(
                 waiter.service, waiter.demand, waiter.excluded
             )
--- a/src/coltsfootarch/scheduling/stage_balance.py
+++ b/src/coltsfootarch/scheduling/stage_balance.py
@@ -121,10 +121,20 @@
             engine.memory_tokens * MEMORY_USE / max(needs.memory_tokens, 1.0),
             float(engine.slots),
         )
-        decode_rate = decodes * at_once / max(needs.decode_s, 0.001)
-        readers = prefills * PREFILL_USE
-        readers += decodes * READING_USE / prompt_reading.READING_SLOWDOWN
-        return min(decode_rate, readers / max(needs.prefill_s, 0.001))
+        prefill_s = max(needs.prefill_s, 0.001)
+        engine_rate = at_once / max(needs.decode_s, 0.001)
+        decode_rate = decodes * engine_rate
+        prefill_rate = prefills * PREFILL_USE / prefill_s
+        if prefill_rate >= decode_rate:
+            return decode_rate
+        # The other prompts are read at decode engines, which generate nothing
+        # meanwhile and can't read all the time.
+        reading_s = prompt_reading.READING_SLOWDOWN * prefill_s
+        lost = reading_s * engine_rate
+        return min(
+            (decode_rate + lost * prefill_rate) / (1 + lost),
+            prefill_rate + decodes * READING_USE / reading_s,
+        )
 
     def decide(
         self,
--- a/tests/forwarding/test_generations.py
+++ b/tests/forwarding/test_generations.py
@@ -280,6 +280,8 @@
     gevent.sleep(1.0)
     assert not again.ready()
 
+    for _ in range(20):
+        crowded.daemon.parts.queue.backlog.leave("llm")
     for _ in range(8):
         crowded.daemon.parts.loads.remove("d-1", 1000)
 
