--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: install lint format test matrix bench demo soak clean
+.PHONY: install lint format test matrix bench experiment demo soak clean
 
 install: $(STAMP)
 
@@ -31,6 +31,10 @@
 bench: $(STAMP)
 	$(BIN)/python -m benchmarks
 
+experiment: $(STAMP)
+	$(BIN)/pip install -q -r requirements-plots.lock
+	$(BIN)/python -m benchmarks.edge_experiment
+
 soak: $(STAMP)
 	$(BIN)/python -m soak $(SOAK_ARGS)
 
--- a/benchmarks/edge_model.py
+++ b/benchmarks/edge_model.py
@@ -97,6 +97,8 @@
         late: Answered whole, but late or with a long pause.
         refused: Refused for good, or left by their callers.
         read_in_vain: Prompt tokens whose engine refused the request.
+        slow_start_s: Time to the first event that 5 of 100 answered requests
+            exceed, from their first attempt on, in seconds.
     """
 
     asked: int
@@ -104,6 +106,7 @@
     late: int
     refused: int
     read_in_vain: int
+    slow_start_s: float
 
 
 class Request:
@@ -294,8 +297,17 @@
             whole - in_time,
             len(self.requests) - whole,
             self.read_in_vain,
+            self.slow_start(),
         )
 
+    def slow_start(self) -> float:
+        waits = sorted(
+            each.stream.first_event_at - each.arrived_at
+            for each in self.requests
+            if each.stream.first_event_at is not None
+        )
+        return waits[len(waits) * 95 // 100] if waits else 0.0
+
     def draw(self, mean: float, most: int) -> int:
         sigma = math.sqrt(math.log(1 + SPREAD**2))
         size = self.generator.lognormvariate(
