Let one piece of code serve where the change had two

- Periodic loops of the host row, the stage balance and the housekeeping are PeriodicTask, which moves out of gateway/ and takes a callback for failures.
An unexpected error no longer ends the renewal of the host row.
- The outcome and the label of an attempt, and the code of a failed request, stand with Answer and Fate instead of in both pipelines.
- Hop-by-hop fields are listed once, in http1/messages.
- The adapter has one reader of stored objects, one of lists, one conversion of milliseconds and one way to build its own calls to a runner.
- The sampler says what a large fleet is; the daemon had its own constant.
- The digest of a request's body is computed once, not at each use.
- Removed as never called: freeing of reservations, CallerRequest.declares_size, an attribute of the store stand-in, return values in the engine model.
Ruled out: the two splitters of server-sent events (one relays bytes unchanged, the other parses them) and the followers' loops, which have a back-off of their own.

--- a/benchmarks/edge_engines.py
+++ b/benchmarks/edge_engines.py
@@ -61,18 +61,16 @@
         self.name = name
         self.queue: collections.deque[Stream] = collections.deque()
 
-    def step(self) -> list[Stream]:
-        """Works for one step; returns the prompts that were read."""
+    def step(self) -> None:
+        """Works for one step."""
         left = READ_TOKENS_PER_S * STEP_S
-        done = []
         while self.queue and left > 0:
             stream = self.queue[0]
             part = min(left, stream.unread)
             stream.unread -= part
             left -= part
             if stream.unread <= 0:
-                done.append(self.queue.popleft())
-        return done
+                self.queue.popleft()
 
 
 class DecodeEngine:
@@ -96,8 +94,8 @@
         fits = used + stream.prompt <= self.memory_tokens
         return fits and len(self.streams) < self.slots
 
-    def step(self, now: float) -> list[Stream]:
-        """Works for one step; returns the streams that ended."""
+    def step(self, now: float) -> None:
+        """Works for one step; streams that have ended leave."""
         left = STEP_S
         rate = READ_TOKENS_PER_S * OWN_READ_PART
         for stream in self.streams:
@@ -111,6 +109,4 @@
             for stream in running:
                 stream.produced += tokens
                 stream.note_events(now)
-        done = [each for each in running if each.finished]
         self.streams = [each for each in self.streams if not each.finished]
-        return done
--- a/benchmarks/edge_model.py
+++ b/benchmarks/edge_model.py
@@ -135,7 +135,6 @@
         self.patience_s = patience_s
         self.attempts = 0
         self.stream = edge_engines.Stream(prompt, output)
-        self.refused = False
 
     def is_in_time(self) -> bool:
         first = self.stream.first_event_at
@@ -212,7 +211,7 @@
         return (self.loads, self.tracker, self.backlog, self.refusals)
 
     def report(self) -> reports.Report:
-        report = reports.Report(1, self.name, 1, 1, [], [], [], [], [], [])
+        report = reports.blank(self.name, 1, 1)
         for participant in self.participants():
             report = participant.contribute(report)
         return report
--- a/src/coltsfootarch/fleet/hosts.py
+++ b/src/coltsfootarch/fleet/hosts.py
@@ -2,27 +2,28 @@
 
 from __future__ import annotations
 
+import datetime
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 from typing import Protocol
 
-import gevent
 import structlog
 
 from coltsfootarch import errors
+from coltsfootarch import periodic
 
 if TYPE_CHECKING:
     from coltsfootarch import clock as clocks
 
 # Interval of renewing this host's row and reading those of the others.
-RENEWAL_INTERVAL_S = 10.0
+RENEWAL_INTERVAL = datetime.timedelta(seconds=10)
 # A host that renewed its row this recently may be serving unheard.
 RENEWAL_VALIDITY_S = 25.0
 # While all known hosts are heard, rows are read only with each of so many
 # renewals; new hosts make themselves heard.
 RENEWALS_PER_READ = 4
 RENEWALS_AT_START = 2
-RETRY_INTERVAL_S = 2.0
+RETRY_INTERVAL = datetime.timedelta(seconds=2)
 # A host that was heard this recently counts as reached. Reports come at least
 # every half second.
 HEARD_S = 1.2
@@ -183,31 +184,32 @@
         self.directory = directory
         self.clock = clock
         self.failing = False
-        self.greenlet: gevent.Greenlet | None = None
+        self.task = periodic.PeriodicTask(
+            "host row", RENEWAL_INTERVAL, self.try_renew, clock
+        )
+        self.task.pause = self.pause
 
     def start(self) -> None:
         """Starts to renew."""
-        self.greenlet = gevent.spawn(self.run)
+        self.task.start()
 
     def close(self) -> None:
         """Stops renewing."""
-        if self.greenlet is not None:
-            self.greenlet.kill()
-            self.greenlet = None
-
-    def run(self) -> None:
-        """Renews until the greenlet is killed."""
-        while True:
-            delay = RENEWAL_INTERVAL_S
-            try:
-                self.renew()
-                self.failing = False
-            except errors.PlatformError as error:
-                delay = RETRY_INTERVAL_S
-                if not self.failing:
-                    logger.warning("host row not renewed", reason=error.message)
-                self.failing = True
-            gevent.sleep(delay)
+        self.task.close()
+
+    def pause(self) -> datetime.timedelta:
+        """Returns the time until the next renewal."""
+        return RETRY_INTERVAL if self.failing else RENEWAL_INTERVAL
+
+    def try_renew(self) -> None:
+        """Renews; logs the first failure of several."""
+        try:
+            self.renew()
+            self.failing = False
+        except errors.PlatformError as error:
+            if not self.failing:
+                logger.warning("host row not renewed", reason=error.message)
+            self.failing = True
 
     def renew(self) -> None:
         """Writes this host's record and reads all."""
--- a/src/coltsfootarch/fleet/reports.py
+++ b/src/coltsfootarch/fleet/reports.py
@@ -82,6 +82,13 @@
     refused: tuple[str, ...] = ()
 
 
+def blank(host: str, incarnation: int, sequence: int) -> Report:
+    """Returns a report to which participants add their state."""
+    return Report(
+        PROTOCOL_VERSION, host, incarnation, sequence, [], [], [], [], [], []
+    )
+
+
 class Participant(Protocol):
     """A part of the host whose state is reported."""
 
@@ -179,18 +186,7 @@
         """Returns a new report as bytes."""
         self.sequence += 1
         own = self.directory.own
-        report = Report(
-            PROTOCOL_VERSION,
-            own.name,
-            own.incarnation,
-            self.sequence,
-            [],
-            [],
-            [],
-            [],
-            [],
-            [],
-        )
+        report = blank(own.name, own.incarnation, self.sequence)
         for participant in self.participants:
             report = participant.contribute(report)
         return msgspec.msgpack.encode(report)
--- a/src/coltsfootarch/fleet/stage_orders.py
+++ b/src/coltsfootarch/fleet/stage_orders.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
+import datetime
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 from typing import Protocol
 
-import gevent
 import structlog
 
 from coltsfootarch import errors
+from coltsfootarch import periodic
 
 if TYPE_CHECKING:
     from coltsfootarch import clock as clocks
@@ -130,28 +131,27 @@
         self.needed_since: dict[str, float] = {}
         self.resting_until: dict[str, float] = {}
         self.ordered: dict[str, Order] = {}
-        self.greenlet: gevent.Greenlet | None = None
+        self.task = periodic.PeriodicTask(
+            "stage balance",
+            datetime.timedelta(seconds=CHECK_INTERVAL_S),
+            self.try_check,
+            clock,
+        )
 
     def start(self) -> None:
         """Starts to watch."""
-        self.greenlet = gevent.spawn(self.run)
+        self.task.start()
 
     def close(self) -> None:
         """Stops watching."""
-        if self.greenlet is not None:
-            self.greenlet.kill()
-            self.greenlet = None
-
-    def run(self) -> None:
-        """Watches until the greenlet is killed."""
-        while True:
-            gevent.sleep(CHECK_INTERVAL_S)
-            try:
-                self.check()
-            except errors.PlatformError as error:
-                logger.info("no claim for orders", reason=error.message)
-            except Exception:
-                logger.exception("balance of stages not checked")
+        self.task.close()
+
+    def try_check(self) -> None:
+        """Checks all services; without a claim nothing is ordered."""
+        try:
+            self.check()
+        except errors.PlatformError as error:
+            logger.info("no claim for orders", reason=error.message)
 
     def check(self) -> None:
         """Checks all services once and gives orders where needed."""
--- a/src/coltsfootarch/forwarding/attempts.py
+++ b/src/coltsfootarch/forwarding/attempts.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from coltsfootarch import results
+from coltsfootarch.scheduling import outcomes
 
 if TYPE_CHECKING:
     from coltsfootarch.http1 import messages
@@ -30,12 +31,28 @@
 
     @property
     def code(self) -> results.ResultCode:
-        """Result code for the caller."""
+        """Result code for a caller whose request may have run."""
         if self is Fate.TIMED_OUT:
             return results.UPSTREAM_TIMEOUT
-        if self is Fate.BROKEN:
-            return results.UPSTREAM_FAILED
-        return results.OVERLOADED
+        return results.UPSTREAM_FAILED
+
+    @property
+    def label(self) -> str:
+        """Name in logs and metrics."""
+        return self.value
+
+    @property
+    def outcome(self) -> outcomes.Outcome:
+        """What it says about the upstream."""
+        return OUTCOMES[self]
+
+
+OUTCOMES = {
+    Fate.NOT_SENT: outcomes.Outcome.ABSENT,
+    Fate.NOT_RUN: outcomes.Outcome.REFUSED,
+    Fate.BROKEN: outcomes.Outcome.BROKEN,
+    Fate.TIMED_OUT: outcomes.Outcome.BROKEN,
+}
 
 
 class Answer(NamedTuple):
@@ -56,6 +73,18 @@
         """Whether the upstream ran the request without an error."""
         return self.status < 500
 
+    @property
+    def label(self) -> str:
+        """Name in logs and metrics."""
+        return str(self.status)
+
+    @property
+    def outcome(self) -> outcomes.Outcome:
+        """What it says about the upstream."""
+        if self.is_success:
+            return outcomes.Outcome.SUCCESS
+        return outcomes.Outcome.ERROR
+
     @property
     def promises_not_run(self) -> bool:
         """Whether the status would wrongly say that nothing was run."""
--- a/src/coltsfootarch/forwarding/call_pipeline.py
+++ b/src/coltsfootarch/forwarding/call_pipeline.py
@@ -12,7 +12,6 @@
 from coltsfootarch.forwarding import calls
 from coltsfootarch.forwarding import exchange
 from coltsfootarch.http1 import client
-from coltsfootarch.scheduling import outcomes
 
 if TYPE_CHECKING:
     from coltsfootarch import clock as clocks
@@ -115,9 +114,10 @@
         now = self.clock.monotonic()
         until = call.ends_at
         last = call.attempts + 1 >= call.route.max_attempts
+        load = self.parts.loads.load(upstream.id)
         # In a crowded service a second copy of a call that waits for a slot
         # would only add to the load.
-        idle = self.parts.loads.load(upstream.id).requests < upstream.slots
+        idle = load.requests < upstream.slots
         if call.route.repeatable and not last and idle:
             until = min(until, now + ATTEMPT_PART * call.route.objective_s)
         delivery = calls.Delivery(upstream, call.account, call.ends_at - now)
@@ -128,7 +128,6 @@
             call.request,
             delivery,
         )
-        load = self.parts.loads.load(upstream.id)
         self.parts.loads.add(upstream.id, 1)
         self.parts.tracker.note_dispatch(upstream.id)
         try:
@@ -137,13 +136,8 @@
             self.parts.loads.remove(upstream.id, 1)
             sending.close()
         took = self.clock.monotonic() - now
-        self.judge(upstream, result, took)
-        outcome = (
-            str(result.status)
-            if isinstance(result, attempts.Answer)
-            else result.value
-        )
-        self.parts.metrics.attempts.labels(call.service, outcome).inc()
+        self.parts.tracker.record(upstream.id, result.outcome, took)
+        self.parts.metrics.attempts.labels(call.service, result.label).inc()
         if isinstance(result, attempts.Answer):
             self.parts.metrics.answer_time.labels(call.service).observe(took)
         logger.info(
@@ -153,7 +147,7 @@
             attempt=call.attempts,
             load=load.requests,
             load_age_ms=round(self.parts.loads.age() * 1000),
-            outcome=outcome,
+            outcome=result.label,
             took_ms=round(took * 1000),
         )
         return result
@@ -201,27 +195,6 @@
             reason=str(error) or type(error).__name__,
         )
 
-    def judge(
-        self,
-        upstream: upstreams.Upstream,
-        result: attempts.Answer | attempts.Fate,
-        took: float,
-    ) -> None:
-        """Counts an outcome for the choice of later requests."""
-        tracker = self.parts.tracker
-        if isinstance(result, attempts.Answer):
-            good = result.is_success
-            outcome = (
-                outcomes.Outcome.SUCCESS if good else outcomes.Outcome.ERROR
-            )
-        elif result is attempts.Fate.NOT_RUN:
-            outcome = outcomes.Outcome.REFUSED
-        elif result is attempts.Fate.NOT_SENT:
-            outcome = outcomes.Outcome.ABSENT
-        else:
-            outcome = outcomes.Outcome.BROKEN
-        tracker.record(upstream.id, outcome, took)
-
     def finish(
         self,
         call: calls.Call,
@@ -233,8 +206,7 @@
             call.responder.answer(answer.status, answer.fields, answer.body)
             return
         if answer is not None or call.may_have_run:
-            code = fate.code if fate.may_have_run else results.UPSTREAM_FAILED
-            raise errors.RefusedError(code)
+            raise errors.RefusedError(fate.code)
         if not call.tried:
             raise errors.RefusedError(
                 results.NO_UPSTREAM, retry_after=RETRY_AFTER_S
--- a/src/coltsfootarch/forwarding/calls.py
+++ b/src/coltsfootarch/forwarding/calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import hashlib
 from typing import TYPE_CHECKING
 from typing import NamedTuple
@@ -52,11 +53,6 @@
         """Path without the query."""
         return self.target.partition("?")[0]
 
-    @property
-    def declares_size(self) -> bool:
-        """Whether the request says how many tokens it takes."""
-        return self.prompt_tokens + self.output_tokens > 0
-
 
 class MemorySource(NamedTuple):
     """Where an engine finds the KV cache of a prompt that was read.
@@ -162,11 +158,6 @@
     def decode_reservation(self, body: bytes) -> str:
         """Returns the name of a reservation; empty if there is none."""
 
-    def encode_cancel_reservation(
-        self, upstream: upstreams.Upstream, reservation: str
-    ) -> bytes:
-        """Returns the call that frees a reservation."""
-
     def encode_release(self, source: MemorySource) -> bytes:
         """Returns the request that frees a prefill result."""
 
@@ -232,7 +223,7 @@
             limit = min(limit, request.deadline_s)
         self.ends_at = request.received_at + limit
 
-    @property
+    @functools.cached_property
     def digest(self) -> str:
         """Identifies requests with the same path, caller and body."""
         seed = f"{self.account} {self.request.target} ".encode()
--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -12,6 +12,7 @@
 import gevent.event
 import structlog
 
+from coltsfootarch import periodic
 from coltsfootarch.config import edge_settings
 from coltsfootarch.fleet import followers
 from coltsfootarch.fleet import hosts
@@ -66,7 +67,6 @@
 # a report, and restarts. Many hosts admit more in that time.
 OVERDRAFT_PART = 0.6
 OVERDRAFT_PART_MANY = 0.2
-MANY_HOSTS = 16
 # Part of the time for which keys are accepted within which a confirmation must
 # have been renewed.
 CONFIRMATION_PART = 0.85
@@ -111,6 +111,7 @@
             0,
         )
         self.hosts = hosts.HostDirectory(own, clock)
+        self.sampler = sampling.Sampler(self.hosts.count, random.Random())
         self.upstreams = upstreams.UpstreamDirectory(clock)
         self.tracker = followers.PolicyTracker(clock)
         self.buckets = shared_bucket.SharedBuckets(
@@ -175,7 +176,12 @@
             settings.listen, self.forwarder, clock, self.caller_limits
         )
         self.others = self.build_listeners()
-        self.housekeeper: gevent.Greenlet | None = None
+        self.housekeeper = periodic.PeriodicTask(
+            "housekeeping",
+            datetime.timedelta(seconds=HOUSEKEEPING_S),
+            self.keep_house,
+            clock,
+        )
 
     def find_account(self, name: str) -> policy.ClientAccount | None:
         """Returns an account of the policy in force."""
@@ -184,13 +190,13 @@
 
     def overdraft(self) -> float:
         """Returns the tokens by which buckets may go below zero."""
-        many = self.hosts.count() > MANY_HOSTS
+        many = self.sampler.many_hosts
         part = OVERDRAFT_PART_MANY if many else OVERDRAFT_PART
         return self.settings.limits.rate_slack * part
 
     def hurry(self) -> None:
         """Reports soon, if the usual interval is long."""
-        if self.hosts.count() > MANY_HOSTS:
+        if self.sampler.many_hosts:
             self.exchange.hurry()
 
     def policy_wait(self) -> float:
@@ -209,10 +215,9 @@
         loads = load_view.LoadView(clock)
         tracker = outcomes.OutcomeTracker(clock)
         zone = self.settings.availability_zone
-        sampler = sampling.Sampler(self.hosts.count, random.Random())
         reading_times = prompt_reading.ReadingTimes()
         placer = engine_placement.EnginePlacer(
-            self.upstreams, loads, tracker, zone, sampler, reading_times
+            self.upstreams, loads, tracker, zone, self.sampler, reading_times
         )
         queue = dispatch_queue.DispatchQueue(
             placer, loads, backlog.Backlog(clock), clock
@@ -235,7 +240,7 @@
                 limits.retry_window.total_seconds(),
             ),
             call_placer=call_placement.CallPlacer(
-                self.upstreams, loads, tracker, zone, sampler
+                self.upstreams, loads, tracker, zone, self.sampler
             ),
             engine_placer=placer,
             queue=queue,
@@ -301,7 +306,7 @@
         self.callers.start()
         for each in self.others:
             each.start()
-        self.housekeeper = gevent.spawn(self.keep_house)
+        self.housekeeper.start()
         logger.info(
             "host started",
             availability_zone=self.settings.availability_zone,
@@ -311,17 +316,12 @@
         )
 
     def keep_house(self) -> None:
-        """Does the periodic work until the greenlet is killed."""
-        while True:
-            gevent.sleep(HOUSEKEEPING_S)
-            try:
-                self.parts.connections.prune()
-                self.parts.loads.sum_up()
-                self.parts.breaks.expire()
-                self.parts.tracker.forget_except(self.upstreams.upstreams)
-                self.upstreams.expire()
-            except Exception:
-                logger.exception("periodic work failed")
+        """Drops what is out of date."""
+        self.parts.connections.prune()
+        self.parts.loads.sum_up()
+        self.parts.breaks.expire()
+        self.parts.tracker.forget_except(self.upstreams.upstreams)
+        self.upstreams.expire()
 
     def close(self) -> None:
         """Stops gracefully: serves until the balancer sends no more callers."""
@@ -356,8 +356,7 @@
         self.exchange.close()
         for follower in self.followers:
             follower.close()
-        if self.housekeeper is not None:
-            self.housekeeper.kill()
+        self.housekeeper.close()
         self.parts.connections.close()
         self.platform.close()
         self.writer.close()
--- a/src/coltsfootarch/forwarding/decode_stage.py
+++ b/src/coltsfootarch/forwarding/decode_stage.py
@@ -205,18 +205,13 @@
             # A refused request leaves the prompt's memory where it was.
             generation.memory = memory
         self.judge(generation, engine, result, now)
-        outcome = (
-            str(result.status)
-            if isinstance(result, attempts.Answer)
-            else result.value
-        )
-        self.parts.metrics.attempts.labels(call.service, outcome).inc()
+        self.parts.metrics.attempts.labels(call.service, result.label).inc()
         logger.info(
             "decode ended",
             request_id=call.request.id,
             upstream=engine.id,
             attempt=call.attempts,
-            outcome=outcome,
+            outcome=result.label,
             reason=reason,
             started=call.responder.started,
             first_event_ms=round((generation.first_event_at - now) * 1000)
@@ -310,15 +305,10 @@
     ) -> None:
         """Counts an outcome and decides whether the request is over."""
         call = generation.call
-        tracker = self.parts.tracker
         took = (generation.first_event_at or self.clock.monotonic()) - started
+        self.parts.tracker.record(engine.id, result.outcome, took)
         if isinstance(result, attempts.Answer):
             good = result.is_success
-            tracker.record(
-                engine.id,
-                outcomes.Outcome.SUCCESS if good else outcomes.Outcome.ERROR,
-                took,
-            )
             generation.answer = result
             if good:
                 self.parts.breaks.clear(call.digest)
@@ -336,14 +326,6 @@
             return
         generation.fate = result
         call.may_have_run = call.may_have_run or result.may_have_run
-        if result is attempts.Fate.NOT_RUN:
-            tracker.record(engine.id, outcomes.Outcome.REFUSED)
-            return
-        sent = result is not attempts.Fate.NOT_SENT
-        tracker.record(
-            engine.id,
-            outcomes.Outcome.BROKEN if sent else outcomes.Outcome.ABSENT,
-        )
         if result is attempts.Fate.BROKEN:
             self.parts.breaks.record(call.digest)
         if result.may_have_run and not call.route.repeatable:
--- a/src/coltsfootarch/forwarding/generation_pipeline.py
+++ b/src/coltsfootarch/forwarding/generation_pipeline.py
@@ -247,9 +247,7 @@
             call.responder.answer(answer.status, answer.fields, answer.body)
             return
         if answer is not None or call.may_have_run:
-            fate = generation.fate
-            code = fate.code if fate.may_have_run else results.UPSTREAM_FAILED
-            raise errors.RefusedError(code)
+            raise errors.RefusedError(generation.fate.code)
         self.parts.refusals.note(call.digest)
         raise errors.RefusedError(
             results.OVERLOADED, retry_after=self.retry_after(generation)
--- a/src/coltsfootarch/gateway/daemon.py
+++ b/src/coltsfootarch/gateway/daemon.py
@@ -10,10 +10,10 @@
 import gevent.event
 import structlog
 
+from coltsfootarch import periodic
 from coltsfootarch import results
 from coltsfootarch.gateway import application
 from coltsfootarch.gateway import components
-from coltsfootarch.gateway import periodic
 from coltsfootarch.gateway import server
 from coltsfootarch.observability import metrics
 
@@ -95,9 +95,13 @@
     ) -> periodic.PeriodicTask:
         """Returns a periodic task of this gateway."""
         return periodic.PeriodicTask(
-            name, interval, function, self.parts.clock, self.parts.metrics
+            name, interval, function, self.parts.clock, self.count_failure
         )
 
+    def count_failure(self, name: str) -> None:
+        """Counts a failed call of a periodic task."""
+        self.parts.metrics.increment(metrics.TICK_FAILURES, suffix=name)
+
     def fast_task(self) -> periodic.PeriodicTask:
         """Returns the task whose pause depends on the work in progress."""
         task = self.task("fast", BUSY_INTERVAL, self.fast_tick)
--- a/src/coltsfootarch/http1/messages.py
+++ b/src/coltsfootarch/http1/messages.py
@@ -11,12 +11,10 @@
 
 Fields = tuple[tuple[str, str], ...]
 
-# Fields that describe one connection or the framing of one message.
-CONNECTION_FIELDS = frozenset(
+# RFC 9110, section 7.6.1.
+HOP_BY_HOP = frozenset(
     {
         "connection",
-        "content-length",
-        "expect",
         "keep-alive",
         "proxy-authenticate",
         "proxy-authorization",
@@ -27,6 +25,8 @@
         "upgrade",
     }
 )
+# Fields that describe one connection or the framing of one message.
+CONNECTION_FIELDS = HOP_BY_HOP | {"content-length", "expect"}
 
 
 def find(fields: Fields, name: str) -> str:
--- a/src/coltsfootarch/http1/pool.py
+++ b/src/coltsfootarch/http1/pool.py
@@ -50,7 +50,7 @@
         now = self.clock.monotonic()
         while waiting:
             connection = waiting.pop()
-            limit = connection.idle_limit_s * IDLE_SHARE or DEFAULT_IDLE_S
+            limit = usable_s(connection)
             if fresh:
                 limit = min(limit, FRESH_IDLE_S)
             if now - connection.idle_since < limit and connection.is_quiet():
@@ -63,9 +63,7 @@
 
     def give_back(self, connection: client.Connection) -> None:
         """Keeps a connection whose last response was complete."""
-        waiting = self.idle.setdefault(
-            connection.address, collections.deque(maxlen=None)
-        )
+        waiting = self.idle.setdefault(connection.address, collections.deque())
         waiting.append(connection)
         if len(waiting) > MAX_IDLE_PER_ADDRESS:
             waiting.popleft().close()
@@ -81,8 +79,7 @@
         for address, waiting in list(self.idle.items()):
             while waiting:
                 oldest = waiting[0]
-                limit = oldest.idle_limit_s * IDLE_SHARE or DEFAULT_IDLE_S
-                if now - oldest.idle_since < limit:
+                if now - oldest.idle_since < usable_s(oldest):
                     break
                 waiting.popleft().close()
             if not waiting:
@@ -92,3 +89,8 @@
         """Closes all idle connections."""
         for address in list(self.idle):
             self.drop(address)
+
+
+def usable_s(connection: client.Connection) -> float:
+    """Returns how long a connection may be idle and still be used."""
+    return connection.idle_limit_s * IDLE_SHARE or DEFAULT_IDLE_S
--- a/src/coltsfootarch/gateway/periodic.py
+++ b/src/coltsfootarch/periodic.py
@@ -1,4 +1,4 @@
-"""Periodic tasks of the daemon."""
+"""Functions that are called again and again."""
 
 from __future__ import annotations
 
@@ -7,8 +7,6 @@
 import gevent
 import structlog
 
-from coltsfootarch.observability import metrics
-
 if TYPE_CHECKING:
     import datetime
     from collections.abc import Callable
@@ -19,14 +17,14 @@
 
 
 class PeriodicTask:
-    """Calls a function again and again; an error in it is logged and counted.
+    """Calls a function again and again; an error in it is logged.
 
     Args:
         name: Name in logs.
         interval: Pause between two calls.
         function: What to call.
         clock: Source of time.
-        metrics: Where failures are counted.
+        on_failure: Called with the name after a failure, to count it.
     """
 
     def __init__(
@@ -35,13 +33,13 @@
         interval: datetime.timedelta,
         function: Callable[[], object],
         clock: clock.Clock,
-        metrics: metrics.Metrics,
+        on_failure: Callable[[str], object] = lambda name: None,
     ) -> None:
         self.name = name
         self.interval = interval
         self.function = function
         self.clock = clock
-        self.metrics = metrics
+        self.on_failure = on_failure
         self.pause: Callable[[], datetime.timedelta] = lambda: interval
         self.greenlet: gevent.Greenlet | None = None
 
@@ -66,5 +64,5 @@
         try:
             self.function()
         except Exception:
-            self.metrics.increment(metrics.TICK_FAILURES, suffix=self.name)
+            self.on_failure(self.name)
             logger.exception("periodic task failed", task=self.name)
--- a/src/coltsfootarch/platform/configuration.py
+++ b/src/coltsfootarch/platform/configuration.py
@@ -4,13 +4,9 @@
 
 from typing import Any
 
-import msgspec
-
 from coltsfootarch.fleet import policy
 from coltsfootarch.platform import decoding
 
-MS_PER_S = 1000.0
-
 # `kind` says what may be repeated, not what a request is.
 REPEATS = {
     "idempotent": policy.Repeat.IDEMPOTENT,
@@ -26,12 +22,7 @@
     Raises:
         decoding.UnreadableDocumentError: The one in force must stay.
     """
-    try:
-        document = msgspec.json.decode(value)
-    except msgspec.DecodeError as error:
-        raise decoding.UnreadableDocumentError(str(error)) from error
-    if not isinstance(document, dict):
-        raise decoding.UnreadableDocumentError("the document is no object")
+    document = decoding.decode_object(value)
     return policy.Policy(
         int(decoding.number(document, "version")),
         tuple(map(route, decoding.tables(document, "routes"))),
@@ -51,15 +42,14 @@
         host=decoding.text(entry, "host").lower(),
         prefix=decoding.text(entry, "path_prefix"),
         repeat=REPEATS[kind],
-        timeout_s=decoding.number(entry, "timeout_ms") / MS_PER_S,
-        objective_s=decoding.number(entry, "target_latency_ms", 1000.0)
-        / MS_PER_S,
+        timeout_s=decoding.seconds(entry, "timeout_ms"),
+        objective_s=decoding.seconds(entry, "target_latency_ms", 1.0),
         priority=int(decoding.number(entry, "priority", 5)),
         targets=targets(entry),
         max_attempts=max(int(decoding.number(entry, "max_attempts", 1)), 1),
         public=decoding.flag(entry, "public"),
         resumable=decoding.flag(entry, "resumable"),
-        event_gap_s=decoding.number(entry, "gap_target_ms", 0.0) / MS_PER_S,
+        event_gap_s=decoding.seconds(entry, "gap_target_ms", 0.0),
     )
 
 
@@ -94,7 +84,7 @@
         token_bytes=int(decoding.number(entry, "kv_token_bytes", 0)),
         # `kv_hold_s` is about prefill results, `hold_ms` about reservations.
         handle_lifetime_s=decoding.number(entry, "kv_hold_s", 0.5),
-        reservation_s=decoding.number(entry, "hold_ms", 0.0) / MS_PER_S,
+        reservation_s=decoding.seconds(entry, "hold_ms", 0.0),
     )
 
 
@@ -119,12 +109,6 @@
     return policy.CallerLimits(
         int(decoding.number(entry, "max_header_bytes", base.header_bytes)),
         int(decoding.number(entry, "max_body_bytes", base.body_bytes)),
-        decoding.number(
-            entry, "header_timeout_ms", base.header_timeout_s * MS_PER_S
-        )
-        / MS_PER_S,
-        decoding.number(
-            entry, "idle_timeout_ms", base.idle_timeout_s * MS_PER_S
-        )
-        / MS_PER_S,
+        decoding.seconds(entry, "header_timeout_ms", base.header_timeout_s),
+        decoding.seconds(entry, "idle_timeout_ms", base.idle_timeout_s),
     )
--- a/src/coltsfootarch/platform/decoding.py
+++ b/src/coltsfootarch/platform/decoding.py
@@ -3,12 +3,34 @@
 from __future__ import annotations
 
 from typing import Any
+from typing import TypeVar
+
+import msgspec
+
+MS_PER_S = 1000.0
+
+_Entry = TypeVar("_Entry")
 
 
 class UnreadableDocumentError(Exception):
     """A document lacks a field or has one of another type."""
 
 
+def decode_object(value: bytes) -> dict[str, Any]:
+    """Returns the object of a stored JSON document.
+
+    Raises:
+        UnreadableDocumentError: It is no JSON, or no object.
+    """
+    try:
+        document = msgspec.json.decode(value)
+    except msgspec.DecodeError as error:
+        raise UnreadableDocumentError(str(error)) from error
+    if not isinstance(document, dict):
+        raise UnreadableDocumentError("the document is no object")
+    return document
+
+
 def text(document: dict[str, Any], key: str) -> str:
     """Returns a text field.
 
@@ -37,6 +59,19 @@
     return float(value)
 
 
+def seconds(
+    document: dict[str, Any], key: str, default: float | None = None
+) -> float:
+    """Returns a field in milliseconds as seconds, or the default.
+
+    Raises:
+        UnreadableDocumentError: Missing without a default, or no number.
+    """
+    if default is not None and document.get(key) is None:
+        return default
+    return number(document, key) / MS_PER_S
+
+
 def flag(document: dict[str, Any], key: str) -> bool:
     """Returns a boolean field; a missing one is False.
 
@@ -55,14 +90,7 @@
     Raises:
         UnreadableDocumentError: Of another type.
     """
-    value = document.get(key)
-    if value is None:
-        return []
-    if not isinstance(value, list) or not all(
-        isinstance(entry, dict) for entry in value
-    ):
-        raise UnreadableDocumentError(f"{key} is not a list of objects")
-    return value
+    return entries(document, key, dict, "objects")
 
 
 def texts(document: dict[str, Any], key: str) -> list[str]:
@@ -71,11 +99,18 @@
     Raises:
         UnreadableDocumentError: Of another type.
     """
+    return entries(document, key, str, "texts")
+
+
+def entries(
+    document: dict[str, Any], key: str, kind: type[_Entry], meaning: str
+) -> list[_Entry]:
+    """Returns a list with entries of one type; a missing one is empty."""
     value = document.get(key)
     if value is None:
         return []
     if not isinstance(value, list) or not all(
-        isinstance(entry, str) for entry in value
+        isinstance(entry, kind) for entry in value
     ):
-        raise UnreadableDocumentError(f"{key} is not a list of texts")
+        raise UnreadableDocumentError(f"{key} is not a list of {meaning}")
     return value
--- a/src/coltsfootarch/platform/orders.py
+++ b/src/coltsfootarch/platform/orders.py
@@ -9,6 +9,7 @@
 from coltsfootarch.fleet import stage_orders
 from coltsfootarch.http1 import client
 from coltsfootarch.http1 import messages
+from coltsfootarch.platform import decoding
 from coltsfootarch.platform import wire
 
 if TYPE_CHECKING:
@@ -18,7 +19,6 @@
 
 CLAIM_TABLE = "coltsfootarch-claims"
 ORDER_TIMEOUT_S = 0.8
-MS_PER_S = 1000.0
 
 
 class StoredClaim(msgspec.Struct):
@@ -64,7 +64,7 @@
                 # Its age is unknown; the row's revision still fences.
                 fence = row.revision
             else:
-                if now_ms - last.at_ms < gap_s * MS_PER_S:
+                if now_ms - last.at_ms < gap_s * decoding.MS_PER_S:
                     return None
                 fence = last.fence
         asked_at = self.clock.monotonic()
@@ -93,27 +93,17 @@
         claim: stage_orders.Claim,
     ) -> str:
         """Orders a change of stage; returns the status or the failure."""
-        body = msgspec.json.encode(
-            {
-                "op": "stage",
-                "stage": stage.value,
-                "holder": claim.holder,
-                "fence": claim.fence,
-            }
-        )
-        head = messages.render_head(
-            "POST /api/order HTTP/1.1",
-            [
-                ("Host", engine.address),
-                (wire.INSTANCE, engine.id),
-                ("Content-Type", "application/json"),
-                ("Content-Length", str(len(body))),
-            ],
-        )
+        document = {
+            "op": "stage",
+            "stage": stage.value,
+            "holder": claim.holder,
+            "fence": claim.fence,
+        }
+        order = wire.encode_call(engine, "/api/order", document)
         connection = client.Connection(engine.address, self.clock)
         try:
             connection.start(ORDER_TIMEOUT_S)
-            connection.send(head, body, ORDER_TIMEOUT_S)
+            connection.send(order, b"", ORDER_TIMEOUT_S)
             part = connection.read_part(ORDER_TIMEOUT_S)
         except (
             client.ConnectError,
--- a/src/coltsfootarch/platform/registrations.py
+++ b/src/coltsfootarch/platform/registrations.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import msgspec
-
 from coltsfootarch.fleet import upstreams
 from coltsfootarch.platform import decoding
 
@@ -25,12 +23,7 @@
     Raises:
         decoding.UnreadableDocumentError: The row names no usable upstream.
     """
-    try:
-        entry = msgspec.json.decode(value)
-    except msgspec.DecodeError as error:
-        raise decoding.UnreadableDocumentError(str(error)) from error
-    if not isinstance(entry, dict):
-        raise decoding.UnreadableDocumentError("the entry is no object")
+    entry = decoding.decode_object(value)
     state = decoding.text(entry, "state")
     if state not in STATES:
         raise decoding.UnreadableDocumentError(f"state {state} is unknown")
--- a/src/coltsfootarch/platform/wire.py
+++ b/src/coltsfootarch/platform/wire.py
@@ -3,16 +3,17 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
+from typing import Any
 
 import msgspec
 
 from coltsfootarch.forwarding import calls
 from coltsfootarch.http1 import messages
+from coltsfootarch.platform import decoding
 
 if TYPE_CHECKING:
     from coltsfootarch.fleet import upstreams
 
-MS_PER_S = 1000.0
 REQUEST_ID = "X-Request-Id"
 DEADLINE = "X-Deadline-Ms"
 # Prompt tokens and the maximum of generated tokens, not a count of one kind.
@@ -24,7 +25,6 @@
 STAGE = "X-Stage"
 MEMORY_SOURCE = "X-Kv-Source"
 RESERVATION = "X-Kv-Hold"
-URGENCY = "X-Request-Priority"
 NOT_RUN = "x-not-executed"
 LOAD = "x-server-load"
 ANSWERED_BY = "x-instance-id"
@@ -40,12 +40,12 @@
         ACCOUNT.lower(),
         STAGE.lower(),
         MEMORY_SOURCE.lower(),
-        URGENCY.lower(),
         LAST_EVENT.lower(),
         "x-expect-version",
         "x-kv-backup",
         RESERVATION.lower(),
         "x-pin-ms",
+        "x-request-priority",
         "kv-fetch",
     }
 )
@@ -91,7 +91,7 @@
 def decode_milliseconds(value: str) -> float | None:
     """Returns seconds of a field in milliseconds, None where there is none."""
     try:
-        return max(float(value) / MS_PER_S, 0.0)
+        return max(float(value) / decoding.MS_PER_S, 0.0)
     except ValueError:
         return None
 
@@ -128,8 +128,9 @@
         self, request: calls.CallerRequest, delivery: calls.Delivery
     ) -> bytes:
         """Returns the head of the request for a runner."""
+        time_left_ms = int(delivery.time_left_s * decoding.MS_PER_S)
         added = [
-            (DEADLINE, str(max(int(delivery.time_left_s * MS_PER_S), 1))),
+            (DEADLINE, str(max(time_left_ms, 1))),
             (INSTANCE, delivery.upstream.id),
         ]
         if delivery.account:
@@ -175,32 +176,14 @@
         self, upstream: upstreams.Upstream, tokens: int, seconds: float
     ) -> bytes:
         """Returns the call that reserves a slot and memory."""
-        milliseconds = int(seconds * MS_PER_S)
-        body = msgspec.json.encode({"tokens": tokens, "ttl_ms": milliseconds})
-        head = messages.render_head(
-            "POST /api/hold-take HTTP/1.1",
-            [
-                ("Host", upstream.address),
-                (INSTANCE, upstream.id),
-                ("Content-Type", "application/json"),
-                ("Content-Length", str(len(body))),
-            ],
-        )
-        return head + body
+        milliseconds = int(seconds * decoding.MS_PER_S)
+        document = {"tokens": tokens, "ttl_ms": milliseconds}
+        return encode_call(upstream, "/api/hold-take", document)
 
     def decode_reservation(self, body: bytes) -> str:
         """Returns the name of a reservation; empty if there is none."""
         return decode_name(body, "hold")
 
-    def encode_cancel_reservation(
-        self, upstream: upstreams.Upstream, reservation: str
-    ) -> bytes:
-        """Returns the call that frees a reservation."""
-        return messages.render_head(
-            f"DELETE /api/hold-drop/{reservation} HTTP/1.1",
-            [("Host", upstream.address), (INSTANCE, upstream.id)],
-        )
-
     def encode_release(self, source: calls.MemorySource) -> bytes:
         """Returns the request that frees a prefill result."""
         return messages.render_head(
@@ -209,6 +192,23 @@
         )
 
 
+def encode_call(
+    upstream: upstreams.Upstream, target: str, document: dict[str, Any]
+) -> bytes:
+    """Returns a call of this system's own to one runner."""
+    body = msgspec.json.encode(document)
+    head = messages.render_head(
+        f"POST {target} HTTP/1.1",
+        [
+            ("Host", upstream.address),
+            (INSTANCE, upstream.id),
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(body))),
+        ],
+    )
+    return head + body
+
+
 def decode_name(body: bytes, key: str) -> str:
     """Returns a text of a JSON object; empty if there is none."""
     try:
--- a/src/coltsfootarch/upstreams/plain_client.py
+++ b/src/coltsfootarch/upstreams/plain_client.py
@@ -8,6 +8,7 @@
 import urllib3
 
 from coltsfootarch import clock as clock_module
+from coltsfootarch.http1 import messages
 from coltsfootarch.upstreams import connection
 
 if TYPE_CHECKING:
@@ -16,20 +17,7 @@
 
 Headers = tuple[tuple[str, str], ...]
 
-# RFC 9110, section 7.6.1, and the fields that each connection sets anew.
-HOP_BY_HOP = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
+# Fields that each connection sets anew.
 SET_BY_CONNECTION = frozenset({"host", "content-length"})
 
 
@@ -150,5 +138,5 @@
         if name.lower() == "connection"
         for token in value.split(",")
     }
-    dropped = HOP_BY_HOP | named
+    dropped = messages.HOP_BY_HOP | named
     return tuple(field for field in fields if field[0].lower() not in dropped)
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -65,7 +65,6 @@
         self.started = time.monotonic()
         # Faults.
         self.mode = "serve"  # or "silent", "busy", "reset"
-        self.refused_clients: set[str] = set()
         self.delay_s = 0.0
         self.lose_answers = False
 
