Log size, transfer time and progress of policy reads

The logs could not tell a slow transfer from a busy process or an answer with several versions: a failed read named only the address of the store.

'policy activated' now has rows, bytes, first_byte_ms, transfer_ms and decode_ms, 'dependency unavailable' the call, the bytes that had arrived and the time since the last one. New gauges: version of the policy, size and transfer time of its answer, failed reads by source. No decision changes.

--- a/src/coltsfootarch/fleet/followers.py
+++ b/src/coltsfootarch/fleet/followers.py
@@ -11,6 +11,7 @@
 import structlog
 
 from coltsfootarch import errors
+from coltsfootarch.http1 import transfers
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -56,12 +57,18 @@
         sent_at: Instant at which the read was sent, in seconds. After a long
             wait without a change `PolicyFollower` replaces it by a later one.
         readable: Whether the newest policy could be decoded.
+        transfer: Size and duration of the answer.
+        rows: Number of rows in the answer.
+        decode_s: Time that decoding took, in seconds.
     """
 
     policy: policy.Policy | None
     revision: int
     sent_at: float
     readable: bool
+    transfer: transfers.Transfer = transfers.Transfer()
+    rows: int = 0
+    decode_s: float = 0.0
 
 
 class UpstreamReadResult(NamedTuple):
@@ -115,7 +122,8 @@
 
     It is never replaced by an older version. `confirmed_at` is the instant, in
     seconds, as of which a read last confirmed this version to be the newest;
-    see `PolicyReadResult.sent_at`.
+    see `PolicyReadResult.sent_at`. `last_transfer` is the size and duration of
+    the answer that brought it.
 
     Args:
         clock: Source of time.
@@ -124,6 +132,7 @@
     def __init__(self, clock: clocks.Clock) -> None:
         self.clock = clock
         self.policy: policy.Policy | None = None
+        self.last_transfer = transfers.Transfer()
         self.confirmed_at = float("-inf")
         self.confirmed = gevent.event.Event()
         self.on_change: list[Callable[[policy.Policy], object]] = []
@@ -142,7 +151,13 @@
                 previous=previous,
                 revision=result.revision,
                 age_s=round(self.clock.monotonic() - result.sent_at, 3),
+                rows=result.rows,
+                bytes=result.transfer.size_bytes,
+                first_byte_ms=round(result.transfer.first_byte_s * 1000),
+                transfer_ms=round(result.transfer.received_s * 1000),
+                decode_ms=round(result.decode_s * 1000),
             )
+            self.last_transfer = result.transfer
             for notify in self.on_change:
                 notify(newer)
         if result.readable and self.policy is not None:
@@ -179,6 +194,9 @@
     Args:
         name: Name of the source in logs.
         clock: Source of time.
+
+    Attributes:
+        failures: Number of failed reads since the start.
     """
 
     def __init__(self, name: str, clock: clocks.Clock) -> None:
@@ -186,6 +204,7 @@
         self.clock = clock
         self.revision: int | None = None
         self.failing_since: float | None = None
+        self.failures = 0
         self.greenlet: gevent.Greenlet | None = None
         self.retry_pause_s = RETRY_MIN_S
         self.max_retry_pause_s = RETRY_MAX_S
@@ -207,6 +226,7 @@
                 wait = self.step()
                 self.log_recovery()
             except errors.PlatformError as error:
+                self.failures += 1
                 if isinstance(error, errors.HistoryLostError):
                     self.revision = None
                 self.log_outage(error)
@@ -215,6 +235,7 @@
                     self.retry_pause_s * 2, self.max_retry_pause_s
                 )
             except Exception:
+                self.failures += 1
                 logger.exception("read failed unexpectedly", source=self.name)
                 self.revision = None
                 wait = RETRY_MAX_S
@@ -236,6 +257,7 @@
             "dependency recovered",
             dependency=self.name,
             outage_s=round(outage, 3),
+            failures=self.failures,
         )
 
     def log_outage(self, error: errors.PlatformError) -> None:
--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -305,8 +305,14 @@
         """Updates the gauges and returns all metrics as text."""
         metrics = self.context.metrics
         metrics.dropped_log_lines.set(self.writer.dropped)
-        if self.policy_tracker.policy is not None:
-            metrics.policy_age.set(self.policy_tracker.age())
+        tracker = self.policy_tracker
+        if tracker.policy is not None:
+            metrics.policy_age.set(tracker.age())
+            metrics.policy_version.set(tracker.policy.version)
+            metrics.policy_bytes.set(tracker.last_transfer.size_bytes)
+            metrics.policy_transfer.set(tracker.last_transfer.received_s)
+        for follower in self.followers:
+            metrics.read_failures.labels(follower.name).set(follower.failures)
         metrics.reached_share.set(self.hosts.share())
         return metrics.render()
 
--- a/src/coltsfootarch/observability/registry.py
+++ b/src/coltsfootarch/observability/registry.py
@@ -37,6 +37,18 @@
         self.policy_age = self.gauge(
             "policy_age_seconds", "time since the policy was confirmed"
         )
+        self.policy_version = self.gauge(
+            "policy_version", "version of the policy in force"
+        )
+        self.policy_bytes = self.gauge(
+            "policy_read_bytes", "size of the answer that brought the policy"
+        )
+        self.policy_transfer = self.gauge(
+            "policy_transfer_seconds", "transfer time of that answer"
+        )
+        self.read_failures = self.gauge(
+            "read_failures", "failed reads of a source", ("source",)
+        )
         self.reached_share = self.gauge(
             "reached_share", "part of the limits that the reached hosts have"
         )
@@ -49,10 +61,12 @@
             name, meaning, labels, namespace=PREFIX, registry=self.registry
         )
 
-    def gauge(self, name: str, meaning: str) -> prometheus_client.Gauge:
+    def gauge(
+        self, name: str, meaning: str, labels: tuple[str, ...] = ()
+    ) -> prometheus_client.Gauge:
         """Registers and returns a gauge."""
         return prometheus_client.Gauge(
-            name, meaning, namespace=PREFIX, registry=self.registry
+            name, meaning, labels, namespace=PREFIX, registry=self.registry
         )
 
     def histogram(self, name: str, meaning: str) -> prometheus_client.Histogram:
--- a/src/coltsfootarch/platform/feeds.py
+++ b/src/coltsfootarch/platform/feeds.py
@@ -66,6 +66,7 @@
         """
         newest: policy.Policy | None = None
         readable = True
+        started = self.client.clock.monotonic()
         for row in rows.rows:
             if row.key != CONFIGURATION_KEY or row.value is None:
                 continue
@@ -80,7 +81,13 @@
                     reason=str(error),
                 )
         return followers.PolicyReadResult(
-            newest, rows.revision, rows.sent_at, readable
+            newest,
+            rows.revision,
+            rows.sent_at,
+            readable,
+            rows.transfer,
+            len(rows.rows),
+            self.client.clock.monotonic() - started,
         )
 
 
--- a/src/coltsfootarch/platform/store.py
+++ b/src/coltsfootarch/platform/store.py
@@ -14,6 +14,7 @@
 from coltsfootarch import errors
 from coltsfootarch.http1 import client
 from coltsfootarch.http1 import messages
+from coltsfootarch.http1 import transfers
 
 if TYPE_CHECKING:
     from coltsfootarch import clock as clocks
@@ -49,11 +50,13 @@
         rows: The rows, ordered by key or by change.
         revision: Newest revision of the store when it answered.
         sent_at: Monotonic instant at which the call was sent, in seconds.
+        transfer: Size and duration of the answer.
     """
 
     rows: tuple[Row, ...]
     revision: int
     sent_at: float
+    transfer: transfers.Transfer
 
 
 class StoreClient:
@@ -68,6 +71,8 @@
     Attributes:
         connection: The open connection, if there is one.
         calls: Number of calls made.
+        transfer: Size and duration of the last answer, also of one that was
+            not complete.
     """
 
     def __init__(self, address: str, clock: clocks.Clock) -> None:
@@ -75,6 +80,7 @@
         self.clock = clock
         self.connection: client.Connection | None = None
         self.calls = 0
+        self.transfer = transfers.Transfer()
 
     def close(self) -> None:
         """Closes the connection."""
@@ -93,15 +99,17 @@
         rows: list[Row] = []
         start = ""
         sent_at = None
+        transfer = transfers.Transfer()
         while True:
             query = {"table": table, "part": "", "limit": ROWS_PER_CALL}
             if start:
                 query["from"] = start
             page, document = self.fetch("rows-get", query, CALL_TIMEOUT_S)
             sent_at = page.sent_at if sent_at is None else sent_at
+            transfer = transfer.plus(page.transfer)
             rows += page.rows
             if not document.get("truncated") or not page.rows:
-                return Rows(tuple(rows), page.revision, sent_at)
+                return Rows(tuple(rows), page.revision, sent_at, transfer)
             start = page.rows[-1].key + "\0"
 
     def read_changes(self, table: str, revision: int, wait_s: float) -> Rows:
@@ -238,10 +246,12 @@
         sent_at = self.clock.monotonic()
         target = f"/api/{name}?{urllib.parse.urlencode(query)}"
         body = self.call("GET", target, b"", timeout)
+        transfer = self.transfer
         try:
             document = msgspec.json.decode(body)
             rows = tuple(map(decode_row, document["rows"]))
-            return Rows(rows, int(document["ver"]), sent_at), document
+            revision = int(document["ver"])
+            return Rows(rows, revision, sent_at, transfer), document
         except (
             msgspec.DecodeError,
             KeyError,
@@ -273,7 +283,11 @@
             client.ResponseTimeoutError,
         ) as error:
             self.close()
-            raise errors.TableUnavailableError(str(error)) from error
+            reason = str(error) or type(error).__name__
+            raise errors.TableUnavailableError(
+                f"{method} {target.partition('?')[0]} failed: {reason} "
+                f"({self.transfer})"
+            ) from error
         except BaseException:
             self.close()
             raise
@@ -305,6 +319,21 @@
             client.ResponseTimeoutError: The answer was not complete in time.
         """
         self.calls += 1
+        progress = transfers.Progress(self.clock)
+        try:
+            return self.receive(method, target, body, timeout, progress)
+        finally:
+            self.transfer = progress.transfer()
+
+    def receive(
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        timeout: float,
+        progress: transfers.Progress,
+    ) -> tuple[messages.ResponseHead, bytes]:
+        """Does the work of `exchange` and records the answer's progress."""
         connection = self.connection
         if connection is None or not connection.is_reusable():
             self.close()
@@ -327,8 +356,10 @@
                 break
             if isinstance(part, messages.ResponseHead):
                 answer = part
+                progress.record(0)
             else:
                 data += part
+                progress.record(len(part))
         if answer is None:
             raise client.BrokenConnectionError(
                 "the store's answer has no status line"
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -12,7 +12,6 @@
 import base64
 import time
 import urllib.parse
-from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
 
@@ -21,12 +20,12 @@
 import gevent.event
 import msgspec
 
+from coltsfootarch.http1 import messages
 from standins import http
 
-if TYPE_CHECKING:
-    from coltsfootarch.http1 import messages
-
 MAX_FEED_WAIT_S = 30.0
+# Time between two pieces of a response that is sent at a limited rate.
+SLOW_PIECE_S = 0.01
 
 
 class StoredRow(NamedTuple):
@@ -67,6 +66,7 @@
             (the connection is reset).
         delay_s: Seconds before each call takes effect.
         lose_answers: Whether transactions take effect and get no response.
+        bytes_per_s: Rate at which responses are sent; 0 for no limit.
     """
 
     def __init__(self, address: str = "127.0.0.1:0") -> None:
@@ -81,6 +81,7 @@
         self.mode = "serve"
         self.delay_s = 0.0
         self.lose_answers = False
+        self.bytes_per_s = 0.0
 
     @property
     def address(self) -> str:
@@ -158,11 +159,25 @@
         if self.mode != "serve":
             return
         document["now_ms"] = int((time.monotonic() - self.started) * 1000)
-        connection.respond(
-            status,
-            (("Content-Type", "application/json"),),
-            msgspec.json.encode(document),
+        body = msgspec.json.encode(document)
+        content_type = ("Content-Type", "application/json")
+        if not self.bytes_per_s:
+            connection.respond(status, (content_type,), body)
+            return
+        length = ("Content-Length", str(len(body)))
+        connection.send(
+            messages.render_head(
+                messages.status_line(status), [content_type, length]
+            )
         )
+        self.send_slowly(connection, body)
+
+    def send_slowly(self, connection: http.Connection, body: bytes) -> None:
+        """Sends a body at `bytes_per_s`, as over a slow link."""
+        piece = max(int(self.bytes_per_s * SLOW_PIECE_S), 1)
+        for start in range(0, len(body), piece):
+            gevent.sleep(SLOW_PIECE_S)
+            connection.send(body[start : start + piece])
 
     def dispatch(
         self, path: str, arguments: dict[str, str], body: bytes
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -83,6 +83,30 @@
     assert client.read_table("op").revision == 1
 
 
+def test_failed_read_reports_how_much_had_arrived(server, client, monkeypatch):
+    """Guards against outages whose log line doesn't show their cause."""
+    monkeypatch.setattr(store, "CALL_TIMEOUT_S", 0.1)
+    server.put("op", "config", bytes(30000))
+    server.bytes_per_s = 100.0
+
+    with pytest.raises(
+        errors.TableUnavailableError, match=r"\d bytes received"
+    ):
+        client.read_table("op")
+
+    assert client.transfer.first_byte_s < 0.1
+
+
+def test_read_reports_its_size_and_duration(server, client):
+    server.put("op", "config", documents.encoded(documents.configuration(3)))
+
+    result = feeds.PolicyFeed(client).read()
+
+    assert result.rows == 1
+    assert result.transfer.size_bytes > len(documents.encoded({}))
+    assert result.decode_s >= 0
+
+
 def test_conditional_write_fails_if_the_row_changed(server, client):
     revision = server.put("t", "row", b"1")
 
