Reproduce policy reads that fail while their answer arrives

Two further tests hold the limits that the fix must keep: an answer that stalls and one that trickles are given up.

--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -67,6 +67,8 @@
         delay_s: Seconds before each call takes effect.
         lose_answers: Whether transactions take effect and get no response.
         bytes_per_s: Rate at which responses are sent; 0 for no limit.
+        stall_after_bytes: Bytes of a body after which a response at a limited
+            rate stops for good; 0 for none.
     """
 
     def __init__(self, address: str = "127.0.0.1:0") -> None:
@@ -82,6 +84,7 @@
         self.delay_s = 0.0
         self.lose_answers = False
         self.bytes_per_s = 0.0
+        self.stall_after_bytes = 0
 
     @property
     def address(self) -> str:
@@ -175,7 +178,8 @@
     def send_slowly(self, connection: http.Connection, body: bytes) -> None:
         """Sends a body at `bytes_per_s`, as over a slow link."""
         piece = max(int(self.bytes_per_s * SLOW_PIECE_S), 1)
-        for start in range(0, len(body), piece):
+        end = self.stall_after_bytes or len(body)
+        for start in range(0, end, piece):
             gevent.sleep(SLOW_PIECE_S)
             connection.send(body[start : start + piece])
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 import gevent
 import pytest
 
@@ -97,6 +99,65 @@
     assert client.transfer.first_byte_s < 0.1
 
 
+def test_large_answer_over_a_slow_link_is_read_in_spite_of_the_time_limit(
+    server, client, monkeypatch
+):
+    """Guards against a policy that never takes effect on a slow link."""
+    monkeypatch.setattr(store, "CALL_TIMEOUT_S", 0.1)
+    value = bytes(30000)
+    server.put("op", "config", value)
+    server.bytes_per_s = 100_000.0
+
+    rows = client.read_table("op")
+
+    assert [row.value for row in rows.rows] == [value]
+
+
+def test_change_late_in_the_wait_is_read_over_a_slow_link(
+    server, client, monkeypatch
+):
+    """Guards against a limit that counts the transfer as part of the wait."""
+    monkeypatch.setattr(store, "CALL_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(store, "FEED_TIMEOUT_MARGIN_S", 0.1)
+    value = bytes(30000)
+    revision = server.put("op", "config", b"1")
+    server.bytes_per_s = 100_000.0
+    waiting = gevent.spawn(client.read_changes, "op", revision, 0.3)
+    gevent.sleep(0.25)
+    server.put("op", "config", value)
+
+    rows = waiting.get(timeout=5)
+
+    assert [row.value for row in rows.rows] == [value]
+
+
+def test_answer_that_stalls_is_given_up_soon(server, client, monkeypatch):
+    """Guards against a host that waits for a connection gone silent."""
+    monkeypatch.setattr(store, "CALL_TIMEOUT_S", 0.1)
+    server.put("op", "config", bytes(30000))
+    server.bytes_per_s = 100_000.0
+    server.stall_after_bytes = 20_000
+    started = time.monotonic()
+
+    with pytest.raises(errors.TableUnavailableError, match="silent"):
+        client.read_table("op")
+
+    assert time.monotonic() - started < 1.0
+
+
+def test_answer_that_trickles_is_given_up(server, client, monkeypatch):
+    """Guards against an answer whose few bytes extend the limit forever."""
+    monkeypatch.setattr(store, "CALL_TIMEOUT_S", 0.1)
+    server.put("op", "config", bytes(30000))
+    server.bytes_per_s = 100.0
+    started = time.monotonic()
+
+    with pytest.raises(errors.TableUnavailableError):
+        client.read_table("op")
+
+    assert time.monotonic() - started < 1.0
+
+
 def test_read_reports_its_size_and_duration(server, client):
     server.put("op", "config", documents.encoded(documents.configuration(3)))
 
