Let reads of the store last as long as their answer keeps arriving

Callers got 404 for routes that had been confirmed, answers by an older version, and 503 key-unconfirmed for minutes.

Cause: the client limited the time of a whole answer, 0.8 s beyond the wait for changes and 0.8 s in all after a failure, whatever its size. 3,000 routes are 813,540 bytes, which take 1.45 s on a link of 5 Mbit/s. A read failed if the change came late in its wait, and each repetition had to fail as well.

Evidence: 'dependency unavailable' on all 63 hosts with slow links, with 606,133 of the bytes received in 1.02 s and 0.03 s of silence. The answer held one row and took 12 to 40 ms to decode, so that neither several versions nor the processor explain it.

Now the limit applies to the first byte and to each silence. The transfer may last as long as the mean rate stays above 32 KiB/s, and an answer has at most 16 MiB. A repetition would take as long again, so that giving up a transfer that makes progress can't help.

--- a/src/coltsfootarch/http1/transfers.py
+++ b/src/coltsfootarch/http1/transfers.py
@@ -1,4 +1,4 @@
-"""Size and duration of the transfer of a response."""
+"""Limits and measurement of the transfer of a response."""
 
 from __future__ import annotations
 
@@ -43,26 +43,73 @@
         )
 
 
+class TransferLimits(NamedTuple):
+    """Limits for a response whose size isn't known beforehand.
+
+    The time for the first byte is limited by itself. From then on a response
+    may take as long as its bytes keep arriving, since a repeated request would
+    take as long again.
+
+    Attributes:
+        first_byte_s: Longest time until the first byte, in seconds.
+        silence_s: Longest time between two bytes, in seconds.
+        min_bytes_per_s: Lowest mean rate of the body after `silence_s`, so that
+            single bytes don't extend the transfer forever.
+        max_bytes: Largest size of the body, in bytes.
+    """
+
+    first_byte_s: float
+    silence_s: float
+    min_bytes_per_s: float
+    max_bytes: int
+
+
+class ResponseTooLargeError(Exception):
+    """The body is longer than `TransferLimits.max_bytes`."""
+
+
 class Progress:
     """Records the progress of the response to a request sent now.
 
     Args:
         clock: Source of time.
+        limits: Limits of the transfer.
     """
 
-    def __init__(self, clock: clocks.Clock) -> None:
+    def __init__(self, clock: clocks.Clock, limits: TransferLimits) -> None:
         self.clock = clock
+        self.limits = limits
         self.size_bytes = 0
         self.sent_at = clock.monotonic()
         self.first_at: float | None = None
         self.last_at = self.sent_at
 
+    def time_left(self) -> float:
+        """Returns the seconds in which more bytes must arrive."""
+        limits = self.limits
+        if self.first_at is None:
+            ends_at = self.sent_at + limits.first_byte_s
+        else:
+            expected_s = self.size_bytes / limits.min_bytes_per_s
+            ends_at = limits.silence_s + min(
+                self.last_at, self.first_at + expected_s
+            )
+        return ends_at - self.clock.monotonic()
+
     def record(self, size_bytes: int) -> None:
-        """Records the arrival of a head or of bytes of the body."""
+        """Records the arrival of a head or of bytes of the body.
+
+        Raises:
+            ResponseTooLargeError: The body exceeds its limit.
+        """
         self.last_at = self.clock.monotonic()
         if self.first_at is None:
             self.first_at = self.last_at
         self.size_bytes += size_bytes
+        if self.size_bytes > self.limits.max_bytes:
+            raise ResponseTooLargeError(
+                f"body longer than {self.limits.max_bytes} bytes"
+            )
 
     def transfer(self) -> Transfer:
         """Returns the size and duration up to now."""
--- a/src/coltsfootarch/platform/store.py
+++ b/src/coltsfootarch/platform/store.py
@@ -19,12 +19,16 @@
 if TYPE_CHECKING:
     from coltsfootarch import clock as clocks
 
-# Time limit for sending a call, and for the answer to one that does not wait
-# for changes, in seconds.
+# Time limit for sending a call and for the first byte of the answer to one that
+# does not wait for changes, and longest silence within an answer, in seconds.
 CALL_TIMEOUT_S = 0.8
+# Answers grow with the configuration and the fleet, and links differ in speed.
+# An answer that arrives at a lower rate counts as stalled.
+MIN_BYTES_PER_S = 32 * 1024
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
 CONNECT_TIMEOUT_S = 0.5
-# Minimum time that a call that waits for changes has for its answer beyond the
-# wait, in seconds.
+# Minimum time that a call that waits for changes has for the first byte of its
+# answer beyond the wait, in seconds.
 FEED_TIMEOUT_MARGIN_S = 0.5
 ROWS_PER_CALL = 500
 
@@ -233,7 +237,7 @@
         Args:
             name: Last part of the call's path.
             query: Its query parameters.
-            timeout: Time limit for the answer, in seconds.
+            timeout: Time limit for the first byte of the answer, in seconds.
 
         Returns:
             The rows, and the whole document of the answer.
@@ -281,6 +285,7 @@
             client.ConnectError,
             client.BrokenConnectionError,
             client.ResponseTimeoutError,
+            transfers.ResponseTooLargeError,
         ) as error:
             self.close()
             reason = str(error) or type(error).__name__
@@ -316,57 +321,77 @@
         Raises:
             client.ConnectError: No connection could be opened.
             client.BrokenConnectionError: The connection ended early.
-            client.ResponseTimeoutError: The answer was not complete in time.
+            client.ResponseTimeoutError: The answer did not begin in time, or
+                stopped arriving.
+            transfers.ResponseTooLargeError: The answer is too long.
         """
         self.calls += 1
-        progress = transfers.Progress(self.clock)
+        self.transfer = transfers.Transfer()
+        connection = self.connect()
+        limits = transfers.TransferLimits(
+            timeout, CALL_TIMEOUT_S, MIN_BYTES_PER_S, MAX_ANSWER_BYTES
+        )
+        progress = transfers.Progress(self.clock, limits)
         try:
-            return self.receive(method, target, body, timeout, progress)
+            connection.send(
+                self.render(method, target, body), body, CALL_TIMEOUT_S
+            )
+            answer, data = receive(connection, progress)
         finally:
             self.transfer = progress.transfer()
+        if not connection.finish(answer):
+            self.connection = None
+        return answer, data
 
-    def receive(
-        self,
-        method: str,
-        target: str,
-        body: bytes,
-        timeout: float,
-        progress: transfers.Progress,
-    ) -> tuple[messages.ResponseHead, bytes]:
-        """Does the work of `exchange` and records the answer's progress."""
+    def connect(self) -> client.Connection:
+        """Returns the open connection, or opens one.
+
+        Raises:
+            client.ConnectError: No connection could be opened.
+        """
         connection = self.connection
         if connection is None or not connection.is_reusable():
             self.close()
             connection = client.Connection(self.address, self.clock)
             connection.start(CONNECT_TIMEOUT_S)
             self.connection = connection
+        return connection
+
+    def render(self, method: str, target: str, body: bytes) -> bytes:
+        """Returns the head of a call."""
         fields = [("Host", self.address)]
         if body:
             fields.append(("Content-Type", "application/json"))
         if body or method != "GET":
             fields.append(("Content-Length", str(len(body))))
-        head = messages.render_head(f"{method} {target} HTTP/1.1", fields)
-        deadline = self.clock.monotonic() + timeout
-        connection.send(head, body, CALL_TIMEOUT_S)
-        data = bytearray()
-        answer: messages.ResponseHead | None = None
-        while True:
-            part = connection.read_part(deadline - self.clock.monotonic())
-            if part is None:
-                break
-            if isinstance(part, messages.ResponseHead):
-                answer = part
-                progress.record(0)
-            else:
-                data += part
-                progress.record(len(part))
-        if answer is None:
-            raise client.BrokenConnectionError(
-                "the store's answer has no status line"
-            )
-        if not connection.finish(answer):
-            self.connection = None
-        return answer, bytes(data)
+        return messages.render_head(f"{method} {target} HTTP/1.1", fields)
+
+
+def receive(
+    connection: client.Connection, progress: transfers.Progress
+) -> tuple[messages.ResponseHead, bytes]:
+    """Returns head and body of an answer; records its progress.
+
+    Raises:
+        client.BrokenConnectionError: The connection ended early.
+        client.ResponseTimeoutError: The answer did not begin in time, or
+            stopped arriving.
+        transfers.ResponseTooLargeError: The answer is too long.
+    """
+    data = bytearray()
+    answer: messages.ResponseHead | None = None
+    while (part := connection.read_part(progress.time_left())) is not None:
+        if isinstance(part, messages.ResponseHead):
+            answer = part
+            progress.record(0)
+        else:
+            data += part
+            progress.record(len(part))
+    if answer is None:
+        raise client.BrokenConnectionError(
+            "the store's answer has no status line"
+        )
+    return answer, bytes(data)
 
 
 def decode_row(entry: dict[str, Any]) -> Row:
