--- a/tests/storage/test_clients.py
+++ b/tests/storage/test_clients.py
@@ -4,6 +4,7 @@
 
 import datetime
 import socket
+import time
 
 import pytest
 import urllib3
@@ -182,3 +183,30 @@
 
     cause = caught.value.__cause__
     assert isinstance(cause, urllib3.exceptions.ReadTimeoutError)
+
+
+def test_large_answer_over_a_slow_link_is_read_in_spite_of_the_time_limit(
+    raw_server,
+):
+    """Guards against a register that never takes effect on a slow link."""
+    document = b'{"row": null}'
+    length = len(document) + 60_000
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % length
+    # 100 kB/s: the answer takes three times as long as the time limit.
+    address = raw_server(head + document, repeated=b" " * 2000)
+    client = table_client.HttpTableService(address, SHORT_TIMEOUT)
+
+    assert client.get("t", "k") is None
+
+
+def test_answer_that_trickles_is_given_up(raw_server):
+    """Guards against an answer whose few bytes extend the limit forever."""
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n"
+    address = raw_server(head, repeated=b" ")
+    client = table_client.HttpTableService(address, SHORT_TIMEOUT)
+    started = time.monotonic()
+
+    with pytest.raises(errors.TableUnavailableError):
+        client.get("t", "k")
+
+    assert time.monotonic() - started < 1.0
