Break off responses whose bytes come without end

An upstream or a service of the platform in trouble may send bytes without end in a head or a body, until its client closes. A head, interim responses, chunk extensions and trailers had no limit of size on the platform's interface, nor a body on the product's own interface; a response to another request was skipped until the caller's deadline.

At most 64 KiB may yield neither a head nor a part of a body, and the skipped response and bodies of plain services have at most 16 MiB.

--- a/src/coltsfootarch/forwarding/upstream_exchange.py
+++ b/src/coltsfootarch/forwarding/upstream_exchange.py
@@ -179,11 +179,26 @@
                 upstream=self.delivery.upstream.id,
                 answered=response.request_id,
             )
-            while self.read_part(deadline) is not None:
-                pass
+            self.skip_body(deadline)
         self.close()
         raise client.BrokenConnectionError("no response to this request")
 
+    def skip_body(self, deadline: float) -> None:
+        """Reads the body of a response to another request.
+
+        Raises:
+            client.ResponseTimeoutError: No data arrived in time.
+            client.BrokenConnectionError: The body is incomplete or too long.
+        """
+        size = 0
+        while (part := self.read_part(deadline)) is not None:
+            size += len(part) if isinstance(part, bytes) else 0
+            if size > MAX_RESPONSE_BYTES:
+                self.close()
+                raise client.BrokenConnectionError(
+                    "response to another request longer than 16 MiB"
+                )
+
     def read_part(
         self, deadline: float
     ) -> messages.ResponseHead | bytes | None:
--- a/src/coltsfootarch/http1/readers.py
+++ b/src/coltsfootarch/http1/readers.py
@@ -13,6 +13,9 @@
 FIELD_OVERHEAD = len(": \r\n")
 # Largest number of bytes read from a socket at once.
 READ_SIZE = 65536
+# Largest number of successive bytes of a response that yield neither a head nor
+# a part of a body: of a head, interim responses, chunk extensions or trailers.
+MAX_UNPARSED_BYTES = 65536
 
 
 class MalformedMessageError(Exception):
@@ -176,6 +179,7 @@
         self.is_interim = False
         self.in_progress = False
         self.framed = True
+        self.unparsed_bytes = 0
         self.parser: Any = httptools.HttpResponseParser(self)
 
     def feed(self, data: bytes) -> None:
@@ -184,11 +188,22 @@
         Raises:
             MalformedMessageError: The bytes are not a valid response; the
                 position of the next response is unknown.
+            HeaderTooLargeError: More than `MAX_UNPARSED_BYTES` yielded no part.
         """
+        known_parts = len(self.parts)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as error:
             raise MalformedMessageError(str(error)) from error
+        if len(self.parts) > known_parts:
+            self.unparsed_bytes = 0
+            return
+        self.unparsed_bytes += len(data)
+        if self.unparsed_bytes > MAX_UNPARSED_BYTES:
+            raise HeaderTooLargeError(
+                f"more than {MAX_UNPARSED_BYTES} bytes of a response without "
+                "a complete head or a part of its body"
+            )
 
     def feed_end(self) -> bool:
         """Handles the end of the connection.
--- a/src/coltsfootarch/upstreams/connection.py
+++ b/src/coltsfootarch/upstreams/connection.py
@@ -21,6 +21,7 @@
     from coltsfootarch import clock as clocks
 
 READ_BYTES = 64 * 1024
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 # Smallest socket timeout; 0 would make the socket non-blocking.
 SHORTEST_TIMEOUT_SECONDS = 0.001
 
@@ -135,12 +136,18 @@
 
         Raises:
             UpstreamTimeoutError: The deadline passed.
-            UpstreamError: The connection broke before the end of the response.
+            UpstreamError: The connection broke before the end of the response,
+                or the body is longer than `MAX_RESPONSE_BYTES`.
         """
-        parts = []
+        data = bytearray()
         while part := self.read(deadline):
-            parts.append(part)
-        return b"".join(parts)
+            data += part
+            if len(data) > MAX_RESPONSE_BYTES:
+                raise errors.UpstreamError(
+                    f"upstream {self.address} sent a body of more than "
+                    f"{MAX_RESPONSE_BYTES} bytes"
+                )
+        return bytes(data)
 
     def close(self) -> None:
         """Closes the connection, even in the middle of a response."""
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -23,6 +23,7 @@
 from standins import http
 
 HEARTBEAT_INTERVAL_S = 1.2
+ENDLESS_PIECE_BYTES = 16384
 
 
 class Runner:
@@ -49,7 +50,9 @@
         fault: "" for none; "mute" sends no response, "full" refuses requests
             and reservations, "reset" resets the connection, "cut" ends a body
             early, "extra" sends a response of another request first,
-            "garbage" sends no valid HTTP, "hang" sends no stream, "crash"
+            "garbage" sends no valid HTTP, "endless head", "endless body" and
+            "endless extra" send bytes until the client closes, the last one in
+            a response to another request, "hang" sends no stream, "crash"
             and "stall" reset or stop a stream at its third event.
         work_s: Seconds for a call or a prefill.
         events: Events of a stream.
@@ -254,12 +257,30 @@
         elif self.fault == "extra":
             connection.respond(200, self.response_fields("stray"), b"stray")
             connection.respond(self.status, fields, body)
+        elif self.fault.startswith("endless"):
+            self.send_endlessly(request_id, connection)
         elif self.fault == "garbage":
             connection.send(b"\x00\x01 this is no HTTP\r\n\r\n")
         else:
             connection.respond(self.status, fields, body)
         self.record_end(request_id, "answered")
 
+    def send_endlessly(
+        self, request_id: str, connection: http.Connection
+    ) -> None:
+        """Sends bytes that are no answer until the client closes."""
+        if self.fault == "endless extra":
+            request_id = "stray"
+        head = messages.render_head(
+            messages.status_line(200), self.response_fields(request_id)
+        )
+        if self.fault == "endless head":
+            head = head.removesuffix(b"\r\n") + b"X: "
+        connection.send(head)
+        while connection.open:
+            connection.send(b"a" * ENDLESS_PIECE_BYTES)
+            gevent.sleep(0.001)
+
     def generate(
         self,
         request_id: str,
@@ -272,6 +293,9 @@
             while connection.open:
                 gevent.sleep(0.01)
             return
+        if self.fault.startswith("endless"):
+            self.send_endlessly(request_id, connection)
+            return
         head = [
             *self.response_fields(request_id),
             ("Content-Type", "text/event-stream"),
--- a/tests/forwarding/test_calls.py
+++ b/tests/forwarding/test_calls.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import time
+
 import gevent
 import pytest
 
+from coltsfootarch.forwarding import upstream_exchange
 from tests.platform import documents
 
 
@@ -82,6 +85,33 @@
     assert run_count(app) == 1
 
 
+@pytest.mark.parametrize("fault", ["endless head", "endless body"])
+def test_upstream_that_answers_without_end_is_replaced(app, fault, monkeypatch):
+    """Guards against a call that is held while bytes keep arriving."""
+    monkeypatch.setattr(upstream_exchange, "MAX_RESPONSE_BYTES", 200_000)
+    app.runners["i-1"].fault = fault
+    app.daemon.context.loads.add("i-2", 1)  # So that i-1 is chosen first.
+
+    response = app.ask("/read/a")
+
+    assert response.status == 200
+    assert response.body == b"answer of i-2 to r1"
+
+
+def test_other_response_without_end_is_not_skipped_until_the_deadline(
+    app, monkeypatch
+):
+    """Guards against a call that is held by bytes of another response."""
+    monkeypatch.setattr(upstream_exchange, "MAX_RESPONSE_BYTES", 200_000)
+    set_fault(app, "endless extra")
+    started = time.monotonic()
+
+    response = app.ask("/book/a", "POST", b"x")
+
+    assert response.status == 502
+    assert time.monotonic() - started < 3.0
+
+
 def test_refusal_of_an_upstream_is_reported_as_not_run(app):
     set_fault(app, "full")
 
--- a/tests/forwarding/test_generations.py
+++ b/tests/forwarding/test_generations.py
@@ -329,6 +329,18 @@
     assert engines.runs() == {"d-1": ["r1"]}
 
 
+@pytest.mark.parametrize("fault", ["endless head", "endless body"])
+def test_engine_that_answers_without_end_is_replaced(engines, fault):
+    """Guards against a stream that is held while bytes keep arriving."""
+    engines.runners["d-1"].fault = fault
+    engines.daemon.context.loads.add("d-2", 1)
+
+    response = ask(engines)
+
+    assert response.complete
+    assert response.body.count(b"data: token") == 4
+
+
 def test_request_that_breaks_every_engine_is_refused(engines):
     """Retries repeat the content that breaks engines, with new request ids."""
     for name in ("d-1", "d-2"):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -158,6 +158,16 @@
     assert time.monotonic() - started < 1.0
 
 
+def test_answer_without_end_is_given_up(raw_server, monkeypatch):
+    """Guards against an answer that fills the memory of the host."""
+    monkeypatch.setattr(store, "MAX_ANSWER_BYTES", 200_000)
+    address = raw_server(b"HTTP/1.1 200 OK\r\n\r\n", repeated=b"a" * 65536)
+    client = store.StoreClient(address, clocks.SystemClock())
+
+    with pytest.raises(errors.TableUnavailableError, match="longer than"):
+        client.read_table("op")
+
+
 def test_read_reports_its_size_and_duration(server, client):
     server.put("op", "config", documents.encoded(documents.configuration(3)))
 
--- a/tests/storage/test_clients.py
+++ b/tests/storage/test_clients.py
@@ -11,6 +11,7 @@
 
 from coltsfootarch import errors
 from coltsfootarch.storage import host_list_client
+from coltsfootarch.storage import http_channel
 from coltsfootarch.storage import object_client
 from coltsfootarch.storage import table_client
 from coltsfootarch.storage import tables
@@ -210,3 +211,13 @@
         client.get("t", "k")
 
     assert time.monotonic() - started < 1.0
+
+
+def test_answer_without_end_is_given_up(raw_server, monkeypatch):
+    """Guards against an answer that fills the memory of the host."""
+    monkeypatch.setattr(http_channel, "MAX_ANSWER_BYTES", 200_000)
+    address = raw_server(b"HTTP/1.1 200 OK\r\n\r\n", repeated=b"a" * 65536)
+    client = table_client.HttpTableService(address, TIMEOUT)
+
+    with pytest.raises(errors.TableUnavailableError):
+        client.get("t", "k")
--- a/tests/upstreams/test_plain_client.py
+++ b/tests/upstreams/test_plain_client.py
@@ -8,6 +8,7 @@
 import pytest
 
 from coltsfootarch import errors
+from coltsfootarch.upstreams import connection
 from coltsfootarch.upstreams import plain_client
 from standins import plain
 
@@ -120,3 +121,24 @@
 
     with pytest.raises(errors.UpstreamTimeoutError):
         send(address, BOOKING, SHORT)
+
+
+@pytest.mark.parametrize(
+    "beginning",
+    [
+        b"HTTP/1.1 200 OK\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nX: ",
+        b"HTTP/1.1 200 OK\r\n\r\n\r\n",
+    ],
+)
+def test_response_without_end_is_given_up_before_the_deadline(
+    raw_server, monkeypatch, beginning
+):
+    """Guards against a response that fills the memory of the host."""
+    monkeypatch.setattr(connection, "MAX_RESPONSE_BYTES", 200_000)
+    address = raw_server(beginning, repeated=b"a" * 65536)
+
+    with pytest.raises(errors.UpstreamError) as caught:
+        send(address, BOOKING, datetime.timedelta(seconds=20))
+
+    assert type(caught.value) is errors.UpstreamError
