Confirm the policy at once after a change that was read late

After each change callers got 503 key-unconfirmed for up to a second, at hosts that could reach the store.

Cause: a read that returns a change confirms the policy only as of its sending, up to 2.8 s earlier plus the transfer, and the next read waited for 2.8 s again, so that the confirmation was up to 7 s old, of 4.75 s allowed. The confirmation would be wrong as of a later instant: the store may miss changes of the last second.

The read after a change does not wait if the confirmation is older than 1.6 s, and waits are shorter by the time that the last policy took to transfer.

--- a/src/coltsfootarch/fleet/followers.py
+++ b/src/coltsfootarch/fleet/followers.py
@@ -27,6 +27,12 @@
 # A blocking read can miss changes of the last second before the store drops its
 # history, so that it confirms the policy only up to this time before its end.
 FEED_GAP_S = 1.2
+# A read with a change confirms the policy only as of its sending. If that is
+# longer ago than this, the next read doesn't wait; otherwise the confirmation
+# could expire during its wait.
+MAX_CONFIRMATION_AGE_S = FEED_GAP_S + 0.4
+# Shortest wait for changes on a link that needs long for the policy's transfer.
+MIN_POLICY_WAIT_S = 0.4
 # Registrations change with every heartbeat, so that a blocking read would
 # return at once. They are read at this interval instead, less than half of the
 # time after which an upstream that leaves must get no more requests (2 s).
@@ -291,15 +297,27 @@
         self.wait_s = wait_s
         self.source = source
         self.tracker = tracker
+        self.confirm_now = False
+
+    def next_wait_s(self) -> float:
+        """Returns how long the next read may wait for a change, in seconds.
+
+        During an outage reads don't wait, so that the policy is confirmed as
+        soon as the store is back. Otherwise the wait leaves time to transfer a
+        change before the confirmation of the present policy expires.
+        """
+        if self.failing_since is not None or self.confirm_now:
+            return 0.0
+        transfer_s = self.tracker.last_transfer.received_s
+        shortest_s = min(self.wait_s, MIN_POLICY_WAIT_S)
+        return max(self.wait_s - transfer_s, shortest_s)
 
     def step(self) -> float:
         """Reads once; see `Follower`."""
         if self.revision is None:
             result = self.source.read()
         else:
-            # During an outage reads don't wait, so that the policy is confirmed
-            # as soon as the store is back.
-            wait = 0.0 if self.failing_since is not None else self.wait_s
+            wait = self.next_wait_s()
             result = self.source.read_changes(self.revision, wait)
             if result.policy is None and wait > FEED_GAP_S:
                 # Without a change the store responds after the full wait.
@@ -310,6 +328,10 @@
                 )
         self.revision = result.revision
         self.tracker.apply(result)
+        self.confirm_now = (
+            result.policy is not None
+            and self.tracker.age() > MAX_CONFIRMATION_AGE_S
+        )
         return 0.0 if self.tracker.policy is not None else RETRY_MIN_S
 
 
--- a/tests/fleet/test_followers.py
+++ b/tests/fleet/test_followers.py
@@ -11,6 +11,7 @@
 from coltsfootarch.fleet import followers
 from coltsfootarch.fleet import reports
 from coltsfootarch.fleet import upstreams
+from coltsfootarch.http1 import transfers
 from tests.fleet import builders
 
 
@@ -20,6 +21,7 @@
     def __init__(self, *results):
         self.results = list(results)
         self.calls = []
+        self.waits = []
 
     def next(self):
         result = self.results.pop(0)
@@ -33,6 +35,7 @@
 
     def read_changes(self, revision, wait_s):
         self.calls.append(revision)
+        self.waits.append(wait_s)
         return self.next()
 
 
@@ -169,6 +172,64 @@
     assert tracker.age() == pytest.approx(followers.FEED_GAP_S)
 
 
+def test_policy_read_late_in_a_wait_is_confirmed_by_the_next_read_at_once(
+    tracker, manual_clock
+):
+    """Guards against refusals for unconfirmed keys after each change."""
+    start = manual_clock.monotonic()
+    source = Source(
+        read_result(1, sent_at=start),
+        read_result(2, sent_at=start),
+        read_result(None, sent_at=start + 2.7),
+    )
+    follower = followers.PolicyFollower(source, tracker, manual_clock, 2.8)
+    follower.step()
+    manual_clock.advance(datetime.timedelta(seconds=2.7))
+
+    follower.step()
+    follower.step()
+
+    assert source.waits == [2.8, 0.0]
+    assert tracker.age() == pytest.approx(0)
+
+
+def test_wait_for_changes_leaves_time_to_transfer_a_large_policy(
+    tracker, manual_clock
+):
+    """Guards against confirmations that expire during a slow transfer."""
+    slow = transfers.Transfer(800_000, 0.1, 1.4)
+    first = read_result(1, sent_at=manual_clock.monotonic())
+    source = Source(
+        first._replace(transfer=slow), read_result(None, revision=2)
+    )
+    follower = followers.PolicyFollower(source, tracker, manual_clock, 2.8)
+    follower.step()
+
+    follower.step()
+
+    assert source.waits == [pytest.approx(1.4)]
+
+
+def test_unreadable_policies_are_not_read_without_a_pause(
+    tracker, manual_clock
+):
+    """Guards against a busy loop while the newest policy is invalid."""
+    start = manual_clock.monotonic()
+    source = Source(
+        read_result(1, sent_at=start),
+        read_result(None, sent_at=start, readable=False),
+        read_result(None, sent_at=start, readable=False),
+    )
+    follower = followers.PolicyFollower(source, tracker, manual_clock, 2.8)
+    follower.step()
+    manual_clock.advance(datetime.timedelta(seconds=2.7))
+
+    follower.step()
+    follower.step()
+
+    assert source.waits == [2.8, 2.8]
+
+
 def test_short_read_without_a_change_confirms_only_its_start(
     tracker, manual_clock
 ):
