Soak: a large configuration over a slow link

The soak test had a configuration of 2 kB and loopback links, so that no transfer ever took longer than a round trip. Odd seeds now have 1,500 routes more and a host whose link to the store carries 250 kB/s; each run checks that all hosts have the newest version 5 s after the last fault.

--- a/soak/processes.py
+++ b/soak/processes.py
@@ -65,7 +65,11 @@
 
 
 def call(
-    address: str, method: str, target: str, document: Any = None
+    address: str,
+    method: str,
+    target: str,
+    document: Any = None,
+    host: str = "",
 ) -> tuple[int, bytes]:
     """Makes one HTTP call on behalf of the soak test.
 
@@ -74,12 +78,13 @@
         method: HTTP method.
         target: Request target.
         document: Document to send as JSON; None for an empty body.
+        host: Value of the `Host` field; the address by default.
 
     Returns:
         Status code and body of the response.
     """
     body = b"" if document is None else msgspec.json.encode(document)
-    fields = [("Host", address), ("Content-Length", str(len(body)))]
+    fields = [("Host", host or address), ("Content-Length", str(len(body)))]
     head = messages.render_head(f"{method} {target} HTTP/1.1", fields)
     connection = client.Connection(address, clocks.SystemClock())
     try:
@@ -173,6 +178,17 @@
             return call(self.ready, "GET", "/api/readyz")[0] == 200
         return False
 
+    def has_route(self, name: str, path: str) -> bool:
+        """Returns whether a route of the configuration is in force.
+
+        Args:
+            name: Host name that the route matches.
+            path: Path that it matches.
+        """
+        with contextlib.suppress(Exception):
+            return call(self.listen, "GET", path, host=name)[0] != 404
+        return False
+
 
 class Runner(Program):
     """Runner that hosts reach through a proxy."""
@@ -267,6 +283,15 @@
             gevent.sleep(0.05)
         for program in (*self.runners, *self.hosts):
             program.start()
+        self.wait_ready()
+
+    def wait_ready(self) -> None:
+        """Waits until all hosts are ready.
+
+        Raises:
+            RuntimeError: They are not ready within `START_TIMEOUT_S`.
+        """
+        deadline = time.monotonic() + START_TIMEOUT_S
         while not all(host.is_ready() for host in self.hosts):
             if time.monotonic() > deadline:
                 raise RuntimeError("a host did not become ready")
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -21,12 +21,15 @@
         mode: "pass"; "delay" (by `DELAY_S`); "block_requests" (nothing reaches
             the target), "block_responses" (nothing comes back) or
             "block_both"; "refuse" (new connections are reset).
+        bytes_per_s: Rate at which responses pass, as over a slow link; 0 for no
+            limit.
         sockets: Open sockets of both sides.
     """
 
     def __init__(self, target: str) -> None:
         self.target = target
         self.mode = "pass"
+        self.bytes_per_s = 0.0
         self.sockets: set[gevent_socket.socket] = set()
         self.sock = gevent_socket.socket()
         self.sock.bind(("127.0.0.1", 0))
@@ -88,6 +91,8 @@
             while data := source.recv(65536):
                 if self.mode == "delay":
                     gevent.sleep(DELAY_S)
+                if self.bytes_per_s and blocking_mode == "block_responses":
+                    gevent.sleep(len(data) / self.bytes_per_s)
                 if self.mode not in ("block_both", blocking_mode):
                     target.sendall(data)
         # A blocked link doesn't deliver the close of a connection either.
--- a/soak/run.py
+++ b/soak/run.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import collections
+import functools
+import time
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
@@ -22,6 +24,13 @@
 # excuses a request that a restart interrupts.
 PLANNED_ONLY = 4
 SETTLE_S = 1.0
+# Odd seeds have a configuration of this many routes more, about 400 kB, and a
+# host whose link to the store needs 1.6 s for it.
+ADDED_ROUTES = 1500
+SLOW_LINK_BYTES_PER_S = 250_000.0
+# Longest time after the last fault until a ready host has the newest version.
+APPLY_S = 5.0
+ROUTE_HOST = "api.example"
 
 
 class Result(NamedTuple):
@@ -45,18 +54,23 @@
         return f"{verdict}; answers {self.statuses}; faults {self.faults}"
 
 
-def configuration(version: int, keys: list[str]) -> dict[str, Any]:
+def configuration(
+    version: int, keys: list[str], added_routes: int = 0
+) -> dict[str, Any]:
     """Returns the operator's configuration.
 
+    The route `/vN/` exists in version N only.
+
     Args:
         version: Version of the configuration.
         keys: API keys; each belongs to an account of its own.
+        added_routes: Number of routes that no caller uses.
     """
 
     def route(name: str, kind: str, service: str, **more: Any) -> Any:
         return {
             "name": name,
-            "host": "api.example",
+            "host": ROUTE_HOST,
             "path_prefix": f"/{name}/",
             "kind": kind,
             "timeout_ms": 5000,
@@ -81,6 +95,11 @@
             route("book", "non_idempotent", "app", max_attempts=1),
             route("write", "streaming", "llm", resumable=True),
             route("once", "streaming", "llm", max_attempts=1),
+            route(f"v{version}", "idempotent", "app", public=True),
+            *(
+                route(f"added-{number}", "idempotent", "app")
+                for number in range(added_routes)
+            ),
         ],
         "services": [
             {"name": "app", "max_connections": 100},
@@ -115,17 +134,22 @@
         folder: Folder for settings and logs, which stay there.
     """
     fleet = processes.Fleet(folder, hosts)
+    build = configuration
+    if seed % 2:
+        build = functools.partial(configuration, added_routes=ADDED_ROUTES)
+        fleet.hosts[0].store_proxy.bytes_per_s = SLOW_LINK_BYTES_PER_S
     try:
-        fleet.start(configuration(1, ["key-a", "key-b"]))
+        fleet.start(build(1, ["key-a", "key-b"]))
         load = callers.Callers(fleet.hosts, seed, CALLERS)
         planned_only = seed % PLANNED_ONLY == 0
-        schedule = faults.Faults(fleet, load, configuration, seed, planned_only)
+        schedule = faults.Faults(fleet, load, build, seed, planned_only)
         schedule.run(seconds)
         gevent.sleep(SETTLE_S)
         load.stop()
         violations = checks.violations(
             load.observations, fleet.runs(), schedule
         )
+        violations += outdated_hosts(fleet, schedule.version)
         served = sum(each.status == 200 for each in load.observations)
         if not served:
             violations.append("no request succeeded")
@@ -137,3 +161,25 @@
         dict(sorted(statuses.items())),
         dict(collections.Counter(schedule.applied)),
     )
+
+
+def outdated_hosts(fleet: processes.Fleet, version: int) -> list[str]:
+    """Returns a line for each host that doesn't get the newest version.
+
+    Args:
+        fleet: Processes under test, to which no fault applies any more.
+        version: Version that was written last.
+    """
+    fleet.wait_ready()
+    deadline = time.monotonic() + APPLY_S
+    path = f"/v{version}/"
+    outdated = list(fleet.hosts)
+    while outdated and time.monotonic() < deadline:
+        gevent.sleep(0.1)
+        outdated = [
+            host for host in outdated if not host.has_route(ROUTE_HOST, path)
+        ]
+    return [
+        f"{host.name}: version {version} not in force after {APPLY_S} s"
+        for host in outdated
+    ]
