Transfer only the newest policy to a host that is behind

A host that had missed several versions of a large policy stayed behind for seconds after it reached the store again, and fell further behind while changes went on.

Cause: an answer about changes holds each version since the last read. Three versions of 548 kB are 1,646,186 bytes, 2.9 s on a link of 5 Mbit/s; only the last one is used.

An answer about changes that is much larger than the last policy is given up, by its Content-Length before it is transferred, and the table is read, which holds the newest version only. test_host_that_is_behind_transfers_only_the_newest_configuration failed before.

--- a/src/coltsfootarch/errors.py
+++ b/src/coltsfootarch/errors.py
@@ -61,6 +61,10 @@
     default_code = results.TABLE_UNAVAILABLE
 
 
+class TableAnswerTooLargeError(TableUnavailableError):
+    """The answer of the table service is larger than the caller wants."""
+
+
 class TableOutcomeUnknownError(PlatformError):
     """A transaction may have been applied; read the rows back to find out."""
 
--- a/src/coltsfootarch/http1/transfers.py
+++ b/src/coltsfootarch/http1/transfers.py
@@ -106,7 +106,15 @@
         if self.first_at is None:
             self.first_at = self.last_at
         self.size_bytes += size_bytes
-        if self.size_bytes > self.limits.max_bytes:
+        self.expect(self.size_bytes)
+
+    def expect(self, size_bytes: int) -> None:
+        """Checks the size of the body, as far as it is known.
+
+        Raises:
+            ResponseTooLargeError: The body exceeds its limit.
+        """
+        if size_bytes > self.limits.max_bytes:
             raise ResponseTooLargeError(
                 f"body longer than {self.limits.max_bytes} bytes"
             )
--- a/src/coltsfootarch/platform/feeds.py
+++ b/src/coltsfootarch/platform/feeds.py
@@ -7,6 +7,7 @@
 import msgspec
 import structlog
 
+from coltsfootarch import errors
 from coltsfootarch.fleet import followers
 from coltsfootarch.fleet import hosts
 from coltsfootarch.platform import configuration
@@ -24,6 +25,12 @@
 RUNNER_TABLE = "servers"
 HOST_TABLE = "coltsfootarch-hosts"
 CONFIGURATION_KEY = "config"
+# An answer about changes holds each version since the last read, one about the
+# whole table only the newest. An answer about changes may hold several large
+# versions if it exceeds the last answer with a policy by this factor and this
+# number of bytes.
+SEVERAL_VERSIONS_FACTOR = 1.5
+SEVERAL_VERSIONS_MARGIN = 65536
 
 logger = structlog.get_logger(__name__)
 
@@ -33,10 +40,14 @@
 
     Args:
         client: Client of the store.
+
+    Attributes:
+        policy_bytes: Size of the last answer that held a policy.
     """
 
     def __init__(self, client: store.StoreClient) -> None:
         self.client = client
+        self.policy_bytes = 0
 
     def read(self) -> followers.PolicyReadResult:
         """Returns the newest policy."""
@@ -54,9 +65,22 @@
         Returns:
             A result without a policy if none was written in that time.
         """
-        return self.decode(
-            self.client.read_changes(OPERATOR_TABLE, revision, wait_s)
+        max_bytes = int(
+            SEVERAL_VERSIONS_FACTOR * self.policy_bytes
+            + SEVERAL_VERSIONS_MARGIN
         )
+        try:
+            rows = self.client.read_changes(
+                OPERATOR_TABLE, revision, wait_s, max_bytes
+            )
+        except errors.TableAnswerTooLargeError as error:
+            logger.info(
+                "several configurations were written; reading the newest",
+                revision=revision,
+                reason=error.message,
+            )
+            return self.read()
+        return self.decode(rows)
 
     def decode(self, rows: store.Rows) -> followers.PolicyReadResult:
         """Returns the last valid policy among rows in order of change.
@@ -80,6 +104,8 @@
                     revision=rows.revision,
                     reason=str(error),
                 )
+        if newest is not None:
+            self.policy_bytes = rows.transfer.size_bytes
         return followers.PolicyReadResult(
             newest,
             rows.revision,
--- a/src/coltsfootarch/platform/store.py
+++ b/src/coltsfootarch/platform/store.py
@@ -116,15 +116,24 @@
                 return Rows(tuple(rows), page.revision, sent_at, transfer)
             start = page.rows[-1].key + "\0"
 
-    def read_changes(self, table: str, revision: int, wait_s: float) -> Rows:
-        """Returns the rows that changed after a revision.
+    def read_changes(
+        self,
+        table: str,
+        revision: int,
+        wait_s: float,
+        max_bytes: int | None = None,
+    ) -> Rows:
+        """Returns the rows that changed after a revision, each version of them.
 
         Args:
             table: Name of the table.
             revision: Revision after which changes are wanted.
             wait_s: Time that the store waits for a change, in seconds.
+            max_bytes: Largest size of the answer that is transferred;
+                `MAX_ANSWER_BYTES` if not given.
 
         Raises:
+            errors.TableAnswerTooLargeError: The answer is larger.
             errors.HistoryLostError: The store no longer has the changes since
                 that revision; read the whole table instead.
             errors.TableUnavailableError: The store did not answer usably.
@@ -135,7 +144,7 @@
             "wait_ms": int(wait_s * 1000),
         }
         timeout = wait_s + max(FEED_TIMEOUT_MARGIN_S, CALL_TIMEOUT_S)
-        return self.fetch("rows-feed", query, timeout)[0]
+        return self.fetch("rows-feed", query, timeout, max_bytes)[0]
 
     def read_row(self, table: str, key: str) -> tuple[Row | None, int]:
         """Returns a row, None if there is none, and the store's clock in ms.
@@ -230,7 +239,11 @@
         self.call("POST", "/api/rows-tx", body, CALL_TIMEOUT_S)
 
     def fetch(
-        self, name: str, query: dict[str, Any], timeout: float
+        self,
+        name: str,
+        query: dict[str, Any],
+        timeout: float,
+        max_bytes: int | None = None,
     ) -> tuple[Rows, dict[str, Any]]:
         """Makes a read call.
 
@@ -238,6 +251,8 @@
             name: Last part of the call's path.
             query: Its query parameters.
             timeout: Time limit for the first byte of the answer, in seconds.
+            max_bytes: Largest size of the answer; `MAX_ANSWER_BYTES` if not
+                given.
 
         Returns:
             The rows, and the whole document of the answer.
@@ -249,7 +264,7 @@
         """
         sent_at = self.clock.monotonic()
         target = f"/api/{name}?{urllib.parse.urlencode(query)}"
-        body = self.call("GET", target, b"", timeout)
+        body = self.call("GET", target, b"", timeout, max_bytes)
         transfer = self.transfer
         try:
             document = msgspec.json.decode(body)
@@ -267,7 +282,12 @@
             ) from error
 
     def call(
-        self, method: str, target: str, body: bytes, timeout: float
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        timeout: float,
+        max_bytes: int | None = None,
     ) -> bytes:
         """Makes one call and returns the body of its answer.
 
@@ -276,16 +296,24 @@
         Raises:
             errors.HistoryLostError: Status 410.
             errors.TransactionConflictError: Status 412.
+            errors.TableAnswerTooLargeError: The answer is larger than
+                `max_bytes`.
             errors.TableUnavailableError: Another status than 200, or no
                 complete answer.
         """
+        if max_bytes is None:
+            max_bytes = MAX_ANSWER_BYTES
         try:
-            head, data = self.exchange(method, target, body, timeout)
+            head, data = self.exchange(method, target, body, timeout, max_bytes)
+        except transfers.ResponseTooLargeError as error:
+            self.close()
+            raise errors.TableAnswerTooLargeError(
+                f"{method} {target.partition('?')[0]} failed: {error}"
+            ) from error
         except (
             client.ConnectError,
             client.BrokenConnectionError,
             client.ResponseTimeoutError,
-            transfers.ResponseTooLargeError,
         ) as error:
             self.close()
             reason = str(error) or type(error).__name__
@@ -311,7 +339,12 @@
         return data
 
     def exchange(
-        self, method: str, target: str, body: bytes, timeout: float
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        timeout: float,
+        max_bytes: int,
     ) -> tuple[messages.ResponseHead, bytes]:
         """Sends a call and reads its answer.
 
@@ -329,7 +362,7 @@
         self.transfer = transfers.Transfer()
         connection = self.connect()
         limits = transfers.TransferLimits(
-            timeout, CALL_TIMEOUT_S, MIN_BYTES_PER_S, MAX_ANSWER_BYTES
+            timeout, CALL_TIMEOUT_S, MIN_BYTES_PER_S, max_bytes
         )
         progress = transfers.Progress(self.clock, limits)
         try:
@@ -384,6 +417,8 @@
         if isinstance(part, messages.ResponseHead):
             answer = part
             progress.record(0)
+            length = messages.field_value(part.fields, "content-length")
+            progress.expect(int(length) if length.isdecimal() else 0)
         else:
             data += part
             progress.record(len(part))
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -193,6 +193,44 @@
         client.replace_row("t", "row", b"1", 0)
 
 
+def put_large_configuration(server, version):
+    many = [
+        documents.route(f"r-{n}", f"/r-{n}/", "idempotent", "app")
+        for n in range(1000)
+    ]
+    document = documents.configuration(version, routes=many)
+    return server.put("op", "config", documents.encoded(document))
+
+
+def test_host_that_is_behind_transfers_only_the_newest_configuration(
+    server, client
+):
+    """Guards against a host that falls further behind with each version."""
+    feed = feeds.PolicyFeed(client)
+    put_large_configuration(server, 3)
+    first = feed.read()
+    for version in (4, 5, 6):
+        put_large_configuration(server, version)
+
+    result = feed.read_changes(first.revision, 0)
+
+    assert result.policy.version == 6
+    assert result.transfer.size_bytes < 1.5 * first.transfer.size_bytes
+    assert server.calls == ["rows-get", "rows-feed", "rows-get"]
+    assert feed.read_changes(result.revision, 0).policy is None
+
+
+def test_configuration_that_grew_is_read(server, client):
+    feed = feeds.PolicyFeed(client)
+    server.put("op", "config", documents.encoded(documents.configuration(3)))
+    first = feed.read()
+    put_large_configuration(server, 4)
+
+    result = feed.read_changes(first.revision, 0)
+
+    assert result.policy.version == 4
+
+
 def test_invalid_configuration_is_ignored(server, client):
     feed = feeds.PolicyFeed(client)
     server.put("op", "config", documents.encoded(documents.configuration(3)))
