Log the events and the shared prompt parts of each decode attempt

'decode ended' did not say which parts the prompt had, nor whether the attempt had sent events, and first_event_ms was negative in a second attempt. Both are needed to tell which request can have crashed an engine. No decision changes.

--- a/benchmarks/edge_simulation.py
+++ b/benchmarks/edge_simulation.py
@@ -388,6 +388,7 @@
                 request.output,
                 "",
                 (),
+                (),
                 b"",
                 now,
             ),
--- a/src/coltsfootarch/forwarding/calls.py
+++ b/src/coltsfootarch/forwarding/calls.py
@@ -31,6 +31,8 @@
             given.
         resume_after: Id of the last event that the caller received; empty for
             a new stream.
+        shared_parts: Ids of the parts of the prompt that other requests may
+            share, in order.
         fields: Header fields to forward.
         body: Body.
         received_at: Instant at which its first byte was read, in seconds.
@@ -46,6 +48,7 @@
     output_tokens: int
     likely_output_tokens: int
     resume_after: str
+    shared_parts: tuple[str, ...]
     fields: messages.Fields
     body: bytes
     received_at: float
--- a/src/coltsfootarch/forwarding/decode_stage.py
+++ b/src/coltsfootarch/forwarding/decode_stage.py
@@ -231,8 +231,10 @@
             outcome=result.label,
             reason=reason,
             started=call.responder.started,
+            events=generation.event_count,
+            shared_parts=call.request.shared_parts,
             first_event_ms=round((generation.first_event_at - now) * 1000)
-            if generation.first_event_at
+            if generation.first_event_at and generation.first_event_at >= now
             else None,
             took_ms=round((self.clock.monotonic() - now) * 1000),
         )
--- a/src/coltsfootarch/platform/wire.py
+++ b/src/coltsfootarch/platform/wire.py
@@ -19,6 +19,9 @@
 # Two numbers: prompt tokens and the maximum of generated tokens.
 TOKEN_COUNT = "X-Token-Count"
 LENGTH_HINT = "X-Length-Hint"
+# Parts of the prompt in order, as ID:TOKENS entries. The last one belongs to
+# the request or its session.
+PREFIX_HASH = "X-Prefix-Hash"
 LAST_EVENT_ID = "Last-Event-Id"
 EXPECT_INSTANCE = "X-Expect-Instance"
 TENANT = "X-Tenant"
@@ -26,6 +29,9 @@
 KV_SOURCE = "X-Kv-Source"
 KV_HOLD = "X-Kv-Hold"
 NOT_EXECUTED = "x-not-executed"
+# Bounds of what is kept of a caller's list of prompt parts.
+MAX_SHARED_PARTS = 16
+MAX_PART_ID_LENGTH = 32
 SERVER_LOAD = "x-server-load"
 INSTANCE_ID = "x-instance-id"
 # A runner answers so to a request for another instance, but also to a request
@@ -71,6 +77,7 @@
             values.get(LENGTH_HINT.lower(), "")
         ),
         resume_after=values.get(LAST_EVENT_ID.lower(), ""),
+        shared_parts=decode_shared_parts(values.get(PREFIX_HASH.lower(), "")),
         fields=tuple(
             field for field in request.fields if field[0].lower() not in dropped
         ),
@@ -112,6 +119,16 @@
     return decode_integer(parts[0]), decode_integer(parts[1])
 
 
+def decode_shared_parts(value: str) -> tuple[str, ...]:
+    """Returns the ids of the parts that other requests may share.
+
+    Ids that are longer than `MAX_PART_ID_LENGTH` are left out.
+    """
+    ids = [entry.partition(":")[0].strip() for entry in value.split(",")]
+    shared = ids[: min(len(ids) - 1, MAX_SHARED_PARTS)]
+    return tuple(part for part in shared if 0 < len(part) <= MAX_PART_ID_LENGTH)
+
+
 class CallerWire:
     """The platform's format for callers: a `calls.CallerProtocol`."""
 
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -103,6 +103,24 @@
     assert forwarded.items() <= fields.items()
 
 
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [
+        ("aa:4,bb:6,cc:1", ("aa", "bb")),
+        (" aa:4 , bb:6,cc:1", ("aa", "bb")),
+        ("cc:1", ()),
+        ("", ()),
+        ("aa,bb", ("aa",)),
+        (f"{'a' * 40}:4,bb:1,cc:1", ("bb",)),
+        (",,,", ()),
+    ],
+)
+def test_last_part_of_a_prompt_is_not_shared(value, expected):
+    raw = request(("Host", "h"), ("X-Prefix-Hash", value))
+
+    assert wire.decode_caller(raw).shared_parts == expected
+
+
 def test_prefill_and_decode_carry_their_fields():
     raw = request(("Host", "h"), ("Last-Event-Id", "3"))
     source = calls.KvCacheSource("10.0.0.2:80", "h1")
