--- a/standins/http.py
+++ b/standins/http.py
@@ -153,6 +153,20 @@
         for connection in tuple(self.connections):
             connection.close()
 
+    def restart(self, down_s: float) -> None:
+        """Resets all connections and refuses new ones for so many seconds."""
+        address = self.address
+        if self.acceptor is not None:
+            self.acceptor.kill()
+        self.sock.close()
+        for connection in tuple(self.connections):
+            connection.reset()
+        gevent.sleep(down_s)
+        self.sock = gevent_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.bind(client.split_address(address))
+        self.start()
+
     def close(self) -> None:
         if self.acceptor is not None:
             self.acceptor.kill()
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -54,6 +54,10 @@
             "endless extra" send bytes until the client closes, the last one in
             a response to another request, "hang" sends no stream, "crash"
             and "stall" reset or stop a stream at its third event.
+        crashing_part: Id of a prompt part on which the runner crashes as soon
+            as it begins to stream; empty for none.
+        down_s: Seconds for which a crashed runner is down.
+        crashes: Number of its crashes.
         work_s: Seconds for a call or a prefill.
         events: Events of a stream.
         event_gap_s: Seconds before each event of a stream.
@@ -87,6 +91,9 @@
         self.reservations: list[dict[str, Any]] = []
         self.orders: list[dict[str, Any]] = []
         self.fault = ""
+        self.crashing_part = ""
+        self.down_s = 0.2
+        self.crashes = 0
         self.work_s = 0.0
         self.events = 4
         self.event_gap_s = 0.0
@@ -296,6 +303,12 @@
         if self.fault.startswith("endless"):
             self.send_endlessly(request_id, connection)
             return
+        if self.crashing_part and self.crashing_part in {
+            entry.partition(":")[0]
+            for entry in fields.get("x-prefix-hash", "").split(",")
+        }:
+            self.crash(request_id)
+            return
         head = [
             *self.response_fields(request_id),
             ("Content-Type", "text/event-stream"),
@@ -320,6 +333,12 @@
         connection.send(b"0\r\n\r\n")
         self.record_end(request_id, "answered")
 
+    def crash(self, request_id: str) -> None:
+        """Resets all connections and is down for `down_s`."""
+        self.crashes += 1
+        self.record_end(request_id, "crashed")
+        gevent.spawn(self.server.restart, self.down_s)
+
 
 def register_forever(runner: Runner, store: str) -> None:
     """Writes the runner's registration every `HEARTBEAT_INTERVAL_S` seconds."""
--- a/tests/forwarding/test_generations.py
+++ b/tests/forwarding/test_generations.py
@@ -361,6 +361,60 @@
     )
 
 
+@pytest.fixture
+def crashing(edge_host):
+    """A host with four decode engines that crash on one part of a prompt."""
+    for number in range(4):
+        edge_host.add_runner(
+            f"d-{number}", "llm", "decode", crashing_part="bad"
+        )
+    edge_host.start()
+    return edge_host
+
+
+def ask_with_parts(edge_host, number, *parts):
+    """Sends a request whose prompt has these parts and one of its own."""
+    listed = ",".join(f"{part}:100" for part in (*parts, f"own{number}"))
+    return edge_host.ask(
+        "/write/a",
+        "POST",
+        f"prompt {number}".encode(),
+        request_id=f"r{number}",
+        X_Prefix_Hash=listed,
+        **SIZES,
+    )
+
+
+def crash_count(edge_host):
+    return sum(runner.crashes for runner in edge_host.runners.values())
+
+
+def test_requests_with_a_part_that_crashes_engines_are_refused(crashing):
+    """Guards against requests, no two alike, that crash engine after engine."""
+    refused = []
+    for number in range(8):
+        response = ask_with_parts(crashing, number, "common", "bad")
+        refused.append(response.status == 503)
+        gevent.sleep(0.3)  # The engines are up again.
+
+    assert refused[-3:] == [True, True, True]
+    assert crash_count(crashing) <= 5
+
+
+def test_requests_beside_a_part_that_crashes_engines_are_served(crashing):
+    """Guards against refusals of requests that share the other parts."""
+    for number in range(8):
+        ask_with_parts(crashing, number, "common", "bad")
+        gevent.sleep(0.3)
+
+    served = [
+        ask_with_parts(crashing, number, "common").complete
+        for number in range(8, 12)
+    ]
+
+    assert served == [True] * 4
+
+
 def test_stream_of_an_engine_without_a_stage_is_relayed(edge_host):
     runner = edge_host.add_runner("i-1", "llm", "decode")
     entry = runner.registration()
