Refuse requests with a part of a prompt that crashes engines

Callers of every account lost streams: requests with one part in their prompts crashed each engine that began to generate on it, one after the other, and sound requests were refused for want of engines.

Cause: crashes were counted by the digest of the whole request. Requests with the part differ, so that each crashed two engines anew. Requests that were merely on a crashed engine were counted in the same way.

scheduling/crashing_parts.py records which parts were on an engine that went down before they generated, and clears a part as soon as a request with it has generated. Hosts pass this on in their reports, early after a crash. A part is refused after two engines. A part that was always beside another suspect is refused only together with it, so that sound requests with the same first part go on. The report of a host without crashes has the earlier format.

--- a/src/coltsfootarch/fleet/reports.py
+++ b/src/coltsfootarch/fleet/reports.py
@@ -62,6 +62,11 @@
         directory_changed: Upstreams that this change added or replaced.
         directory_removed: Ids of upstreams that this change removed.
         refused: Digests of requests recently refused for lack of capacity.
+        crashed_parts: Service, shared parts of a prompt, engines that crashed
+            before requests with these parts generated, milliseconds since the
+            last of the crashes.
+        sound_parts: Service, part of a prompt on which engines crashed,
+            milliseconds since a request with it last generated on this host.
     """
 
     version: int
@@ -81,6 +86,15 @@
     directory_changed: tuple[upstreams.Upstream, ...] = ()
     directory_removed: tuple[str, ...] = ()
     refused: tuple[str, ...] = ()
+    crashed_parts: tuple[
+        tuple[str, tuple[str, ...], tuple[str, ...], int], ...
+    ] = ()
+    sound_parts: tuple[tuple[str, str, int], ...] = ()
+
+
+# Fields that reports leave out if they and all later ones are empty. Hosts of
+# builds that don't know them can decode such reports.
+OPTIONAL_FIELDS = ("crashed_parts", "sound_parts")
 
 
 def empty_report(host: str, incarnation: int, sequence: int) -> Report:
@@ -90,6 +104,28 @@
     )
 
 
+def encode(report: Report) -> bytes:
+    """Returns a report as it is sent, without empty optional fields."""
+    end = len(report)
+    for name in reversed(OPTIONAL_FIELDS):
+        if getattr(report, name):
+            break
+        end -= 1
+    return msgspec.msgpack.encode(tuple(report)[:end])
+
+
+DECODER = msgspec.msgpack.Decoder(Report)
+
+
+def decode(data: bytes) -> Report:
+    """Returns a received report.
+
+    Raises:
+        msgspec.DecodeError: The bytes are not a report.
+    """
+    return DECODER.decode(data)
+
+
 class Participant(Protocol):
     """Component of the host that exchanges state through reports."""
 
@@ -131,7 +167,6 @@
         self.last_received: dict[str, tuple[int, int]] = {}
         self.sock: gevent_socket.socket | None = None
         self.greenlets: list[gevent.Greenlet] = []
-        self.decoder = msgspec.msgpack.Decoder(Report)
         self.undecodable = 0
         self.early_report = gevent.event.Event()
 
@@ -190,7 +225,7 @@
         report = empty_report(own.name, own.incarnation, self.sequence)
         for participant in self.participants:
             report = participant.add_to_report(report)
-        return msgspec.msgpack.encode(report)
+        return encode(report)
 
     def receive_all(self, sock: gevent_socket.socket) -> None:
         """Receives reports until the greenlet is killed.
@@ -229,7 +264,7 @@
             address: "ip:port" of the sender.
         """
         try:
-            report = self.decoder.decode(data)
+            report = decode(data)
         except msgspec.DecodeError:
             self.undecodable += 1
             return
--- a/src/coltsfootarch/forwarding/calls.py
+++ b/src/coltsfootarch/forwarding/calls.py
@@ -238,6 +238,8 @@
         self.may_have_run = False
         # Whether it was sent to an upstream at all.
         self.sent_upstream = False
+        # Whether it is sent once in spite of a prompt part that is refused.
+        self.is_trial = False
         limit = route.timeout_s
         if request.deadline_s is not None:
             limit = min(limit, request.deadline_s)
--- a/src/coltsfootarch/forwarding/context.py
+++ b/src/coltsfootarch/forwarding/context.py
@@ -14,6 +14,7 @@
     from coltsfootarch.retries import shared_budget
     from coltsfootarch.scheduling import break_counts
     from coltsfootarch.scheduling import call_placement
+    from coltsfootarch.scheduling import crashing_parts
     from coltsfootarch.scheduling import dispatch_queue
     from coltsfootarch.scheduling import engine_placement
     from coltsfootarch.scheduling import load_view
@@ -34,6 +35,7 @@
         loads: Work in progress at each upstream, from all hosts.
         outcome_tracker: Recent outcomes of each upstream.
         break_counts: Number of connections that broke during each request.
+        crashing_parts: Parts of prompts on which engines crash.
         refusals: Requests that were recently refused for lack of capacity.
         budget: Retry budget.
         call_placer: Chooses upstreams of plain services.
@@ -51,6 +53,7 @@
     loads: load_view.LoadView
     outcome_tracker: outcomes.OutcomeTracker
     break_counts: break_counts.BreakCounts
+    crashing_parts: crashing_parts.CrashingParts
     refusals: refusals.RecentRefusals
     budget: shared_budget.SharedRetryBudget
     call_placer: call_placement.CallPlacer
--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -31,6 +31,7 @@
 from coltsfootarch.scheduling import backlog
 from coltsfootarch.scheduling import break_counts
 from coltsfootarch.scheduling import call_placement
+from coltsfootarch.scheduling import crashing_parts
 from coltsfootarch.scheduling import dispatch_queue
 from coltsfootarch.scheduling import engine_placement
 from coltsfootarch.scheduling import load_view
@@ -145,6 +146,7 @@
                 self.buckets,
                 self.context.loads,
                 self.context.break_counts,
+                self.context.crashing_parts,
                 self.context.refusals,
                 self.context.outcome_tracker,
                 self.context.queue.backlog,
@@ -246,6 +248,11 @@
             loads=loads,
             outcome_tracker=outcome_tracker,
             break_counts=break_counts.BreakCounts(clock),
+            crashing_parts=crashing_parts.CrashingParts(
+                clock,
+                lambda: self.hosts.rank() == 0,
+                lambda: self.report_exchange.send_soon(),
+            ),
             refusals=refusals.RecentRefusals(clock),
             budget=shared_budget.SharedRetryBudget(
                 clock,
@@ -341,6 +348,7 @@
         self.context.connections.prune()
         self.context.loads.recompute_total()
         self.context.break_counts.expire()
+        self.context.crashing_parts.expire()
         self.context.outcome_tracker.retain_only(self.upstreams.upstreams)
         self.upstreams.expire()
 
--- a/src/coltsfootarch/forwarding/decode_stage.py
+++ b/src/coltsfootarch/forwarding/decode_stage.py
@@ -12,6 +12,7 @@
 from coltsfootarch.forwarding import events
 from coltsfootarch.forwarding import upstream_exchange
 from coltsfootarch.http1 import client
+from coltsfootarch.scheduling import crashing_parts
 from coltsfootarch.scheduling import outcomes
 
 if TYPE_CHECKING:
@@ -37,6 +38,8 @@
 # may start with the next prompt. By the second event its other streams have
 # sent an event too, so that the pauses caused by two prompts don't add up.
 EVENTS_BETWEEN_PROMPTS = 2
+# An engine that runs accepts a connection within a few milliseconds.
+CRASH_CHECK_TIMEOUT_S = 0.2
 
 logger = structlog.get_logger(__name__)
 
@@ -221,6 +224,16 @@
         ):
             # The engine didn't fetch the KV cache; another one can still.
             generation.prefill_result = prefill_result
+        if (
+            result is attempts.Failure.BROKEN
+            and generation.event_count < crashing_parts.SOUND_EVENTS
+            and self.is_down(engine)
+        ):
+            self.context.crashing_parts.record_crash(
+                call.service,
+                call.request.shared_parts,
+                f"{engine.id}@{engine.started_ms}",
+            )
         self.record_result(generation, engine, result, now)
         self.context.metrics.attempts.labels(call.service, result.label).inc()
         logger.info(
@@ -239,6 +252,20 @@
             took_ms=round((self.clock.monotonic() - now) * 1000),
         )
 
+    def is_down(self, engine: upstreams.Upstream) -> bool:
+        """Returns whether an engine accepts no connection.
+
+        A connection can break without a crash of the engine.
+        """
+        connection = client.Connection(engine.address, self.clock)
+        try:
+            connection.start(CRASH_CHECK_TIMEOUT_S)
+        except client.ConnectError:
+            return True
+        finally:
+            connection.close()
+        return False
+
     def relay(
         self,
         generation: generations.Generation,
@@ -292,6 +319,8 @@
         """Sends an event to the caller; the first event starts the response."""
         responder = generation.call.responder
         generation.event_count += 1
+        if generation.event_count == crashing_parts.SOUND_EVENTS:
+            self.record_sound(generation.call)
         if (
             generation.event_count >= EVENTS_BETWEEN_PROMPTS
             and generation.placement is not None
@@ -338,6 +367,12 @@
             silence = fraction * call.route.objective_s
         return min(call.ends_at, self.clock.monotonic() + silence)
 
+    def record_sound(self, call: calls.Call) -> None:
+        """Records that no part of the prompt crashes engines."""
+        self.context.crashing_parts.record_sound(
+            call.service, call.request.shared_parts
+        )
+
     def record_result(
         self,
         generation: generations.Generation,
@@ -355,6 +390,8 @@
             succeeded = result.is_success
             generation.response = result
             if succeeded:
+                if generation.event_count:
+                    self.record_sound(call)
                 self.context.break_counts.clear(call.digest)
                 duration = self.clock.monotonic() - started_at
                 self.context.queue.backlog.record_duration(
--- a/src/coltsfootarch/forwarding/forwarder.py
+++ b/src/coltsfootarch/forwarding/forwarder.py
@@ -246,7 +246,8 @@
         """Returns the call for an admitted request.
 
         Raises:
-            errors.RefusedError: The request repeatedly broke its upstreams.
+            errors.RefusedError: The request repeatedly broke its upstreams, or
+                its prompt has a part that crashes them.
         """
         call = calls.Call(
             request,
@@ -259,6 +260,15 @@
         )
         if self.context.break_counts.is_refused(call.digest):
             raise errors.RefusedError(results.REPEATED_BREAKS)
+        parts = request.shared_parts
+        crashing_parts = self.context.crashing_parts
+        if parts and crashing_parts.is_refused(call.service, parts):
+            call.is_trial = crashing_parts.start_trial(call.service, parts)
+            if not call.is_trial:
+                raise errors.RefusedError(
+                    results.CRASHING_PART,
+                    retry_after=crashing_parts.retry_after(call.service, parts),
+                )
         return call
 
     def run(self, call: calls.Call, admitted: AdmittedRequest) -> None:
--- a/src/coltsfootarch/forwarding/generation_pipeline.py
+++ b/src/coltsfootarch/forwarding/generation_pipeline.py
@@ -99,6 +99,8 @@
             return False
         if call.ends_at - self.clock.monotonic() < MIN_TIME_LEFT_S:
             return False
+        if self.has_crashing_part(call):
+            return False
         if call.attempts == 0:
             return True
         if call.attempts >= call.route.max_attempts:
@@ -117,6 +119,14 @@
             )
         return allowed
 
+    def has_crashing_part(self, call: calls.Call) -> bool:
+        """Returns whether a part of the prompt is known to crash engines."""
+        if call.is_trial and not call.may_have_run:
+            return False
+        return self.context.crashing_parts.is_refused(
+            call.service, call.request.shared_parts
+        )
+
     def place(
         self, generation: generations.Generation
     ) -> engine_placement.Placement | None:
@@ -219,6 +229,8 @@
         is down. It prefills the prompt itself if no prefill engine does.
         """
         call = generation.call
+        if self.has_crashing_part(call):
+            return
         exchange = self.decode_stage.create_exchange(generation, placement)
         try:
             if not self.decode_stage.connect(generation, exchange):
@@ -237,6 +249,8 @@
                 self.prefill_stage.run(generation, placement.prefill)
             call.cancellation.check()
             exchange = self.decode_stage.ensure_connected(generation, exchange)
+            if self.has_crashing_part(call):
+                return
             if not self.context.directory.is_serving(placement.decode.id):
                 # The decode engine was drained or removed during the prefill;
                 # the request was not sent to it.
@@ -283,6 +297,13 @@
             return
         if response is not None or call.may_have_run:
             raise errors.RefusedError(generation.failure.code)
+        if self.has_crashing_part(call):
+            raise errors.RefusedError(
+                results.CRASHING_PART,
+                retry_after=self.context.crashing_parts.retry_after(
+                    call.service, call.request.shared_parts
+                ),
+            )
         # No engine ran the request. If the caller retries it, `was_refused`
         # recognizes it.
         self.context.refusals.record(call.digest)
--- a/src/coltsfootarch/results.py
+++ b/src/coltsfootarch/results.py
@@ -222,6 +222,13 @@
 STOPPING = ResultCode(
     4010, "stopping", 503, _NOT_RUN, "This host stops; retry elsewhere."
 )
+CRASHING_PART = ResultCode(
+    4011,
+    "crashing-part",
+    503,
+    _NOT_RUN,
+    "Engines crashed each time that they began on a part of the prompt.",
+)
 
 # 5000s: non-idempotent requests
 IDEMPOTENCY_KEY_REQUIRED = ResultCode(
--- a/tests/fleet/test_reports.py
+++ b/tests/fleet/test_reports.py
@@ -5,6 +5,7 @@
 import datetime
 import itertools
 
+import msgspec
 import pytest
 
 from coltsfootarch.fleet import hosts
@@ -147,3 +148,17 @@
         directory.upstreams.values()
     )
     assert received[0].directory == directory.digest
+
+
+def test_report_without_crashes_has_the_earlier_format():
+    """Guards against hosts that can't read each other during an update."""
+    empty = reports.empty_report("h1", 1, 1)
+    crashed = empty._replace(crashed_parts=(("llm", ("bad",), ("d-1",), 5),))
+
+    fields = msgspec.msgpack.decode(reports.encode(empty))
+
+    assert len(fields) == len(reports.Report._fields) - len(
+        reports.OPTIONAL_FIELDS
+    )
+    assert reports.decode(reports.encode(empty)) == empty
+    assert reports.decode(reports.encode(crashed)) == crashed
