--- a/src/coltsfootarch/scheduling/crashing_parts.py
+++ b/src/coltsfootarch/scheduling/crashing_parts.py
@@ -34,7 +34,7 @@
 SOUND_S = 30.0
 # Time after the last crash until a request with a refused part is tried again,
 # which doubles with each trial that crashes an engine.
-TRIAL_DELAY_S = 15.0
+TRIAL_DELAY_S = 30.0
 # Time after the last crash for which crashes are remembered.
 RETENTION_S = 600.0
 MAX_SUSPECTS = 1000
