Quarantine prompt prefixes that crash engines on the product's interface

Callers of the product's own interface would lose streams in the same way as on the platform: the pool scheduler counts crashes by the digest of the request, so that requests that share a crashing prefix crash engine after engine.

It now also counts them by the digests of the prompt's leading chunks, with the same rules as for hosts on a platform (scheduling/crashing_parts.py): a crash counts if the request had no tokens, and a request that generated clears its prefixes. Waiting requests with such a prefix are refused at once.

test_requests_with_a_prefix_that_crashes_engines_are_quarantined failed before.

--- a/src/coltsfootarch/scheduling/items.py
+++ b/src/coltsfootarch/scheduling/items.py
@@ -58,6 +58,11 @@
         """Key that identifies the attempt."""
         return AttemptKey(self.request_id, self.attempt)
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Prefixes of the prompt that other requests may share."""
+        return tuple(map(str, self.prefix_digests))
+
     @property
     def cost(self) -> int:
         """Maximum number of prompt and output tokens of the request."""
--- a/src/coltsfootarch/scheduling/pool.py
+++ b/src/coltsfootarch/scheduling/pool.py
@@ -11,6 +11,7 @@
 
 from coltsfootarch import results
 from coltsfootarch.scheduling import assigned_attempts
+from coltsfootarch.scheduling import crashing_parts
 from coltsfootarch.scheduling import fair_queue
 from coltsfootarch.scheduling import items
 from coltsfootarch.scheduling import links
@@ -97,6 +98,7 @@
         self.quarantine = quarantine.Quarantine(clock)
         self.links = links.LinkSchedule()
         self.engines = pool_engines.PoolEngines()
+        self.crashing_prefixes = crashing_parts.CrashingParts(clock)
         self.prefills = self.engines.prefills
         self.decodes = self.engines.decodes
         self.assigned: dict[
@@ -130,6 +132,13 @@
         if remaining_seconds > 0:
             self.refuse(item, results.QUARANTINED, remaining_seconds)
             return
+        if self.has_crashing_prefix(item) and not (
+            self.crashing_prefixes.start_trial(
+                self.service.name, item.shared_parts
+            )
+        ):
+            self.refuse_crashing(item)
+            return
         unloaded = placement.unloaded_seconds(
             item, self.prefills.values(), self.decodes.values()
         )
@@ -141,6 +150,19 @@
         latest = item.deadline - unloaded - self.seconds_per_token
         heapq.heappush(self.latest_starts, (latest, item.key))
 
+    def has_crashing_prefix(self, item: items.WorkItem) -> bool:
+        """Returns whether engines crash on a prefix of the prompt."""
+        return self.crashing_prefixes.is_refused(
+            self.service.name, item.shared_parts
+        )
+
+    def refuse_crashing(self, item: items.WorkItem) -> None:
+        """Refuses an item until its prefix may be tried again."""
+        retry_after = self.crashing_prefixes.retry_after(
+            self.service.name, item.shared_parts
+        )
+        self.refuse(item, results.QUARANTINED, retry_after)
+
     def withdraw(self, key: items.AttemptKey) -> None:
         """Removes a queued attempt whose caller no longer waits for it."""
         item = self.waiting.pop(key, None)
@@ -325,6 +347,10 @@
 
         The account is refunded for output tokens that were not generated.
         """
+        if event.tokens:
+            self.crashing_prefixes.record_sound(
+                self.service.name, entry.item.shared_parts
+            )
         if event.step == "finished":
             self.record_finished(key, entry, event, now)
             self.quarantine.clear(entry.item.digest)
@@ -335,12 +361,28 @@
             self.quarantine.record_crash(
                 event.upstream, entry.item.digest, digests
             )
+            if not event.tokens:
+                self.record_crashing_prefix(event.upstream, entry.item)
         if event.step in ("failed", "crashed"):
             self.engines.record_failure(event.upstream, now)
         unused = max(0, entry.item.max_output_tokens - event.tokens)
         self.queue.charge(entry.item.account, -unused / entry.item.weight)
         self.release_attempt(key, now)
 
+    def record_crashing_prefix(
+        self, upstream: str, item: items.WorkItem
+    ) -> None:
+        """Records a crash before an item generated; refuses similar ones."""
+        # All reports of one crash have the instant of the first one.
+        crashed_at = self.quarantine.last_crashes[upstream].at
+        self.crashing_prefixes.record_crash(
+            self.service.name, item.shared_parts, f"{upstream}@{crashed_at}"
+        )
+        for waiting in list(self.waiting.values()):
+            if self.has_crashing_prefix(waiting):
+                self.withdraw(waiting.key)
+                self.refuse_crashing(waiting)
+
     def record_finished(
         self,
         key: items.AttemptKey,
@@ -388,6 +430,7 @@
         self.next_housekeeping = now + HOUSEKEEPING_SECONDS
         self.prefill_busy_until = 0.0
         self.queue.prune()
+        self.crashing_prefixes.expire()
         for queue in self.prefills.values():
             queue.expire(now)
         for capacity in self.decodes.values():
--- a/tests/scheduling/test_pool.py
+++ b/tests/scheduling/test_pool.py
@@ -236,6 +236,51 @@
     )
 
 
+def crash_with_prefix(scheduler, clock, number, *prefix):
+    """Places a request of its own whose engine crashes before it generates."""
+    item = pools.make_item(
+        number, clock, digest=f"g{number}", prefix_digests=prefix
+    )
+    decision = place(scheduler, item)
+    if isinstance(decision, items.Assignment):
+        scheduler.apply(pools.make_event(decision, "crashed", decision.decode))
+        clock.advance(seconds(3))
+    return decision
+
+
+def test_requests_with_a_prefix_that_crashes_engines_are_quarantined(
+    manual_clock,
+):
+    """Guards against requests, no two alike, that crash engine after engine."""
+    scheduler = make_scheduler(manual_clock)
+    decisions = [
+        crash_with_prefix(scheduler, manual_clock, number, 1, 2, 100 + number)
+        for number in range(4)
+    ]
+
+    assert isinstance(decisions[1], items.Assignment)
+    assert decisions[2].code is results.QUARANTINED
+    assert decisions[3].code is results.QUARANTINED
+    assert decisions[3].retry_after > 0
+    other = pools.make_item(9, manual_clock, digest="g9", prefix_digests=(1, 3))
+    assert isinstance(place(scheduler, other), items.Assignment)
+
+
+def test_prefix_of_a_request_that_generated_is_not_quarantined(manual_clock):
+    """Guards against refusals of requests beside a crashing one."""
+    scheduler = make_scheduler(manual_clock)
+    for number in range(4):
+        item = pools.make_item(
+            number, manual_clock, digest=f"g{number}", prefix_digests=(1, 2)
+        )
+        decision = place(scheduler, item)
+        assert isinstance(decision, items.Assignment)
+        scheduler.apply(
+            pools.make_event(decision, "crashed", decision.decode, 5)
+        )
+        manual_clock.advance(seconds(3))
+
+
 @pytest.mark.matrix(
     invariant=5,
     fault="crashing request",
