Drop crashes on a part once requests with it have generated

Where engines crash for other reasons for hours, the crashes on a common part added up between successes, so that each further crash refused it until the next success was known. Found by reading; both new tests failed before.

Crashes are dropped when each of their parts has been sound since, and reports don't bring them back.

--- a/src/coltsfootarch/scheduling/crashing_parts.py
+++ b/src/coltsfootarch/scheduling/crashing_parts.py
@@ -88,6 +88,8 @@
         sound_at: Instant at which a request with a part last generated on any
             host, by service and part.
         own_sound_at: The same for this host, the longest ago first.
+        cleared_at: Instant at which crashes on a part were dropped, by service
+            and part.
         trials: Number of trials and instant of the last one, by service and
             part.
     """
@@ -104,6 +106,7 @@
         self.crashes: dict[Suspects, Crashes] = {}
         self.sound_at: dict[tuple[str, str], float] = {}
         self.own_sound_at: dict[tuple[str, str], float] = {}
+        self.cleared_at: dict[tuple[str, str], float] = {}
         self.trials: dict[tuple[str, str], tuple[int, float]] = {}
         self.report_count = 0
 
@@ -136,6 +139,8 @@
 
     def add_crashes(self, suspects: Suspects, crashes: Crashes) -> None:
         """Adds crashes; those that are known already change nothing."""
+        if self.is_cleared(suspects, crashes.last_at):
+            return
         known = self.crashes.get(suspects)
         if known is not None:
             if crashes.engines <= known.engines:
@@ -167,11 +172,32 @@
     def note_sound(self, key: tuple[str, str], at: float) -> None:
         """Records the instant at which a request with a part generated."""
         self.sound_at[key] = max(at, self.sound_at.get(key, at))
+        service, part = key
+        for suspects in [
+            suspects
+            for suspects, crashes in self.crashes.items()
+            if suspects.service == service
+            and part in suspects.parts
+            and self.is_cleared(suspects, crashes.last_at)
+        ]:
+            del self.crashes[suspects]
+            now = self.clock.monotonic()
+            self.cleared_at.update(
+                ((service, each), now) for each in suspects.parts
+            )
         if self.trials.pop(key, None) is not None:
             logger.info(
-                "prompt part no longer refused", service=key[0], part=key[1]
+                "prompt part no longer refused", service=service, part=part
             )
 
+    def is_cleared(self, suspects: Suspects, crashed_at: float) -> bool:
+        """Returns whether requests with each part generated after a crash."""
+        return all(
+            self.sound_at.get((suspects.service, part), float("-inf"))
+            >= crashed_at
+            for part in suspects.parts
+        )
+
     def is_refused(self, service: str, parts: Iterable[str]) -> bool:
         """Returns whether a request must not be sent to engines."""
         return bool(self.find_refused(service, parts))
@@ -285,12 +311,15 @@
         for key in [key for key, at in self.sound_at.items() if at < oldest]:
             del self.sound_at[key]
             self.own_sound_at.pop(key, None)
+        recent = self.clock.monotonic() - RECENT_S
+        for key in [key for key, at in self.cleared_at.items() if at < recent]:
+            del self.cleared_at[key]
         for key in [key for key, (_, at) in self.trials.items() if at < oldest]:
             del self.trials[key]
 
     def add_to_report(self, report: reports.Report) -> reports.Report:
         """Adds crashes and sound parts; see `reports.Participant`."""
-        if not self.crashes:
+        if not self.crashes and not self.cleared_at:
             return report
         now = self.clock.monotonic()
         self.report_count += 1
@@ -308,6 +337,10 @@
             for suspects, _ in entries
             for part in suspects.parts
         }
+        # Peers may not know yet that these parts are sound.
+        suspected.update(
+            key for key, at in self.cleared_at.items() if now - at < RECENT_S
+        )
         sound = sorted(
             (int((now - self.own_sound_at[key]) * 1000), *key)
             for key in suspected
--- a/tests/scheduling/test_crashing_parts.py
+++ b/tests/scheduling/test_crashing_parts.py
@@ -101,6 +101,28 @@
     assert not parts.is_refused("llm", ["common"])
 
 
+def test_earlier_crashes_of_a_sound_part_do_not_add_up(parts, manual_clock):
+    """Guards against refusals where engines crash for other reasons."""
+    for number in range(3 * crashing_parts.MIN_CRASHES_OF_SOUND_PART):
+        crash(parts, 1, "common", first=number)
+        assert number == 1 or not parts.is_refused("llm", ["common"])
+        advance(manual_clock, 1)
+        parts.record_sound("llm", ["common"])
+
+    assert not parts.crashes
+
+
+def test_crashes_before_a_success_are_not_taken_from_reports(manual_clock):
+    first, second = build(manual_clock), build(manual_clock)
+    crash(first, 3, "common")
+    advance(manual_clock, 1)
+    second.record_sound("llm", ["common"])
+
+    send_report(first, second)
+
+    assert not second.crashes
+
+
 def test_part_that_begins_to_crash_engines_is_refused(parts, manual_clock):
     """Guards against a part that was sound until engines were replaced."""
     parts.record_sound("llm", ["common"])
