Recognize the crash of an engine behind a proxy

Engines behind a TCP proxy crashed again and again: the proxy accepts the connection by which a host checks whether an engine is down, so that no crash was counted.

--- a/src/coltsfootarch/forwarding/decode_stage.py
+++ b/src/coltsfootarch/forwarding/decode_stage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import datetime
 from typing import TYPE_CHECKING
 
 import structlog
@@ -38,8 +39,10 @@
 # may start with the next prompt. By the second event its other streams have
 # sent an event too, so that the pauses caused by two prompts don't add up.
 EVENTS_BETWEEN_PROMPTS = 2
-# An engine that runs accepts a connection within a few milliseconds.
+# A running engine accepts a connection within a few milliseconds. A proxy in
+# front of one that is down accepts it too, but closes it within the pause.
 CRASH_CHECK_TIMEOUT_S = 0.2
+CRASH_CHECK_PAUSE = datetime.timedelta(milliseconds=30)
 
 logger = structlog.get_logger(__name__)
 
@@ -253,18 +256,19 @@
         )
 
     def is_down(self, engine: upstreams.Upstream) -> bool:
-        """Returns whether an engine accepts no connection.
+        """Returns whether an engine accepts no connection or closes it at once.
 
-        A connection can break without a crash of the engine.
+        The connection of a request can break without a crash of the engine.
         """
         connection = client.Connection(engine.address, self.clock)
         try:
             connection.start(CRASH_CHECK_TIMEOUT_S)
+            self.clock.sleep(CRASH_CHECK_PAUSE)
+            return not connection.is_reusable()
         except client.ConnectError:
             return True
         finally:
             connection.close()
-        return False
 
     def relay(
         self,
--- a/tests/forwarding/test_generations.py
+++ b/tests/forwarding/test_generations.py
@@ -6,6 +6,7 @@
 import pytest
 
 from coltsfootarch.forwarding import decode_stage
+from soak import proxy
 from tests.platform import documents
 
 SIZES = {"X_Token_Count": "1000,500", "X_Model": "m"}
@@ -401,6 +402,30 @@
     assert crash_count(crashing) <= 5
 
 
+def test_crash_of_an_engine_behind_a_proxy_is_recognized(
+    edge_host,
+):
+    """Guards against proxies that accept connections for a crashed engine."""
+    proxies = []
+    for number in range(4):
+        upstream = edge_host.add_runner(
+            f"d-{number}", "llm", "decode", crashing_part="bad"
+        )
+        forwarder = proxy.Proxy(upstream.address)
+        forwarder.start()
+        proxies.append(forwarder)
+        upstream.advertised = forwarder.address
+        edge_host.register(upstream)
+    edge_host.start()
+    for number in range(8):
+        ask_with_parts(edge_host, number, "common", "bad")
+        gevent.sleep(0.3)
+
+    assert crash_count(edge_host) <= 5
+    for forwarder in proxies:
+        forwarder.close()
+
+
 def test_requests_beside_a_part_that_crashes_engines_are_served(crashing):
     """Guards against refusals of requests that share the other parts."""
     for number in range(8):
