Soak: requests with a part on which engines crash

With one seed in three, one of eight requests to decode engines has a part on which these crash. More than three of them later than 3 s after the fifth crash are a violation.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -21,6 +21,12 @@
 EVENTS_PER_STREAM = 4  # Events in a complete stream of a stand-in runner.
 KINDS = ("read", "book", "write", "once")
 REQUEST_TIMEOUT_S = 6.0
+# Part of a prompt on which decode engines crash. Ids of requests with it end
+# with the suffix.
+CRASHING_PART = "bad"
+CRASHING_SUFFIX = "x"
+# One of this many requests to decode engines has the part.
+CRASHING_INTERVAL = 8
 
 
 class Observation(NamedTuple):
@@ -62,6 +68,7 @@
         hosts: Entry hosts.
         seed: Seed of the random choices.
         count: Number of callers.
+        crashing: Whether some requests have a part that crashes engines.
 
     Attributes:
         observations: Records of all requests that have ended.
@@ -69,9 +76,14 @@
     """
 
     def __init__(
-        self, hosts: list[processes.Host], seed: int, count: int
+        self,
+        hosts: list[processes.Host],
+        seed: int,
+        count: int,
+        crashing: bool = False,
     ) -> None:
         self.hosts = hosts
+        self.crashing = crashing
         self.generator = random.Random(seed)
         self.numbers = itertools.count()
         self.observations: list[Observation] = []
@@ -111,7 +123,16 @@
             Whether the connection can be reused.
         """
         kind = self.generator.choice(KINDS)
-        request_id = f"r{next(self.numbers)}"
+        number = next(self.numbers)
+        request_id = f"r{number}"
+        parts = f"common:50,{request_id}:50"
+        if (
+            self.crashing
+            and kind in ("write", "once")
+            and number % CRASHING_INTERVAL == 0
+        ):
+            request_id += CRASHING_SUFFIX
+            parts = f"common:50,{CRASHING_PART}:10,{request_id}:50"
         key = self.generator.choice(self.keys)
         body = b"" if kind == "read" else b"body"
         fields = [
@@ -122,6 +143,7 @@
         ]
         if kind in ("write", "once"):
             fields += [("X-Token-Count", "100,50"), ("X-Model", "m")]
+            fields.append(("X-Prefix-Hash", parts))
         if body:
             fields.append(("Content-Length", str(len(body))))
         method = "POST" if body else "GET"
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -20,6 +20,11 @@
 RECOVERY_S = 3.0
 # Seconds after which a draining runner must get no more requests.
 DRAIN_S = 2.0
+# Requests with a part that crashes engines may reach this many engines. Later
+# than `REFUSAL_S` seconds after the last of them only a few more may.
+MAX_CRASHES = 5
+REFUSAL_S = 3.0
+MAX_LATE_CRASHES = 3
 # If a connection closes within this many seconds after a request was sent on
 # it, host and caller acted at the same time.
 CLOSE_RACE_S = 0.2
@@ -52,7 +57,28 @@
     for request_id, runner, at in runs:
         if ran_while_draining(runner, at, schedule):
             found.append(f"{request_id}: reached {runner} while it drained")
-    return found
+    return found + list(find_repeated_crashes(runs))
+
+
+def find_repeated_crashes(
+    runs: list[tuple[str, str, float]],
+) -> Iterator[str]:
+    """Yields a description if requests crash engine after engine.
+
+    Args:
+        runs: Request id, runner and monotonic instant of each execution.
+    """
+    crashed_at = sorted(
+        at
+        for request_id, _, at in runs
+        if request_id.endswith(callers.CRASHING_SUFFIX)
+    )
+    if len(crashed_at) <= MAX_CRASHES:
+        return
+    refused_from = crashed_at[MAX_CRASHES - 1] + REFUSAL_S
+    late = sum(at > refused_from for at in crashed_at)
+    if late > MAX_LATE_CRASHES:
+        yield f"{late} requests with a crashing part ran {REFUSAL_S} s late"
 
 
 def ran_while_draining(runner: str, at: float, schedule: faults.Faults) -> bool:
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -266,6 +266,13 @@
     def set_store(self, **values: Any) -> None:
         call(self.store_address, "POST", "/standin/set", values)
 
+    def set_crashing_part(self, part: str) -> None:
+        """Makes the decode engines crash on a part of a prompt."""
+        for runner in self.runners:
+            if runner.stage == "decode":
+                document = {"crashing_part": part}
+                call(runner.listen, "POST", "/standin/set", document)
+
     def start(self, configuration: Any) -> None:
         """Starts all programs and waits until the hosts are ready.
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -24,6 +24,8 @@
 # excuses a request that a restart interrupts.
 PLANNED_ONLY = 4
 SETTLE_S = 1.0
+# With seeds that leave a remainder of 1 some requests crash decode engines.
+CRASHING_EVERY = 3
 # Odd seeds have a configuration of this many routes more, about 400 kB, and a
 # host whose link to the store needs 1.6 s for it.
 ADDED_ROUTES = 1500
@@ -140,7 +142,10 @@
         fleet.hosts[0].store_proxy.bytes_per_s = SLOW_LINK_BYTES_PER_S
     try:
         fleet.start(build(1, ["key-a", "key-b"]))
-        load = callers.Callers(fleet.hosts, seed, CALLERS)
+        crashing = seed % CRASHING_EVERY == 1
+        if crashing:
+            fleet.set_crashing_part(callers.CRASHING_PART)
+        load = callers.Callers(fleet.hosts, seed, CALLERS, crashing)
         planned_only = seed % PLANNED_ONLY == 0
         schedule = faults.Faults(fleet, load, build, seed, planned_only)
         schedule.run(seconds)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -107,3 +107,22 @@
         )
         == []
     )
+
+
+@pytest.mark.parametrize(
+    ("instants", "violated"),
+    [
+        ([1.0, 1.1, 1.2, 1.3, 1.4, 9.0, 9.1, 9.2], False),
+        ([1.0, 1.1, 1.2, 1.3, 1.4, 4.0, 4.1, 4.2, 4.3], False),
+        ([1.0, 1.1, 1.2, 1.3, 1.4, 9.0, 9.1, 9.2, 9.3], True),
+    ],
+)
+def test_crashes_long_after_the_fifth_are_violations(instants, violated):
+    runs = [
+        (f"r{number}{callers.CRASHING_SUFFIX}", "d-1", at)
+        for number, at in enumerate(instants)
+    ]
+
+    found = list(checks.find_repeated_crashes(runs))
+
+    assert bool(found) == violated
