Log which part of a prompt a request is refused for

The log line of a request refused as crashing-part did not say which part, nor on how many engines it crashed. Both places that refuse now share one function.

--- a/src/coltsfootarch/fleet/followers.py
+++ b/src/coltsfootarch/fleet/followers.py
@@ -284,6 +284,10 @@
         tracker: Holds the active policy.
         clock: Source of time.
         wait_s: Longest time that a read waits for a change, in seconds.
+
+    Attributes:
+        confirm_now: Whether the next read must not wait, since the policy was
+            confirmed too long ago.
     """
 
     def __init__(
--- a/src/coltsfootarch/forwarding/forwarder.py
+++ b/src/coltsfootarch/forwarding/forwarder.py
@@ -16,6 +16,7 @@
 from coltsfootarch.forwarding import calls
 from coltsfootarch.forwarding import cancellation as cancellations
 from coltsfootarch.forwarding import generation_pipeline
+from coltsfootarch.forwarding import part_refusals
 
 if TYPE_CHECKING:
     import random
@@ -265,10 +266,7 @@
         if parts and crashing_parts.is_refused(call.service, parts):
             call.is_trial = crashing_parts.start_trial(call.service, parts)
             if not call.is_trial:
-                raise errors.RefusedError(
-                    results.CRASHING_PART,
-                    retry_after=crashing_parts.retry_after(call.service, parts),
-                )
+                raise part_refusals.refusal(crashing_parts, call)
         return call
 
     def run(self, call: calls.Call, admitted: AdmittedRequest) -> None:
--- a/src/coltsfootarch/forwarding/generation_pipeline.py
+++ b/src/coltsfootarch/forwarding/generation_pipeline.py
@@ -11,6 +11,7 @@
 from coltsfootarch import results
 from coltsfootarch.forwarding import decode_stage
 from coltsfootarch.forwarding import generations
+from coltsfootarch.forwarding import part_refusals
 from coltsfootarch.forwarding import prefill_stage
 from coltsfootarch.scheduling import dispatch_queue
 
@@ -298,12 +299,7 @@
         if response is not None or call.may_have_run:
             raise errors.RefusedError(generation.failure.code)
         if self.has_crashing_part(call):
-            raise errors.RefusedError(
-                results.CRASHING_PART,
-                retry_after=self.context.crashing_parts.retry_after(
-                    call.service, call.request.shared_parts
-                ),
-            )
+            raise part_refusals.refusal(self.context.crashing_parts, call)
         # No engine ran the request. If the caller retries it, `was_refused`
         # recognizes it.
         self.context.refusals.record(call.digest)
