Keep the crashes on a refused part when many others are recorded

When the table of crashes was full, the one that was longest ago was dropped, although its part was refused. Crashes of the fewest engines are dropped first now, and 300 entries are kept instead of 1,000, which bounds the time of each check. Found by reading; the test failed before.

--- a/src/coltsfootarch/scheduling/crashing_parts.py
+++ b/src/coltsfootarch/scheduling/crashing_parts.py
@@ -37,7 +37,7 @@
 TRIAL_DELAY_S = 30.0
 # Time after the last crash for which crashes are remembered.
 RETENTION_S = 600.0
-MAX_SUSPECTS = 1000
+MAX_SUSPECTS = 300
 MAX_SOUND_PARTS = 4096
 # Every report has the crashes of this time, and some have the earlier ones too,
 # from which a restarted host learns the refused parts.
@@ -151,10 +151,12 @@
             )
         self.crashes[suspects] = crashes
         if len(self.crashes) > MAX_SUSPECTS:
-            oldest = min(
-                self.crashes, key=lambda each: self.crashes[each].last_at
-            )
-            del self.crashes[oldest]
+            del self.crashes[min(self.crashes, key=self.weight)]
+
+    def weight(self, suspects: Suspects) -> tuple[int, float]:
+        """Returns the sort key by which crashes are kept, least first."""
+        crashes = self.crashes[suspects]
+        return len(crashes.engines), crashes.last_at
 
     def record_sound(self, service: str, parts: Iterable[str]) -> None:
         """Records that a request generated, which clears its parts."""
@@ -330,7 +332,8 @@
                 for suspects, crashes in self.crashes.items()
                 if is_full or now - crashes.last_at < RECENT_S
             ),
-            key=lambda entry: (-len(entry[1].engines), -entry[1].last_at),
+            key=lambda entry: self.weight(entry[0]),
+            reverse=True,
         )[:MAX_REPORTED]
         suspected = {
             (suspects.service, part)
--- a/tests/scheduling/test_crashing_parts.py
+++ b/tests/scheduling/test_crashing_parts.py
@@ -239,6 +239,16 @@
     assert reported == [1]
 
 
+def test_refused_part_outlasts_a_flood_of_other_crashes(parts, manual_clock):
+    """Guards against a part that is forgotten while engines crash a lot."""
+    crash(parts, 2, "bad")
+    for number in range(crashing_parts.MAX_SUSPECTS + 10):
+        advance(manual_clock, 0.01)
+        crash(parts, 1, f"p-{number}")
+
+    assert parts.is_refused("llm", ["bad"])
+
+
 def test_memory_is_bounded(parts, manual_clock):
     for number in range(crashing_parts.MAX_SUSPECTS + 10):
         advance(manual_clock, 0.01)
