--- a/tests/protocol/test_codec.py
+++ b/tests/protocol/test_codec.py
@@ -111,3 +111,14 @@
 def test_message_types_without_a_kind_number_are_refused():
     with pytest.raises(errors.CodecError):
         codec.encode(SENDER, 1, typing.NamedTuple("Other", [])())
+
+
+def test_register_of_the_target_size_fits_into_a_message():
+    """Guards against a register that peers can't pass on to each other."""
+    # 0.25 kB for each of 6,100 client accounts, see docs/CAPACITY.md.
+    document = "a" * (6100 * 250)
+    reply = messages.ConfigReply(7, document, 1.0)
+
+    data = codec.encode(SENDER, 1, reply)
+
+    assert codec.decode(data).body.document == document
