--- a/src/coltsfootarch/config/tracker.py
+++ b/src/coltsfootarch/config/tracker.py
@@ -25,7 +25,7 @@
 POLL_INTERVAL = datetime.timedelta(seconds=2)
 # The timeouts of one call of the table service and of one request to zone
 # peers add up to less than this, so a longer attempt means that the process
-# was paused.
+# was paused, or that a large document arrived slowly.
 MAX_ATTEMPT_DURATION = datetime.timedelta(seconds=5)
 CONFIRM_ATTEMPTS = 2
 NEVER_CONFIRMED = -1.0
--- a/src/coltsfootarch/storage/object_client.py
+++ b/src/coltsfootarch/storage/object_client.py
@@ -22,7 +22,8 @@
 
     Args:
         address: Address ("ip:port") of the store.
-        timeout: Time limit for a whole call.
+        timeout: Time limit for the head of an answer and for each silence
+            within it; see `http_channel.HttpChannel`.
     """
 
     def __init__(self, address: str, timeout: datetime.timedelta) -> None:
