Stand-in for weights: send the head before waiting

The stand-in waited before that chunk, and a handler that an earlier test had left ended meanwhile. The race is older than this change; the new tests moved the moment.

The test is unchanged.

--- a/standins/weights.py
+++ b/standins/weights.py
@@ -60,13 +60,17 @@
         return self.chunks(self.sizes[name])
 
     def chunks(self, size: int) -> Iterator[bytes]:
-        """Yields zero bytes at the shared rate."""
+        """Yields zero bytes at the shared rate.
+
+        It waits after a chunk, not before: bottle sends the head with the first
+        chunk, and until then a handler of another greenlet would replace it.
+        """
         for start in range(0, size, CHUNK_BYTES):
             length = min(CHUNK_BYTES, size - start)
             now = time.monotonic()
             self.link_free_at = max(self.link_free_at, now) + length / self.rate
-            gevent.sleep(self.link_free_at - now)
             yield bytes(length)
+            gevent.sleep(self.link_free_at - now)
 
 
 if __name__ == "__main__":
