--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,12 +11,11 @@
 
 import gevent
 
-from soak import processes
-
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from soak import callers
+    from soak import processes
 
 PLANNED = ("restart", "reconfigure", "withdraw")
 UNPLANNED = (
@@ -126,9 +125,7 @@
             return
         runner = self.non_disruptive_generator.choice(free)
         self.reserved.add(runner.name)
-        target = runner.listen
-        state = {"state": "draining"}
-        processes.call(target, "POST", "/standin/set", state)
+        self.fleet.set_runner(runner, state="draining")
         until = time.monotonic() + REGISTRATION_S
         while self.fleet.registered_state(runner) != "draining":
             if time.monotonic() > until:
@@ -138,7 +135,7 @@
             started = time.monotonic()
             gevent.sleep(self.non_disruptive_generator.uniform(2.5, 4.0))
             self.draining.append((runner.name, started, time.monotonic()))
-        processes.call(target, "POST", "/standin/set", {"state": "ready"})
+        self.fleet.set_runner(runner, state="ready")
         self.reserved.discard(runner.name)
 
     def step_clock(self) -> None:
@@ -271,10 +268,9 @@
             return
         faults = ("reset", "cut", "extra", "garbage", "crash", "stall", "full")
         fault = self.generator.choice(faults)
-        target = runner.listen
-        processes.call(target, "POST", "/standin/set", {"fault": fault})
+        self.fleet.set_runner(runner, fault=fault)
         self.sleep_random()
-        processes.call(target, "POST", "/standin/set", {"fault": ""})
+        self.fleet.set_runner(runner, fault="")
         self.reserved.discard(runner.name)
 
     def reconfigure(self) -> None:
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -24,6 +24,8 @@
 
 ROOT = pathlib.Path(__file__).parent.parent
 START_TIMEOUT_S = 20.0
+# Longest time until a runner that crashed on a request is up again.
+RUNNER_RESTART_S = 3.0
 KEY_CONFIRMATION_S = 2.0
 
 SETTINGS = """
@@ -266,12 +268,27 @@
     def set_store(self, **values: Any) -> None:
         call(self.store_address, "POST", "/standin/set", values)
 
+    def set_runner(self, runner: Runner, **values: Any) -> None:
+        """Sets attributes of a runner, which may just be restarting.
+
+        Raises:
+            client.ConnectError: It is not up again within `RUNNER_RESTART_S`.
+        """
+        deadline = time.monotonic() + RUNNER_RESTART_S
+        while True:
+            try:
+                call(runner.listen, "POST", "/standin/set", values)
+                return
+            except client.ConnectError:
+                if time.monotonic() > deadline:
+                    raise
+            gevent.sleep(0.05)
+
     def set_crashing_part(self, part: str) -> None:
         """Makes the decode engines crash on a part of a prompt."""
         for runner in self.runners:
             if runner.stage == "decode":
-                document = {"crashing_part": part}
-                call(runner.listen, "POST", "/standin/set", document)
+                self.set_runner(runner, crashing_part=part)
 
     def start(self, configuration: Any) -> None:
         """Starts all programs and waits until the hosts are ready.
