Exchange state through relays in fleets of more than 12 hosts

Cause: each host reported to each other host, so that messages, bytes and processor time of a host grew with the fleet (388 datagrams a second at 195).

Change: hosts join a relay of their zone; relays exchange the sums of their groups and send each member the sum of all others. Relays confirm the policy for their members, two of them read the registrations for all, and rows are renewed every 30 s.

--- a/src/coltsfootarch/fleet/followers.py
+++ b/src/coltsfootarch/fleet/followers.py
@@ -33,10 +33,20 @@
 MAX_CONFIRMATION_AGE_S = FEED_GAP_S + 0.4
 # Shortest wait for changes on a link that needs long for the policy's transfer.
 MIN_POLICY_WAIT_S = 0.4
+# Age of a confirmation that was passed on by another host from which this host
+# reads the policy by itself, and the interval at which it checks the age. The
+# read has about a second before the limit for withdrawn keys.
+MAX_PASSED_AGE_S = 3.0
+PASSED_CHECK_S = 0.2
+# Time after which a read of the changes since the last one may fail, as the
+# store keeps its history for 20 s only.
+HISTORY_S = 10.0
 # Registrations change with every heartbeat, so that a blocking read would
 # return at once. They are read at this interval instead, less than half of the
 # time after which an upstream that leaves must get no more requests (2 s).
 UPSTREAM_INTERVAL_S = 0.9
+# The same behind relays, through which a read takes longer to arrive.
+RELAYED_UPSTREAM_INTERVAL_S = 1.6
 # The first hosts by name read more often and report the result at once, so that
 # the others needn't read. Two of them, since one may lose its connection to the
 # store without the others noticing.
@@ -128,7 +138,8 @@
 
     It is never replaced by an older version. `confirmed_at` is the instant, in
     seconds, as of which a read last confirmed this version to be the newest;
-    see `PolicyReadResult.sent_at`. `last_transfer` is the size and duration of
+    see `PolicyReadResult.sent_at`. `announced` is the newest version that other
+    hosts have. `last_transfer` is the size and duration of
     the answer that brought it.
 
     Args:
@@ -141,6 +152,7 @@
         self.last_transfer = transfers.Transfer()
         self.confirmed_at = float("-inf")
         self.confirmed = gevent.event.Event()
+        self.announced = -1
         self.on_change: list[Callable[[policy.Policy], object]] = []
 
     def apply(self, result: PolicyReadResult) -> None:
@@ -171,6 +183,30 @@
             self.confirmed.set()
             self.confirmed.clear()
 
+    def version(self) -> int:
+        """Returns the version of the policy; -1 if there is none."""
+        return self.policy.version if self.policy else -1
+
+    def is_behind(self) -> bool:
+        """Returns whether another host has a newer version."""
+        return self.announced > self.version()
+
+    def confirm_passed(self, version: int, at: float) -> None:
+        """Records a confirmation by another host.
+
+        Args:
+            version: Version that was confirmed, or that the other host has.
+            at: Instant, in seconds, not later than the confirmation; minus
+                infinity if the version was not confirmed.
+        """
+        if version > self.announced:
+            self.announced = version
+        if version != self.version() or at > self.clock.monotonic():
+            return
+        self.confirmed_at = max(self.confirmed_at, at)
+        self.confirmed.set()
+        self.confirmed.clear()
+
     def age(self) -> float:
         """Returns the seconds since the policy was last confirmed."""
         return self.clock.monotonic() - self.confirmed_at
@@ -284,10 +320,18 @@
         tracker: Holds the active policy.
         clock: Source of time.
         wait_s: Longest time that a read waits for a change, in seconds.
+        is_passed_on: Returns whether another host reads the policy and passes
+            its confirmations on to this host.
+        wait_fraction: Returns the part of the longest wait to use. Readers that
+            share their confirmations choose it at random: a change ends the
+            waits of all of them at once, and the next ones would end together
+            as well.
 
     Attributes:
         confirm_now: Whether the next read must not wait, since the policy was
             confirmed too long ago.
+        read_at: Instant of the last successful read, in seconds.
+        fallback_reads: Reads because what was passed on was too old.
     """
 
     def __init__(
@@ -296,8 +340,14 @@
         tracker: PolicyTracker,
         clock: clocks.Clock,
         wait_s: float = POLICY_WAIT_S,
+        is_passed_on: Callable[[], bool] = lambda: False,
+        wait_fraction: Callable[[], float] = lambda: 1.0,
     ) -> None:
         super().__init__("policy", clock)
+        self.wait_fraction = wait_fraction
+        self.is_passed_on = is_passed_on
+        self.read_at = float("-inf")
+        self.fallback_reads = 0
         self.wait_s = wait_s
         self.source = source
         self.tracker = tracker
@@ -310,15 +360,25 @@
         soon as the store is back. Otherwise the wait leaves time to transfer a
         change before the confirmation of the present policy expires.
         """
-        if self.failing_since is not None or self.confirm_now:
+        if (
+            self.failing_since is not None
+            or self.confirm_now
+            or self.is_passed_on()
+        ):
             return 0.0
         transfer_s = self.tracker.last_transfer.received_s
         shortest_s = min(self.wait_s, MIN_POLICY_WAIT_S)
-        return max(self.wait_s - transfer_s, shortest_s)
+        return max(self.wait_s * self.wait_fraction() - transfer_s, shortest_s)
 
     def step(self) -> float:
-        """Reads once; see `Follower`."""
-        if self.revision is None:
+        """Reads once, unless another host passes on what it reads."""
+        if self.revision is not None and self.is_passed_on():
+            if not self.must_read():
+                return PASSED_CHECK_S
+            if not self.tracker.is_behind():
+                self.fallback_reads += 1
+        now = self.clock.monotonic()
+        if self.revision is None or now - self.read_at > HISTORY_S:
             result = self.source.read()
         else:
             wait = self.next_wait_s()
@@ -331,6 +391,7 @@
                     sent_at=result.sent_at + max(confirmed_s, 0.0)
                 )
         self.revision = result.revision
+        self.read_at = self.clock.monotonic()
         self.tracker.apply(result)
         self.confirm_now = (
             result.policy is not None
@@ -338,6 +399,11 @@
         )
         return 0.0 if self.tracker.policy is not None else RETRY_MIN_S
 
+    def must_read(self) -> bool:
+        """Returns whether what others pass on isn't enough."""
+        tracker = self.tracker
+        return tracker.is_behind() or tracker.age() > MAX_PASSED_AGE_S
+
 
 class UpstreamFollower(Follower):
     """Follows changes of the registered upstreams.
@@ -348,6 +414,7 @@
         clock: Source of time.
         rank: Returns the number of reachable hosts before this one by name.
         on_read: Called after each read, to report it to the other hosts.
+        is_relayed: Returns whether reports of reads arrive through relays.
     """
 
     def __init__(
@@ -357,8 +424,10 @@
         clock: clocks.Clock,
         rank: Callable[[], int] = lambda: 0,
         on_read: Callable[[], object] = lambda: None,
+        is_relayed: Callable[[], bool] = lambda: False,
     ) -> None:
         super().__init__("upstreams", clock)
+        self.is_relayed = is_relayed
         self.max_retry_pause_s = UPSTREAM_RETRY_MAX_S
         self.rank = rank
         self.on_read = on_read
@@ -384,4 +453,6 @@
         """Returns the age from which entries are read again, in seconds."""
         if self.rank() < READER_COUNT:
             return READER_INTERVAL_S
+        if self.is_relayed():
+            return RELAYED_UPSTREAM_INTERVAL_S
         return UPSTREAM_INTERVAL_S
--- a/src/coltsfootarch/fleet/hosts.py
+++ b/src/coltsfootarch/fleet/hosts.py
@@ -13,6 +13,8 @@
 from coltsfootarch import periodic
 
 if TYPE_CHECKING:
+    import random
+
     from coltsfootarch import clock as clocks
 
 # Interval at which this host renews its row in the store and reads the rows of
@@ -24,6 +26,14 @@
 # While all known hosts are reachable, rows are read only with one of this many
 # renewals; new hosts are found by their reports.
 RENEWALS_PER_READ = 4
+# The same for hosts that exchange state through relays, whose messages tell the
+# number of hosts. While hosts are missing, relays read the rows at the interval
+# above, so that a serving host's row is seen to change within this time.
+RELAYED_RENEWAL_INTERVAL = datetime.timedelta(seconds=30)
+RELAYED_RENEWAL_VALIDITY_S = 45.0
+# A host that starts while others start reads the rows again after this time,
+# plus up to as much again at random.
+READ_AFTER_START_S = 2.0
 RENEWALS_AT_START = 2
 RETRY_INTERVAL = datetime.timedelta(seconds=2)
 # A host whose last report is older counts as unreachable. Reports are sent at
@@ -31,6 +41,16 @@
 REPORT_TIMEOUT_S = 1.2
 # A row that isn't renewed is removed after this time.
 REMOVAL_S = 120.0
+# Time for which the number of reached hosts that a relay passed on is valid.
+PASSED_COUNTS_VALIDITY_S = 2.0
+# Time for which the size of the fleet that another host stated is valid.
+TOLD_VALIDITY_S = 5.0
+# Rank of hosts that don't relay, behind all relays.
+MEMBER_RANK = 1_000_000
+
+# Fleets of up to this size exchange reports directly. A host of 12 sends and
+# receives about as many messages then as a relay among hundreds.
+MAX_DIRECT_HOSTS = 12
 
 logger = structlog.get_logger(__name__)
 
@@ -80,12 +100,37 @@
         self.last_report_at = float("-inf")
 
 
+class PassedCounts(NamedTuple):
+    """Numbers of hosts that are known through relays.
+
+    Attributes:
+        received_at: Instant at which they arrived, in seconds.
+        reached: Hosts whose state is included in the relay's sums.
+        expected: Hosts that may be serving.
+    """
+
+    received_at: float
+    reached: int
+    expected: int
+
+
 class HostDirectory:
     """Directory of the other hosts, by name.
 
     Args:
         own: Record of this host.
         clock: Source of time.
+
+    Attributes:
+        peers: The other hosts by name.
+        stale: Names of hosts whose rows should be removed.
+        known: Whether the rows were read.
+        generation: Number of changes of the peers' names and records.
+        passed: Latest counts through relays; None if hosts report directly.
+        told: Size of the fleet that another host stated last; a host that has
+            just started may know only a few others.
+        relays: Relays that this host hears, with itself, in order of name;
+            None if it doesn't relay.
     """
 
     def __init__(self, own: HostRecord, clock: clocks.Clock) -> None:
@@ -94,11 +139,16 @@
         self.peers: dict[str, Peer] = {}
         self.stale: list[str] = []
         self.known = False
+        self.generation = 0
+        self.passed: PassedCounts | None = None
+        self.told: PassedCounts | None = None
+        self.relays: list[str] | None = None
 
     def apply(self, records: list[HostRecord]) -> None:
         """Updates the peers from a complete read of all records."""
         now = self.clock.monotonic()
         self.known = True
+        self.generation += 1
         present = set()
         for record in records:
             if record.name == self.own.name:
@@ -122,15 +172,33 @@
             if now - max(peer.renewed_at, peer.last_report_at) > REMOVAL_S
         ]
 
-    def record_report(self, name: str, address: str, incarnation: int) -> None:
-        """Records that a report of a peer arrived; adds an unknown peer."""
+    def record_report(
+        self,
+        name: str,
+        address: str,
+        incarnation: int,
+        availability_zone: str = "",
+    ) -> None:
+        """Records that a message of a peer arrived; adds an unknown peer."""
         now = self.clock.monotonic()
         peer = self.peers.get(name)
         if peer is None or peer.record.address != address:
-            record = HostRecord(name, address, "", incarnation, 0)
+            record = HostRecord(
+                name, address, availability_zone, incarnation, 0
+            )
             peer = self.peers[name] = Peer(record, now)
+            self.generation += 1
+        elif availability_zone and not peer.record.availability_zone:
+            peer.record = peer.record._replace(
+                availability_zone=availability_zone
+            )
+            self.generation += 1
         peer.last_report_at = now
 
+    def pass_counts(self, reached: int, expected: int) -> None:
+        """Records the numbers of hosts that are known through relays."""
+        self.passed = PassedCounts(self.clock.monotonic(), reached, expected)
+
     def is_reachable(self, peer: Peer) -> bool:
         """Returns whether a report of a peer arrived recently."""
         return self.clock.monotonic() - peer.last_report_at <= REPORT_TIMEOUT_S
@@ -146,21 +214,57 @@
             A fraction between 0 and 1, for this host and its reachable peers
             together.
         """
-        now = self.clock.monotonic()
-        reachable = unreachable = 0
-        for peer in self.peers.values():
-            if now - peer.last_report_at <= REPORT_TIMEOUT_S:
-                reachable += 1
-            elif now - peer.renewed_at <= RENEWAL_VALIDITY_S:
-                unreachable += 1
-        return (1 + reachable) / (1 + reachable + unreachable)
+        reached = self.reached()
+        return reached / max(self.count(), reached)
+
+    def reached(self) -> int:
+        """Returns the number of hosts whose state arrives, with this one."""
+        passed = self.passed
+        if passed is not None and self.is_valid(passed):
+            return max(passed.reached, 1)
+        return 1 + sum(map(self.is_reachable, self.peers.values()))
+
+    def is_relayed(self) -> bool:
+        """Returns whether hosts exchange state through relays."""
+        return self.passed is not None
+
+    def is_valid(self, passed: PassedCounts) -> bool:
+        """Returns whether counts arrived recently."""
+        age = self.clock.monotonic() - passed.received_at
+        return age <= PASSED_COUNTS_VALIDITY_S
+
+    def is_large(self) -> bool:
+        """Returns whether the fleet is too large for direct reports."""
+        told = self.told
+        if (
+            told is not None
+            and self.clock.monotonic() - told.received_at <= TOLD_VALIDITY_S
+            and told.expected > MAX_DIRECT_HOSTS
+        ):
+            return True
+        return self.count() > MAX_DIRECT_HOSTS
+
+    def tell_size(self, expected: int) -> None:
+        """Records the size of the fleet as another host knows it."""
+        if expected:
+            self.told = PassedCounts(self.clock.monotonic(), 0, expected)
 
     def all_reachable(self) -> bool:
         """Returns whether all known peers are reachable."""
+        if self.passed is not None:
+            return self.reached() >= self.count()
         return all(map(self.is_reachable, self.peers.values()))
 
     def rank(self) -> int:
-        """Returns the number of reachable hosts before this one by name."""
+        """Returns the number of hosts that precede this one in duties.
+
+        These are the reachable hosts before this one by name. If there are
+        relays, only they have duties.
+        """
+        if self.passed is not None:
+            if self.relays is None:
+                return MEMBER_RANK
+            return self.relays.index(self.own.name)
         return sum(
             name < self.own.name and self.is_reachable(peer)
             for name, peer in self.peers.items()
@@ -169,11 +273,18 @@
     def count(self) -> int:
         """Returns the number of hosts that may be serving, with this one."""
         now = self.clock.monotonic()
-        oldest = now - RENEWAL_VALIDITY_S
-        return 1 + sum(
+        passed = self.passed
+        validity_s = (
+            RENEWAL_VALIDITY_S if passed is None else RELAYED_RENEWAL_VALIDITY_S
+        )
+        oldest = now - validity_s
+        known = 1 + sum(
             max(peer.last_report_at, peer.renewed_at) >= oldest
             for peer in self.peers.values()
         )
+        if passed is not None and passed.received_at >= oldest:
+            return max(known, passed.expected)
+        return known
 
 
 class HostRenewer:
@@ -183,6 +294,7 @@
         registry: Durable list of hosts.
         directory: Directory to update.
         clock: Source of time.
+        generator: Source of randomness.
     """
 
     def __init__(
@@ -190,11 +302,14 @@
         registry: HostRegistry,
         directory: HostDirectory,
         clock: clocks.Clock,
+        generator: random.Random,
     ) -> None:
         self.registry = registry
         self.directory = directory
         self.clock = clock
+        self.generator = generator
         self.failing = False
+        self.just_started = True
         self.task = periodic.PeriodicTask(
             "host row", RENEWAL_INTERVAL, self.try_renew, clock
         )
@@ -210,20 +325,44 @@
 
     def pause(self) -> datetime.timedelta:
         """Returns the time until the next renewal."""
-        return RETRY_INTERVAL if self.failing else RENEWAL_INTERVAL
+        if self.failing:
+            return RETRY_INTERVAL
+        directory = self.directory
+        if self.just_started:
+            seconds = READ_AFTER_START_S * (1 + self.generator.random())
+            return datetime.timedelta(seconds=seconds)
+        if directory.passed is None:
+            return RENEWAL_INTERVAL
+        if directory.relays is not None and not directory.all_reachable():
+            return RENEWAL_INTERVAL
+        return RELAYED_RENEWAL_INTERVAL
 
     def try_renew(self) -> None:
         """Renews; logs only the first of successive failures."""
         try:
-            self.renew()
+            self.step()
             self.failing = False
         except errors.PlatformError as error:
             if not self.failing:
                 logger.warning("host row not renewed", reason=error.message)
             self.failing = True
 
+    def step(self) -> None:
+        """Renews; the second time only reads, and only in a large fleet.
+
+        Of many hosts that start together none finds all others at first.
+        """
+        if not self.directory.own.renewals:
+            self.renew()
+        elif self.just_started:
+            self.just_started = False
+            if self.directory.is_large():
+                self.read()
+        else:
+            self.renew()
+
     def renew(self) -> None:
-        """Writes this host's record; reads all if due; removes a stale one."""
+        """Writes this host's record; reads all records if due."""
         own = self.directory.own
         self.directory.own = own._replace(renewals=own.renewals + 1)
         self.registry.write(self.directory.own)
@@ -234,6 +373,10 @@
             and self.directory.all_reachable()
         ):
             return
+        self.read()
+
+    def read(self) -> None:
+        """Reads the records of all hosts; removes a stale one."""
         self.directory.apply(self.registry.read())
         for name in self.directory.stale[:1]:
             self.registry.remove(name)
--- /dev/null
+++ b/src/coltsfootarch/fleet/relayed.py
@@ -0,0 +1,663 @@
+"""Exchange of state through relays; `docs/exchange.md` describes the design.
+
+This module decides who sends what to whom and when. It needs neither a socket
+nor a clock of its own, so that tests can step hundreds of hosts.
+"""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+from typing import Protocol
+
+import msgspec
+import structlog
+
+from coltsfootarch.fleet import envelopes
+from coltsfootarch.fleet import hosts
+from coltsfootarch.fleet import merging
+from coltsfootarch.fleet import reports
+from coltsfootarch.fleet import topology
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from coltsfootarch import clock as clocks
+
+# Interval of messages. A view of this age at three stages (member, relay,
+# relay) is about as old as direct reports of 80 hosts were.
+TICK_S = 0.25
+# Silence after which a member joins another relay, and the time that a relay
+# has to answer a host that joins.
+RELAY_TIMEOUT_S = 0.8
+# Interval at which a member asks whether the relay that it prefers is back.
+PROBE_INTERVAL_S = 2.0
+# Time without a relay after which a host takes part as one.
+UNATTACHED_S = 1.0
+# Hosts that were reached within this time count as possibly serving.
+PEAK_S = 25.0
+# Sum of the hosts behind this host's relay, as the sender of its report.
+FLEET = "fleet"
+# A sender is logged as unreadable at most once in this time, in seconds.
+LOG_INTERVAL_S = 60.0
+
+logger = structlog.get_logger(__name__)
+
+Kind = envelopes.Kind
+
+
+class PolicyConfirmations(Protocol):
+    """Policy of this host, whose confirmation is passed on."""
+
+    def version(self) -> int:
+        """Returns the version in force; -1 if there is none."""
+
+    def age(self) -> float:
+        """Returns the seconds since it was last confirmed."""
+
+    def confirm_passed(self, version: int, at: float) -> None:
+        """Records that another host confirmed a version.
+
+        Args:
+            version: The version.
+            at: Instant, in seconds of this host's clock, not later than the
+                confirmation.
+        """
+
+
+class Source(NamedTuple):
+    """Latest message of another host.
+
+    Attributes:
+        received_at: Instant at which it arrived, in seconds.
+        address: "ip:port" of the host.
+        envelope: The message.
+        report: Its report, with the name under which it is applied.
+    """
+
+    received_at: float
+    address: str
+    envelope: envelopes.Envelope
+    report: reports.Report
+
+
+class ExchangeCounts:
+    """Numbers of messages and bytes, for metrics.
+
+    Attributes:
+        sent: Messages sent by kind.
+        sent_bytes: Bytes of them by kind.
+        received: Messages received by kind.
+        received_bytes: Bytes of them by kind.
+        dropped: Messages dropped by reason.
+    """
+
+    def __init__(self) -> None:
+        self.sent: collections.Counter[str] = collections.Counter()
+        self.sent_bytes: collections.Counter[str] = collections.Counter()
+        self.received: collections.Counter[str] = collections.Counter()
+        self.received_bytes: collections.Counter[str] = collections.Counter()
+        self.dropped: collections.Counter[str] = collections.Counter()
+
+
+class RelayedExchange:
+    """One host's part in the exchange through relays.
+
+    Args:
+        directory: Directory of the other hosts.
+        clock: Source of time.
+        make_report: Returns a report of this host's own state.
+        apply_report: Merges a report; see `reports.Participant`.
+        send: Sends a datagram to an address.
+        confirmations: Policy of this host.
+        is_excluded: Returns whether a host, given by its name, can't relay.
+
+    Attributes:
+        relay: Relay that includes this host in its sums; None without one.
+        relaying: Whether this host relays.
+    """
+
+    def __init__(
+        self,
+        directory: hosts.HostDirectory,
+        clock: clocks.Clock,
+        make_report: Callable[[], reports.Report],
+        apply_report: Callable[[reports.Report, bool], object],
+        send: Callable[[bytes, str], object],
+        confirmations: PolicyConfirmations,
+        is_excluded: Callable[[str], bool] = lambda name: False,
+    ) -> None:
+        self.directory = directory
+        self.clock = clock
+        self.make_report = make_report
+        self.apply_report = apply_report
+        self.send_datagram = send
+        self.confirmations = confirmations
+        self.topology = topology.Topology(directory, clock, is_excluded)
+        self.assembler = envelopes.PageAssembler()
+        self.usage = merging.UsageTotals(clock.monotonic)
+        self.group_usage = merging.UsageTotals(clock.monotonic)
+        self.counts = ExchangeCounts()
+        self.sequence = 0
+        self.relay: str | None = None
+        self.relaying = False
+        self.joining: str | None = None
+        self.joining_since = 0.0
+        self.unattached_since: float | None = None
+        self.probed: str | None = None
+        self.probed_at = float("-inf")
+        # By name of the sender: the latest message of each, those that are
+        # included in this host's sums, and the instant of the first unanswered
+        # message to a relay.
+        self.latest: dict[str, Source] = {}
+        self.members: dict[str, Source] = {}
+        self.groups: dict[str, Source] = {}
+        self.unanswered_since: dict[str, float] = {}
+        self.reached_history: collections.deque[tuple[float, int]] = (
+            collections.deque()
+        )
+        self.logged_at = float("-inf")
+
+    # Sending.
+
+    def tick(self) -> None:
+        """Sends what is due; called every `TICK_S` and on important changes."""
+        self.expire()
+        self.choose_role()
+        if self.relaying:
+            self.send_sums()
+        else:
+            self.send_to_relay()
+
+    def choose_role(self) -> None:
+        """Decides whether this host relays, and which relay it joins."""
+        now = self.clock.monotonic()
+        if self.relay is not None and self.is_relay_silent(now):
+            logger.info("relay does not answer", relay=self.relay)
+            self.topology.record_failure(self.relay)
+            self.relay = None
+        if self.topology.own_relay() == self.directory.own.name or self.members:
+            self.joining = self.unattached_since = None
+            self.start_relaying()
+            return
+        if self.relay is not None:
+            self.unattached_since = None
+            self.stop_relaying()
+            return
+        if self.unattached_since is None:
+            self.unattached_since = now
+        if now - self.unattached_since > UNATTACHED_S:
+            self.start_relaying()
+        self.choose_relay_to_join(now)
+
+    def is_relay_silent(self, now: float) -> bool:
+        """Returns whether the relay has sent nothing for too long."""
+        source = self.latest.get(self.relay or "")
+        return source is None or now - source.received_at > RELAY_TIMEOUT_S
+
+    def choose_relay_to_join(self, now: float) -> None:
+        """Chooses the relay to join; replaces one that didn't answer."""
+        if self.joining is not None and (
+            now - self.joining_since > RELAY_TIMEOUT_S
+        ):
+            self.topology.record_failure(self.joining)
+            self.joining = None
+        preferred = self.topology.own_relay()
+        if self.joining is None and preferred != self.directory.own.name:
+            self.joining = preferred
+            self.joining_since = now
+
+    def start_relaying(self) -> None:
+        """Begins to relay; sums of the previous relay no longer apply."""
+        if self.relaying:
+            return
+        self.relaying = True
+        if self.relay is not None:
+            self.relay = None
+            self.apply_report(reports.empty_report(FLEET, 0, 0), False)
+        logger.info("relaying started", members=len(self.members))
+
+    def stop_relaying(self) -> None:
+        """Ends relaying; sums of other relays no longer apply."""
+        if not self.relaying:
+            return
+        self.relaying = False
+        self.directory.relays = None
+        for source in self.groups.values():
+            cleared = reports.empty_report(source.report.host, 0, 0)
+            self.apply_report(cleared, False)
+        self.groups.clear()
+        self.unanswered_since.clear()
+        logger.info("relaying stopped", relay=self.relay)
+
+    def send_to_relay(self) -> None:
+        """Sends this host's state to its relay; probes a preferred one."""
+        target = self.relay or self.joining
+        if target is None:
+            return
+        report = reports.encode(self.make_report())
+        self.send(target, Kind.MEMBER, report, hosts_included=1)
+        now = self.clock.monotonic()
+        preferred = self.topology.own_relay()
+        if (
+            self.relay is not None
+            and preferred not in (self.relay, self.directory.own.name)
+            and now - self.probed_at > PROBE_INTERVAL_S
+        ):
+            self.probed = preferred
+            self.probed_at = now
+            self.send(preferred, Kind.PROBE)
+
+    def send_sums(self) -> None:
+        """Sends the sum of the group to relays and all others to members."""
+        own = self.make_report()
+        own_usage = self.usage.differences("", own.usage, True)
+        self.usage.add(own_usage)
+        self.group_usage.add(own_usage)
+        now = self.clock.monotonic()
+        included = 1 + len(self.members)
+        reached = included + sum(
+            source.envelope.hosts for source in self.groups.values()
+        )
+        self.record_reached(reached)
+        own_received = merging.Received(own)
+        of_members = {
+            name: received(source, now) for name, source in self.members.items()
+        }
+        group = self.add_own(
+            merging.merge([own_received, *of_members.values()]),
+            own,
+            self.group_usage.usage(),
+        )
+        data = reports.encode(group)
+        for name in self.relay_targets():
+            self.send(name, Kind.GROUP, data, included)
+            self.note_unanswered(name, now)
+        others = merging.Received(
+            merging.merge(
+                received(source, now) for source in self.groups.values()
+            )
+        )
+        for name in list(self.members):
+            self.send_fleet(name, own, others, of_members)
+        if self.joining is not None:
+            # A relay that isn't known to answer must not include this host yet.
+            self.probed = self.joining
+            self.send(self.joining, Kind.PROBE)
+
+    def send_fleet(
+        self,
+        member: str,
+        own: reports.Report,
+        others: merging.Received,
+        of_members: dict[str, merging.Received],
+    ) -> None:
+        """Sends a member the sum of all other hosts."""
+        merged = merging.merge(
+            [
+                merging.Received(own),
+                others,
+                *(each for name, each in of_members.items() if name != member),
+            ]
+        )
+        report = self.add_own(merged, own, self.usage.usage(without=member))
+        passed = self.directory.passed
+        self.send(
+            member,
+            Kind.FLEET,
+            reports.encode(report),
+            hosts_included=passed.reached if passed else 1,
+        )
+
+    def add_own(
+        self,
+        merged: reports.Report,
+        own: reports.Report,
+        usage: list[tuple[str, int, int]],
+    ) -> reports.Report:
+        """Returns a sum with this host's registrations and with usage."""
+        return merged._replace(
+            host=own.host,
+            incarnation=own.incarnation,
+            sequence=own.sequence,
+            usage=usage,
+            directory=own.directory,
+            directory_age_ms=own.directory_age_ms,
+            directory_revision=own.directory_revision,
+            directory_base=own.directory_base,
+            directory_changed=own.directory_changed,
+            directory_removed=own.directory_removed,
+        )
+
+    def relay_targets(self) -> Iterable[str]:
+        """Returns the relays to which this host sends its sum."""
+        targets = set(self.topology.all_relays())
+        targets.update(
+            name
+            for name, source in self.groups.items()
+            if source.envelope.hosts
+        )
+        targets.discard(self.directory.own.name)
+        return sorted(targets)
+
+    def note_unanswered(self, name: str, now: float) -> None:
+        """Records a failure of a relay that hasn't answered for too long."""
+        if name in self.groups:
+            self.unanswered_since.pop(name, None)
+            return
+        since = self.unanswered_since.setdefault(name, now)
+        if now - since > hosts.REPORT_TIMEOUT_S:
+            self.topology.record_failure(name)
+            del self.unanswered_since[name]
+
+    def record_reached(self, included: int) -> None:
+        """Records the number of hosts in the sums and those expected.
+
+        A host that moves to another relay is in two sums for a moment.
+        """
+        now = self.clock.monotonic()
+        reached = min(included, 1 + len(self.directory.peers))
+        history = self.reached_history
+        while history and history[0][0] < now - PEAK_S:
+            history.popleft()
+        # Only counts that no later one exceeds can become the peak.
+        while history and history[-1][1] <= reached:
+            history.pop()
+        history.append((now, reached))
+        passed = self.directory.passed
+        # The number that was passed on last must not keep itself alive.
+        self.directory.passed = None
+        known = self.directory.count()
+        self.directory.passed = passed
+        self.directory.pass_counts(reached, max(history[0][1], known))
+        others = [
+            name
+            for name, source in self.groups.items()
+            if source.envelope.hosts
+        ]
+        self.directory.relays = sorted([self.directory.own.name, *others])
+
+    def leave(self) -> None:
+        """Ends the exchange through relays, as the fleet has become small."""
+        if self.directory.passed is None:
+            return
+        self.stop_relaying()
+        self.relay = self.joining = None
+        self.directory.passed = None
+        self.apply_report(reports.empty_report(FLEET, 0, 0), False)
+        logger.info("exchange through relays ended")
+
+    def send(
+        self,
+        name: str,
+        kind: Kind,
+        report: bytes = b"",
+        hosts_included: int = 0,
+    ) -> None:
+        """Sends a message to a host, if its address is known."""
+        peer = self.directory.peers.get(name)
+        latest = self.latest.get(name)
+        if latest is not None:
+            address = latest.address
+        elif peer is not None:
+            address = peer.record.address
+        else:
+            return
+        now = self.clock.monotonic()
+        own = self.directory.own
+        self.sequence += 1
+        age_s = self.confirmations.age()
+        envelope = envelopes.Envelope(
+            envelopes.PROTOCOL_VERSION,
+            kind,
+            own.name,
+            own.availability_zone,
+            own.incarnation,
+            self.sequence,
+            int(now * 1000),
+            latest.envelope.incarnation if latest else -1,
+            latest.envelope.sent_ms if latest else 0,
+            int((now - latest.received_at) * 1000) if latest else 0,
+            hosts_included,
+            self.directory.count(),
+            self.confirmations.version(),
+            # Rounded up, since a confirmation must not look more recent.
+            int(age_s * 1000) + 1 if age_s < PEAK_S else -1,
+            report,
+        )
+        for page in envelopes.encode(envelope):
+            self.counts.sent_bytes[kind.value] += len(page)
+            self.send_datagram(page, address)
+        self.counts.sent[kind.value] += 1
+
+    # Receiving.
+
+    def receive(self, data: bytes, address: str) -> None:
+        """Handles a datagram; drops unreadable and outdated messages.
+
+        Args:
+            data: Content of the datagram.
+            address: "ip:port" of the sender.
+        """
+        try:
+            envelope = self.assembler.add(data)
+            if envelope is None:
+                return
+            report = decode_report(envelope)
+        except envelopes.UnreadableMessageError as error:
+            self.drop(error.reason, address)
+            return
+        self.counts.received[envelope.kind.value] += 1
+        self.counts.received_bytes[envelope.kind.value] += len(data)
+        if envelope.sender == self.directory.own.name:
+            self.drop("own", address)
+            return
+        now = self.clock.monotonic()
+        previous = self.latest.get(envelope.sender)
+        if previous is not None and is_outdated(envelope, previous, now):
+            self.drop("outdated", address)
+            return
+        if self.is_late(envelope, now):
+            self.drop("late", address)
+            return
+        source = Source(now, address, envelope, report)
+        self.latest[envelope.sender] = source
+        self.topology.record_answer(envelope.sender)
+        self.directory.record_report(
+            envelope.sender,
+            address,
+            envelope.incarnation,
+            envelope.availability_zone,
+        )
+        self.directory.tell_size(envelope.expected)
+        self.note_confirmation(envelope)
+        self.handle(source, previous)
+
+    def handle(self, source: Source, previous: Source | None) -> None:
+        """Handles a message by its kind."""
+        kind = source.envelope.kind
+        if kind is Kind.MEMBER:
+            self.handle_member(source)
+        elif kind is Kind.GROUP:
+            self.handle_group(source)
+        elif kind is Kind.FLEET:
+            self.handle_fleet(source, previous)
+        elif kind is Kind.PROBE:
+            self.send(source.envelope.sender, Kind.PROBE_ANSWER)
+        elif source.envelope.sender == self.probed:
+            self.handle_probe_answer(source.envelope.sender)
+
+    def handle_member(self, source: Source) -> None:
+        """Includes a member in the sums."""
+        name = source.envelope.sender
+        previous = self.members.get(name)
+        self.members[name] = source
+        continuous = is_continuous(source, previous)
+        self.apply_report(source.report, continuous)
+        differences = self.usage.differences(
+            name, source.report.usage, continuous
+        )
+        self.usage.add(differences, member=name)
+        self.group_usage.add(differences)
+        if previous is None:
+            logger.debug("member joined", member=name)
+
+    def handle_group(self, source: Source) -> None:
+        """Includes another relay's sum; a host that doesn't relay answers."""
+        name = source.envelope.sender
+        if not self.relaying:
+            # It is included elsewhere, but shows that it is reachable.
+            self.send(name, Kind.GROUP, hosts_included=0)
+            return
+        self.members.pop(name, None)
+        previous = self.groups.get(name)
+        self.groups[name] = source
+        continuous = is_continuous(source, previous)
+        report = source.report._replace(host=f"relay/{name}")
+        self.groups[name] = source._replace(report=report)
+        self.apply_report(report, continuous)
+        self.usage.add(
+            self.usage.differences(f"relay/{name}", report.usage, continuous)
+        )
+
+    def handle_fleet(self, source: Source, previous: Source | None) -> None:
+        """Applies the sum that this host's relay sent."""
+        name = source.envelope.sender
+        if self.relaying and self.members:
+            return
+        if name == self.joining:
+            logger.info("relay joined", relay=name)
+            self.relay, self.joining = name, None
+        if name != self.relay:
+            return
+        continuous = (
+            previous is not None
+            and previous.envelope.kind is Kind.FLEET
+            and is_continuous(source, previous)
+        )
+        self.directory.pass_counts(
+            source.envelope.hosts, source.envelope.expected
+        )
+        self.apply_report(source.report._replace(host=FLEET), continuous)
+
+    def handle_probe_answer(self, name: str) -> None:
+        """Joins the preferred relay, which has answered."""
+        self.probed = None
+        if self.members or name != self.topology.own_relay():
+            return
+        self.relay, self.joining = None, name
+        self.joining_since = self.unattached_since = self.clock.monotonic()
+        self.stop_relaying()
+
+    def note_confirmation(self, envelope: envelopes.Envelope) -> None:
+        """Passes on a confirmation of the policy.
+
+        The age alone proves nothing, since datagrams may be delivered late. The
+        echo of this host's own clock does: the sender had that message for
+        `held_ms`, and its confirmation is `policy_age_ms` old.
+        """
+        if envelope.policy_version < 0:
+            return
+        at = float("-inf")
+        own = self.directory.own.incarnation
+        if envelope.echo_incarnation == own and envelope.policy_age_ms >= 0:
+            at_ms = envelope.echo_ms + envelope.held_ms - envelope.policy_age_ms
+            at = at_ms / 1000
+        self.confirmations.confirm_passed(envelope.policy_version, at)
+
+    def is_late(self, envelope: envelopes.Envelope, now: float) -> bool:
+        """Returns whether a message was sent too long ago, as its echo shows.
+
+        A host that was suspended finds such messages in its socket.
+        """
+        if envelope.echo_incarnation != self.directory.own.incarnation:
+            return False
+        age = now - (envelope.echo_ms + envelope.held_ms) / 1000
+        return age > hosts.REPORT_TIMEOUT_S
+
+    def expire(self) -> None:
+        """Drops members and relays that have fallen silent."""
+        oldest = self.clock.monotonic() - hosts.REPORT_TIMEOUT_S
+        for name in [
+            name
+            for name, source in self.members.items()
+            if source.received_at < oldest
+        ]:
+            del self.members[name]
+            self.usage.forget(name)
+            logger.debug("member left", member=name)
+        for name in [
+            name
+            for name, source in self.groups.items()
+            if source.received_at < oldest
+        ]:
+            del self.groups[name]
+            self.usage.forget(f"relay/{name}")
+            logger.info("other relay is silent", relay=name)
+
+    def drop(self, reason: str, address: str) -> None:
+        """Counts a dropped message; logs an unreadable one now and then."""
+        self.counts.dropped[reason] += 1
+        now = self.clock.monotonic()
+        if reason not in ("own", "outdated", "late") and (
+            now - self.logged_at > LOG_INTERVAL_S
+        ):
+            self.logged_at = now
+            logger.warning(
+                "message of a host is unreadable; dropped",
+                reason=reason,
+                address=address,
+                dropped=self.counts.dropped[reason],
+            )
+
+
+def received(source: Source, now: float) -> merging.Received:
+    """Returns a report with its age."""
+    return merging.Received(
+        source.report, int((now - source.received_at) * 1000)
+    )
+
+
+def decode_report(envelope: envelopes.Envelope) -> reports.Report:
+    """Returns the report of a message; an empty one if it has none.
+
+    Raises:
+        envelopes.UnreadableMessageError: The report can't be decoded.
+    """
+    if not envelope.report:
+        return reports.empty_report(
+            envelope.sender, envelope.incarnation, envelope.sequence
+        )
+    try:
+        report = reports.decode(envelope.report)
+    except msgspec.DecodeError as error:
+        raise envelopes.UnreadableMessageError("report") from error
+    if report.version != reports.PROTOCOL_VERSION:
+        raise envelopes.UnreadableMessageError("version")
+    return report
+
+
+def is_outdated(
+    envelope: envelopes.Envelope, previous: Source, now: float
+) -> bool:
+    """Returns whether a message precedes one that has arrived already.
+
+    A host that restarts after its clock was set back has a smaller incarnation,
+    which is accepted once messages of the previous one have stopped.
+    """
+    known = previous.envelope
+    if envelope.incarnation == known.incarnation:
+        return envelope.sequence <= known.sequence
+    silent = now - previous.received_at > hosts.REPORT_TIMEOUT_S
+    return envelope.incarnation < known.incarnation and not silent
+
+
+def is_continuous(source: Source, previous: Source | None) -> bool:
+    """Returns whether a message continues the previous one of its sender."""
+    return (
+        previous is not None
+        and previous.envelope.incarnation == source.envelope.incarnation
+        and source.received_at - previous.received_at <= hosts.REPORT_TIMEOUT_S
+    )
--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -17,7 +17,7 @@
 from coltsfootarch.fleet import followers
 from coltsfootarch.fleet import hosts
 from coltsfootarch.fleet import policy
-from coltsfootarch.fleet import reports
+from coltsfootarch.fleet import report_exchange
 from coltsfootarch.fleet import stage_orders
 from coltsfootarch.fleet import upstreams
 from coltsfootarch.forwarding import context
@@ -75,6 +75,8 @@
 # Fraction of the key confirmation time within which the confirmation must have
 # been renewed.
 CONFIRMATION_FRACTION = 0.85
+# Smallest part of the longest wait for policy changes that a relay uses.
+MIN_WAIT_FRACTION = 0.5
 # Fraction of the key confirmation time after which a host that can't confirm
 # the keys reports that it is not ready for new callers.
 READY_CONFIRMATION_FRACTION = 0.9
@@ -107,6 +109,7 @@
         self.writer = writer
         self.settings_path = settings_path
         self.stopping = gevent.event.Event()
+        self.generator = random.Random()
         limits = settings.limits
         own = hosts.HostRecord(
             settings.name,
@@ -140,7 +143,7 @@
             random.Random(),
             self.confirmation_s,
         )
-        self.report_exchange = reports.ReportExchange(
+        self.report_exchange = report_exchange.ReportExchange(
             self.hosts,
             [
                 self.buckets,
@@ -153,6 +156,7 @@
                 self.upstreams,
             ],
             clock,
+            self.policy_tracker,
         )
         self.followers = [
             followers.PolicyFollower(
@@ -160,6 +164,8 @@
                 self.policy_tracker,
                 clock,
                 self.policy_wait_s(),
+                self.is_member,
+                self.policy_wait_fraction,
             ),
             followers.UpstreamFollower(
                 platform.upstreams,
@@ -167,9 +173,12 @@
                 clock,
                 self.hosts.rank,
                 self.report_exchange.send,
+                self.hosts.is_relayed,
             ),
         ]
-        self.renewer = hosts.HostRenewer(platform.hosts, self.hosts, clock)
+        self.renewer = hosts.HostRenewer(
+            platform.hosts, self.hosts, clock, self.generator
+        )
         self.stage_controller = stage_orders.StageController(
             self.policy_tracker,
             self.upstreams,
@@ -205,6 +214,16 @@
         )
         return self.settings.limits.rate_slack * fraction
 
+    def is_member(self) -> bool:
+        """Returns whether a relay passes on the policy's confirmations."""
+        return self.report_exchange.relayed.relay is not None
+
+    def policy_wait_fraction(self) -> float:
+        """Returns the part of the longest wait that a read may block."""
+        if self.hosts.is_relayed():
+            return self.generator.uniform(MIN_WAIT_FRACTION, 1.0)
+        return 1.0
+
     def report_soon(self) -> None:
         """Sends the next report early where the usual interval is long."""
         if self.sampler.many_hosts:
--- a/tests/fleet/test_hosts.py
+++ b/tests/fleet/test_hosts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import datetime
+import random
 
 import pytest
 
@@ -109,7 +110,9 @@
 def test_rows_are_read_rarely_while_all_hosts_are_reachable(manual_clock):
     registry = Registry()
     directory = hosts.HostDirectory(record("h1"), manual_clock)
-    renewer = hosts.HostRenewer(registry, directory, manual_clock)
+    renewer = hosts.HostRenewer(
+        registry, directory, manual_clock, random.Random(1)
+    )
 
     for _ in range(8):
         renewer.renew()
@@ -122,7 +125,9 @@
     registry = Registry()
     registry.write(record("h2"))
     directory = hosts.HostDirectory(record("h1"), manual_clock)
-    renewer = hosts.HostRenewer(registry, directory, manual_clock)
+    renewer = hosts.HostRenewer(
+        registry, directory, manual_clock, random.Random(1)
+    )
 
     for _ in range(8):
         renewer.renew()
--- a/tests/fleet/test_report_exchange.py
+++ b/tests/fleet/test_report_exchange.py
@@ -8,7 +8,7 @@
 
 from coltsfootarch import clock as clocks
 from coltsfootarch.fleet import hosts
-from coltsfootarch.fleet import reports
+from coltsfootarch.fleet import report_exchange
 from coltsfootarch.scheduling import load_view
 from tests.forwarding import edge_host
 
@@ -25,7 +25,9 @@
         directory = hosts.HostDirectory(record, clock)
         directory.apply(records)
         views.append(load_view.LoadView(clock))
-        exchanges.append(reports.ReportExchange(directory, [views[-1]], clock))
+        exchanges.append(
+            report_exchange.ReportExchange(directory, [views[-1]], clock)
+        )
         exchanges[-1].start()
     views[0].add("i-1", 70)
 
@@ -43,7 +45,7 @@
     clock = clocks.SystemClock()
     (address,) = edge_host.free_addresses(1, socket.SOCK_DGRAM)
     record = hosts.HostRecord("h1", address, "z", 1, 0)
-    exchange = reports.ReportExchange(
+    exchange = report_exchange.ReportExchange(
         hosts.HostDirectory(record, clock), [], clock
     )
     monkeypatch.setattr(exchange, "interval", lambda: 60.0)
@@ -55,7 +57,7 @@
 
     for _ in range(5):
         exchange.send_soon()
-    gevent.sleep(reports.URGENT_DELAY_S + 0.1)
+    gevent.sleep(report_exchange.URGENT_DELAY_S + 0.1)
 
     assert sent == [1, 1]
     exchange.close()
--- a/tests/fleet/test_reports.py
+++ b/tests/fleet/test_reports.py
@@ -9,6 +9,7 @@
 import pytest
 
 from coltsfootarch.fleet import hosts
+from coltsfootarch.fleet import report_exchange
 from coltsfootarch.fleet import reports
 from tests.fleet import builders
 
@@ -29,7 +30,7 @@
     own = hosts.HostRecord(
         name, f"127.0.0.1:{7000 + len(name)}", "z", incarnation, 0
     )
-    return reports.ReportExchange(
+    return report_exchange.ReportExchange(
         hosts.HostDirectory(own, clock), [Recorder()], clock
     )
 
@@ -123,12 +124,16 @@
 
 
 def test_interval_grows_with_the_number_of_hosts(receiver):
-    assert receiver.interval() == reports.INTERVAL_S
+    assert receiver.interval() == report_exchange.INTERVAL_S
 
     for number in itertools.islice(itertools.count(), 30):
         receiver.directory.record_report(f"h{number}", "10.0.0.1:1", 1)
 
-    assert reports.INTERVAL_S < receiver.interval() <= reports.MAX_INTERVAL_S
+    assert (
+        report_exchange.INTERVAL_S
+        < receiver.interval()
+        <= report_exchange.MAX_INTERVAL_S
+    )
 
 
 def test_upstream_entries_are_unchanged_by_encoding(receiver, manual_clock):
