Relays: find survivors and wrong choices; step whole fleets in tests

Cause: in stepped fleets, 80% killed at once left groups apart for over 8 s, since silent hosts were tried again before living ones were reached; hosts of the build before were not counted as reached, which halved the limits.

Change: the pause after a failure doubles; zones without an answering relay are searched at random; a host that doesn't relay names its relay; hosts that report directly count as reached. A large fleet reads the rows once less.

--- a/src/coltsfootarch/fleet/envelopes.py
+++ b/src/coltsfootarch/fleet/envelopes.py
@@ -72,6 +72,9 @@
         policy_age_ms: Time since this version was last confirmed to be the
             newest, in milliseconds; -1 if unknown.
         report: Encoded report; empty for messages without state.
+        relay: Name of the relay that includes the sender in its sums; empty if
+            it is in its own.
+        relay_address: "ip:port" of that relay.
     """
 
     version: int
@@ -89,6 +92,8 @@
     policy_version: int = -1
     policy_age_ms: int = -1
     report: bytes = b""
+    relay: str = ""
+    relay_address: str = ""
 
 
 class Page(NamedTuple):
--- a/src/coltsfootarch/fleet/hosts.py
+++ b/src/coltsfootarch/fleet/hosts.py
@@ -195,6 +195,11 @@
             self.generation += 1
         peer.last_report_at = now
 
+    def add(self, record: HostRecord) -> None:
+        """Adds a host that another one named."""
+        self.peers[record.name] = Peer(record, float("-inf"))
+        self.generation += 1
+
     def pass_counts(self, reached: int, expected: int) -> None:
         """Records the numbers of hosts that are known through relays."""
         self.passed = PassedCounts(self.clock.monotonic(), reached, expected)
@@ -367,8 +372,10 @@
         self.directory.own = own._replace(renewals=own.renewals + 1)
         self.registry.write(self.directory.own)
         renewals = self.directory.own.renewals
+        # A large fleet has read the rows a second time since the start.
+        at_start = 1 if self.directory.is_large() else RENEWALS_AT_START
         if (
-            renewals > RENEWALS_AT_START
+            renewals > at_start
             and renewals % RENEWALS_PER_READ
             and self.directory.all_reachable()
         ):
--- a/src/coltsfootarch/fleet/relayed.py
+++ b/src/coltsfootarch/fleet/relayed.py
@@ -21,6 +21,7 @@
 from coltsfootarch.fleet import topology
 
 if TYPE_CHECKING:
+    import random
     from collections.abc import Callable
     from collections.abc import Iterable
 
@@ -38,6 +39,8 @@
 UNATTACHED_S = 1.0
 # Hosts that were reached within this time count as possibly serving.
 PEAK_S = 25.0
+# Hosts of a zone without an answering relay that are tried with each message.
+RANDOM_TARGETS = 2
 # Sum of the hosts behind this host's relay, as the sender of its report.
 FLEET = "fleet"
 # A sender is logged as unreadable at most once in this time, in seconds.
@@ -112,7 +115,9 @@
         apply_report: Merges a report; see `reports.Participant`.
         send: Sends a datagram to an address.
         confirmations: Policy of this host.
-        is_excluded: Returns whether a host, given by its name, can't relay.
+        is_excluded: Returns whether a host, given by its name, reports directly
+            and can't relay.
+        generator: Source of randomness.
 
     Attributes:
         relay: Relay that includes this host in its sums; None without one.
@@ -127,8 +132,11 @@
         apply_report: Callable[[reports.Report, bool], object],
         send: Callable[[bytes, str], object],
         confirmations: PolicyConfirmations,
-        is_excluded: Callable[[str], bool] = lambda name: False,
+        is_excluded: Callable[[str], bool],
+        generator: random.Random,
     ) -> None:
+        self.is_excluded = is_excluded
+        self.generator = generator
         self.directory = directory
         self.clock = clock
         self.make_report = make_report
@@ -204,11 +212,25 @@
         ):
             self.topology.record_failure(self.joining)
             self.joining = None
-        preferred = self.topology.own_relay()
-        if self.joining is None and preferred != self.directory.own.name:
-            self.joining = preferred
+        if self.joining is None:
+            self.joining = self.heard_relay() or self.topology.own_relay()
             self.joining_since = now
 
+    def heard_relay(self) -> str | None:
+        """Returns a relay of this zone that answers this relaying host.
+
+        Only one that precedes this host, so that no two join each other.
+        """
+        own = self.directory.own
+        heard = [
+            name
+            for name, source in self.groups.items()
+            if source.envelope.hosts
+            and source.envelope.availability_zone == own.availability_zone
+            and topology.score(name) < topology.score(own.name)
+        ]
+        return min(heard, key=topology.score, default=None)
+
     def start_relaying(self) -> None:
         """Begins to relay; sums of the previous relay no longer apply."""
         if self.relaying:
@@ -261,6 +283,7 @@
         reached = included + sum(
             source.envelope.hosts for source in self.groups.values()
         )
+        reached += sum(map(self.is_excluded, self.directory.peers))
         self.record_reached(reached)
         own_received = merging.Received(own)
         of_members = {
@@ -339,6 +362,16 @@
             for name, source in self.groups.items()
             if source.envelope.hosts
         )
+        heard_zones = {
+            source.envelope.availability_zone for source in self.groups.values()
+        }
+        if self.joining is None:
+            heard_zones.add(self.directory.own.availability_zone)
+        for zone, names in self.topology.ordered.items():
+            if zone not in heard_zones:
+                # Finds a host that answers though the first ones don't.
+                count = min(RANDOM_TARGETS, len(names))
+                targets.update(self.generator.sample(names, count))
         targets.discard(self.directory.own.name)
         return sorted(targets)
 
@@ -426,12 +459,20 @@
             # Rounded up, since a confirmation must not look more recent.
             int(age_s * 1000) + 1 if age_s < PEAK_S else -1,
             report,
+            *self.own_relay_address(),
         )
         for page in envelopes.encode(envelope):
             self.counts.sent_bytes[kind.value] += len(page)
             self.send_datagram(page, address)
         self.counts.sent[kind.value] += 1
 
+    def own_relay_address(self) -> tuple[str, str]:
+        """Returns name and address of the relay; empty while relaying."""
+        source = self.latest.get(self.relay or "")
+        if self.relay is None or source is None:
+            return "", ""
+        return self.relay, source.address
+
     # Receiving.
 
     def receive(self, data: bytes, address: str) -> None:
@@ -508,10 +549,13 @@
         """Includes another relay's sum; a host that doesn't relay answers."""
         name = source.envelope.sender
         if not self.relaying:
-            # It is included elsewhere, but shows that it is reachable.
+            # It is included elsewhere, and tells where.
             self.send(name, Kind.GROUP, hosts_included=0)
             return
-        self.members.pop(name, None)
+        if source.envelope.relay:
+            self.note_relay(source.envelope)
+        if source.envelope.hosts:
+            self.members.pop(name, None)
         previous = self.groups.get(name)
         self.groups[name] = source
         continuous = is_continuous(source, previous)
@@ -522,6 +566,24 @@
             self.usage.differences(f"relay/{name}", report.usage, continuous)
         )
 
+    def note_relay(self, envelope: envelopes.Envelope) -> None:
+        """Tries the relay of a host that doesn't relay itself."""
+        name = envelope.relay
+        if name == self.directory.own.name:
+            return
+        if name not in self.directory.peers:
+            self.directory.add(
+                hosts.HostRecord(
+                    name,
+                    envelope.relay_address,
+                    envelope.availability_zone,
+                    0,
+                    0,
+                )
+            )
+        if name not in self.groups:
+            self.topology.record_answer(name)
+
     def handle_fleet(self, source: Source, previous: Source | None) -> None:
         """Applies the sum that this host's relay sent."""
         name = source.envelope.sender
@@ -545,7 +607,10 @@
     def handle_probe_answer(self, name: str) -> None:
         """Joins the preferred relay, which has answered."""
         self.probed = None
-        if self.members or name != self.topology.own_relay():
+        if self.members or name not in (
+            self.joining,
+            self.topology.own_relay(),
+        ):
             return
         self.relay, self.joining = None, name
         self.joining_since = self.unattached_since = self.clock.monotonic()
--- a/src/coltsfootarch/fleet/report_exchange.py
+++ b/src/coltsfootarch/fleet/report_exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import random
 import socket
 from typing import TYPE_CHECKING
 
@@ -70,6 +71,7 @@
         participants: Components whose state is reported.
         clock: Source of time.
         confirmations: Policy whose confirmation is passed on; None for none.
+        generator: Source of randomness; a new one if not given.
 
     Attributes:
         relayed: This host's part in the exchange through relays.
@@ -85,6 +87,7 @@
         participants: list[reports.Participant],
         clock: clocks.Clock,
         confirmations: relayed.PolicyConfirmations | None = None,
+        generator: random.Random | None = None,
     ) -> None:
         self.directory = directory
         self.participants = participants
@@ -105,6 +108,7 @@
             self.send_datagram,
             confirmations or NoConfirmations(),
             self.needs_direct,
+            generator or random.Random(),
         )
         self.counts = self.relayed.counts
 
--- a/src/coltsfootarch/fleet/topology.py
+++ b/src/coltsfootarch/fleet/topology.py
@@ -19,8 +19,10 @@
     from coltsfootarch import clock as clocks
     from coltsfootarch.fleet import hosts
 
-# Time until a host that didn't answer is tried again, in seconds.
+# Time until a host that didn't answer is tried again, in seconds. It doubles
+# with each failure, so that a search passes over hosts that stay silent.
 FAILED_S = 3.0
+MAX_FAILED_S = 24.0
 
 
 def score(*names: str) -> int:
@@ -52,6 +54,7 @@
 
     Attributes:
         failed_until: Instant until which a host isn't chosen, by name.
+        failures: Successive failures by name.
         ordered: Names of the hosts of each zone, preferred relays first.
         preferred: Numbers of relays by zone.
         generation: Generation of the directory from which they were computed.
@@ -67,6 +70,7 @@
         self.clock = clock
         self.is_excluded = is_excluded
         self.failed_until: dict[str, float] = {}
+        self.failures: dict[str, int] = {}
         self.ordered: dict[str, list[str]] = {}
         self.preferred: dict[str, int] = {}
         self.generation = -1
@@ -127,8 +131,12 @@
 
     def record_failure(self, name: str) -> None:
         """Records that a host didn't answer."""
-        self.failed_until[name] = self.clock.monotonic() + FAILED_S
+        failures = self.failures.get(name, 0)
+        self.failures[name] = failures + 1
+        pause_s = min(FAILED_S * 2 ** min(failures, 10), MAX_FAILED_S)
+        self.failed_until[name] = self.clock.monotonic() + pause_s
 
     def record_answer(self, name: str) -> None:
         """Records that a host answered."""
         self.failed_until.pop(name, None)
+        self.failures.pop(name, None)
--- a/tests/fakes/stepped_fleet.py
+++ b/tests/fakes/stepped_fleet.py
@@ -76,6 +76,7 @@
             [self.loads, self.backlog, self.buckets],
             self.clock,
             self.tracker,
+            fleet.generator,
         )
         self.exchange.relayed.send_datagram = self.send
         self.exchange.send_datagram = self.send
@@ -121,7 +122,8 @@
         if elapsed < self.next_read and not self.tracker.is_behind():
             return
         self.fleet.policy_reads += 1
-        self.next_read = elapsed + followers.POLICY_WAIT_S
+        fraction = self.fleet.generator.uniform(0.5, 1.0)
+        self.next_read = elapsed + followers.POLICY_WAIT_S * fraction
         self.tracker.apply(
             followers.PolicyReadResult(
                 self.fleet.policy, 1, self.clock.monotonic(), True
