Show what a host believes: status command, metrics of the exchange

coltsfootarch status ADDRESS prints role, relay, policy, hosts, upstreams, limits and crashed parts of a running host. Metrics count messages and bytes by kind and direction.

--- a/src/coltsfootarch/console/application.py
+++ b/src/coltsfootarch/console/application.py
@@ -19,6 +19,7 @@
     "codes": "coltsfootarch.console.commands.codes:codes",
     "config": "coltsfootarch.console.commands.config:config",
     "key": "coltsfootarch.console.commands.key:key",
+    "status": "coltsfootarch.console.commands.status:status",
 }
 
 
--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -10,6 +10,7 @@
 
 import gevent
 import gevent.event
+import msgspec
 import structlog
 
 from coltsfootarch import periodic
@@ -22,6 +23,7 @@
 from coltsfootarch.fleet import upstreams
 from coltsfootarch.forwarding import context
 from coltsfootarch.forwarding import forwarder
+from coltsfootarch.forwarding import host_status
 from coltsfootarch.forwarding import listener
 from coltsfootarch.forwarding import status
 from coltsfootarch.http1 import pool
@@ -158,15 +160,23 @@
             clock,
             self.policy_tracker,
         )
+        policy_follower = followers.PolicyFollower(
+            platform.policies,
+            self.policy_tracker,
+            clock,
+            self.policy_wait_s(),
+            self.is_member,
+            self.policy_wait_fraction,
+        )
+        self.status_reporter = host_status.StatusReporter(
+            self.hosts,
+            self.report_exchange,
+            policy_follower,
+            self.context,
+            self.buckets,
+        )
         self.followers = [
-            followers.PolicyFollower(
-                platform.policies,
-                self.policy_tracker,
-                clock,
-                self.policy_wait_s(),
-                self.is_member,
-                self.policy_wait_fraction,
-            ),
+            policy_follower,
             followers.UpstreamFollower(
                 platform.upstreams,
                 self.upstreams,
@@ -299,7 +309,9 @@
             )
         ]
         if self.settings.metrics:
-            metrics = status.MetricsHandler(self.render_metrics)
+            metrics = status.MetricsHandler(
+                self.render_metrics, self.render_status
+            )
             listeners.append(
                 listener.CallerListener(
                     self.settings.metrics,
@@ -340,8 +352,19 @@
         for follower in self.followers:
             metrics.read_failures.labels(follower.name).set(follower.failures)
         metrics.reached_share.set(self.hosts.share())
+        metrics.fallback_reads.set(self.status_reporter.fallback_reads())
+        metrics.registrations_age.set(self.upstreams.age())
+        metrics.hosts_reached.set(self.hosts.reached())
+        metrics.hosts_expected.set(self.hosts.count())
+        metrics.relaying.set(self.report_exchange.relayed.relaying)
+        metrics.relays_heard.set(len(self.hosts.relays or ()))
+        metrics.set_exchange(self.report_exchange.counts)
         return metrics.render()
 
+    def render_status(self) -> bytes:
+        """Returns the status as a JSON document."""
+        return msgspec.json.encode(self.status_reporter.describe())
+
     def start(self) -> None:
         """Starts all components."""
         self.writer.start()
--- a/src/coltsfootarch/forwarding/status.py
+++ b/src/coltsfootarch/forwarding/status.py
@@ -1,4 +1,4 @@
-"""Handlers of an entry host's readiness and metrics endpoints."""
+"""Handlers of an entry host's readiness, metrics and status endpoints."""
 
 from __future__ import annotations
 
@@ -11,6 +11,8 @@
     from coltsfootarch.forwarding import listener
     from coltsfootarch.http1 import messages
 
+STATUS_PATH = "/status"
+JSON = (("Content-Type", "application/json"),)
 PLAIN_TEXT = (("Content-Type", "text/plain; charset=utf-8"),)
 
 
@@ -43,14 +45,18 @@
 
 
 class MetricsHandler:
-    """Handles requests for the metrics.
+    """Handles requests for the metrics and for the status.
 
     Args:
         render: Returns all metrics as text.
+        render_status: Returns the status as a JSON document.
     """
 
-    def __init__(self, render: Callable[[], bytes]) -> None:
+    def __init__(
+        self, render: Callable[[], bytes], render_status: Callable[[], bytes]
+    ) -> None:
         self.render = render
+        self.render_status = render_status
 
     def handle(
         self,
@@ -59,5 +65,9 @@
         cancellation: cancellations.Cancellation,
     ) -> None:
         """Responds 200; see `listener.Handler`."""
-        del raw, cancellation  # Every path gets the same response.
-        responder.respond(200, PLAIN_TEXT, self.render())
+        del cancellation  # The response is immediate.
+        if raw.target.partition("?")[0] == STATUS_PATH:
+            responder.respond(200, JSON, self.render_status())
+        else:
+            # Every other path gets the metrics.
+            responder.respond(200, PLAIN_TEXT, self.render())
--- a/src/coltsfootarch/observability/registry.py
+++ b/src/coltsfootarch/observability/registry.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import prometheus_client
 from prometheus_client import core
 
+if TYPE_CHECKING:
+    from coltsfootarch.fleet import relayed
+
 PREFIX = "coltsfootarch"
 # Upper bounds of latency buckets in seconds. They are close together around the
 # latency objectives of calls (0.2 to 0.4 s) and streams (0.9 s).
@@ -52,6 +57,44 @@
         self.reached_share = self.gauge(
             "reached_share", "part of the limits that the reached hosts have"
         )
+        self.fallback_reads = self.gauge(
+            "fallback_reads", "policy reads since relays confirmed it too late"
+        )
+        self.registrations_age = self.gauge(
+            "registrations_age_seconds", "time since registrations were read"
+        )
+        self.hosts_reached = self.gauge(
+            "hosts_reached", "hosts whose state arrives, with this one"
+        )
+        self.hosts_expected = self.gauge(
+            "hosts_expected", "hosts that may be serving, with this one"
+        )
+        self.relaying = self.gauge("relaying", "1 if this host relays state")
+        self.relays_heard = self.gauge(
+            "relays", "relays that a relaying host knows, with itself"
+        )
+        labels = ("direction", "kind")
+        self.exchange_messages = self.gauge(
+            "exchange_messages", "messages between hosts", labels
+        )
+        self.exchange_bytes = self.gauge(
+            "exchange_bytes", "bytes of these messages", labels
+        )
+        self.exchange_dropped = self.gauge(
+            "exchange_dropped", "messages dropped, by reason", ("reason",)
+        )
+
+    def set_exchange(self, counts: relayed.ExchangeCounts) -> None:
+        """Sets the metrics of messages between hosts."""
+        for direction, messages, sizes in (
+            ("sent", counts.sent, counts.sent_bytes),
+            ("received", counts.received, counts.received_bytes),
+        ):
+            for kind, count in messages.items():
+                self.exchange_messages.labels(direction, kind).set(count)
+                self.exchange_bytes.labels(direction, kind).set(sizes[kind])
+        for reason, count in counts.dropped.items():
+            self.exchange_dropped.labels(reason).set(count)
 
     def counter(
         self, name: str, meaning: str, labels: tuple[str, ...] = ()
--- a/tests/fleet/test_followers.py
+++ b/tests/fleet/test_followers.py
@@ -380,3 +380,81 @@
     assert fresh.directory == directory.digest
     assert fresh.directory_age_ms == pytest.approx(400, abs=1)
     assert old.directory_age_ms == -1
+
+
+def passed_follower(source, tracker, clock):
+    return followers.PolicyFollower(
+        source, tracker, clock, is_passed_on=lambda: True
+    )
+
+
+def test_member_does_not_read_while_its_relay_confirms(tracker, manual_clock):
+    """Reads of each host by itself were the largest price of a fleet."""
+    source = Source(read_result(7, sent_at=manual_clock.monotonic()))
+    follower = passed_follower(source, tracker, manual_clock)
+    follower.step()
+
+    for _ in range(20):
+        manual_clock.advance(datetime.timedelta(seconds=1))
+        tracker.confirm_passed(7, manual_clock.monotonic() - 1.0)
+        assert follower.step() == followers.PASSED_CHECK_S
+
+    assert source.calls == ["read"]
+
+
+def test_member_reads_by_itself_when_confirmations_grow_old(
+    tracker, manual_clock
+):
+    now = manual_clock.monotonic()
+    source = Source(read_result(7, sent_at=now), read_result(None, 1, now))
+    follower = passed_follower(source, tracker, manual_clock)
+    follower.step()
+
+    age = datetime.timedelta(seconds=followers.MAX_PASSED_AGE_S + 0.1)
+    manual_clock.advance(age)
+    follower.step()
+
+    assert source.waits == [0.0]
+    assert follower.fallback_reads == 1
+
+
+def test_member_reads_a_version_that_its_relay_announces(tracker, manual_clock):
+    now = manual_clock.monotonic()
+    source = Source(read_result(7, sent_at=now), read_result(8, 2, now))
+    follower = passed_follower(source, tracker, manual_clock)
+    follower.step()
+
+    tracker.confirm_passed(8, now)
+    assert tracker.version() == 7
+    follower.step()
+
+    assert tracker.version() == 8
+    assert follower.fallback_reads == 0
+
+
+def test_member_reads_the_whole_policy_after_a_long_pause(
+    tracker, manual_clock
+):
+    """The store no longer has the changes since its last read."""
+    now = manual_clock.monotonic()
+    source = Source(read_result(7, sent_at=now), read_result(8, 2, now))
+    follower = passed_follower(source, tracker, manual_clock)
+    follower.step()
+    pause = datetime.timedelta(seconds=followers.HISTORY_S + 1)
+    manual_clock.advance(pause)
+
+    follower.step()
+
+    assert source.calls == ["read", "read"]
+
+
+def test_confirmation_of_another_version_confirms_nothing(
+    tracker, manual_clock
+):
+    tracker.apply(read_result(7))
+    confirmed_at = tracker.confirmed_at
+
+    for version in (6, 8):
+        tracker.confirm_passed(version, manual_clock.monotonic())
+
+    assert tracker.confirmed_at == confirmed_at
