--- a/src/coltsfootarch/fleet/relayed.py
+++ b/src/coltsfootarch/fleet/relayed.py
@@ -8,16 +8,16 @@
 
 import collections
 from typing import TYPE_CHECKING
-from typing import NamedTuple
 from typing import Protocol
 
-import msgspec
 import structlog
 
 from coltsfootarch.fleet import envelopes
 from coltsfootarch.fleet import hosts
 from coltsfootarch.fleet import merging
+from coltsfootarch.fleet import relay_choice
 from coltsfootarch.fleet import reports
+from coltsfootarch.fleet import sources
 from coltsfootarch.fleet import topology
 
 if TYPE_CHECKING:
@@ -30,13 +30,6 @@
 # Interval of messages. A view of this age at three stages (member, relay,
 # relay) is about as old as direct reports of 80 hosts were.
 TICK_S = 0.25
-# Silence after which a member joins another relay, and the time that a relay
-# has to answer a host that joins.
-RELAY_TIMEOUT_S = 0.8
-# Interval at which a member asks whether the relay that it prefers is back.
-PROBE_INTERVAL_S = 2.0
-# Time without a relay after which a host takes part as one.
-UNATTACHED_S = 1.0
 # Hosts that were reached within this time count as possibly serving.
 PEAK_S = 25.0
 # Hosts of a zone without an answering relay that are tried with each message.
@@ -70,41 +63,6 @@
         """
 
 
-class Source(NamedTuple):
-    """Latest message of another host.
-
-    Attributes:
-        received_at: Instant at which it arrived, in seconds.
-        address: "ip:port" of the host.
-        envelope: The message.
-        report: Its report, with the name under which it is applied.
-    """
-
-    received_at: float
-    address: str
-    envelope: envelopes.Envelope
-    report: reports.Report
-
-
-class ExchangeCounts:
-    """Numbers of messages and bytes, for metrics.
-
-    Attributes:
-        sent: Messages sent by kind.
-        sent_bytes: Bytes of them by kind.
-        received: Messages received by kind.
-        received_bytes: Bytes of them by kind.
-        dropped: Messages dropped by reason.
-    """
-
-    def __init__(self) -> None:
-        self.sent: collections.Counter[str] = collections.Counter()
-        self.sent_bytes: collections.Counter[str] = collections.Counter()
-        self.received: collections.Counter[str] = collections.Counter()
-        self.received_bytes: collections.Counter[str] = collections.Counter()
-        self.dropped: collections.Counter[str] = collections.Counter()
-
-
 class RelayedExchange:
     """One host's part in the exchange through relays.
 
@@ -120,8 +78,17 @@
         generator: Source of randomness.
 
     Attributes:
-        relay: Relay that includes this host in its sums; None without one.
-        relaying: Whether this host relays.
+        topology: Relays of each zone.
+        choice: Role of this host.
+        relaying: Whether it relayed at the last tick.
+        counts: Numbers of messages and bytes.
+        latest: Latest message of each host by its name.
+        members: Hosts that have joined this one, with their latest messages.
+        groups: Other relays, with their latest messages; also hosts that answer
+            without relaying, which include no hosts.
+        unanswered_since: Instant of the first unanswered message to a relay.
+        usage: Usage of all hosts.
+        group_usage: Usage of this host and its members.
     """
 
     def __init__(
@@ -147,21 +114,15 @@
         self.assembler = envelopes.PageAssembler()
         self.usage = merging.UsageTotals(clock.monotonic)
         self.group_usage = merging.UsageTotals(clock.monotonic)
-        self.counts = ExchangeCounts()
+        self.counts = sources.ExchangeCounts()
         self.sequence = 0
-        self.relay: str | None = None
+        self.choice = relay_choice.RelayChoice(
+            directory.own.name, self.topology, clock, self.heard_relay
+        )
         self.relaying = False
-        self.joining: str | None = None
-        self.joining_since = 0.0
-        self.unattached_since: float | None = None
-        self.probed: str | None = None
-        self.probed_at = float("-inf")
-        # By name of the sender: the latest message of each, those that are
-        # included in this host's sums, and the instant of the first unanswered
-        # message to a relay.
-        self.latest: dict[str, Source] = {}
-        self.members: dict[str, Source] = {}
-        self.groups: dict[str, Source] = {}
+        self.latest: dict[str, sources.Source] = {}
+        self.members: dict[str, sources.Source] = {}
+        self.groups: dict[str, sources.Source] = {}
         self.unanswered_since: dict[str, float] = {}
         self.reached_history: collections.deque[tuple[float, int]] = (
             collections.deque()
@@ -173,48 +134,29 @@
     def tick(self) -> None:
         """Sends what is due; called every `TICK_S` and on important changes."""
         self.expire()
-        self.choose_role()
+        self.update_role()
         if self.relaying:
             self.send_sums()
         else:
             self.send_to_relay()
-
-    def choose_role(self) -> None:
-        """Decides whether this host relays, and which relay it joins."""
-        now = self.clock.monotonic()
-        if self.relay is not None and self.is_relay_silent(now):
-            logger.info("relay does not answer", relay=self.relay)
-            self.topology.record_failure(self.relay)
-            self.relay = None
-        if self.topology.own_relay() == self.directory.own.name or self.members:
-            self.joining = self.unattached_since = None
-            self.start_relaying()
-            return
-        if self.relay is not None:
-            self.unattached_since = None
-            self.stop_relaying()
+        probe = self.choice.next_probe()
+        if probe is not None:
+            self.send(probe, Kind.PROBE)
+
+    def update_role(self) -> None:
+        """Updates this host's role; ends sums that no longer apply."""
+        choice = self.choice
+        source = self.latest.get(choice.relay or "")
+        heard_at = source.received_at if source else float("-inf")
+        choice.update(bool(self.members), heard_at)
+        if choice.relaying == self.relaying:
             return
-        if self.unattached_since is None:
-            self.unattached_since = now
-        if now - self.unattached_since > UNATTACHED_S:
-            self.start_relaying()
-        self.choose_relay_to_join(now)
-
-    def is_relay_silent(self, now: float) -> bool:
-        """Returns whether the relay has sent nothing for too long."""
-        source = self.latest.get(self.relay or "")
-        return source is None or now - source.received_at > RELAY_TIMEOUT_S
-
-    def choose_relay_to_join(self, now: float) -> None:
-        """Chooses the relay to join; replaces one that didn't answer."""
-        if self.joining is not None and (
-            now - self.joining_since > RELAY_TIMEOUT_S
-        ):
-            self.topology.record_failure(self.joining)
-            self.joining = None
-        if self.joining is None:
-            self.joining = self.heard_relay() or self.topology.own_relay()
-            self.joining_since = now
+        self.relaying = choice.relaying
+        if self.relaying:
+            self.clear(FLEET)
+            logger.info("relaying started", members=len(self.members))
+        else:
+            self.end_relaying()
 
     def heard_relay(self) -> str | None:
         """Returns a relay of this zone that answers this relaying host.
@@ -231,46 +173,25 @@
         ]
         return min(heard, key=topology.score, default=None)
 
-    def start_relaying(self) -> None:
-        """Begins to relay; sums of the previous relay no longer apply."""
-        if self.relaying:
-            return
-        self.relaying = True
-        if self.relay is not None:
-            self.relay = None
-            self.apply_report(reports.empty_report(FLEET, 0, 0), False)
-        logger.info("relaying started", members=len(self.members))
-
-    def stop_relaying(self) -> None:
-        """Ends relaying; sums of other relays no longer apply."""
-        if not self.relaying:
-            return
-        self.relaying = False
+    def end_relaying(self) -> None:
+        """Drops the sums of other relays, which its own relay includes."""
         self.directory.relays = None
         for source in self.groups.values():
-            cleared = reports.empty_report(source.report.host, 0, 0)
-            self.apply_report(cleared, False)
+            self.clear(source.report.host)
         self.groups.clear()
         self.unanswered_since.clear()
-        logger.info("relaying stopped", relay=self.relay)
+        logger.info("relaying stopped", relay=self.choice.relay)
+
+    def clear(self, name: str) -> None:
+        """Ends the effect of the last report under a name."""
+        self.apply_report(reports.empty_report(name, 0, 0), False)
 
     def send_to_relay(self) -> None:
-        """Sends this host's state to its relay; probes a preferred one."""
-        target = self.relay or self.joining
-        if target is None:
-            return
-        report = reports.encode(self.make_report())
-        self.send(target, Kind.MEMBER, report, hosts_included=1)
-        now = self.clock.monotonic()
-        preferred = self.topology.own_relay()
-        if (
-            self.relay is not None
-            and preferred not in (self.relay, self.directory.own.name)
-            and now - self.probed_at > PROBE_INTERVAL_S
-        ):
-            self.probed = preferred
-            self.probed_at = now
-            self.send(preferred, Kind.PROBE)
+        """Sends this host's state to its relay."""
+        target = self.choice.relay or self.choice.joining
+        if target is not None:
+            report = reports.encode(self.make_report())
+            self.send(target, Kind.MEMBER, report, hosts_included=1)
 
     def send_sums(self) -> None:
         """Sends the sum of the group to relays and all others to members."""
@@ -287,7 +208,7 @@
         self.record_reached(reached)
         own_received = merging.Received(own)
         of_members = {
-            name: received(source, now) for name, source in self.members.items()
+            name: source.with_age(now) for name, source in self.members.items()
         }
         group = self.add_own(
             merging.merge([own_received, *of_members.values()]),
@@ -300,15 +221,11 @@
             self.note_unanswered(name, now)
         others = merging.Received(
             merging.merge(
-                received(source, now) for source in self.groups.values()
+                source.with_age(now) for source in self.groups.values()
             )
         )
         for name in list(self.members):
             self.send_fleet(name, own, others, of_members)
-        if self.joining is not None:
-            # A relay that isn't known to answer must not include this host yet.
-            self.probed = self.joining
-            self.send(self.joining, Kind.PROBE)
 
     def send_fleet(
         self,
@@ -365,7 +282,7 @@
         heard_zones = {
             source.envelope.availability_zone for source in self.groups.values()
         }
-        if self.joining is None:
+        if self.choice.joining is None:
             heard_zones.add(self.directory.own.availability_zone)
         for zone, names in self.topology.ordered.items():
             if zone not in heard_zones:
@@ -416,10 +333,12 @@
         """Ends the exchange through relays, as the fleet has become small."""
         if self.directory.passed is None:
             return
-        self.stop_relaying()
-        self.relay = self.joining = None
+        if self.relaying:
+            self.relaying = False
+            self.end_relaying()
+        self.choice.reset()
         self.directory.passed = None
-        self.apply_report(reports.empty_report(FLEET, 0, 0), False)
+        self.clear(FLEET)
         logger.info("exchange through relays ended")
 
     def send(
@@ -468,10 +387,11 @@
 
     def own_relay_address(self) -> tuple[str, str]:
         """Returns name and address of the relay; empty while relaying."""
-        source = self.latest.get(self.relay or "")
-        if self.relay is None or source is None:
+        relay = self.choice.relay
+        source = self.latest.get(relay or "")
+        if relay is None or source is None:
             return "", ""
-        return self.relay, source.address
+        return relay, source.address
 
     # Receiving.
 
@@ -486,7 +406,7 @@
             envelope = self.assembler.add(data)
             if envelope is None:
                 return
-            report = decode_report(envelope)
+            report = sources.decode_report(envelope)
         except envelopes.UnreadableMessageError as error:
             self.drop(error.reason, address)
             return
@@ -497,13 +417,16 @@
             return
         now = self.clock.monotonic()
         previous = self.latest.get(envelope.sender)
-        if previous is not None and is_outdated(envelope, previous, now):
+        if previous is not None and sources.is_outdated(
+            envelope, previous, now
+        ):
             self.drop("outdated", address)
             return
-        if self.is_late(envelope, now):
+        own_incarnation = self.directory.own.incarnation
+        if sources.is_late(envelope, own_incarnation, now):
             self.drop("late", address)
             return
-        source = Source(now, address, envelope, report)
+        source = sources.Source(now, address, envelope, report)
         self.latest[envelope.sender] = source
         self.topology.record_answer(envelope.sender)
         self.directory.record_report(
@@ -516,7 +439,9 @@
         self.note_confirmation(envelope)
         self.handle(source, previous)
 
-    def handle(self, source: Source, previous: Source | None) -> None:
+    def handle(
+        self, source: sources.Source, previous: sources.Source | None
+    ) -> None:
         """Handles a message by its kind."""
         kind = source.envelope.kind
         if kind is Kind.MEMBER:
@@ -527,15 +452,17 @@
             self.handle_fleet(source, previous)
         elif kind is Kind.PROBE:
             self.send(source.envelope.sender, Kind.PROBE_ANSWER)
-        elif source.envelope.sender == self.probed:
-            self.handle_probe_answer(source.envelope.sender)
+        else:
+            self.choice.record_probe_answer(
+                source.envelope.sender, bool(self.members)
+            )
 
-    def handle_member(self, source: Source) -> None:
+    def handle_member(self, source: sources.Source) -> None:
         """Includes a member in the sums."""
         name = source.envelope.sender
         previous = self.members.get(name)
         self.members[name] = source
-        continuous = is_continuous(source, previous)
+        continuous = sources.is_continuous(source, previous)
         self.apply_report(source.report, continuous)
         differences = self.usage.differences(
             name, source.report.usage, continuous
@@ -545,7 +472,7 @@
         if previous is None:
             logger.debug("member joined", member=name)
 
-    def handle_group(self, source: Source) -> None:
+    def handle_group(self, source: sources.Source) -> None:
         """Includes another relay's sum; a host that doesn't relay answers."""
         name = source.envelope.sender
         if not self.relaying:
@@ -558,7 +485,7 @@
             self.members.pop(name, None)
         previous = self.groups.get(name)
         self.groups[name] = source
-        continuous = is_continuous(source, previous)
+        continuous = sources.is_continuous(source, previous)
         report = source.report._replace(host=f"relay/{name}")
         self.groups[name] = source._replace(report=report)
         self.apply_report(report, continuous)
@@ -584,38 +511,22 @@
         if name not in self.groups:
             self.topology.record_answer(name)
 
-    def handle_fleet(self, source: Source, previous: Source | None) -> None:
+    def handle_fleet(
+        self, source: sources.Source, previous: sources.Source | None
+    ) -> None:
         """Applies the sum that this host's relay sent."""
         name = source.envelope.sender
-        if self.relaying and self.members:
+        if self.members:
             return
-        if name == self.joining:
-            logger.info("relay joined", relay=name)
-            self.relay, self.joining = name, None
-        if name != self.relay:
+        self.choice.record_joined(name)
+        if name != self.choice.relay:
             return
-        continuous = (
-            previous is not None
-            and previous.envelope.kind is Kind.FLEET
-            and is_continuous(source, previous)
-        )
+        continuous = sources.is_continuous(source, previous)
         self.directory.pass_counts(
             source.envelope.hosts, source.envelope.expected
         )
         self.apply_report(source.report._replace(host=FLEET), continuous)
 
-    def handle_probe_answer(self, name: str) -> None:
-        """Joins the preferred relay, which has answered."""
-        self.probed = None
-        if self.members or name not in (
-            self.joining,
-            self.topology.own_relay(),
-        ):
-            return
-        self.relay, self.joining = None, name
-        self.joining_since = self.unattached_since = self.clock.monotonic()
-        self.stop_relaying()
-
     def note_confirmation(self, envelope: envelopes.Envelope) -> None:
         """Passes on a confirmation of the policy.
 
@@ -632,16 +543,6 @@
             at = at_ms / 1000
         self.confirmations.confirm_passed(envelope.policy_version, at)
 
-    def is_late(self, envelope: envelopes.Envelope, now: float) -> bool:
-        """Returns whether a message was sent too long ago, as its echo shows.
-
-        A host that was suspended finds such messages in its socket.
-        """
-        if envelope.echo_incarnation != self.directory.own.incarnation:
-            return False
-        age = now - (envelope.echo_ms + envelope.held_ms) / 1000
-        return age > hosts.REPORT_TIMEOUT_S
-
     def expire(self) -> None:
         """Drops members and relays that have fallen silent."""
         oldest = self.clock.monotonic() - hosts.REPORT_TIMEOUT_S
@@ -676,53 +577,3 @@
                 address=address,
                 dropped=self.counts.dropped[reason],
             )
-
-
-def received(source: Source, now: float) -> merging.Received:
-    """Returns a report with its age."""
-    return merging.Received(
-        source.report, int((now - source.received_at) * 1000)
-    )
-
-
-def decode_report(envelope: envelopes.Envelope) -> reports.Report:
-    """Returns the report of a message; an empty one if it has none.
-
-    Raises:
-        envelopes.UnreadableMessageError: The report can't be decoded.
-    """
-    if not envelope.report:
-        return reports.empty_report(
-            envelope.sender, envelope.incarnation, envelope.sequence
-        )
-    try:
-        report = reports.decode(envelope.report)
-    except msgspec.DecodeError as error:
-        raise envelopes.UnreadableMessageError("report") from error
-    if report.version != reports.PROTOCOL_VERSION:
-        raise envelopes.UnreadableMessageError("version")
-    return report
-
-
-def is_outdated(
-    envelope: envelopes.Envelope, previous: Source, now: float
-) -> bool:
-    """Returns whether a message precedes one that has arrived already.
-
-    A host that restarts after its clock was set back has a smaller incarnation,
-    which is accepted once messages of the previous one have stopped.
-    """
-    known = previous.envelope
-    if envelope.incarnation == known.incarnation:
-        return envelope.sequence <= known.sequence
-    silent = now - previous.received_at > hosts.REPORT_TIMEOUT_S
-    return envelope.incarnation < known.incarnation and not silent
-
-
-def is_continuous(source: Source, previous: Source | None) -> bool:
-    """Returns whether a message continues the previous one of its sender."""
-    return (
-        previous is not None
-        and previous.envelope.incarnation == source.envelope.incarnation
-        and source.received_at - previous.received_at <= hosts.REPORT_TIMEOUT_S
-    )
--- a/src/coltsfootarch/fleet/report_exchange.py
+++ b/src/coltsfootarch/fleet/report_exchange.py
@@ -178,7 +178,7 @@
 
         A relay sends to many hosts, so that its own changes wait.
         """
-        if self.relayed.relaying:
+        if self.relayed.choice.relaying:
             gevent.sleep(self.interval())
             self.early_report.clear()
         elif self.early_report.wait(self.interval()):
--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -226,7 +226,7 @@
 
     def is_member(self) -> bool:
         """Returns whether a relay passes on the policy's confirmations."""
-        return self.report_exchange.relayed.relay is not None
+        return self.report_exchange.relayed.choice.relay is not None
 
     def policy_wait_fraction(self) -> float:
         """Returns the part of the longest wait that a read may block."""
@@ -356,7 +356,7 @@
         metrics.registrations_age.set(self.upstreams.age())
         metrics.hosts_reached.set(self.hosts.reached())
         metrics.hosts_expected.set(self.hosts.count())
-        metrics.relaying.set(self.report_exchange.relayed.relaying)
+        metrics.relaying.set(self.report_exchange.relayed.choice.relaying)
         metrics.relays_heard.set(len(self.hosts.relays or ()))
         metrics.set_exchange(self.report_exchange.counts)
         return metrics.render()
--- a/src/coltsfootarch/forwarding/host_status.py
+++ b/src/coltsfootarch/forwarding/host_status.py
@@ -171,7 +171,7 @@
             host=own.name,
             availability_zone=own.availability_zone,
             role=self.role(),
-            relay=relayed.relay or "",
+            relay=relayed.choice.relay or "",
             reached=self.directory.reached(),
             expected=self.directory.count(),
             limit_share=round(self.directory.share(), 4),
@@ -212,9 +212,9 @@
         """Returns this host's part in the exchange."""
         if not self.directory.is_large():
             return "direct"
-        if self.exchange.relayed.relaying:
+        if self.exchange.relayed.choice.relaying:
             return "relay"
-        return "member" if self.exchange.relayed.relay else "joining"
+        return "member" if self.exchange.relayed.choice.relay else "joining"
 
     def peers(self) -> list[PeerStatus]:
         """Returns the other hosts, those of one zone together."""
@@ -224,7 +224,7 @@
         for name, peer in self.directory.peers.items():
             included = 0
             role = "silent"
-            if name == relayed.relay:
+            if name == relayed.choice.relay:
                 role = "relay"
             elif name in relayed.groups:
                 role = "other relay"
--- a/src/coltsfootarch/observability/registry.py
+++ b/src/coltsfootarch/observability/registry.py
@@ -8,7 +8,7 @@
 from prometheus_client import core
 
 if TYPE_CHECKING:
-    from coltsfootarch.fleet import relayed
+    from coltsfootarch.fleet import sources
 
 PREFIX = "coltsfootarch"
 # Upper bounds of latency buckets in seconds. They are close together around the
@@ -84,7 +84,7 @@
             "exchange_dropped", "messages dropped, by reason", ("reason",)
         )
 
-    def set_exchange(self, counts: relayed.ExchangeCounts) -> None:
+    def set_exchange(self, counts: sources.ExchangeCounts) -> None:
         """Sets the metrics of messages between hosts."""
         for direction, messages, sizes in (
             ("sent", counts.sent, counts.sent_bytes),
