Read an announced policy that can't be obtained only once

Cause: a member reads the store while its relay announces a newer version; if this host can't decode that version, as in an upgrade of builds, it read again at once and forever. Change: a version that a read did not bring is not read again until a newer one is announced. Messages go to the address of the host's record, and the number of hosts isn't counted anew for each message.

--- a/src/coltsfootarch/fleet/followers.py
+++ b/src/coltsfootarch/fleet/followers.py
@@ -139,8 +139,9 @@
     It is never replaced by an older version. `confirmed_at` is the instant, in
     seconds, as of which a read last confirmed this version to be the newest;
     see `PolicyReadResult.sent_at`. `announced` is the newest version that other
-    hosts have. `last_transfer` is the size and duration of
-    the answer that brought it.
+    hosts have, `unobtainable` the newest one that a read did not bring.
+    `last_transfer` is the size and duration of the answer that brought the
+    policy.
 
     Args:
         clock: Source of time.
@@ -153,6 +154,7 @@
         self.confirmed_at = float("-inf")
         self.confirmed = gevent.event.Event()
         self.announced = -1
+        self.unobtainable = -1
         self.on_change: list[Callable[[policy.Policy], object]] = []
 
     def apply(self, result: PolicyReadResult) -> None:
@@ -188,8 +190,16 @@
         return self.policy.version if self.policy else -1
 
     def is_behind(self) -> bool:
-        """Returns whether another host has a newer version."""
-        return self.announced > self.version()
+        """Returns whether another host has a newer version to read."""
+        return self.announced > max(self.version(), self.unobtainable)
+
+    def give_up_announced(self) -> None:
+        """Records that a read did not bring the announced version.
+
+        This host can't decode it, or the announcement was false. Reading again
+        at once would bring the same.
+        """
+        self.unobtainable = self.announced
 
     def confirm_passed(self, version: int, at: float) -> None:
         """Records a confirmation by another host.
@@ -372,6 +382,7 @@
 
     def step(self) -> float:
         """Reads once, unless another host passes on what it reads."""
+        announced = self.tracker.announced
         if self.revision is not None and self.is_passed_on():
             if not self.must_read():
                 return PASSED_CHECK_S
@@ -393,6 +404,8 @@
         self.revision = result.revision
         self.read_at = self.clock.monotonic()
         self.tracker.apply(result)
+        if self.tracker.version() < announced == self.tracker.announced:
+            self.tracker.give_up_announced()
         self.confirm_now = (
             result.policy is not None
             and self.tracker.age() > MAX_CONFIRMATION_AGE_S
--- a/src/coltsfootarch/fleet/relayed.py
+++ b/src/coltsfootarch/fleet/relayed.py
@@ -350,16 +350,13 @@
     ) -> None:
         """Sends a message to a host, if its address is known."""
         peer = self.directory.peers.get(name)
-        latest = self.latest.get(name)
-        if latest is not None:
-            address = latest.address
-        elif peer is not None:
-            address = peer.record.address
-        else:
+        if peer is None:
             return
+        latest = self.latest.get(name)
         now = self.clock.monotonic()
         own = self.directory.own
         self.sequence += 1
+        passed = self.directory.passed
         age_s = self.confirmations.age()
         envelope = envelopes.Envelope(
             envelopes.PROTOCOL_VERSION,
@@ -373,7 +370,7 @@
             latest.envelope.sent_ms if latest else 0,
             int((now - latest.received_at) * 1000) if latest else 0,
             hosts_included,
-            self.directory.count(),
+            passed.expected if passed else self.directory.count(),
             self.confirmations.version(),
             # Rounded up, since a confirmation must not look more recent.
             int(age_s * 1000) + 1 if age_s < PEAK_S else -1,
@@ -382,7 +379,7 @@
         )
         for page in envelopes.encode(envelope):
             self.counts.sent_bytes[kind.value] += len(page)
-            self.send_datagram(page, address)
+            self.send_datagram(page, peer.record.address)
         self.counts.sent[kind.value] += 1
 
     def own_relay_address(self) -> tuple[str, str]:
--- a/tests/fleet/test_followers.py
+++ b/tests/fleet/test_followers.py
@@ -458,3 +458,25 @@
         tracker.confirm_passed(version, manual_clock.monotonic())
 
     assert tracker.confirmed_at == confirmed_at
+
+
+def test_version_that_can_not_be_obtained_is_read_once(tracker, manual_clock):
+    """Hosts of a newer build may use a version that this one can't decode.
+
+    Reading it again at once, and forever, would use up the store's rate.
+    """
+    now = manual_clock.monotonic()
+    old = read_result(7, sent_at=now)
+    unreadable = read_result(None, 2, now, readable=False)
+    source = Source(old, unreadable, read_result(9, 3, now))
+    follower = passed_follower(source, tracker, manual_clock)
+    follower.step()
+
+    for _ in range(3):
+        tracker.confirm_passed(8, now)
+        follower.step()
+    assert source.calls == ["read", 1]
+
+    tracker.confirm_passed(9, now)
+    follower.step()
+    assert tracker.version() == 9
