Send more often in fleets below 200 hosts; leave a relay at once

A host that moved to another relay was counted twice for up to 1.2 s (stepped test of 80% killed, once with the new interval).

Change: the interval is 1.3 ms a host between 0.12 and 0.25 s. A host that is included by a new relay tells the previous one, which drops it. tests/fleet: 146 passed.

--- a/src/coltsfootarch/console/commands/status.py
+++ b/src/coltsfootarch/console/commands/status.py
@@ -27,7 +27,8 @@
     """
     url = f"http://{address}/status"
     try:
-        answer = urllib3.request("GET", url, timeout=TIMEOUT_S, retries=False)
+        with urllib3.PoolManager(timeout=TIMEOUT_S, retries=False) as manager:
+            answer = manager.request("GET", url)
         if answer.status != 200:
             raise errors.HostListUnavailableError(
                 f"{url} answered with status {answer.status}; expected 200"
--- a/src/coltsfootarch/fleet/relay_choice.py
+++ b/src/coltsfootarch/fleet/relay_choice.py
@@ -40,6 +40,8 @@
         relay: Relay that includes this host in its sums; None without one.
         joining: Relay that this host tries to join; None for none.
         relaying: Whether this host relays.
+        previous: Relay that this host leaves once another one includes it;
+            None for none.
         probed: Host that was asked whether it answers; None for none.
     """
 
@@ -55,6 +57,7 @@
         self.clock = clock
         self.heard_relay = heard_relay
         self.relay: str | None = None
+        self.previous: str | None = None
         self.joining: str | None = None
         self.joining_since = 0.0
         self.relaying = False
@@ -130,15 +133,22 @@
         wanted = (self.joining, self.topology.own_relay())
         if has_members or name not in wanted or name == self.own:
             return
-        self.relay, self.joining = None, name
+        self.previous, self.relay, self.joining = self.relay, None, name
         self.joining_since = self.unattached_since = self.clock.monotonic()
         self.relaying = False
 
-    def record_joined(self, name: str) -> None:
-        """Records that a relay includes this host now."""
-        if name == self.joining:
-            logger.info("relay joined", relay=name)
-            self.relay, self.joining = name, None
+    def record_joined(self, name: str) -> str | None:
+        """Records that a relay includes this host now.
+
+        Returns:
+            The relay that this host has left, which must no longer include it.
+        """
+        if name != self.joining:
+            return None
+        logger.info("relay joined", relay=name)
+        self.relay, self.joining = name, None
+        previous, self.previous = self.previous, None
+        return previous
 
     def reset(self) -> None:
         """Ends the exchange through relays."""
--- a/src/coltsfootarch/fleet/relayed.py
+++ b/src/coltsfootarch/fleet/relayed.py
@@ -27,9 +27,11 @@
 
     from coltsfootarch import clock as clocks
 
-# Interval of messages. A view of this age at three stages (member, relay,
-# relay) is about as old as direct reports of 80 hosts were.
-TICK_S = 0.25
+# Interval of messages. It grows with the fleet, since sums and the number of
+# relays do, up to a limit at which loads are still recent enough to place by.
+MIN_TICK_S = 0.12
+MAX_TICK_S = 0.25
+TICK_PER_HOST_S = 0.0013
 # Hosts that were reached within this time count as possibly serving.
 PEAK_S = 25.0
 # Hosts of a zone without an answering relay that are tried with each message.
@@ -44,6 +46,11 @@
 Kind = envelopes.Kind
 
 
+def tick_s(hosts_in_fleet: int) -> float:
+    """Returns the interval of messages in a fleet, in seconds."""
+    return min(max(hosts_in_fleet * TICK_PER_HOST_S, MIN_TICK_S), MAX_TICK_S)
+
+
 class PolicyConfirmations(Protocol):
     """Policy of this host, whose confirmation is passed on."""
 
@@ -132,7 +139,7 @@
     # Sending.
 
     def tick(self) -> None:
-        """Sends what is due; called every `TICK_S` and on important changes."""
+        """Sends what is due; called every `tick_s` and on important changes."""
         self.expire()
         self.update_role()
         if self.relaying:
@@ -448,6 +455,9 @@
         elif kind is Kind.FLEET:
             self.handle_fleet(source, previous)
         elif kind is Kind.PROBE:
+            # A member doesn't probe its own relay, so that it has left.
+            if self.members.pop(source.envelope.sender, None) is not None:
+                self.clear(source.envelope.sender)
             self.send(source.envelope.sender, Kind.PROBE_ANSWER)
         else:
             self.choice.record_probe_answer(
@@ -515,7 +525,10 @@
         name = source.envelope.sender
         if self.members:
             return
-        self.choice.record_joined(name)
+        left = self.choice.record_joined(name)
+        if left is not None:
+            # Not a message of a member, so that the relay drops this host.
+            self.send(left, Kind.PROBE)
         if name != self.choice.relay:
             return
         continuous = sources.is_continuous(source, previous)
--- a/src/coltsfootarch/fleet/report_exchange.py
+++ b/src/coltsfootarch/fleet/report_exchange.py
@@ -22,13 +22,9 @@
 if TYPE_CHECKING:
     from coltsfootarch import clock as clocks
 
-# Interval of reports among few hosts. Loads change within tens of milliseconds;
+# Interval of direct reports. Loads change within tens of milliseconds;
 # a view of this age still distinguishes an empty engine from a full one.
 INTERVAL_S = 0.1
-# With more peers the interval grows, so that a host sends at most this many
-# datagrams per second, up to the longest interval below.
-MAX_DATAGRAMS_PER_S = 80.0
-MAX_INTERVAL_S = 0.5
 # Delay of an early report, in which further important changes are collected.
 URGENT_DELAY_S = 0.06
 MAX_DATAGRAM_BYTES = 60000
@@ -162,7 +158,9 @@
 
     def interval(self) -> float:
         """Returns the seconds between two reports."""
-        return relayed.TICK_S if self.directory.is_large() else INTERVAL_S
+        if self.directory.is_large():
+            return relayed.tick_s(self.directory.count())
+        return INTERVAL_S
 
     def send_all(self) -> None:
         """Sends reports until the greenlet is killed."""
--- a/tests/fakes/stepped_fleet.py
+++ b/tests/fakes/stepped_fleet.py
@@ -81,7 +81,7 @@
         self.exchange.relayed.send_datagram = self.send
         self.exchange.send_datagram = self.send
         self.running = True
-        self.next_tick = fleet.generator.random() * relayed.TICK_S
+        self.next_tick = fleet.generator.random() * relayed.MAX_TICK_S
         self.next_rows = 0.0
         self.next_read = fleet.generator.random() * followers.POLICY_WAIT_S
 
--- a/tests/fleet/test_reports.py
+++ b/tests/fleet/test_reports.py
@@ -9,6 +9,7 @@
 import pytest
 
 from coltsfootarch.fleet import hosts
+from coltsfootarch.fleet import relayed
 from coltsfootarch.fleet import report_exchange
 from coltsfootarch.fleet import reports
 from tests.fleet import builders
@@ -130,12 +131,17 @@
         receiver.directory.record_report(f"h{number}", "10.0.0.1:1", 1)
 
     assert (
-        report_exchange.INTERVAL_S
-        < receiver.interval()
-        <= report_exchange.MAX_INTERVAL_S
+        report_exchange.INTERVAL_S < receiver.interval() <= relayed.MAX_TICK_S
     )
 
 
+def test_interval_is_bounded_in_any_fleet():
+    """Views older than the longest interval send requests to full engines."""
+    assert relayed.tick_s(13) == relayed.MIN_TICK_S
+    assert relayed.tick_s(1000) == relayed.MAX_TICK_S
+    assert relayed.tick_s(150) == pytest.approx(0.195)
+
+
 def test_upstream_entries_are_unchanged_by_encoding(receiver, manual_clock):
     peer = exchange("peer", manual_clock)
     directory = builders.directory(
