--- a/tests/fleet/test_upstreams.py
+++ b/tests/fleet/test_upstreams.py
@@ -4,6 +4,7 @@
 
 import datetime
 
+from coltsfootarch.fleet import followers
 from coltsfootarch.fleet import upstreams
 from tests.fleet import builders
 
@@ -75,3 +76,25 @@
 
     directory.update([one._replace(ready=False)], [])
     assert calls
+
+
+def test_upstream_that_left_after_a_host_s_own_outage_gets_nothing(
+    manual_clock,
+):
+    """The store was up all the time; only this host could not read it.
+
+    Others dropped the upstream at once. Users allow 2 s after its removal to
+    hosts that have been undisturbed for 3 s.
+    """
+    directory = builders.directory(manual_clock, builders.plain("i-1"))
+    own_outage = datetime.timedelta(seconds=3.0)
+    manual_clock.advance(own_outage)
+    # The upstream leaves a second later, before the next try to read.
+    retry_pause = followers.UPSTREAM_RETRY_MAX_S
+    manual_clock.advance(datetime.timedelta(seconds=retry_pause))
+    directory.update([], ["i-1"])
+
+    manual_clock.advance(datetime.timedelta(seconds=3.0 - retry_pause))
+    directory.expire()
+
+    assert names(directory) == set()
