--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -159,6 +159,8 @@
             ],
             clock,
             self.policy_tracker,
+            self.generator,
+            self.buckets.is_pressed,
         )
         policy_follower = followers.PolicyFollower(
             platform.policies,
