--- a/src/coltsfootarch/fleet/report_exchange.py
+++ b/src/coltsfootarch/fleet/report_exchange.py
@@ -20,8 +20,6 @@
 from coltsfootarch.http1 import client
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from coltsfootarch import clock as clocks
 
 # Interval of direct reports. Loads change within tens of milliseconds;
@@ -29,9 +27,6 @@
 INTERVAL_S = 0.1
 # Delay of an early report, in which further important changes are collected.
 URGENT_DELAY_S = 0.06
-# Interval of relays and their members while an account is at its rate limit.
-# What all hosts admit within the time of two messages exceeds the limit.
-URGENT_TICK_S = 0.06
 MAX_DATAGRAM_BYTES = 60000
 # Pause between two batches of received datagrams, and the size of a batch.
 BATCH_INTERVAL_S = 0.03
@@ -73,7 +68,6 @@
         clock: Source of time.
         confirmations: Policy whose confirmation is passed on; None for none.
         generator: Source of randomness; a new one if not given.
-        is_urgent: Returns whether state must be passed on sooner than usual.
 
     Attributes:
         relayed: This host's part in the exchange through relays.
@@ -90,9 +84,7 @@
         clock: clocks.Clock,
         confirmations: relayed.PolicyConfirmations | None = None,
         generator: random.Random | None = None,
-        is_urgent: Callable[[], bool] = lambda: False,
     ) -> None:
-        self.is_urgent = is_urgent
         self.directory = directory
         self.participants = participants
         self.clock = clock
@@ -167,8 +159,7 @@
     def interval(self) -> float:
         """Returns the seconds between two reports."""
         if self.directory.is_large():
-            usual = relayed.tick_s(self.directory.count())
-            return min(URGENT_TICK_S, usual) if self.is_urgent() else usual
+            return relayed.tick_s(self.directory.count())
         return INTERVAL_S
 
     def send_all(self) -> None:
--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -159,8 +159,6 @@
             ],
             clock,
             self.policy_tracker,
-            self.generator,
-            self.buckets.is_pressed,
         )
         policy_follower = followers.PolicyFollower(
             platform.policies,
--- a/src/coltsfootarch/limits/shared_bucket.py
+++ b/src/coltsfootarch/limits/shared_bucket.py
@@ -22,11 +22,6 @@
 # refund. It spans several reports, so that peers learn of the change even if
 # some of them are lost.
 REPORT_WINDOW_S = 5.0
-# A bucket below this part of its burst is used faster than it refills, so that
-# replicas that differ soon admit too much.
-PRESSED_FRACTION = 0.6
-# Time for which a bucket counts as pressed after that, in seconds.
-PRESSED_S = 1.0
 
 
 class Bucket:
@@ -74,7 +69,6 @@
         buckets: Replicas by client account.
         peer_totals: Last reported total of admitted tokens, by peer and client
             account.
-        pressed_at: Instant at which a bucket was last found pressed, in seconds.
     """
 
     def __init__(
@@ -93,21 +87,6 @@
         self.started_at = clock.monotonic()
         self.buckets: dict[str, Bucket] = {}
         self.peer_totals: dict[str, dict[str, int]] = {}
-        self.pressed_at = float("-inf")
-
-    def is_pressed(self) -> bool:
-        """Returns whether an account has used its rate limit up recently.
-
-        The replicas must then learn of admissions sooner than usual.
-        """
-        return self.clock.monotonic() - self.pressed_at < PRESSED_S
-
-    def note_pressure(
-        self, account: policy.ClientAccount, bucket: Bucket
-    ) -> None:
-        """Records whether a bucket is pressed after a change."""
-        if bucket.level < account.burst * PRESSED_FRACTION:
-            self.pressed_at = self.clock.monotonic()
 
     def admit(self, account: policy.ClientAccount, tokens: int) -> float:
         """Admits a request, or returns how long it would have to wait.
@@ -129,7 +108,6 @@
         # Like the limit, the overdraft is divided among groups of hosts that
         # can't reach each other.
         missing = tokens - bucket.level - self.overdraft() * fraction
-        self.note_pressure(account, bucket)
         if missing > 0:
             return missing / (account.rate * fraction)
         bucket.level -= tokens
@@ -207,10 +185,9 @@
             if continuous and account is not None:
                 # Refill first, so that tokens beyond the burst are discarded
                 # before the use is subtracted.
-                bucket = self.refill(account, self.reachable_fraction())
-                bucket.level -= admitted - previous
-                if admitted > previous:
-                    self.note_pressure(account, bucket)
+                self.refill(account, self.reachable_fraction()).level -= (
+                    admitted - previous
+                )
         reported_names = {name for name, _, _ in report.usage}
         for name in [name for name in totals if name not in reported_names]:
             del totals[name]
