Count hosts as reached for 1.2 s after the last message of a relay

As with direct reports; it was 2.0 s, in which a host that is cut off used each limit as if it were not.

--- a/src/coltsfootarch/fleet/hosts.py
+++ b/src/coltsfootarch/fleet/hosts.py
@@ -41,8 +41,10 @@
 REPORT_TIMEOUT_S = 1.2
 # A row that isn't renewed is removed after this time.
 REMOVAL_S = 120.0
-# Time for which the number of reached hosts that a relay passed on is valid.
-PASSED_COUNTS_VALIDITY_S = 2.0
+# Time for which the number of reached hosts that a relay passed on is valid. As
+# with direct reports, a host that hears nothing for this time then uses its own
+# part of each limit only.
+PASSED_COUNTS_VALIDITY_S = REPORT_TIMEOUT_S
 # Time for which the size of the fleet that another host stated is valid.
 TOLD_VALIDITY_S = 5.0
 # Rank of hosts that don't relay, behind all relays.
--- a/tests/fleet/test_relayed_fleet.py
+++ b/tests/fleet/test_relayed_fleet.py
@@ -388,3 +388,44 @@
 
     assert over <= 1.1
     assert below >= 0.98
+
+
+# Limit of a large account of the users' large site, and what they allow.
+LARGE_RATE = 80_000.0
+LARGE_BURST = 180_000.0
+REQUEST_TOKENS = 5_200
+WINDOW_S = 8.0
+SLACK_TOKENS = 120_000
+
+
+def test_isolated_hosts_do_not_exceed_a_limit_while_one_account_bursts():
+    """A third of the hosts is cut off as an account sends three times its rate.
+
+    Before they notice, each of them admits as if the others admitted nothing.
+    Users allow a tenth and a fixed number of tokens above rate and burst.
+    """
+    fleet = stepped_fleet.SteppedFleet(195)
+    large = policy.ClientAccount(
+        "acme", frozenset(), LARGE_RATE, LARGE_BURST, None, 100
+    )
+    fleet.accounts["acme"] = large
+    fleet.run(SETTLED_S)
+    cut = {
+        host.name for number, host in enumerate(fleet.hosts) if not number % 3
+    }
+    fleet.delivered = lambda sender, receiver: (
+        sender.name not in cut and receiver.name not in cut
+    )
+    admitted = 0
+    owed = 0.0
+    for _ in range(round(WINDOW_S / stepped_fleet.STEP_S)):
+        fleet.step()
+        owed += LARGE_RATE * 3.3 * stepped_fleet.STEP_S / REQUEST_TOKENS
+        while owed >= 1:
+            owed -= 1
+            host = fleet.generator.choice(fleet.hosts)
+            if host.buckets.admit(large, REQUEST_TOKENS) == 0.0:
+                admitted += REQUEST_TOKENS
+
+    allowed = (LARGE_RATE * WINDOW_S + LARGE_BURST) * 1.1 + SLACK_TOKENS
+    assert admitted <= allowed
