Subtract what others admit also if the relay takes its member for a relay

Cause: whether a sum of the fleet continues the previous one was judged by the last message of any kind from the relay. A relay whose view of the relays differs, as when hosts are cut off, also sends its member the sum of its group. No sum continued the previous one then, and the member subtracted nothing of what other hosts admitted.

Change: the previous sum of the fleet is kept apart. The test failed before (False, False, False in place of False, True, True).

--- a/src/coltsfootarch/fleet/relayed.py
+++ b/src/coltsfootarch/fleet/relayed.py
@@ -94,6 +94,7 @@
         groups: Other relays, with their latest messages; also hosts that answer
             without relaying, which include no hosts.
         unanswered_since: Instant of the first unanswered message to a relay.
+        fleet_source: Last sum of all other hosts that was applied.
         usage: Usage of all hosts.
         group_usage: Usage of this host and its members.
     """
@@ -131,6 +132,7 @@
         self.members: dict[str, sources.Source] = {}
         self.groups: dict[str, sources.Source] = {}
         self.unanswered_since: dict[str, float] = {}
+        self.fleet_source: sources.Source | None = None
         self.reached_history: collections.deque[tuple[float, int]] = (
             collections.deque()
         )
@@ -441,11 +443,9 @@
         )
         self.directory.tell_size(envelope.expected)
         self.note_confirmation(envelope)
-        self.handle(source, previous)
+        self.handle(source)
 
-    def handle(
-        self, source: sources.Source, previous: sources.Source | None
-    ) -> None:
+    def handle(self, source: sources.Source) -> None:
         """Handles a message by its kind."""
         kind = source.envelope.kind
         if kind is Kind.MEMBER:
@@ -453,7 +453,7 @@
         elif kind is Kind.GROUP:
             self.handle_group(source)
         elif kind is Kind.FLEET:
-            self.handle_fleet(source, previous)
+            self.handle_fleet(source)
         elif kind is Kind.PROBE:
             # A member doesn't probe its own relay, so that it has left.
             if self.members.pop(source.envelope.sender, None) is not None:
@@ -518,9 +518,7 @@
         if name not in self.groups:
             self.topology.record_answer(name)
 
-    def handle_fleet(
-        self, source: sources.Source, previous: sources.Source | None
-    ) -> None:
+    def handle_fleet(self, source: sources.Source) -> None:
         """Applies the sum that this host's relay sent."""
         name = source.envelope.sender
         if self.members:
@@ -531,7 +529,12 @@
             self.send(left, Kind.PROBE)
         if name != self.choice.relay:
             return
-        continuous = sources.is_continuous(source, previous)
+        previous, self.fleet_source = self.fleet_source, source
+        continuous = (
+            previous is not None
+            and previous.envelope.sender == name
+            and sources.is_continuous(source, previous)
+        )
         self.directory.pass_counts(
             source.envelope.hosts, source.envelope.expected
         )
--- a/tests/fleet/test_relayed.py
+++ b/tests/fleet/test_relayed.py
@@ -174,6 +174,25 @@
     assert member.tracker.confirmed_at == confirmed_at
 
 
+def test_relay_that_takes_its_member_for_a_relay_keeps_counting(
+    member, manual_clock
+):
+    """It sends it sums of its group as well, as their views of relays differ.
+
+    If the sums of the fleet did not continue each other then, the member would
+    subtract nothing of what others admit, and use each limit by itself.
+    """
+    continuity = []
+    member.loads.apply_report = lambda report, continuous: continuity.append(
+        continuous
+    )
+    for kind in (Kind.FLEET, Kind.GROUP, Kind.FLEET, Kind.GROUP, Kind.FLEET):
+        manual_clock.advance(datetime.timedelta(seconds=0.1))
+        member.receive(tokens=5, kind=kind)
+
+    assert continuity == [False, True, True]
+
+
 def test_relay_that_restarts_begins_anew(member, manual_clock):
     """Its counters start from zero, which must not give usage back."""
     continuity = []
