Log the digest of a request and its known breaks with each attempt

Without them the log can't show that requests with different ids repeat one content, nor what a host knew of earlier breaks when it sent the request.

--- a/src/coltsfootarch/forwarding/call_pipeline.py
+++ b/src/coltsfootarch/forwarding/call_pipeline.py
@@ -154,6 +154,8 @@
             request_id=call.request.id,
             upstream=upstream.id,
             attempt=call.attempts,
+            digest=call.digest,
+            breaks=self.context.break_counts.count(call.digest),
             load=load.requests,
             load_age_ms=round(self.context.loads.age() * 1000),
             outcome=result.label,
--- a/src/coltsfootarch/forwarding/decode_stage.py
+++ b/src/coltsfootarch/forwarding/decode_stage.py
@@ -244,6 +244,8 @@
             request_id=call.request.id,
             upstream=engine.id,
             attempt=call.attempts,
+            digest=call.digest,
+            breaks=self.context.break_counts.count(call.digest),
             outcome=result.label,
             reason=reason,
             started=call.responder.started,
--- a/src/coltsfootarch/forwarding/prefill_stage.py
+++ b/src/coltsfootarch/forwarding/prefill_stage.py
@@ -123,6 +123,8 @@
             "prefill ended",
             request_id=call.request.id,
             upstream=engine.id,
+            digest=call.digest,
+            breaks=self.context.break_counts.count(call.digest),
             outcome=outcome.value,
             reason=reason,
             took_ms=round(elapsed * 1000),
--- a/src/coltsfootarch/scheduling/break_counts.py
+++ b/src/coltsfootarch/scheduling/break_counts.py
@@ -64,16 +64,19 @@
 
     def is_refused(self, digest: str) -> bool:
         """Returns whether a request must not be sent to an upstream again."""
+        return self.count(digest) >= MAX_BREAKS
+
+    def count(self, digest: str) -> int:
+        """Returns the number of recent breaks of a request over all hosts."""
         if not self.own and not self.peers:
-            return False
+            return 0
         oldest = self.clock.monotonic() - RETENTION_S
         tables = (self.own, *self.peers.values())
-        total = sum(
+        return sum(
             table[digest].total
             for table in tables
             if digest in table and table[digest].last_at >= oldest
         )
-        return total >= MAX_BREAKS
 
     def expire(self) -> None:
         """Removes expired entries."""
