Tests of requests that crash upstreams, which fail on this code

Calls of a plain service that crash their upstream are sent each time that they come (hypothesis 1). A request that waits is sent though its content is refused by then (2). Breaks are lost with the host that saw them, hidden by those of other requests, and not cleared on other hosts (3).

--- a/standins/runner.py
+++ b/standins/runner.py
@@ -56,6 +56,8 @@
             and "stall" reset or stop a stream at its third event.
         crashing_part: Id of a prompt part on which the runner crashes as soon
             as it begins to stream; empty for none.
+        crashing_target: Target of calls on which the runner crashes; empty for
+            none.
         down_s: Seconds for which a crashed runner is down.
         crashes: Number of its crashes.
         work_s: Seconds for a call or a prefill.
@@ -92,6 +94,7 @@
         self.orders: list[dict[str, Any]] = []
         self.fault = ""
         self.crashing_part = ""
+        self.crashing_target = ""
         self.down_s = 0.2
         self.crashes = 0
         self.work_s = 0.0
@@ -192,7 +195,9 @@
         self.running += 1
         connection.on_close = lambda: self.record_end(request_id, "closed")
         try:
-            if self.stage == "decode":
+            if request.target == self.crashing_target:
+                self.crash(request_id)
+            elif self.stage == "decode":
                 self.generate(request_id, fields, connection)
             else:
                 self.call(request_id, connection)
--- a/tests/forwarding/test_calls.py
+++ b/tests/forwarding/test_calls.py
@@ -8,6 +8,7 @@
 import pytest
 
 from coltsfootarch.forwarding import upstream_exchange
+from coltsfootarch.scheduling import break_counts
 from tests.platform import documents
 
 
@@ -147,6 +148,25 @@
     assert run_count(app) == 2
 
 
+@pytest.mark.parametrize(
+    ("target", "method"), [("/read/a", "GET"), ("/book/a", "POST")]
+)
+def test_call_that_crashes_every_upstream_is_refused(app, target, method):
+    """Guards against a call that crashes upstreams as often as it is sent."""
+    body = b"x" if method == "POST" else b""
+    for runner in app.runners.values():
+        runner.crashing_target = target
+    for number in range(5):
+        app.ask(target, method, body, request_id=f"r{number}")
+        gevent.sleep(0.3)  # The upstreams are up again.
+
+    response = app.ask(target, method, body, request_id="r9")
+
+    assert (response.status, response.code) == (503, "repeated-breaks")
+    crashes = sum(runner.crashes for runner in app.runners.values())
+    assert crashes == break_counts.MAX_BREAKS
+
+
 def test_attempts_are_limited(app):
     app.add_runner("i-3", "app")
     app.wait(lambda: app.daemon.upstreams.is_serving("i-3"))
--- a/tests/forwarding/test_generations.py
+++ b/tests/forwarding/test_generations.py
@@ -362,6 +362,27 @@
     )
 
 
+def test_waiting_request_is_not_sent_once_its_content_is_refused(
+    engines, monkeypatch
+):
+    """Guards against requests that were admitted before the last crash."""
+    context = engines.daemon.context
+    for name in ("p-1", "d-1", "d-2"):
+        context.loads.add(name, 9000)
+    caller = engines.caller()
+    caller.send("/write/a", "POST", b"prompt", **SIZES)
+    engines.wait(lambda: context.queue.waiters)
+
+    monkeypatch.setattr(context.break_counts, "is_refused", lambda digest: True)
+    for name in ("p-1", "d-1", "d-2"):
+        context.loads.remove(name, 9000)
+    response = caller.read()
+
+    assert (response.status, response.code) == (503, "repeated-breaks")
+    assert not engines.runs()
+    assert not engines.runners["p-1"].handles
+
+
 @pytest.fixture
 def crashing(edge_host):
     """A host with four decode engines that crash on one part of a prompt."""
--- a/tests/scheduling/test_break_counts.py
+++ b/tests/scheduling/test_break_counts.py
@@ -53,3 +53,54 @@
         send_report(first_host, second_host, "h1")
 
     assert not second_host.is_refused("digest")
+
+
+def test_breaks_outlast_a_restart_of_the_host_that_saw_them(manual_clock):
+    """Guards against counts that end with the process that observed them."""
+    first_host = break_counts.BreakCounts(manual_clock)
+    second_host = break_counts.BreakCounts(manual_clock)
+    for _ in range(3):
+        first_host.record("digest")
+    send_report(first_host, second_host, "h1")
+
+    restarted = break_counts.BreakCounts(manual_clock)
+    send_report(restarted, second_host, "h1")
+    for _ in range(20):
+        manual_clock.advance(datetime.timedelta(seconds=1))
+        send_report(second_host, restarted, "h2")
+
+    assert second_host.is_refused("digest")
+    assert restarted.is_refused("digest")
+
+
+def test_breaks_of_other_requests_do_not_hide_those_of_one(manual_clock):
+    """Guards against a crash whose many victims fill the reports."""
+    first_host = break_counts.BreakCounts(manual_clock)
+    second_host = break_counts.BreakCounts(manual_clock)
+    for _ in range(3):
+        first_host.record("digest")
+    manual_clock.advance(datetime.timedelta(seconds=5))
+    for number in range(60):
+        first_host.record(f"other-{number}")
+
+    for _ in range(20):
+        manual_clock.advance(datetime.timedelta(milliseconds=100))
+        send_report(first_host, second_host, "h1")
+
+    assert second_host.is_refused("digest")
+
+
+def test_success_clears_what_other_hosts_know(manual_clock):
+    """Guards against refusals of a request that has completed since."""
+    first_host = break_counts.BreakCounts(manual_clock)
+    second_host = break_counts.BreakCounts(manual_clock)
+    for _ in range(3):
+        first_host.record("digest")
+    send_report(first_host, second_host, "h1")
+    manual_clock.advance(datetime.timedelta(seconds=1))
+
+    second_host.clear("digest")
+    send_report(second_host, first_host, "h2")
+
+    assert not second_host.is_refused("digest")
+    assert not first_host.is_refused("digest")
