Keep breaks of requests on all hosts instead of with their observer

Cause: a host's count of breaks was the last report of each peer. A host that restarted reported none, which removed what it had seen; 20 later breaks of other requests pushed one out of the report; a success removed only the own breaks, and identical requests on one crashed upstream counted one each. Class: evidence that lives as long as one process, and as one message has room for it.

Change: every host merges breaks by what broke, passes them on, the most frequent first and all in turn, and passes on successes, which clear them. Hosts of earlier builds are still heard; they can't read reports with breaks, as was the case with crashed parts.

--- a/src/coltsfootarch/fleet/merging.py
+++ b/src/coltsfootarch/fleet/merging.py
@@ -49,6 +49,8 @@
     refused: set[str] = set()
     crashed: dict[tuple[str, frozenset[str], frozenset[str]], int] = {}
     sound: dict[tuple[str, str], int] = {}
+    broken: dict[str, tuple[frozenset[str], int]] = {}
+    completed: dict[str, int] = {}
     for report, age_ms in received:
         for upstream, requests, tokens in report.loads:
             known = loads.get(upstream, (0, 0))
@@ -63,8 +65,18 @@
             keep_smallest(crashed, crash, since_ms + age_ms)
         for service, part, since_ms in report.sound_parts:
             keep_smallest(sound, (service, part), since_ms + age_ms)
+        for digest, causes, since_ms in report.broken_requests:
+            add_causes(broken, digest, causes, since_ms + age_ms)
+        for digest, since_ms in report.completed_requests:
+            keep_smallest(completed, digest, since_ms + age_ms)
     recent_crashes = sorted(crashed.items(), key=lambda item: item[1])
     recent_sound = sorted(sound.items(), key=lambda item: item[1])
+    recent_completed = sorted(
+        completed.items(), key=lambda item: (item[1], item[0])
+    )
+    most_causes = sorted(
+        broken.items(), key=lambda item: (-len(item[1][0]), item[1][1], item[0])
+    )
     most_breaks = sorted(breaks.items(), key=lambda item: (-item[1], item[0]))
     return reports.empty_report("", 0, 0)._replace(
         loads=[(name, *load) for name, load in sorted(loads.items())],
@@ -83,9 +95,25 @@
             (service, part, since_ms)
             for (service, part), since_ms in recent_sound[:MAX_PARTS]
         ),
+        broken_requests=tuple(
+            (digest, tuple(sorted(causes)), since_ms)
+            for digest, (causes, since_ms) in most_causes[:MAX_BREAKS]
+        ),
+        completed_requests=tuple(recent_completed[:MAX_BREAKS]),
     )
 
 
+def add_causes(
+    table: dict[str, tuple[frozenset[str], int]],
+    digest: str,
+    causes: Iterable[str],
+    since_ms: int,
+) -> None:
+    """Adds the breaks of a request, the latest one so many ms ago."""
+    known, known_ms = table.get(digest, (frozenset[str](), since_ms))
+    table[digest] = (known | frozenset(causes), min(known_ms, since_ms))
+
+
 def add_counts(
     totals: dict[str, int], entries: Iterable[tuple[str, int]]
 ) -> None:
--- a/src/coltsfootarch/fleet/reports.py
+++ b/src/coltsfootarch/fleet/reports.py
@@ -23,7 +23,8 @@
         loads: Upstream id, number of requests in progress, their tokens.
         usage: Client account, tokens admitted from the start until the last
             few seconds, tokens admitted since the start.
-        breaks: Request digest, number of connections that broke while it ran.
+        breaks: Request digest, number of connections that broke while it ran;
+            empty in this build, whose hosts send `broken_requests`.
         failures: Upstream id, number of failed requests since the start.
         refusing: Ids of upstreams that refuse requests at present.
         waiting: Service, number of requests that wait for its engines.
@@ -40,6 +41,10 @@
             last of the crashes.
         sound_parts: Service, part of a prompt on which engines crashed,
             milliseconds since a request with it last generated on this host.
+        broken_requests: Request digest, digests of what broke while it ran,
+            milliseconds since the last of these breaks.
+        completed_requests: Digest of a request that broke before, milliseconds
+            since it completed.
     """
 
     version: int
@@ -63,11 +68,18 @@
         tuple[str, tuple[str, ...], tuple[str, ...], int], ...
     ] = ()
     sound_parts: tuple[tuple[str, str, int], ...] = ()
+    broken_requests: tuple[tuple[str, tuple[str, ...], int], ...] = ()
+    completed_requests: tuple[tuple[str, int], ...] = ()
 
 
 # Fields that reports leave out if they and all later ones are empty. Hosts of
 # builds that don't know them can decode such reports.
-OPTIONAL_FIELDS = ("crashed_parts", "sound_parts")
+OPTIONAL_FIELDS = (
+    "crashed_parts",
+    "sound_parts",
+    "broken_requests",
+    "completed_requests",
+)
 
 
 def empty_report(host: str, incarnation: int, sequence: int) -> Report:
--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -276,7 +276,11 @@
             directory=self.upstreams,
             loads=loads,
             outcome_tracker=outcome_tracker,
-            break_counts=break_counts.BreakCounts(clock),
+            break_counts=break_counts.BreakCounts(
+                clock,
+                f"{self.hosts.own.name}@{self.hosts.own.incarnation}",
+                lambda: self.report_exchange.send_soon(),
+            ),
             crashing_parts=crashing_parts.CrashingParts(
                 clock,
                 lambda: self.hosts.rank() == 0,
--- a/tests/fleet/test_merging.py
+++ b/tests/fleet/test_merging.py
@@ -21,6 +21,8 @@
         refused=(f"digest-{number}",),
         crashed_parts=(("summaries", ("p-1",), ("d-1",), 100 * number),),
         sound_parts=(("summaries", "p-2", 100 * number),),
+        broken_requests=(("digest", (f"cause-{number}",), 100 * number),),
+        completed_requests=(("other", 100 * number),),
     )
 
 
