Count crashes of upstreams during calls, prefills and silent streams

Cause: only a broken stream at a decode engine was counted. Calls to plain services, prefills and attempts that ended by a time limit left no count, so that 'repeated-breaks' was never reached. Class: a protection that one of several paths with the same hazard bypasses.

Change: after a failure of such an attempt the upstream is checked; if it accepts no connection, its crash counts for the request, once for each incarnation. Connections that break without a crash don't count, since calls often have the same content. Ruled out: counting every broken call, which would refuse a popular call after three resets.

--- a/src/coltsfootarch/fleet/upstreams.py
+++ b/src/coltsfootarch/fleet/upstreams.py
@@ -66,6 +66,11 @@
     stage: Stage | None = None
     started_ms: int = 0
 
+    @property
+    def incarnation(self) -> str:
+        """Name of this incarnation; empty if its start isn't known."""
+        return f"{self.id}@{self.started_ms}" if self.started_ms else ""
+
 
 class Change(NamedTuple):
     """A change of the directory's entries.
--- a/src/coltsfootarch/forwarding/call_pipeline.py
+++ b/src/coltsfootarch/forwarding/call_pipeline.py
@@ -93,6 +93,8 @@
         is_first = call.attempts == 0
         if not is_first and call.attempts >= call.route.max_attempts:
             return None
+        if not is_first and self.context.break_counts.is_refused(call.digest):
+            return None
         upstream = self.context.call_placer.choose(call.service, call.tried)
         if upstream is None and is_first and call.tried:
             # No connection could be made to any; one may have recovered.
@@ -144,6 +146,7 @@
         self.context.outcome_tracker.record(
             upstream.id, result.outcome, elapsed
         )
+        self.record_break(call, upstream, result)
         self.context.metrics.attempts.labels(call.service, result.label).inc()
         if isinstance(result, attempts.Response):
             self.context.metrics.answer_time.labels(call.service).observe(
@@ -163,6 +166,19 @@
         )
         return result
 
+    def record_break(
+        self,
+        call: calls.Call,
+        upstream: upstreams.Upstream,
+        result: attempts.Response | attempts.Failure,
+    ) -> None:
+        """Records whether the upstream crashed while it ran the call."""
+        if isinstance(result, attempts.Response):
+            if result.is_success:
+                self.context.break_counts.clear(call.digest)
+        elif result.may_have_run:
+            self.context.crash_check.check(call.digest, upstream)
+
     def run_exchange(
         self,
         call: calls.Call,
--- a/src/coltsfootarch/forwarding/context.py
+++ b/src/coltsfootarch/forwarding/context.py
@@ -9,6 +9,7 @@
     from coltsfootarch import clock as clocks
     from coltsfootarch.fleet import upstreams
     from coltsfootarch.forwarding import calls
+    from coltsfootarch.forwarding import crash_checks
     from coltsfootarch.http1 import pool
     from coltsfootarch.observability import registry
     from coltsfootarch.retries import shared_budget
@@ -35,6 +36,7 @@
         loads: Work in progress at each upstream, from all hosts.
         outcome_tracker: Recent outcomes of each upstream.
         break_counts: Number of connections that broke during each request.
+        crash_check: Finds out whether an upstream crashed during a request.
         crashing_parts: Parts of prompts on which engines crash.
         refusals: Requests that were recently refused for lack of capacity.
         budget: Retry budget.
@@ -53,6 +55,7 @@
     loads: load_view.LoadView
     outcome_tracker: outcomes.OutcomeTracker
     break_counts: break_counts.BreakCounts
+    crash_check: crash_checks.CrashCheck
     crashing_parts: crashing_parts.CrashingParts
     refusals: refusals.RecentRefusals
     budget: shared_budget.SharedRetryBudget
--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -22,6 +22,7 @@
 from coltsfootarch.fleet import stage_orders
 from coltsfootarch.fleet import upstreams
 from coltsfootarch.forwarding import context
+from coltsfootarch.forwarding import crash_checks
 from coltsfootarch.forwarding import forwarder
 from coltsfootarch.forwarding import host_status
 from coltsfootarch.forwarding import listener
@@ -269,6 +270,11 @@
             placer, loads, backlog.Backlog(clock), clock
         )
         self.upstreams.on_change.append(queue.place_waiting)
+        breaks = break_counts.BreakCounts(
+            clock,
+            f"{self.hosts.own.name}@{self.hosts.own.incarnation}",
+            lambda: self.report_exchange.send_soon(),
+        )
         return context.Context(
             clock=clock,
             wire=self.platform.wire,
@@ -276,11 +282,8 @@
             directory=self.upstreams,
             loads=loads,
             outcome_tracker=outcome_tracker,
-            break_counts=break_counts.BreakCounts(
-                clock,
-                f"{self.hosts.own.name}@{self.hosts.own.incarnation}",
-                lambda: self.report_exchange.send_soon(),
-            ),
+            break_counts=breaks,
+            crash_check=crash_checks.CrashCheck(breaks, clock),
             crashing_parts=crashing_parts.CrashingParts(
                 clock,
                 lambda: self.hosts.rank() == 0,
--- a/src/coltsfootarch/forwarding/decode_stage.py
+++ b/src/coltsfootarch/forwarding/decode_stage.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import datetime
 from typing import TYPE_CHECKING
 
 import structlog
@@ -39,10 +38,6 @@
 # may start with the next prompt. By the second event its other streams have
 # sent an event too, so that the pauses caused by two prompts don't add up.
 EVENTS_BETWEEN_PROMPTS = 2
-# A running engine accepts a connection within a few milliseconds. A proxy in
-# front of one that is down accepts it too, but closes it within the pause.
-CRASH_CHECK_TIMEOUT_S = 0.2
-CRASH_CHECK_PAUSE = datetime.timedelta(milliseconds=30)
 
 logger = structlog.get_logger(__name__)
 
@@ -230,7 +225,7 @@
         if (
             result is attempts.Failure.BROKEN
             and generation.event_count < crashing_parts.SOUND_EVENTS
-            and self.is_down(engine)
+            and self.context.crash_check.is_down(engine)
         ):
             self.context.crashing_parts.record_crash(
                 call.service,
@@ -257,21 +252,6 @@
             took_ms=round((self.clock.monotonic() - now) * 1000),
         )
 
-    def is_down(self, engine: upstreams.Upstream) -> bool:
-        """Returns whether an engine accepts no connection or closes it at once.
-
-        The connection of a request can break without a crash of the engine.
-        """
-        connection = client.Connection(engine.address, self.clock)
-        try:
-            connection.start(CRASH_CHECK_TIMEOUT_S)
-            self.clock.sleep(CRASH_CHECK_PAUSE)
-            return not connection.is_reusable()
-        except client.ConnectError:
-            return True
-        finally:
-            connection.close()
-
     def relay(
         self,
         generation: generations.Generation,
@@ -417,5 +397,7 @@
         call.may_have_run = call.may_have_run or result.may_have_run
         if result is attempts.Failure.BROKEN:
             self.context.break_counts.record(call.digest)
+        elif result is attempts.Failure.TIMED_OUT:
+            self.context.crash_check.check(call.digest, engine)
         if result.may_have_run and not call.route.repeatable:
             generation.finished = True
--- a/src/coltsfootarch/forwarding/prefill_stage.py
+++ b/src/coltsfootarch/forwarding/prefill_stage.py
@@ -104,6 +104,8 @@
             client.ResponseTimeoutError,
         ) as error:
             reason = str(error) or type(error).__name__
+            if not exchange.aborted:
+                self.context.crash_check.check(call.digest, engine)
         finally:
             self.context.loads.remove(engine.id, tokens)
             exchange.close()
