Check for breaks before each send, not only when a request arrives

Cause: a request was checked on arrival and before a second attempt. One that waited for an engine, for up to its deadline, was sent although its content was refused by then on all hosts. Class: a decision that is not repeated after a wait. The refusal is now checked before the first attempt, after the wait, and after the prefill, on calls and on generations alike, and it ends as repeated-breaks, not run.

test_waiting_request_is_not_sent_once_its_content_is_refused failed before and passes; 249 tests of scheduling and forwarding pass.

--- a/src/coltsfootarch/forwarding/call_pipeline.py
+++ b/src/coltsfootarch/forwarding/call_pipeline.py
@@ -93,7 +93,7 @@
         is_first = call.attempts == 0
         if not is_first and call.attempts >= call.route.max_attempts:
             return None
-        if not is_first and self.context.break_counts.is_refused(call.digest):
+        if self.context.break_counts.is_refused(call.digest):
             return None
         upstream = self.context.call_placer.choose(call.service, call.tried)
         if upstream is None and is_first and call.tried:
@@ -246,6 +246,8 @@
             return
         if response is not None or call.may_have_run:
             raise errors.RefusedError(failure.code)
+        if self.context.break_counts.is_refused(call.digest):
+            raise errors.RefusedError(results.REPEATED_BREAKS)
         if not call.tried:
             raise errors.RefusedError(
                 results.NO_UPSTREAM, retry_after=RETRY_AFTER_S
--- a/src/coltsfootarch/forwarding/generation_pipeline.py
+++ b/src/coltsfootarch/forwarding/generation_pipeline.py
@@ -100,14 +100,12 @@
             return False
         if call.ends_at - self.clock.monotonic() < MIN_TIME_LEFT_S:
             return False
-        if self.has_crashing_part(call):
+        if self.is_refused(call):
             return False
         if call.attempts == 0:
             return True
         if call.attempts >= call.route.max_attempts:
             return False
-        if self.context.break_counts.is_refused(call.digest):
-            return False
         allowed = self.context.budget.spend(call.service)
         if allowed and call.responder.started:
             self.context.metrics.resumes.labels(call.service).inc()
@@ -120,6 +118,12 @@
             )
         return allowed
 
+    def is_refused(self, call: calls.Call) -> bool:
+        """Returns whether the request is known to crash or break upstreams."""
+        return self.context.break_counts.is_refused(
+            call.digest
+        ) or self.has_crashing_part(call)
+
     def has_crashing_part(self, call: calls.Call) -> bool:
         """Returns whether a part of the prompt is known to crash engines."""
         if call.is_trial and not call.may_have_run:
@@ -230,7 +234,7 @@
         is down. It prefills the prompt itself if no prefill engine does.
         """
         call = generation.call
-        if self.has_crashing_part(call):
+        if self.is_refused(call):
             return
         exchange = self.decode_stage.create_exchange(generation, placement)
         try:
@@ -250,7 +254,7 @@
                 self.prefill_stage.run(generation, placement.prefill)
             call.cancellation.check()
             exchange = self.decode_stage.ensure_connected(generation, exchange)
-            if self.has_crashing_part(call):
+            if self.is_refused(call):
                 return
             if not self.context.directory.is_serving(placement.decode.id):
                 # The decode engine was drained or removed during the prefill;
@@ -300,6 +304,8 @@
             raise errors.RefusedError(generation.failure.code)
         if self.has_crashing_part(call):
             raise part_refusals.refusal(self.context.crashing_parts, call)
+        if self.context.break_counts.is_refused(call.digest):
+            raise errors.RefusedError(results.REPEATED_BREAKS)
         # No engine ran the request. If the caller retries it, `was_refused`
         # recognizes it.
         self.context.refusals.record(call.digest)
