Refuse calls that crash instances on the product's own interface too

The same cause as on hosts of a platform: the quarantine counts crashes of engines only, and the pipeline of calls to plain services counted none. A host now refuses such a call as quarantined after three crashes, each verified by a connection that the instance refuses. Hosts with a register don't exchange these counts, so that each host allows three.

test_call_that_crashes_each_instance_is_refused fails without the change, for idempotent calls and for claimed ones. The fake connector tells the check apart from the connections of calls, so that the faults of the existing tests meet the same steps as before.

--- a/src/coltsfootarch/gateway/call_pipeline.py
+++ b/src/coltsfootarch/gateway/call_pipeline.py
@@ -13,6 +13,7 @@
 
 from coltsfootarch import errors
 from coltsfootarch import results
+from coltsfootarch.gateway import crashing_calls
 from coltsfootarch.gateway import failures
 from coltsfootarch.idempotency import claims
 from coltsfootarch.idempotency import rows
@@ -101,6 +102,7 @@
         self.budget = budget
         self.backoff = backoff
         self.metrics = metrics
+        self.crashing_calls = crashing_calls.CrashingCalls(clock, connector)
 
     def run(self, call: Call) -> CallAnswer:
         """Sends a call and returns its answer.
@@ -123,6 +125,7 @@
         while True:
             attempt += 1
             try:
+                self.crashing_calls.check(request_digest(call))
                 response = self.send_to_any(call, excluded)
             except errors.UpstreamError as error:
                 failure = failure_to_report(
@@ -232,6 +235,7 @@
         """Sends a non-idempotent call at most once, or replays its outcome."""
         if not call.idempotency_key:
             raise errors.RefusedError(results.IDEMPOTENCY_KEY_REQUIRED)
+        self.crashing_calls.check(request_digest(call))
         upstream, connection = self.open_connection(call)
         try:
             claim = self.claim_store.claim(
@@ -318,6 +322,7 @@
             response = connection.send(call.request, self.timeout(call))
         except errors.UpstreamError:
             self.balancer.record_failure(upstream.name)
+            self.crashing_calls.record_failure(request_digest(call), upstream)
             raise
         except BaseException:
             self.balancer.record_cancel(upstream.name)
@@ -325,6 +330,7 @@
         finally:
             connection.close()
         self.balancer.record_success(upstream.name)
+        self.crashing_calls.record_success(request_digest(call))
         return response
 
     def timeout(self, call: Call) -> datetime.timedelta:
--- a/tests/faults/test_call_path.py
+++ b/tests/faults/test_call_path.py
@@ -22,6 +22,7 @@
 from coltsfootarch import results
 from coltsfootarch.config import routes
 from coltsfootarch.gateway import call_pipeline
+from coltsfootarch.gateway import crashing_calls
 from coltsfootarch.gateway import dispatch_guard
 from coltsfootarch.gateway import inflight
 from coltsfootarch.idempotency import claims
@@ -52,6 +53,8 @@
         cluster = self.cluster
         cluster.check_send(self.address)
         cluster.sent += 1
+        if cluster.crashes:
+            raise errors.UpstreamError("connection reset")
         fault = cluster.fault_plan.next_fault("send")
         if fault == "breaks":
             raise errors.UpstreamError("connection reset")
@@ -140,6 +143,7 @@
         sent: Number of requests sent to instances.
         connections: Number of open connections.
         handle: Handle of the request in progress.
+        crashes: Whether each request crashes the instance that runs it.
     """
 
     def __init__(self, faults=()):
@@ -163,6 +167,7 @@
         self.connections = 0
         self.connected_address = ""
         self.handle = None
+        self.crashes = False
         self.fault_plan.actions = {
             "caller cancels": lambda: self.end_request(
                 results.CLIENT_CANCELLED
@@ -172,7 +177,9 @@
             "pause, all leave": self.start_leaving_all,
         }
 
-    def connect(self, address, _timeout):
+    def connect(self, address, timeout):
+        if timeout == crashing_calls.CHECK_TIMEOUT:
+            return self.connect_to_check(address)
         self.connected_address = address
         fault = self.fault_plan.next_fault("connect")
         if fault == "connect refused":
@@ -180,6 +187,13 @@
         self.connections += 1
         return Connection(self, address)
 
+    def connect_to_check(self, address):
+        """Connects to find out whether an instance has crashed."""
+        if self.crashes:
+            raise errors.UpstreamConnectError("refused")
+        self.connections += 1
+        return Connection(self, address)
+
     def end_request(self, code):
         if self.handle is not None:
             self.handle.end(code)
@@ -511,6 +525,23 @@
     step="send",
     fails_without="RetryBudget.spend",
 )
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_call_that_crashes_each_instance_is_refused(idempotent):
+    """Guards against a call that crashes instances as often as it is sent."""
+    cluster = Cluster()
+    cluster.crashes = True
+    for number in range(8):
+        result = cluster.call(key=f"key-{number}", idempotent=idempotent)
+        gevent.sleep(0.01)  # The crash is found out in the background.
+        cluster.clock.advance(datetime.timedelta(seconds=5))
+    sent = cluster.sent
+
+    result = cluster.call(key="other", idempotent=idempotent)
+
+    assert result.code is results.QUARANTINED
+    assert cluster.sent == sent <= 4
+
+
 def test_retries_are_limited_by_the_budget():
     cluster = Cluster([("send", "unavailable")] * 99)
     codes = [cluster.call(key="", idempotent=True).code for _ in range(8)]
