Send nothing to an upstream for the Retry-After of its refusal

Cause: nothing read Retry-After in the 503 of an upstream; the backoff after a refusal is 0.25 to 2 s whatever the upstream asks for. Calls had no backoff. Change: the time is kept by incarnation, and placement, reservations and the check before a decode leave the upstream out. If all upstreams of a service pause, a caller is refused at once, with the shortest rest as Retry-After.

Four tests of pauses (calls, prefill and decode engines) failed before and pass.

--- a/src/coltsfootarch/fleet/stage_orders.py
+++ b/src/coltsfootarch/fleet/stage_orders.py
@@ -175,7 +175,7 @@
                 continue
             engines = [
                 self.with_ordered_stage(engine)
-                for engine in self.directory.candidates(service.name)
+                for engine in self.directory.members(service.name)
             ]
             change = self.balancer.decide(
                 service,
--- a/src/coltsfootarch/fleet/upstreams.py
+++ b/src/coltsfootarch/fleet/upstreams.py
@@ -93,10 +93,15 @@
 
     Args:
         clock: Source of time.
+
+    Attributes:
+        accepts: Returns whether an upstream may get requests from this host at
+            present, by what it has stated itself.
     """
 
     def __init__(self, clock: clocks.Clock) -> None:
         self.clock = clock
+        self.accepts: Callable[[Upstream], bool] = lambda _: True
         self.upstreams: dict[str, Upstream] = {}
         self.by_service: dict[str, list[Upstream]] = {}
         self.absent_since: dict[str, float] = {}
@@ -272,6 +277,13 @@
 
     def candidates(self, service: str) -> list[Upstream]:
         """Returns the upstreams of a service that accept new requests."""
+        return list(filter(self.accepts, self.members(service)))
+
+    def members(self, service: str) -> list[Upstream]:
+        """Returns the ready upstreams of a service.
+
+        Some may accept no new requests at the moment.
+        """
         return [
             upstream
             for upstream in self.by_service.get(service, ())
@@ -285,4 +297,5 @@
             upstream is not None
             and upstream.ready
             and upstream_id not in self.rejected
+            and self.accepts(upstream)
         )
--- a/src/coltsfootarch/forwarding/call_pipeline.py
+++ b/src/coltsfootarch/forwarding/call_pipeline.py
@@ -134,6 +134,7 @@
             self.clock,
             call.request,
             delivery,
+            self.context.notices,
         )
         self.context.loads.add(upstream.id, 1)
         self.context.outcome_tracker.record_dispatch(upstream.id)
@@ -248,11 +249,14 @@
             raise errors.RefusedError(failure.code)
         if self.context.break_counts.is_refused(call.digest):
             raise errors.RefusedError(results.REPEATED_BREAKS)
-        if not call.tried:
-            raise errors.RefusedError(
-                results.NO_UPSTREAM, retry_after=RETRY_AFTER_S
-            )
-        raise errors.RefusedError(results.OVERLOADED, retry_after=RETRY_AFTER_S)
+        code = results.OVERLOADED if call.tried else results.NO_UPSTREAM
+        raise errors.RefusedError(code, retry_after=self.retry_after(call))
+
+    def retry_after(self, call: calls.Call) -> float:
+        """Returns the seconds until an upstream may get the call."""
+        members = self.context.directory.members(call.service)
+        waits = map(self.context.notices.wait_s, members)
+        return max(min(waits, default=0.0), RETRY_AFTER_S)
 
 
 def ignore_cancellation() -> None:
--- a/src/coltsfootarch/forwarding/calls.py
+++ b/src/coltsfootarch/forwarding/calls.py
@@ -120,6 +120,8 @@
         leaving: Whether the upstream closes the connection.
         load: Reported load, if any.
         fields: Header fields for the caller.
+        retry_after_s: Time for which the upstream wants no requests from this
+            host, in seconds; None if not given.
     """
 
     status: int
@@ -129,6 +131,7 @@
     leaving: bool
     load: ReportedLoad | None
     fields: messages.Fields
+    retry_after_s: float | None = None
 
     def is_from_other_upstream(self, upstream: upstreams.Upstream) -> bool:
         """Returns whether another upstream now uses the upstream's address."""
--- a/src/coltsfootarch/forwarding/context.py
+++ b/src/coltsfootarch/forwarding/context.py
@@ -23,6 +23,7 @@
     from coltsfootarch.scheduling import outcomes
     from coltsfootarch.scheduling import refusals
     from coltsfootarch.scheduling import stage_balance
+    from coltsfootarch.scheduling import upstream_notices
 
 
 class Context(NamedTuple):
@@ -38,6 +39,7 @@
         break_counts: Number of connections that broke during each request.
         crash_check: Finds out whether an upstream crashed during a request.
         crashing_parts: Parts of prompts on which engines crash.
+        notices: What upstreams state about themselves.
         refusals: Requests that were recently refused for lack of capacity.
         budget: Retry budget.
         call_placer: Chooses upstreams of plain services.
@@ -57,6 +59,7 @@
     break_counts: break_counts.BreakCounts
     crash_check: crash_checks.CrashCheck
     crashing_parts: crashing_parts.CrashingParts
+    notices: upstream_notices.UpstreamNotices
     refusals: refusals.RecentRefusals
     budget: shared_budget.SharedRetryBudget
     call_placer: call_placement.CallPlacer
--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -43,6 +43,7 @@
 from coltsfootarch.scheduling import refusals
 from coltsfootarch.scheduling import sampling
 from coltsfootarch.scheduling import stage_balance
+from coltsfootarch.scheduling import upstream_notices
 
 if TYPE_CHECKING:
     import pathlib
@@ -270,6 +271,8 @@
             placer, loads, backlog.Backlog(clock), clock
         )
         self.upstreams.on_change.append(queue.place_waiting)
+        notices = upstream_notices.UpstreamNotices(clock)
+        self.upstreams.accepts = notices.accepts
         breaks = break_counts.BreakCounts(
             clock,
             f"{self.hosts.own.name}@{self.hosts.own.incarnation}",
@@ -289,6 +292,7 @@
                 lambda: self.hosts.rank() == 0,
                 lambda: self.report_exchange.send_soon(),
             ),
+            notices=notices,
             refusals=refusals.RecentRefusals(clock),
             budget=shared_budget.SharedRetryBudget(
                 clock,
@@ -399,6 +403,7 @@
         self.context.break_counts.expire()
         self.context.crashing_parts.expire()
         self.context.outcome_tracker.retain_only(self.upstreams.upstreams)
+        self.context.notices.retain_only(self.upstreams.upstreams)
         self.upstreams.expire()
 
     def close(self) -> None:
--- a/src/coltsfootarch/forwarding/decode_stage.py
+++ b/src/coltsfootarch/forwarding/decode_stage.py
@@ -69,6 +69,7 @@
             self.clock,
             generation.call.request,
             self.build_delivery(generation, placement),
+            self.context.notices,
         )
 
     def build_delivery(
--- a/src/coltsfootarch/forwarding/generation_pipeline.py
+++ b/src/coltsfootarch/forwarding/generation_pipeline.py
@@ -322,7 +322,16 @@
         call = generation.call
         if generation.connect_failures:
             return RETRY_AFTER_S
-        wait = self.context.queue.expected_wait(call.service)
+        wait = max(
+            self.context.queue.expected_wait(call.service),
+            min(
+                map(
+                    self.context.notices.wait_s,
+                    self.context.directory.members(call.service),
+                ),
+                default=0.0,
+            ),
+        )
         wait = max(wait, MIN_OVERLOAD_RETRY_S) * (1 + self.generator.random())
         time_left = call.ends_at - self.clock.monotonic()
         return min(wait, time_left * RETRY_AFTER_FRACTION)
--- a/src/coltsfootarch/forwarding/prefill_stage.py
+++ b/src/coltsfootarch/forwarding/prefill_stage.py
@@ -64,6 +64,7 @@
                 call.ends_at - now,
                 prefill_only=True,
             ),
+            self.context.notices,
         )
         load_ahead = self.context.loads.load(engine.id)
         self.context.loads.add(engine.id, tokens)
--- a/src/coltsfootarch/forwarding/upstream_exchange.py
+++ b/src/coltsfootarch/forwarding/upstream_exchange.py
@@ -15,6 +15,7 @@
     from coltsfootarch import clock as clocks
     from coltsfootarch.forwarding import calls
     from coltsfootarch.http1 import pool
+    from coltsfootarch.scheduling import upstream_notices
 
 # Several times the round trip between availability zones; a longer wait means
 # that the upstream or its zone can't be reached.
@@ -37,6 +38,7 @@
         clock: Source of time.
         request: The caller's request.
         delivery: What the host adds to it for this upstream.
+        notices: Receives what the upstream states about itself.
     """
 
     def __init__(
@@ -46,7 +48,9 @@
         clock: clocks.Clock,
         request: calls.CallerRequest,
         delivery: calls.Delivery,
+        notices: upstream_notices.UpstreamNotices,
     ) -> None:
+        self.notices = notices
         self.connections = connections
         self.wire = wire
         self.clock = clock
@@ -135,6 +139,9 @@
                 body += part
         if head is None or not connection.finish(head):
             self.connection = None
+        if head is not None:
+            response = self.wire.decode(head)
+            self.notices.apply(self.delivery.upstream, response)
         if head is None or head.status != 200:
             return None
         return self.wire.decode_reservation(body) or None
@@ -172,6 +179,7 @@
                 not response.request_id and response.status >= 400
             ):
                 self.head = part
+                self.notices.apply(self.delivery.upstream, response)
                 return response
             logger.warning(
                 "response to another request skipped",
--- a/src/coltsfootarch/platform/wire.py
+++ b/src/coltsfootarch/platform/wire.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -34,6 +35,7 @@
 MAX_PART_ID_LENGTH = 32
 SERVER_LOAD = "x-server-load"
 INSTANCE_ID = "x-instance-id"
+RETRY_AFTER = "retry-after"
 # A runner answers so to a request for another instance, but also to a request
 # for another stage.
 MISDIRECTED_REQUEST = 421
@@ -195,6 +197,9 @@
                 for field in head.fields
                 if field[0].lower() not in dropped
             ),
+            retry_after_s=decode_number(
+                messages.field_value(head.fields, RETRY_AFTER)
+            ),
         )
 
     def decode_prefill(self, body: bytes) -> str:
@@ -244,6 +249,15 @@
     return head + body
 
 
+def decode_number(value: str) -> float | None:
+    """Returns a decimal number, 0 or more; None for any other value."""
+    try:
+        number = float(value)
+    except ValueError:
+        return None
+    return number if math.isfinite(number) and number >= 0 else None
+
+
 def decode_string_field(body: bytes, key: str) -> str:
     """Returns a string field of a JSON object; empty if there is none."""
     try:
--- /dev/null
+++ b/src/coltsfootarch/scheduling/upstream_notices.py
@@ -0,0 +1,97 @@
+"""What upstreams state about themselves in their responses to this host."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+
+import structlog
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from coltsfootarch import clock as clocks
+    from coltsfootarch.fleet import upstreams
+    from coltsfootarch.forwarding import calls
+
+UNAVAILABLE_STATUS = 503
+
+logger = structlog.get_logger(__name__)
+
+
+class Pause(NamedTuple):
+    """Time in which an upstream wants no requests from this host.
+
+    Attributes:
+        upstream: The upstream; another incarnation isn't bound by it.
+        until: Monotonic instant of its end, in seconds.
+    """
+
+    upstream: upstreams.Upstream
+    until: float
+
+
+class UpstreamNotices:
+    """Keeps upstreams from requests that they have asked not to get.
+
+    Args:
+        clock: Source of time.
+
+    Attributes:
+        pauses: Pauses that upstreams asked for, by their ids.
+    """
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self.clock = clock
+        self.pauses: dict[str, Pause] = {}
+
+    def apply(
+        self, upstream: upstreams.Upstream, response: calls.UpstreamResponse
+    ) -> None:
+        """Records what a response states about its upstream."""
+        if response.is_from_other_upstream(upstream):
+            return
+        seconds = response.retry_after_s
+        if response.status != UNAVAILABLE_STATUS or not seconds:
+            return
+        until = self.clock.monotonic() + seconds
+        known = self.pauses.get(upstream.id)
+        if known is not None and is_same(known.upstream, upstream):
+            until = max(until, known.until)
+        self.pauses[upstream.id] = Pause(upstream, until)
+        logger.info(
+            "upstream asked for a pause",
+            upstream=upstream.id,
+            seconds=round(seconds, 3),
+        )
+
+    def accepts(self, upstream: upstreams.Upstream) -> bool:
+        """Returns whether an upstream may get a request from this host."""
+        return self.wait_s(upstream) <= 0
+
+    def wait_s(self, upstream: upstreams.Upstream) -> float:
+        """Returns the seconds until an upstream may get a request."""
+        pause = self.pauses.get(upstream.id)
+        if pause is None or not is_same(pause.upstream, upstream):
+            return 0.0
+        return max(pause.until - self.clock.monotonic(), 0.0)
+
+    def retain_only(self, registered: Mapping[str, upstreams.Upstream]) -> None:
+        """Removes what has ended, and all about other upstreams.
+
+        Args:
+            registered: Registered upstreams by id.
+        """
+        now = self.clock.monotonic()
+        for key, pause in list(self.pauses.items()):
+            if key not in registered or pause.until <= now:
+                del self.pauses[key]
+
+
+def is_same(known: upstreams.Upstream, upstream: upstreams.Upstream) -> bool:
+    """Returns whether two registrations are of one incarnation."""
+    return (known.id, known.address, known.started_ms) == (
+        upstream.id,
+        upstream.address,
+        upstream.started_ms,
+    )
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -41,6 +41,7 @@
         slots: Requests that it executes at the same time.
         running: Requests in execution.
         runs: A record of each executed request.
+        refused: Number of refused requests.
         ended_executions: Request id and "answered", "closed" or "crashed" for
             each execution that has ended.
         handles: Request id by handle of a prefill result.
@@ -58,6 +59,7 @@
             as it begins to stream; empty for none.
         crashing_target: Target of calls on which the runner crashes; empty for
             none.
+        retry_after: Value of `Retry-After` in refusals; empty for none.
         down_s: Seconds for which a crashed runner is down.
         crashes: Number of its crashes.
         work_s: Seconds for a call or a prefill.
@@ -87,6 +89,7 @@
         self.slots = 8
         self.running = 0
         self.runs: list[dict[str, Any]] = []
+        self.refused = 0
         self.ended_executions: list[tuple[str, str]] = []
         self.handles: dict[str, str] = {}
         self.freed: list[str] = []
@@ -95,6 +98,7 @@
         self.fault = ""
         self.crashing_part = ""
         self.crashing_target = ""
+        self.retry_after = ""
         self.down_s = 0.2
         self.crashes = 0
         self.work_s = 0.0
@@ -147,7 +151,7 @@
             connection.respond(200)
         elif request.target == "/api/hold-take":
             if self.fault == "full":
-                connection.respond(503)
+                connection.respond(503, self.refusal_fields())
             else:
                 self.reservations.append(msgspec.json.decode(request.body))
                 hold = msgspec.json.encode(
@@ -182,7 +186,8 @@
         if self.fault == "mute":
             return
         if self.fault == "full" or self.running >= self.slots:
-            connection.respond(503, (("X-Not-Executed", "1"),))
+            self.refused += 1
+            connection.respond(503, self.refusal_fields())
             return
         prefill = fields.get("x-stage") == "prefill"
         if prefill != (self.stage == "prefill"):
@@ -205,6 +210,13 @@
             self.running -= 1
             connection.on_close = None
 
+    def refusal_fields(self) -> tuple[tuple[str, str], ...]:
+        """Returns the header fields of a refusal."""
+        fields: tuple[tuple[str, str], ...] = (("X-Not-Executed", "1"),)
+        if self.retry_after:
+            fields += (("Retry-After", self.retry_after),)
+        return fields
+
     def record_run(
         self, request: messages.Request, fields: dict[str, str]
     ) -> None:
--- a/tests/forwarding/test_calls.py
+++ b/tests/forwarding/test_calls.py
@@ -280,3 +280,38 @@
     assert app.ask("/read/a").status == 200
     assert not app.daemon.upstreams.is_serving("i-1")
     assert not replaced.runs
+
+
+def test_upstream_that_asks_for_a_pause_gets_no_requests_in_it(app):
+    """Guards against requests to an upstream that has asked to wait."""
+    paused = app.runners["i-1"]
+    paused.fault = "full"
+    paused.retry_after = "0.8"
+    app.daemon.context.loads.add("i-2", 1)  # So that i-1 is chosen first.
+    assert app.ask("/book/a", "POST", b"x").status == 503
+    paused.fault = ""
+    app.daemon.context.outcome_tracker.records.clear()
+
+    for number in range(6):
+        assert app.ask("/read/a", request_id=f"r{number}").status == 200
+    assert set(app.runs()) == {"i-2"}
+
+    app.wait(lambda: app.daemon.upstreams.is_serving("i-1"))
+    app.daemon.context.outcome_tracker.records.clear()
+    assert app.ask("/read/a", request_id="r9").status == 200
+    assert set(app.runs()) == {"i-1", "i-2"}
+
+
+def test_call_is_rejected_at_once_while_all_upstreams_pause(app):
+    """Guards against a wait for upstreams that can't serve in time."""
+    set_fault(app, "full", retry_after="2.5")
+    for number in range(2):
+        app.ask("/read/a", request_id=f"r{number}")
+    started = time.monotonic()
+
+    response = app.ask("/read/a", request_id="r9")
+
+    assert response.status == 503
+    assert 1.5 < float(response.fields["retry-after"]) <= 2.5
+    assert time.monotonic() - started < 0.5
+    assert sum(runner.refused for runner in app.runners.values()) == 2
--- a/tests/forwarding/test_generations.py
+++ b/tests/forwarding/test_generations.py
@@ -383,6 +383,22 @@
     assert not engines.runners["p-1"].handles
 
 
+@pytest.mark.parametrize("name", ["p-1", "d-1"])
+def test_engine_that_asks_for_a_pause_gets_no_requests_in_it(engines, name):
+    """Guards against prompts for an engine that has asked to wait."""
+    paused = engines.runners[name]
+    paused.fault = "full"
+    paused.retry_after = "5"
+    prefer(engines, "d-1")
+    ask(engines, request_id="r0")
+    engines.daemon.context.outcome_tracker.records.clear()
+
+    for number in range(1, 5):
+        ask(engines, request_id=f"r{number}")
+
+    assert paused.refused == 1
+
+
 @pytest.fixture
 def crashing(edge_host):
     """A host with four decode engines that crash on one part of a prompt."""
