Send nothing to an upstream that states that it leaves

Change: the incarnation that stated it is left out of placement and of the check before a decode; a restart under the same id is served again. The flag of a response that closes its connection is renamed to 'closing', since it says nothing of the upstream.

--- a/src/coltsfootarch/forwarding/call_pipeline.py
+++ b/src/coltsfootarch/forwarding/call_pipeline.py
@@ -255,8 +255,7 @@
     def retry_after(self, call: calls.Call) -> float:
         """Returns the seconds until an upstream may get the call."""
         members = self.context.directory.members(call.service)
-        waits = map(self.context.notices.wait_s, members)
-        return max(min(waits, default=0.0), RETRY_AFTER_S)
+        return max(self.context.notices.shortest_wait_s(members), RETRY_AFTER_S)
 
 
 def ignore_cancellation() -> None:
--- a/src/coltsfootarch/forwarding/calls.py
+++ b/src/coltsfootarch/forwarding/calls.py
@@ -117,21 +117,23 @@
         request_id: Id of the request that it belongs to; empty if not given.
         not_run: Whether the upstream states that the request was not run.
         answered_by: Id of the upstream that responded; empty if not given.
-        leaving: Whether the upstream closes the connection.
+        closing: Whether the upstream closes the connection.
         load: Reported load, if any.
         fields: Header fields for the caller.
         retry_after_s: Time for which the upstream wants no requests from this
             host, in seconds; None if not given.
+        leaving: Whether the upstream states that it is about to stop.
     """
 
     status: int
     request_id: str
     not_run: bool
     answered_by: str
-    leaving: bool
+    closing: bool
     load: ReportedLoad | None
     fields: messages.Fields
     retry_after_s: float | None = None
+    leaving: bool = False
 
     def is_from_other_upstream(self, upstream: upstreams.Upstream) -> bool:
         """Returns whether another upstream now uses the upstream's address."""
--- a/src/coltsfootarch/forwarding/generation_pipeline.py
+++ b/src/coltsfootarch/forwarding/generation_pipeline.py
@@ -324,12 +324,8 @@
             return RETRY_AFTER_S
         wait = max(
             self.context.queue.expected_wait(call.service),
-            min(
-                map(
-                    self.context.notices.wait_s,
-                    self.context.directory.members(call.service),
-                ),
-                default=0.0,
+            self.context.notices.shortest_wait_s(
+                self.context.directory.members(call.service)
             ),
         )
         wait = max(wait, MIN_OVERLOAD_RETRY_S) * (1 + self.generator.random())
--- a/src/coltsfootarch/platform/wire.py
+++ b/src/coltsfootarch/platform/wire.py
@@ -36,6 +36,7 @@
 SERVER_LOAD = "x-server-load"
 INSTANCE_ID = "x-instance-id"
 RETRY_AFTER = "retry-after"
+SERVER_LEAVING = "server-leaving"
 # A runner answers so to a request for another instance, but also to a request
 # for another stage.
 MISDIRECTED_REQUEST = 421
@@ -190,7 +191,7 @@
             not_run=head.status == MISDIRECTED_REQUEST
             or messages.field_value(head.fields, NOT_EXECUTED) != "",
             answered_by=messages.field_value(head.fields, INSTANCE_ID),
-            leaving="close" in connection,
+            closing="close" in connection,
             load=decode_load(messages.field_value(head.fields, SERVER_LOAD)),
             fields=tuple(
                 field
@@ -200,6 +201,7 @@
             retry_after_s=decode_number(
                 messages.field_value(head.fields, RETRY_AFTER)
             ),
+            leaving=messages.field_value(head.fields, SERVER_LEAVING) == "1",
         )
 
     def decode_prefill(self, body: bytes) -> str:
--- a/src/coltsfootarch/scheduling/upstream_notices.py
+++ b/src/coltsfootarch/scheduling/upstream_notices.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
 import structlog
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from collections.abc import Mapping
 
     from coltsfootarch import clock as clocks
@@ -39,11 +41,13 @@
 
     Attributes:
         pauses: Pauses that upstreams asked for, by their ids.
+        leaving: Upstreams that stated that they are about to stop, by id.
     """
 
     def __init__(self, clock: clocks.Clock) -> None:
         self.clock = clock
         self.pauses: dict[str, Pause] = {}
+        self.leaving: dict[str, upstreams.Upstream] = {}
 
     def apply(
         self, upstream: upstreams.Upstream, response: calls.UpstreamResponse
@@ -51,6 +55,8 @@
         """Records what a response states about its upstream."""
         if response.is_from_other_upstream(upstream):
             return
+        if response.leaving:
+            self.record_leaving(upstream)
         seconds = response.retry_after_s
         if response.status != UNAVAILABLE_STATUS or not seconds:
             return
@@ -65,17 +71,42 @@
             seconds=round(seconds, 3),
         )
 
+    def record_leaving(self, upstream: upstreams.Upstream) -> None:
+        """Records that an upstream is about to stop."""
+        if not self.is_leaving(upstream):
+            self.leaving[upstream.id] = upstream
+            logger.info("upstream leaving", upstream=upstream.id)
+
+    def is_leaving(self, upstream: upstreams.Upstream) -> bool:
+        """Returns whether this incarnation stated that it is about to stop."""
+        known = self.leaving.get(upstream.id)
+        return known is not None and is_same(known, upstream)
+
     def accepts(self, upstream: upstreams.Upstream) -> bool:
         """Returns whether an upstream may get a request from this host."""
         return self.wait_s(upstream) <= 0
 
     def wait_s(self, upstream: upstreams.Upstream) -> float:
-        """Returns the seconds until an upstream may get a request."""
+        """Returns the seconds until an upstream may get a request.
+
+        This is infinite for one that is about to stop.
+        """
+        if self.is_leaving(upstream):
+            return float("inf")
         pause = self.pauses.get(upstream.id)
         if pause is None or not is_same(pause.upstream, upstream):
             return 0.0
         return max(pause.until - self.clock.monotonic(), 0.0)
 
+    def shortest_wait_s(self, members: Iterable[upstreams.Upstream]) -> float:
+        """Returns the seconds until one of them may get a request.
+
+        Returns:
+            0 if there is none that will.
+        """
+        waits = map(self.wait_s, members)
+        return min(filter(math.isfinite, waits), default=0.0)
+
     def retain_only(self, registered: Mapping[str, upstreams.Upstream]) -> None:
         """Removes what has ended, and all about other upstreams.
 
@@ -86,6 +117,8 @@
         for key, pause in list(self.pauses.items()):
             if key not in registered or pause.until <= now:
                 del self.pauses[key]
+        for key in [key for key in self.leaving if key not in registered]:
+            del self.leaving[key]
 
 
 def is_same(known: upstreams.Upstream, upstream: upstreams.Upstream) -> bool:
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -60,6 +60,7 @@
         crashing_target: Target of calls on which the runner crashes; empty for
             none.
         retry_after: Value of `Retry-After` in refusals; empty for none.
+        leaving: Whether it states in its answers that it leaves.
         down_s: Seconds for which a crashed runner is down.
         crashes: Number of its crashes.
         work_s: Seconds for a call or a prefill.
@@ -99,6 +100,7 @@
         self.crashing_part = ""
         self.crashing_target = ""
         self.retry_after = ""
+        self.leaving = False
         self.down_s = 0.2
         self.crashes = 0
         self.work_s = 0.0
@@ -215,7 +217,7 @@
         fields: tuple[tuple[str, str], ...] = (("X-Not-Executed", "1"),)
         if self.retry_after:
             fields += (("Retry-After", self.retry_after),)
-        return fields
+        return fields + self.state_fields()
 
     def record_run(
         self, request: messages.Request, fields: dict[str, str]
@@ -253,6 +255,7 @@
             (
                 ("X-Request-Id", request_id),
                 ("Content-Type", "application/json"),
+                *self.state_fields(),
             ),
             msgspec.json.encode(body),
         )
@@ -263,8 +266,13 @@
             ("X-Request-Id", request_id),
             ("X-Server-Seal", f"seal-{self.id}-{request_id}"),
             ("X-Server-Load", f"{self.running},0,{self.slots}"),
+            *self.state_fields(),
         )
 
+    def state_fields(self) -> tuple[tuple[str, str], ...]:
+        """Returns the header fields about the runner itself."""
+        return (("Server-Leaving", "1"),) if self.leaving else ()
+
     def call(self, request_id: str, connection: http.Connection) -> None:
         """Executes a call of a plain service, with the fault set."""
         gevent.sleep(self.work_s)
--- a/tests/forwarding/test_calls.py
+++ b/tests/forwarding/test_calls.py
@@ -315,3 +315,32 @@
     assert 1.5 < float(response.fields["retry-after"]) <= 2.5
     assert time.monotonic() - started < 0.5
     assert sum(runner.refused for runner in app.runners.values()) == 2
+
+
+def test_upstream_that_states_that_it_leaves_gets_no_requests(app):
+    """Guards against requests until the registration shows that it leaves."""
+    leaving = app.runners["i-1"]
+    leaving.leaving = True
+    app.daemon.context.loads.add("i-2", 1)  # So that i-1 is chosen first.
+    assert app.ask("/read/a").body == b"answer of i-1 to r1"
+    app.daemon.context.outcome_tracker.records.clear()
+
+    for number in range(6):
+        assert app.ask("/read/a", request_id=f"s{number}").status == 200
+
+    assert app.runs()["i-1"] == ["r1"]
+
+
+def test_restarted_upstream_is_not_taken_for_the_one_that_left(app):
+    """Guards against an upstream that is lost for good once it has left."""
+    restarted = app.runners["i-1"]
+    restarted.leaving = True
+    app.daemon.context.loads.add("i-2", 1)
+    app.ask("/read/a")
+    assert not app.daemon.upstreams.is_serving("i-1")
+
+    restarted.leaving = False
+    entry = restarted.registration() | {"born": 17}
+    app.store.put("servers", "i-1", documents.encoded(entry))
+
+    app.wait(lambda: app.daemon.upstreams.is_serving("i-1"))
--- a/tests/forwarding/test_generations.py
+++ b/tests/forwarding/test_generations.py
@@ -399,6 +399,23 @@
     assert paused.refused == 1
 
 
+@pytest.mark.parametrize("name", ["p-1", "d-1"])
+def test_engine_that_states_that_it_leaves_gets_no_requests(engines, name):
+    """Guards against prompts for an engine that is about to stop."""
+    leaving = engines.runners[name]
+    leaving.leaving = True
+    prefer(engines, "d-1")
+    ask(engines, request_id="r0")
+    sent = len(leaving.runs), len(leaving.handles)
+    engines.daemon.context.outcome_tracker.records.clear()
+
+    for number in range(1, 5):
+        ask(engines, request_id=f"r{number}")
+
+    assert (len(leaving.runs), len(leaving.handles)) == sent
+    assert sum(sent) == 1
+
+
 @pytest.fixture
 def crashing(edge_host):
     """A host with four decode engines that crash on one part of a prompt."""
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -173,7 +173,8 @@
 
     assert ("X-Server-Seal", "s") in decoded.fields
     assert decoded.load == calls.ReportedLoad(3, 1, 8)
-    assert decoded.leaving
+    assert decoded.closing
+    assert not decoded.leaving
     names = {name for name, _ in decoded.fields}
     assert names.isdisjoint({"Transfer-Encoding", "Connection"})
 
