Log the limits that upstreams name

The logs of the incident show neither that an upstream named a limit nor when a host learned of it. Server-Limit is decoded and each change is logged; nothing is decided by it yet.

--- a/src/coltsfootarch/forwarding/calls.py
+++ b/src/coltsfootarch/forwarding/calls.py
@@ -123,6 +123,8 @@
         retry_after_s: Time for which the upstream wants no requests from this
             host, in seconds; None if not given.
         leaving: Whether the upstream states that it is about to stop.
+        limit_per_s: Requests per second that the upstream takes from all hosts
+            together; None for no limit.
     """
 
     status: int
@@ -134,6 +136,7 @@
     fields: messages.Fields
     retry_after_s: float | None = None
     leaving: bool = False
+    limit_per_s: float | None = None
 
     def is_from_other_upstream(self, upstream: upstreams.Upstream) -> bool:
         """Returns whether another upstream now uses the upstream's address."""
--- a/src/coltsfootarch/platform/wire.py
+++ b/src/coltsfootarch/platform/wire.py
@@ -37,6 +37,7 @@
 INSTANCE_ID = "x-instance-id"
 RETRY_AFTER = "retry-after"
 SERVER_LEAVING = "server-leaving"
+SERVER_LIMIT = "server-limit"
 # A runner answers so to a request for another instance, but also to a request
 # for another stage.
 MISDIRECTED_REQUEST = 421
@@ -202,6 +203,9 @@
                 messages.field_value(head.fields, RETRY_AFTER)
             ),
             leaving=messages.field_value(head.fields, SERVER_LEAVING) == "1",
+            limit_per_s=decode_number(
+                messages.field_value(head.fields, SERVER_LIMIT)
+            ),
         )
 
     def decode_prefill(self, body: bytes) -> str:
--- a/src/coltsfootarch/scheduling/upstream_notices.py
+++ b/src/coltsfootarch/scheduling/upstream_notices.py
@@ -42,12 +42,15 @@
     Attributes:
         pauses: Pauses that upstreams asked for, by their ids.
         leaving: Upstreams that stated that they are about to stop, by id.
+        limits: Requests per second that upstreams take from all hosts together,
+            by the ids of those that named a limit in their last response.
     """
 
     def __init__(self, clock: clocks.Clock) -> None:
         self.clock = clock
         self.pauses: dict[str, Pause] = {}
         self.leaving: dict[str, upstreams.Upstream] = {}
+        self.limits: dict[str, float] = {}
 
     def apply(
         self, upstream: upstreams.Upstream, response: calls.UpstreamResponse
@@ -57,6 +60,7 @@
             return
         if response.leaving:
             self.record_leaving(upstream)
+        self.record_limit(upstream, response.limit_per_s)
         seconds = response.retry_after_s
         if response.status != UNAVAILABLE_STATUS or not seconds:
             return
@@ -71,6 +75,18 @@
             seconds=round(seconds, 3),
         )
 
+    def record_limit(
+        self, upstream: upstreams.Upstream, limit: float | None
+    ) -> None:
+        """Records the limit in a response; None if it names none."""
+        if limit == self.limits.get(upstream.id):
+            return
+        if limit is None:
+            del self.limits[upstream.id]
+        else:
+            self.limits[upstream.id] = limit
+        logger.info("upstream limit changed", upstream=upstream.id, limit=limit)
+
     def record_leaving(self, upstream: upstreams.Upstream) -> None:
         """Records that an upstream is about to stop."""
         if not self.is_leaving(upstream):
@@ -117,8 +133,9 @@
         for key, pause in list(self.pauses.items()):
             if key not in registered or pause.until <= now:
                 del self.pauses[key]
-        for key in [key for key in self.leaving if key not in registered]:
-            del self.leaving[key]
+        for table in (self.leaving, self.limits):
+            for key in [key for key in table if key not in registered]:
+                del table[key]
 
 
 def is_same(known: upstreams.Upstream, upstream: upstreams.Upstream) -> bool:
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -182,3 +182,22 @@
 @pytest.mark.parametrize("body", [b"", b"[]", b"{}", b'{"handle": 4}', b"\xff"])
 def test_prefill_answer_without_a_handle_decodes_to_empty(body):
     assert wire.RunnerWire().decode_prefill(body) == ""
+
+
+@pytest.mark.parametrize(
+    ("name", "value", "attribute", "expected"),
+    [
+        ("Server-Leaving", "1", "leaving", True),
+        ("Server-Leaving", "0", "leaving", False),
+        ("Server-Limit", "2.7", "limit_per_s", 2.7),
+        ("Server-Limit", "many", "limit_per_s", None),
+        ("Server-Limit", "inf", "limit_per_s", None),
+        ("Server-Limit", "-1", "limit_per_s", None),
+        ("Retry-After", "0.5", "retry_after_s", 0.5),
+        ("Retry-After", "Fri, 31 Dec 1999 23:59:59 GMT", "retry_after_s", None),
+        ("X-Other", "1", "retry_after_s", None),
+    ],
+)
+def test_state_of_a_runner_is_decoded(name, value, attribute, expected):
+    """Guards against a response that ends in an error for an odd value."""
+    assert getattr(answer(503, (name, value)), attribute) == expected
