--- a/standins/runner.py
+++ b/standins/runner.py
@@ -60,6 +60,8 @@
         crashing_target: Target of calls on which the runner crashes; empty for
             none.
         retry_after: Value of `Retry-After` in refusals; empty for none.
+        limit: Value of `Server-Limit` in its answers; empty for none.
+        arrivals: Requests, prefills and reservations that it got.
         leaving: Whether it states in its answers that it leaves.
         down_s: Seconds for which a crashed runner is down.
         crashes: Number of its crashes.
@@ -101,6 +103,8 @@
         self.crashing_target = ""
         self.retry_after = ""
         self.leaving = False
+        self.limit = ""
+        self.arrivals = 0
         self.down_s = 0.2
         self.crashes = 0
         self.work_s = 0.0
@@ -152,6 +156,7 @@
             self.freed.append(request.target.rpartition("/")[2])
             connection.respond(200)
         elif request.target == "/api/hold-take":
+            self.arrivals += 1
             if self.fault == "full":
                 connection.respond(503, self.refusal_fields())
             else:
@@ -180,6 +185,7 @@
             fields: Its header fields, with names in lower case.
             connection: Connection for the response.
         """
+        self.arrivals += 1
         request_id = fields.get("x-request-id", "")
         expected = fields.get("x-expect-instance")
         if expected is not None and expected != self.id:
@@ -271,7 +277,12 @@
 
     def state_fields(self) -> tuple[tuple[str, str], ...]:
         """Returns the header fields about the runner itself."""
-        return (("Server-Leaving", "1"),) if self.leaving else ()
+        fields: tuple[tuple[str, str], ...] = ()
+        if self.leaving:
+            fields += (("Server-Leaving", "1"),)
+        if self.limit:
+            fields += (("Server-Limit", self.limit),)
+        return fields
 
     def call(self, request_id: str, connection: http.Connection) -> None:
         """Executes a call of a plain service, with the fault set."""
--- a/tests/forwarding/test_calls.py
+++ b/tests/forwarding/test_calls.py
@@ -344,3 +344,36 @@
     app.store.put("servers", "i-1", documents.encoded(entry))
 
     app.wait(lambda: app.daemon.upstreams.is_serving("i-1"))
+
+
+def allowed_arrivals(limit, seconds):
+    """Returns what the users allow an upstream with a limit to get."""
+    return 1.5 * limit * seconds + 5
+
+
+def test_upstream_gets_no_more_than_the_limit_that_it_names(app):
+    """Guards against a limit that is known and not kept."""
+    limited = app.runners["i-1"]
+    limited.limit = "2.0"
+    started = time.monotonic()
+
+    for number in range(120):
+        assert app.ask("/read/a", request_id=f"r{number}").status == 200
+        app.daemon.context.outcome_tracker.records.clear()
+
+    seconds = max(time.monotonic() - started, 4.0)
+    assert 1 <= limited.arrivals <= allowed_arrivals(2.0, seconds)
+
+
+def test_call_beyond_the_limits_of_all_upstreams_is_rejected_at_once(app):
+    """Guards against a wait for a service whose upstreams are all limited."""
+    set_fault(app, "", limit="0.5")
+    responses = [
+        app.ask("/book/a", "POST", b"x", request_id=f"r{number}")
+        for number in range(20)
+    ]
+
+    rejected = [each for each in responses if each.status == 503]
+    assert len(rejected) >= 16
+    assert 1.0 < float(rejected[-1].fields["retry-after"]) <= 5.0
+    assert sum(each.arrivals for each in app.runners.values()) <= 4
--- a/tests/forwarding/test_generations.py
+++ b/tests/forwarding/test_generations.py
@@ -416,6 +416,21 @@
     assert sum(sent) == 1
 
 
+@pytest.mark.parametrize("name", ["p-1", "d-1"])
+def test_engine_gets_no_more_than_the_limit_that_it_names(engines, name):
+    """Guards against prompts beyond the limit of an engine."""
+    limited = engines.runners[name]
+    limited.limit = "1.0"
+    prefer(engines, "d-1")
+
+    for number in range(30):
+        ask(engines, request_id=f"r{number}")
+        engines.daemon.context.outcome_tracker.records.clear()
+
+    # What the users allow in 4 s.
+    assert 1 <= limited.arrivals <= 1.5 * 1.0 * 4 + 5
+
+
 @pytest.fixture
 def crashing(edge_host):
     """A host with four decode engines that crash on one part of a prompt."""
