Keep the limits that upstreams name, over all hosts

Users saw: an upstream that had named a limit of 1.3 requests a second got 15 in 4 s, allowed 13; another with 2.3 got 21, allowed 19 (LIMIT).

Cause: nothing that decides read Server-Limit. Class: a statement of a dependency that is transported and not acted on; Retry-After and Server-Leaving were others of it. Ruled out: a limit kept by each host for itself, and equal parts.

Change: an upstream with a limit has a token bucket that all hosts replicate, as client accounts have: first tries, retries, prefills, decodes and reservations are subtracted by the host that sends them and by all others that hear of it; a separated group uses its part. Placement leaves out an upstream whose bucket is empty, and a caller is refused at once, with the shortest wait as Retry-After, if all are. The limit and its end are passed on, also by relays.

--- a/src/coltsfootarch/fleet/merging.py
+++ b/src/coltsfootarch/fleet/merging.py
@@ -13,6 +13,7 @@
     from collections.abc import Iterable
 
 Key = TypeVar("Key")
+Value = TypeVar("Value", int, tuple[int, int, int])
 
 # Largest number of entries of each kind in a sum.
 MAX_BREAKS = 40
@@ -51,6 +52,7 @@
     sound: dict[tuple[str, str], int] = {}
     broken: dict[str, tuple[frozenset[str], int]] = {}
     completed: dict[str, int] = {}
+    limits: dict[str, tuple[int, int, int]] = {}
     for report, age_ms in received:
         for upstream, requests, tokens in report.loads:
             known = loads.get(upstream, (0, 0))
@@ -69,6 +71,10 @@
             add_causes(broken, digest, causes, since_ms + age_ms)
         for digest, since_ms in report.completed_requests:
             keep_smallest(completed, digest, since_ms + age_ms)
+        for upstream, started_ms, limit, since_ms in report.upstream_limits:
+            # The latest start counts, then the latest statement.
+            stated = (-started_ms, since_ms + age_ms, limit)
+            keep_smallest(limits, upstream, stated)
     recent_crashes = sorted(crashed.items(), key=lambda item: item[1])
     recent_sound = sorted(sound.items(), key=lambda item: item[1])
     recent_completed = sorted(
@@ -100,6 +106,12 @@
             for digest, (causes, since_ms) in most_causes[:MAX_BREAKS]
         ),
         completed_requests=tuple(recent_completed[:MAX_BREAKS]),
+        upstream_limits=tuple(
+            (upstream, -negative_start, limit, since_ms)
+            for upstream, (negative_start, since_ms, limit) in sorted(
+                limits.items()
+            )
+        ),
     )
 
 
@@ -122,7 +134,7 @@
         totals[name] = totals.get(name, 0) + count
 
 
-def keep_smallest(table: dict[Key, int], key: Key, value: int) -> None:
+def keep_smallest(table: dict[Key, Value], key: Key, value: Value) -> None:
     """Keeps the smallest value of a key."""
     table[key] = min(value, table.get(key, value))
 
--- a/src/coltsfootarch/fleet/reports.py
+++ b/src/coltsfootarch/fleet/reports.py
@@ -45,6 +45,10 @@
             milliseconds since the last of these breaks.
         completed_requests: Digest of a request that broke before, milliseconds
             since it completed.
+        upstream_limits: Upstream id, Unix time of its start in milliseconds,
+            requests in 1,000 s that it takes from all hosts (-1 if it has no
+            limit any more), milliseconds since it stated that. Their use is in
+            `usage`.
     """
 
     version: int
@@ -70,6 +74,7 @@
     sound_parts: tuple[tuple[str, str, int], ...] = ()
     broken_requests: tuple[tuple[str, tuple[str, ...], int], ...] = ()
     completed_requests: tuple[tuple[str, int], ...] = ()
+    upstream_limits: tuple[tuple[str, int, int, int], ...] = ()
 
 
 # Fields that reports leave out if they and all later ones are empty. Hosts of
@@ -79,6 +84,7 @@
     "sound_parts",
     "broken_requests",
     "completed_requests",
+    "upstream_limits",
 )
 
 
--- a/src/coltsfootarch/fleet/upstreams.py
+++ b/src/coltsfootarch/fleet/upstreams.py
@@ -97,11 +97,13 @@
     Attributes:
         accepts: Returns whether an upstream may get requests from this host at
             present, by what it has stated itself.
+        is_open: The same for a request that is prepared for an upstream.
     """
 
     def __init__(self, clock: clocks.Clock) -> None:
         self.clock = clock
         self.accepts: Callable[[Upstream], bool] = lambda _: True
+        self.is_open: Callable[[Upstream], bool] = lambda _: True
         self.upstreams: dict[str, Upstream] = {}
         self.by_service: dict[str, list[Upstream]] = {}
         self.absent_since: dict[str, float] = {}
@@ -297,5 +299,5 @@
             upstream is not None
             and upstream.ready
             and upstream_id not in self.rejected
-            and self.accepts(upstream)
+            and self.is_open(upstream)
         )
--- a/src/coltsfootarch/forwarding/call_pipeline.py
+++ b/src/coltsfootarch/forwarding/call_pipeline.py
@@ -137,12 +137,15 @@
             self.context.notices,
         )
         self.context.loads.add(upstream.id, 1)
+        self.context.notices.limits.take(upstream)
         self.context.outcome_tracker.record_dispatch(upstream.id)
         try:
             result = self.run_exchange(call, exchange, deadline)
         finally:
             self.context.loads.remove(upstream.id, 1)
             exchange.close()
+            if not exchange.sent:
+                self.context.notices.limits.give_back(upstream)
         elapsed = self.clock.monotonic() - now
         self.context.outcome_tracker.record(
             upstream.id, result.outcome, elapsed
--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -29,6 +29,7 @@
 from coltsfootarch.forwarding import status
 from coltsfootarch.http1 import pool
 from coltsfootarch.limits import shared_bucket
+from coltsfootarch.limits import upstream_limits
 from coltsfootarch.observability import registry
 from coltsfootarch.retries import shared_budget
 from coltsfootarch.scheduling import backlog
@@ -151,6 +152,7 @@
             self.hosts,
             [
                 self.buckets,
+                self.context.notices.limits,
                 self.context.loads,
                 self.context.break_counts,
                 self.context.crashing_parts,
@@ -271,8 +273,16 @@
             placer, loads, backlog.Backlog(clock), clock
         )
         self.upstreams.on_change.append(queue.place_waiting)
-        notices = upstream_notices.UpstreamNotices(clock)
+        notices = upstream_notices.UpstreamNotices(
+            clock,
+            upstream_limits.UpstreamLimits(
+                clock,
+                self.hosts.share,
+                lambda: self.report_exchange.send_soon(),
+            ),
+        )
         self.upstreams.accepts = notices.accepts
+        self.upstreams.is_open = notices.is_open
         breaks = break_counts.BreakCounts(
             clock,
             f"{self.hosts.own.name}@{self.hosts.own.incarnation}",
--- a/src/coltsfootarch/forwarding/generation_pipeline.py
+++ b/src/coltsfootarch/forwarding/generation_pipeline.py
@@ -237,6 +237,7 @@
         if self.is_refused(call):
             return
         exchange = self.decode_stage.create_exchange(generation, placement)
+        self.context.notices.limits.take(placement.decode)
         try:
             if not self.decode_stage.connect(generation, exchange):
                 return
@@ -268,6 +269,8 @@
             self.decode_stage.generate(generation, placement.decode, exchange)
         finally:
             exchange.close()
+            if not exchange.sent:
+                self.context.notices.limits.give_back(placement.decode)
 
     def admit_prefill(self, generation: generations.Generation) -> bool:
         """Returns whether to prefill the prompt at a prefill engine.
--- a/src/coltsfootarch/forwarding/prefill_stage.py
+++ b/src/coltsfootarch/forwarding/prefill_stage.py
@@ -68,6 +68,7 @@
         )
         load_ahead = self.context.loads.load(engine.id)
         self.context.loads.add(engine.id, tokens)
+        self.context.notices.limits.take(engine)
         self.context.outcome_tracker.record_dispatch(engine.id)
         deadline = min(call.ends_at, now + PREFILL_TIMEOUT_S)
         outcome = outcomes.Outcome.BROKEN
@@ -110,6 +111,8 @@
         finally:
             self.context.loads.remove(engine.id, tokens)
             exchange.close()
+            if not exchange.sent:
+                self.context.notices.limits.give_back(engine)
         call.cancellation.check()
         if exchange.sent:
             if generation.prefilled or outcome is not outcomes.Outcome.SUCCESS:
--- a/src/coltsfootarch/forwarding/upstream_exchange.py
+++ b/src/coltsfootarch/forwarding/upstream_exchange.py
@@ -128,6 +128,7 @@
         call = self.wire.encode_reservation(
             self.delivery.upstream, tokens, seconds
         )
+        self.notices.limits.take(self.delivery.upstream)
         connection.send(call, b"", RESERVATION_TIMEOUT_S)
         deadline = self.clock.monotonic() + RESERVATION_TIMEOUT_S
         head: messages.ResponseHead | None = None
--- a/src/coltsfootarch/limits/shared_bucket.py
+++ b/src/coltsfootarch/limits/shared_bucket.py
@@ -103,17 +103,26 @@
         """
         if account.rate <= 0:
             return 0.0
+        wait = self.wait_s(account, tokens)
+        if wait <= 0:
+            self.subtract(account, tokens)
+        return wait
+
+    def wait_s(self, account: policy.ClientAccount, tokens: int) -> float:
+        """Returns the seconds until so many tokens can be admitted, or 0.0."""
         fraction = self.reachable_fraction()
         bucket = self.refill(account, fraction)
         # Like the limit, the overdraft is divided among groups of hosts that
         # can't reach each other.
         missing = tokens - bucket.level - self.overdraft() * fraction
-        if missing > 0:
-            return missing / (account.rate * fraction)
+        return max(missing, 0.0) / (account.rate * fraction)
+
+    def subtract(self, account: policy.ClientAccount, tokens: int) -> None:
+        """Subtracts tokens that are used, even if there are too few."""
+        bucket = self.bucket(account.name)
         bucket.level -= tokens
         self.record(bucket, tokens)
         self.on_admission()
-        return 0.0
 
     def refund(self, account: policy.ClientAccount, tokens: int) -> None:
         """Puts back the tokens of an admitted request that did not run."""
--- a/src/coltsfootarch/scheduling/upstream_notices.py
+++ b/src/coltsfootarch/scheduling/upstream_notices.py
@@ -15,6 +15,7 @@
     from coltsfootarch import clock as clocks
     from coltsfootarch.fleet import upstreams
     from coltsfootarch.forwarding import calls
+    from coltsfootarch.limits import upstream_limits
 
 UNAVAILABLE_STATUS = 503
 
@@ -38,19 +39,20 @@
 
     Args:
         clock: Source of time.
+        limits: Limits that upstreams name, over all hosts.
 
     Attributes:
         pauses: Pauses that upstreams asked for, by their ids.
         leaving: Upstreams that stated that they are about to stop, by id.
-        limits: Requests per second that upstreams take from all hosts together,
-            by the ids of those that named a limit in their last response.
     """
 
-    def __init__(self, clock: clocks.Clock) -> None:
+    def __init__(
+        self, clock: clocks.Clock, limits: upstream_limits.UpstreamLimits
+    ) -> None:
         self.clock = clock
+        self.limits = limits
         self.pauses: dict[str, Pause] = {}
         self.leaving: dict[str, upstreams.Upstream] = {}
-        self.limits: dict[str, float] = {}
 
     def apply(
         self, upstream: upstreams.Upstream, response: calls.UpstreamResponse
@@ -60,7 +62,7 @@
             return
         if response.leaving:
             self.record_leaving(upstream)
-        self.record_limit(upstream, response.limit_per_s)
+        self.limits.state(upstream, response.limit_per_s)
         seconds = response.retry_after_s
         if response.status != UNAVAILABLE_STATUS or not seconds:
             return
@@ -75,18 +77,6 @@
             seconds=round(seconds, 3),
         )
 
-    def record_limit(
-        self, upstream: upstreams.Upstream, limit: float | None
-    ) -> None:
-        """Records the limit in a response; None if it names none."""
-        if limit == self.limits.get(upstream.id):
-            return
-        if limit is None:
-            del self.limits[upstream.id]
-        else:
-            self.limits[upstream.id] = limit
-        logger.info("upstream limit changed", upstream=upstream.id, limit=limit)
-
     def record_leaving(self, upstream: upstreams.Upstream) -> None:
         """Records that an upstream is about to stop."""
         if not self.is_leaving(upstream):
@@ -102,11 +92,23 @@
         """Returns whether an upstream may get a request from this host."""
         return self.wait_s(upstream) <= 0
 
+    def is_open(self, upstream: upstreams.Upstream) -> bool:
+        """Returns whether an upstream neither leaves nor pauses.
+
+        Its limit is not considered: a request that is prepared for an upstream
+        was subtracted from it already.
+        """
+        return self.pause_s(upstream) <= 0
+
     def wait_s(self, upstream: upstreams.Upstream) -> float:
         """Returns the seconds until an upstream may get a request.
 
         This is infinite for one that is about to stop.
         """
+        return max(self.pause_s(upstream), self.limits.wait_s(upstream))
+
+    def pause_s(self, upstream: upstreams.Upstream) -> float:
+        """Returns the rest of an upstream's pause in seconds; see `wait_s`."""
         if self.is_leaving(upstream):
             return float("inf")
         pause = self.pauses.get(upstream.id)
@@ -133,9 +135,9 @@
         for key, pause in list(self.pauses.items()):
             if key not in registered or pause.until <= now:
                 del self.pauses[key]
-        for table in (self.leaving, self.limits):
-            for key in [key for key in table if key not in registered]:
-                del table[key]
+        for key in [key for key in self.leaving if key not in registered]:
+            del self.leaving[key]
+        self.limits.retain_only(registered)
 
 
 def is_same(known: upstreams.Upstream, upstream: upstreams.Upstream) -> bool:
--- a/tests/fakes/stepped_fleet.py
+++ b/tests/fakes/stepped_fleet.py
@@ -11,6 +11,7 @@
 from coltsfootarch.fleet import relayed
 from coltsfootarch.fleet import report_exchange
 from coltsfootarch.limits import shared_bucket
+from coltsfootarch.limits import upstream_limits
 from coltsfootarch.scheduling import backlog
 from coltsfootarch.scheduling import load_view
 from tests.fleet import builders
@@ -70,10 +71,13 @@
             fleet.accounts.get,
             lambda: fleet.overdraft,
         )
+        self.limits = upstream_limits.UpstreamLimits(
+            self.clock, self.directory.share, self.report_soon
+        )
         self.tracker = followers.PolicyTracker(self.clock)
         self.exchange = report_exchange.ReportExchange(
             self.directory,
-            [self.loads, self.backlog, self.buckets],
+            [self.loads, self.backlog, self.buckets, self.limits],
             self.clock,
             self.tracker,
             fleet.generator,
@@ -96,6 +100,13 @@
     def send(self, data, address):
         self.fleet.send(self, data, address)
 
+    def report_soon(self):
+        if not self.exchange.relayed.choice.relaying:
+            self.next_tick = min(
+                self.next_tick,
+                self.fleet.elapsed + report_exchange.URGENT_DELAY_S,
+            )
+
     def step(self, elapsed):
         if elapsed >= self.next_rows and self.fleet.store_reachable(self):
             self.fleet.rows[self.name] = (elapsed, self.record)
--- a/tests/fleet/test_merging.py
+++ b/tests/fleet/test_merging.py
@@ -23,6 +23,7 @@
         sound_parts=(("summaries", "p-2", 100 * number),),
         broken_requests=(("digest", (f"cause-{number}",), 100 * number),),
         completed_requests=(("other", 100 * number),),
+        upstream_limits=(("i-1", number, 1000, 100), ("i-2", 5, number, 9)),
     )
 
 
