--- a/benchmarks/edge_simulation.py
+++ b/benchmarks/edge_simulation.py
@@ -24,6 +24,7 @@
 from coltsfootarch.forwarding import decode_stage
 from coltsfootarch.forwarding import generation_pipeline
 from coltsfootarch.forwarding import generations
+from coltsfootarch.limits import upstream_limits
 from coltsfootarch.scheduling import backlog
 from coltsfootarch.scheduling import dispatch_queue
 from coltsfootarch.scheduling import engine_placement
@@ -32,6 +33,7 @@
 from coltsfootarch.scheduling import outcomes
 from coltsfootarch.scheduling import refusals
 from coltsfootarch.scheduling import sampling
+from coltsfootarch.scheduling import upstream_notices
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -214,7 +216,13 @@
             placer, self.loads, self.backlog, clock
         )
         context = types.SimpleNamespace(
-            clock=clock, queue=self.queue, refusals=self.refusals
+            clock=clock,
+            queue=self.queue,
+            refusals=self.refusals,
+            directory=self.directory,
+            notices=upstream_notices.UpstreamNotices(
+                clock, upstream_limits.UpstreamLimits(clock, lambda: 1.0)
+            ),
         )
         self.pipeline = generation_pipeline.GenerationPipeline(context)  # type: ignore[arg-type]
         self.pipeline.generator = random.Random(f"return {name}")
