End calls with a response before a stopping host exits

Reported by other operators: in a planned stop, requests that came late in the grace were passed on and cut with no answer at its end.

Change: calls are limited to the end of the grace period, which the upstream is told as its deadline; what still blocks then is interrupted and ends as 'may have run', or as 'not run' if nothing was sent. An interrupted attempt is no break and no failure of its upstream.

--- a/src/coltsfootarch/forwarding/call_pipeline.py
+++ b/src/coltsfootarch/forwarding/call_pipeline.py
@@ -147,10 +147,11 @@
             if not exchange.sent:
                 self.context.notices.limits.give_back(upstream)
         elapsed = self.clock.monotonic() - now
-        self.context.outcome_tracker.record(
-            upstream.id, result.outcome, elapsed
-        )
-        self.record_break(call, upstream, result)
+        if not exchange.aborted:
+            self.context.outcome_tracker.record(
+                upstream.id, result.outcome, elapsed
+            )
+            self.record_break(call, upstream, result)
         self.context.metrics.attempts.labels(call.service, result.label).inc()
         if isinstance(result, attempts.Response):
             self.context.metrics.answer_time.labels(call.service).observe(
@@ -193,7 +194,7 @@
         # When the caller disconnects, only a call that may be repeated is
         # aborted; one that must not be repeated runs to its end.
         wake = exchange.abort if call.route.repeatable else ignore_cancellation
-        with call.cancellation.attached(wake):
+        with call.cancellation.attached(wake, exchange.abort):
             try:
                 exchange.start(recently_used=not call.route.repeatable)
                 call.attempts += 1
--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -426,6 +426,7 @@
         started = self.clock.monotonic()
         grace = self.settings.limits.grace.total_seconds()
         logger.info("host stopping", in_progress=self.forwarder.in_progress)
+        self.forwarder.limit_calls(started + grace - EXIT_MARGIN_S)
         self.clock.sleep(datetime.timedelta(seconds=DRAIN_S))
         self.caller_listener.drain()
         self.clock.sleep(
@@ -446,6 +447,7 @@
             unfinished=self.forwarder.in_progress,
             took_s=round(self.clock.monotonic() - started, 3),
         )
+        self.forwarder.interrupt_calls()
         self.clock.sleep(datetime.timedelta(seconds=POLL_S))
         self.caller_listener.close()
         for each in self.internal_listeners:
--- a/src/coltsfootarch/forwarding/decode_stage.py
+++ b/src/coltsfootarch/forwarding/decode_stage.py
@@ -225,6 +225,7 @@
             generation.prefill_result = prefill_result
         if (
             result is attempts.Failure.BROKEN
+            and not exchange.aborted
             and generation.event_count < crashing_parts.SOUND_EVENTS
             and self.context.crash_check.is_down(engine)
         ):
@@ -233,7 +234,9 @@
                 call.request.shared_parts,
                 f"{engine.id}@{engine.started_ms}",
             )
-        self.record_result(generation, engine, result, now)
+        if not exchange.aborted:
+            self.record_outcome(generation, engine, result, now)
+        self.record_result(generation, result, now)
         self.context.metrics.attempts.labels(call.service, result.label).inc()
         logger.info(
             "decode ended",
@@ -360,19 +363,32 @@
             call.service, call.request.shared_parts
         )
 
-    def record_result(
+    def record_outcome(
         self,
         generation: generations.Generation,
         engine: upstreams.Upstream,
         result: attempts.Response | attempts.Failure,
         started_at: float,
     ) -> None:
-        """Records an attempt's result; decides if the request is finished."""
-        call = generation.call
+        """Records what an attempt tells about the engine and the request."""
+        digest = generation.call.digest
         latency = (
             generation.first_event_at or self.clock.monotonic()
         ) - started_at
         self.context.outcome_tracker.record(engine.id, result.outcome, latency)
+        if result is attempts.Failure.BROKEN:
+            self.context.break_counts.record(digest)
+        elif result is attempts.Failure.TIMED_OUT:
+            self.context.crash_check.check(digest, engine)
+
+    def record_result(
+        self,
+        generation: generations.Generation,
+        result: attempts.Response | attempts.Failure,
+        started_at: float,
+    ) -> None:
+        """Records an attempt's result; decides if the request is finished."""
+        call = generation.call
         if isinstance(result, attempts.Response):
             succeeded = result.is_success
             generation.response = result
@@ -396,9 +412,5 @@
             return
         generation.failure = result
         call.may_have_run = call.may_have_run or result.may_have_run
-        if result is attempts.Failure.BROKEN:
-            self.context.break_counts.record(call.digest)
-        elif result is attempts.Failure.TIMED_OUT:
-            self.context.crash_check.check(call.digest, engine)
         if result.may_have_run and not call.route.repeatable:
             generation.finished = True
--- a/src/coltsfootarch/forwarding/forwarder.py
+++ b/src/coltsfootarch/forwarding/forwarder.py
@@ -70,6 +70,12 @@
         confirmation_s: Time in seconds for which keys are accepted after the
             policy was last confirmed to be current, which bounds how long a
             withdrawn key still works; None to accept them always.
+
+    Attributes:
+        stopping: Whether new requests are refused.
+        in_progress: Number of requests in progress.
+        calls: Admitted requests in progress.
+        ends_by: Instant by which calls must end, in seconds.
     """
 
     def __init__(
@@ -89,6 +95,8 @@
         self.confirmation_s = confirmation_s
         self.stopping = False
         self.in_progress = 0
+        self.calls: set[calls.Call] = set()
+        self.ends_by = math.inf
         self.call_pipeline = call_pipeline.CallPipeline(context)
         self.generation_pipeline = generation_pipeline.GenerationPipeline(
             context
@@ -115,6 +123,8 @@
         try:
             admitted = self.admit(request)
             call = self.make_call(request, admitted, responder, cancellation)
+            call.ends_at = min(call.ends_at, self.ends_by)
+            self.calls.add(call)
             self.run(call, admitted)
         except errors.RefusedError as error:
             code = error.code
@@ -138,9 +148,23 @@
             self.send_internal_error(request, responder, call)
         finally:
             self.in_progress -= 1
+            if call is not None:
+                self.calls.discard(call)
             self.refund_tokens(call, admitted, code)
             self.log_result(request, call, admitted, result)
 
+    def limit_calls(self, ends_by: float) -> None:
+        """Ends all calls by an instant, in seconds, before the host exits."""
+        self.ends_by = ends_by
+        for call in self.calls:
+            call.ends_at = min(call.ends_at, ends_by)
+
+    def interrupt_calls(self) -> None:
+        """Makes the calls in progress respond at once."""
+        for call in tuple(self.calls):
+            call.ends_at = self.clock.monotonic()
+            call.cancellation.interrupt()
+
     def admit(self, request: calls.CallerRequest) -> AdmittedRequest:
         """Checks route, key and rate limit.
 
--- a/tests/forwarding/test_shutdown.py
+++ b/tests/forwarding/test_shutdown.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import datetime
+
 import gevent
 import pytest
 
@@ -89,3 +91,74 @@
     with gevent.Timeout(3):
         assert caller.read() is None
     shutdown.get(timeout=3)
+
+
+def shorten_grace(edge_host, seconds):
+    settings = edge_host.daemon.settings
+    grace = datetime.timedelta(seconds=seconds)
+    edge_host.daemon.settings = settings._replace(
+        limits=settings.limits._replace(grace=grace)
+    )
+
+
+@pytest.mark.parametrize(
+    ("target", "method"), [("/book/a", "POST"), ("/read/a", "GET")]
+)
+@pytest.mark.parametrize("sent_after_signal", [True, False])
+def test_call_that_outlasts_the_grace_period_gets_a_response(
+    stopping, target, method, sent_after_signal
+):
+    """Guards against calls that are cut without a response at the end."""
+    shorten_grace(stopping, 1.5)
+    for runner in stopping.runners.values():
+        runner.work_s = 3.0
+    body = b"x" if method == "POST" else b""
+    if sent_after_signal:
+        shutdown = start_shutdown(stopping)
+    pending = gevent.spawn(stopping.ask, target, method, body)
+    stopping.wait(stopping.runs)
+    if not sent_after_signal:
+        shutdown = start_shutdown(stopping)
+
+    response = pending.get(timeout=3)
+
+    assert response.complete
+    assert response.status in (502, 504)
+    assert b"may have run" in response.body
+    # An idempotent call is also sent to the second upstream, as the first one
+    # takes so long.
+    runs = 1 if method == "POST" else 2
+    assert sum(map(len, stopping.runs().values())) == runs
+    shutdown.get(timeout=3)
+
+
+def test_request_that_waits_until_the_grace_period_ends_is_not_run(
+    engines, monkeypatch
+):
+    """Guards against waiting requests that are cut, or sent at the end."""
+    monkeypatch.setattr(daemon, "REFUSE_AFTER_S", 0.4)
+    shorten_grace(engines, 1.2)
+    for name in ("p-1", "d-1", "d-2"):
+        engines.daemon.context.loads.add(name, 9000)
+    engines.daemon.context.queue.backlog.remove_waiting("llm")
+    pending = gevent.spawn(engines.ask, "/write/a", "POST", b"p", **SIZES)
+    engines.wait(lambda: engines.daemon.context.queue.waiters)
+
+    shutdown = start_shutdown(engines)
+    response = pending.get(timeout=3)
+
+    assert response.status == 503
+    assert b"not run" in response.body
+    assert not engines.runs()
+    shutdown.get(timeout=3)
+
+
+def test_upstream_is_not_given_more_time_than_the_grace_period(stopping):
+    """Guards against work that goes on for a host that has stopped."""
+    shorten_grace(stopping, 2.0)
+    start_shutdown(stopping)
+
+    stopping.ask("/read/a")
+
+    (runs,) = [each.runs for each in stopping.runners.values() if each.runs]
+    assert int(runs[0]["fields"]["x-deadline-ms"]) <= 2000
