--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -379,6 +379,9 @@
         metrics.hosts_expected.set(self.hosts.count())
         metrics.relaying.set(self.report_exchange.relayed.choice.relaying)
         metrics.relays_heard.set(len(self.hosts.relays or ()))
+        metrics.refused_contents.set(self.context.break_counts.refused())
+        limited = self.context.notices.limits.limited()
+        metrics.limited_upstreams.set(len(limited))
         metrics.set_exchange(self.report_exchange.counts)
         return metrics.render()
 
--- a/src/coltsfootarch/observability/registry.py
+++ b/src/coltsfootarch/observability/registry.py
@@ -73,6 +73,12 @@
         self.relays_heard = self.gauge(
             "relays", "relays that a relaying host knows, with itself"
         )
+        self.refused_contents = self.gauge(
+            "refused_contents", "requests refused after repeated breaks"
+        )
+        self.limited_upstreams = self.gauge(
+            "limited_upstreams", "upstreams that name a limit"
+        )
         labels = ("direction", "kind")
         self.exchange_messages = self.gauge(
             "exchange_messages", "messages between hosts", labels
--- a/src/coltsfootarch/scheduling/break_counts.py
+++ b/src/coltsfootarch/scheduling/break_counts.py
@@ -169,6 +169,10 @@
             return False
         return self.clock.monotonic() - known.last_at < known.refusal_s
 
+    def refused(self) -> int:
+        """Returns the number of requests that are refused at present."""
+        return sum(map(self.is_refused, self.breaks))
+
     def expire(self) -> None:
         """Removes expired entries.
 
--- a/tests/forwarding/test_host_status.py
+++ b/tests/forwarding/test_host_status.py
@@ -90,3 +90,18 @@
     tracker.confirm_passed(-1, manual_clock.monotonic() + 10.0)
 
     assert tracker.confirmed_at == float("-inf")
+
+
+def test_metrics_count_limited_upstreams_and_refused_requests(app):
+    app.runners["i-1"].limit = app.runners["i-2"].limit = "9.0"
+    for number in range(6):
+        app.ask("/read/a", request_id=f"r{number}")
+    for _ in range(3):
+        app.daemon.context.break_counts.record("digest")
+
+    metrics = app.daemon.render_metrics().decode()
+
+    limited = len(app.daemon.context.notices.limits.limited())
+    assert limited >= 1
+    assert f"coltsfootarch_limited_upstreams {limited}.0" in metrics
+    assert "coltsfootarch_refused_contents 1.0" in metrics
