--- a/tests/fakes/stepped_fleet.py
+++ b/tests/fakes/stepped_fleet.py
@@ -13,6 +13,7 @@
 from coltsfootarch.limits import shared_bucket
 from coltsfootarch.limits import upstream_limits
 from coltsfootarch.scheduling import backlog
+from coltsfootarch.scheduling import break_counts
 from coltsfootarch.scheduling import load_view
 from tests.fleet import builders
 
@@ -74,10 +75,19 @@
         self.limits = upstream_limits.UpstreamLimits(
             self.clock, self.directory.share, self.report_soon
         )
+        self.break_counts = break_counts.BreakCounts(
+            self.clock, f"{number}@{incarnation}", self.report_soon
+        )
         self.tracker = followers.PolicyTracker(self.clock)
         self.exchange = report_exchange.ReportExchange(
             self.directory,
-            [self.loads, self.backlog, self.buckets, self.limits],
+            [
+                self.loads,
+                self.backlog,
+                self.buckets,
+                self.limits,
+                self.break_counts,
+            ],
             self.clock,
             self.tracker,
             fleet.generator,
--- a/tests/fleet/test_relayed_fleet.py
+++ b/tests/fleet/test_relayed_fleet.py
@@ -129,6 +129,43 @@
     assert {host.directory.share() for host in fleet.hosts} == {1.0}
 
 
+@pytest.mark.parametrize("count", [7, 62])
+def test_breaks_of_a_request_are_known_to_all_hosts_and_after_restarts(count):
+    """Guards against hosts that send a request which others refuse already."""
+    fleet = settled(count)
+    for number in range(3):
+        fleet.hosts[number].break_counts.record("digest", f"i-{number}@1")
+        for other in range(30):
+            fleet.hosts[number].break_counts.record(f"other-{number}-{other}")
+    fleet.run(1.0)
+    assert all(host.break_counts.is_refused("digest") for host in fleet.hosts)
+
+    fleet.run(5.0)
+    for host in fleet.hosts[:3]:
+        fleet.restart(host)
+    # Users allow the time in which a machine counts as in touch again.
+    fleet.run(3.0)
+
+    assert all(host.break_counts.is_refused("digest") for host in fleet.hosts)
+
+
+def test_breaks_before_a_separation_ends_are_known_after_it():
+    fleet = settled(7)
+    cut = set(fleet.hosts[:3])
+    fleet.delivered = lambda sender, receiver: (
+        (sender in cut) == (receiver in cut)
+    )
+    fleet.run(2.0)
+    for number in range(3):
+        fleet.hosts[0].break_counts.record("digest", f"i-{number}@1")
+    fleet.run(8.0)
+    fleet.delivered = lambda sender, receiver: True
+
+    fleet.run(3.0)
+
+    assert all(host.break_counts.is_refused("digest") for host in fleet.hosts)
+
+
 def test_parts_of_a_separated_fleet_use_parts_of_a_limit():
     fleet = settled(60)
     add_loads(fleet)
