Review: bookings reach a runner that has left, and are lost with it

Cause: a host takes the end of its own outage for one of the store, after a retry pause of up to 2 s, and keeps runners without an entry for 2 s more.

The proxy of case 4 can refuse connections too. No source is changed.

--- a/review/lib/silent_proxy.py
+++ b/review/lib/silent_proxy.py
@@ -1,9 +1,10 @@
-"""Loopback proxy whose open connections can go silent, while new ones work."""
+"""Loopback proxy that silences or resets connections, or refuses new ones."""
 
 from __future__ import annotations
 
 import contextlib
 import socket
+import struct
 import threading
 
 from reviewlib import deployment
@@ -39,9 +40,13 @@
 
     Args:
         target: Address "ip:port" to forward to.
+
+    Attributes:
+        refusing: Whether new connections are reset.
     """
 
     def __init__(self, target: str) -> None:
+        self.refusing = False
         host, _, port = target.rpartition(":")
         self.target = (host, int(port))
         self.links: list[Link] = []
@@ -54,6 +59,9 @@
         while True:
             try:
                 near, _ = self.sock.accept()
+                if self.refusing:
+                    reset(near)
+                    continue
                 far = socket.create_connection(self.target, timeout=5)
             except OSError:
                 return
@@ -73,6 +81,18 @@
             link.silent = True
         return len(self.links)
 
+    def cut(self) -> None:
+        """Resets all connections and refuses new ones."""
+        self.refusing = True
+        for link in self.links:
+            reset(link.near)
+            reset(link.far)
+        self.links = []
+
+    def heal(self) -> None:
+        """Accepts new connections again."""
+        self.refusing = False
+
     def close(self) -> None:
         """Stops accepting and closes all connections."""
         self.sock.close()
@@ -80,3 +100,13 @@
             for sock in (link.near, link.far):
                 with contextlib.suppress(OSError):
                     sock.close()
+
+
+def reset(sock: socket.socket) -> None:
+    """Closes a socket with a reset, also one that a thread reads from."""
+    with contextlib.suppress(OSError):
+        linger = struct.pack("ii", 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        sock.shutdown(socket.SHUT_RD)
+    with contextlib.suppress(OSError):
+        sock.close()
