Review: any unexpected error of a script counts as "could not run"

Cause: an error of another type ended a script with 1, which means a broken rule.

Done: scripts exit with 2 on every error of their own.

--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -372,7 +372,7 @@
     deployment = Deployment()
     try:
         broken = run(deployment, record)
-    except (CannotRunError, OSError, http.client.HTTPException) as error:
+    except Exception as error:
         record.add(f"could not run: {error!r}")
         print(f"could not run: {error!r}")
         sys.exit(2)
