Client: a connection with the start of another response is not reused

Cause: the first bytes of a second copy of an answer, behind a sound one, stay in the connection's parser. `finish` looked at complete parts only, `is_reusable` also at the socket, so that the connection went back to the pool and the next status line became the end of the cut header field.

Evidence: with the copy cut at each of its bytes, connections were reused for every cut before its head was complete; the new test failed before the change.

Change: the reader is idle only between two messages, from the first byte of one to its end it isn't; both checks ask that. It holds for calls, prefills, reservations, streams and the store, which share the client. A log line names the upstream.

Tests of http1, forwarding and platform pass.

--- a/src/coltsfootarch/http1/client.py
+++ b/src/coltsfootarch/http1/client.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 import gevent
+import structlog
 from gevent import socket as gevent_socket
 
 from coltsfootarch.http1 import messages
@@ -32,6 +33,8 @@
 # sending them doesn't block while the upstream already responds.
 INLINE_BODY_BYTES = 16384
 
+logger = structlog.get_logger(__name__)
+
 
 class ConnectError(Exception):
     """The connection could not be opened; nothing was sent."""
@@ -122,7 +125,7 @@
 
     def is_reusable(self) -> bool:
         """Returns whether an idle connection is open with no unread bytes."""
-        if self.sock is None or self.reader.parts:
+        if self.sock is None or not self.reader.idle:
             return False
         poller = select.poll()
         poller.register(self.sock.fileno(), select.POLLIN)
@@ -233,12 +236,18 @@
             Whether the connection can be used for another request.
         """
         body_sent = self.body_sender is None or self.body_sender.dead
+        if self.malformed or not self.reader.idle:
+            logger.warning(
+                "connection closed: bytes beyond the response",
+                upstream=self.address,
+                status=head.status,
+            )
         if (
             self.sock is None
             or not body_sent
             or not self.reusable
             or not head.keep_alive
-            or self.reader.parts
+            or not self.reader.idle
         ):
             self.close()
             return False
--- a/src/coltsfootarch/http1/readers.py
+++ b/src/coltsfootarch/http1/readers.py
@@ -169,6 +169,8 @@
         parts: Parsed parts in order: a `ResponseHead`, body parts as bytes and
             None at the end of a response.
         in_progress: Whether a response has a head, but no end yet.
+        begun: Whether bytes arrived that belong to an incomplete response; true
+            before its head is complete, too.
     """
 
     def __init__(self) -> None:
@@ -178,10 +180,20 @@
         self.fields: list[tuple[str, str]] = []
         self.is_interim = False
         self.in_progress = False
+        self.begun = False
         self.framed = True
         self.unparsed_bytes = 0
         self.parser: Any = httptools.HttpResponseParser(self)
 
+    @property
+    def idle(self) -> bool:
+        """Whether nothing was read beyond the responses that were taken.
+
+        What was read beyond them belongs to no request, and the next response
+        would be parsed as its continuation.
+        """
+        return not self.parts and not self.begun
+
     def feed(self, data: bytes) -> None:
         """Parses bytes and appends to `parts`.
 
@@ -223,6 +235,7 @@
 
     def on_message_begin(self) -> None:
         """Starts a response."""
+        self.begun = True
         self.fields = []
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -254,6 +267,7 @@
 
     def on_message_complete(self) -> None:
         """Appends the end of a response to `parts`."""
+        self.begun = False
         if not self.is_interim and self.in_progress:
             self.in_progress = False
             self.parts.append(None)
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -8,6 +8,7 @@
 
 from coltsfootarch import clock as clocks
 from coltsfootarch.http1 import client
+from coltsfootarch.http1 import messages
 from coltsfootarch.http1 import pool
 from standins import http
 
@@ -185,3 +186,35 @@
     assert connection.sock is None
     server.kill()
     listener.close()
+
+
+def raw_response(status, request_id, body):
+    """Returns a response whose fields include some values to be torn."""
+    fields = [
+        ("Content-Type", "text/plain"),
+        ("X-Request-Id", request_id),
+        ("Content-Length", str(len(body))),
+    ]
+    return messages.render_head(messages.status_line(status), fields) + body
+
+
+def test_part_of_another_response_behind_a_response_ends_the_connection(
+    serve, connections
+):
+    """Guards against a failure that is parsed as the rest of a success."""
+    sound = raw_response(200, "a", b"first")
+    reused = []
+    for size in range(1, len(sound) + 1):
+        server = serve(
+            lambda connection, size=size: connection.send(sound + sound[:size]),
+            lambda connection: connection.send(raw_response(500, "b", b"bad")),
+        )
+        exchange(connections, server)
+        connection = connections.acquire(server.address, 1.0, False)
+        connection.send(REQUEST, b"", 1.0)
+        head = connection.read_part(1.0)
+        connection.close()
+        if (server.accepted, head.status) != (2, 500):
+            reused.append(size)
+
+    assert reused == []
