Streams: one that ends without an event gets a complete response

Cause: the caller's response is started with the first event, and its end was written without one, too; the pipeline then took the response for not started.

Change: such a stream is one complete response with the engine's status, fields and seal. A responder refuses a chunk before the head or behind the end.

Calls of plain services and the product's own interface always send a head.

--- a/src/coltsfootarch/forwarding/decode_stage.py
+++ b/src/coltsfootarch/forwarding/decode_stage.py
@@ -297,7 +297,11 @@
                 "the stream ended within an event"
             )
         generation.finished = True
-        call.responder.finish()
+        if call.responder.started:
+            call.responder.finish()
+        else:
+            # A stream without an event, as after a resume at its last one.
+            call.responder.respond(response.status, response.fields, b"")
         return attempts.Response(response.status, (), b"")
 
     def send_event(
--- a/src/coltsfootarch/forwarding/listener.py
+++ b/src/coltsfootarch/forwarding/listener.py
@@ -100,15 +100,37 @@
         self.connection.send(head)
 
     def send(self, data: bytes) -> None:
-        """Sends a chunk."""
+        """Sends a chunk.
+
+        Raises:
+            RuntimeError: The response has no head, or is complete.
+        """
+        self.check_open()
         if data:
             self.connection.send(b"%x\r\n%b\r\n" % (len(data), data))
 
     def finish(self) -> None:
-        """Sends the last chunk."""
+        """Sends the last chunk.
+
+        Raises:
+            RuntimeError: The response has no head, or is complete.
+        """
+        self.check_open()
         self.connection.send(b"0\r\n\r\n")
         self.finished = True
 
+    def check_open(self) -> None:
+        """Checks that a chunk would be part of this response.
+
+        Raises:
+            RuntimeError: The response has no head, or is complete.
+        """
+        if not self.started or self.finished:
+            raise RuntimeError(
+                f"a chunk outside of a response: started {self.started}, "
+                f"finished {self.finished}"
+            )
+
     def abort(self) -> None:
         """Closes the connection without completing the response."""
         self.keep_alive = False
--- a/tests/forwarding/test_generations.py
+++ b/tests/forwarding/test_generations.py
@@ -123,6 +123,36 @@
     assert tokens(response) == [3, 4]
 
 
+@pytest.mark.parametrize("target", ["/write/a", "/once/a"])
+@pytest.mark.parametrize("events", [0, 4], ids=["new", "resumed"])
+def test_stream_without_an_event_is_one_complete_response(
+    engines, target, events
+):
+    """Guards against a last chunk without a head and an unsigned success."""
+    for name in ("d-1", "d-2"):
+        engines.runners[name].events = events
+    caller = engines.caller()
+
+    response = caller.ask(
+        target,
+        "POST",
+        b"prompt",
+        Last_Event_Id=str(events) if events else "",
+        X_Token_Count="100,20",
+    )
+
+    (engine,) = engines.runs()
+    assert (response.status, response.body) == (200, b"")
+    assert response.complete
+    assert response.fields["x-server-seal"] == f"seal-{engine}-r1"
+    # The next response on the connection begins where this one ended.
+    for name in ("d-1", "d-2"):
+        engines.runners[name].events = 4
+    following = caller.ask(target, "POST", b"prompt", request_id="r2")
+    assert tokens(following) == [1, 2, 3, 4]
+    assert following.fields["x-server-seal"].endswith("-r2")
+
+
 def test_unreachable_decode_engine_wastes_no_prefill(engines):
     engines.runners["d-1"].close()
     prefer(engines, "d-1")
