Upstreams: one that left during a host's own outage is dropped in time

Cause: a host can't tell its own outage from one of the store and keeps missing entries for the 2 s in which live upstreams register again. It counted these 2 s from its own first read, which came up to 2 s after the end of the outage, and dropped entries up to 1 s after that.

Ruled out: estimating the store's uptime from its revision, since a wrong answer takes live upstreams away.

Change: tries are at most 0.8 s apart; missing entries are kept for 2 s from the read, but not longer than 2.5 s from the start of the last failed read; entries whose time is over are dropped at each check.

Evidence: a new test plays 40 moments of the tries with reads that fail after 0, 0.5 and 0.8 s.

--- a/src/coltsfootarch/fleet/followers.py
+++ b/src/coltsfootarch/fleet/followers.py
@@ -55,11 +55,13 @@
 # Interval at which a follower checks whether it has to read upstreams itself or
 # a peer has reported a recent read.
 CHECK_INTERVAL_S = 0.1
-# Pause after a failed read: doubles from the minimum to the maximum. Reads of
-# upstreams can pause longer, since peers report upstreams meanwhile.
+# Pause after a failed read: doubles from the minimum to the maximum.
 RETRY_MIN_S = 0.1
 RETRY_MAX_S = 0.8
-UPSTREAM_RETRY_MAX_S = 2.0
+# The same for upstreams. With the time limit of a read it must stay well below
+# the time after which a host that is connected again may no longer use an
+# upstream that left (3 s).
+UPSTREAM_RETRY_MAX_S = 0.8
 
 logger = structlog.get_logger(__name__)
 
@@ -274,26 +276,41 @@
     def run(self) -> None:
         """Reads until the greenlet is killed."""
         while True:
-            try:
-                wait = self.step()
-                self.log_recovery()
-            except errors.PlatformError as error:
-                self.failures += 1
-                if isinstance(error, errors.HistoryLostError):
-                    self.revision = None
-                self.log_outage(error)
-                wait = self.retry_pause_s
-                self.retry_pause_s = min(
-                    self.retry_pause_s * 2, self.max_retry_pause_s
-                )
-            except Exception:
-                self.failures += 1
-                logger.exception("read failed unexpectedly", source=self.name)
-                self.revision = None
-                wait = RETRY_MAX_S
+            wait = self.try_step()
             if wait > 0:
                 gevent.sleep(wait)
 
+    def try_step(self) -> float:
+        """Reads once; returns the seconds until the next read or try."""
+        started_at = self.clock.monotonic()
+        try:
+            wait = self.step()
+            self.log_recovery()
+        except errors.PlatformError as error:
+            self.failures += 1
+            if isinstance(error, errors.HistoryLostError):
+                self.revision = None
+            else:
+                self.record_failure(started_at)
+            self.log_outage(error)
+            wait = self.retry_pause_s
+            self.retry_pause_s = min(
+                self.retry_pause_s * 2, self.max_retry_pause_s
+            )
+        except Exception:
+            self.failures += 1
+            logger.exception("read failed unexpectedly", source=self.name)
+            self.revision = None
+            wait = RETRY_MAX_S
+        return wait
+
+    def record_failure(self, started_at: float) -> None:
+        """Records that the source did not answer a read.
+
+        Args:
+            started_at: Instant at which the read began, in seconds.
+        """
+
     def step(self) -> float:
         """Reads once; returns the seconds until the next read."""
         raise NotImplementedError
@@ -460,8 +477,13 @@
                 result.found.values(), result.removed, result.revision
             )
             self.on_read()
+        directory.expire()
         return CHECK_INTERVAL_S
 
+    def record_failure(self, started_at: float) -> None:
+        """Tells the directory when the source was still out of reach."""
+        self.directory.failed_at = started_at
+
     def max_age_s(self) -> float:
         """Returns the age from which entries are read again, in seconds."""
         if self.rank() < READER_COUNT:
--- a/src/coltsfootarch/fleet/upstreams.py
+++ b/src/coltsfootarch/fleet/upstreams.py
@@ -20,6 +20,10 @@
 # service, in seconds. Until then a missing entry doesn't mean that an upstream
 # left.
 REREGISTRATION_S = 2.0
+# Time after the start of the last failed read until which missing entries are
+# kept at the latest. The outage may have ended right after that start, and it
+# may have been one of this host only: then the upstreams have left for good.
+RETAINED_AFTER_FAILURE_S = 2.5
 # A read that is older than this is not reported to peers.
 MAX_REPORTED_AGE_S = 1.0
 # A change is included in reports for this time, which covers lost reports.
@@ -98,6 +102,7 @@
         accepts: Returns whether an upstream may get requests from this host at
             present, by what it has stated itself.
         is_open: The same for a request that is prepared for an upstream.
+        failed_at: Instant at which the last failed read began, in seconds.
     """
 
     def __init__(self, clock: clocks.Clock) -> None:
@@ -109,6 +114,7 @@
         self.absent_since: dict[str, float] = {}
         self.rejected: set[str] = set()
         self.read_at = float("-inf")
+        self.failed_at = float("-inf")
         self.grace_until = float("-inf")
         self.digest = 0
         self.outdated = False
@@ -183,6 +189,10 @@
         self.outdated = False
         if self.upstreams and now - self.read_at > OUTAGE_S:
             self.grace_until = now + REREGISTRATION_S
+            if self.failed_at > self.read_at:
+                self.grace_until = min(
+                    self.grace_until, self.failed_at + RETAINED_AFTER_FAILURE_S
+                )
         self.read_at = now
 
     def put(self, upstream: Upstream) -> None:
--- a/tests/fleet/test_followers.py
+++ b/tests/fleet/test_followers.py
@@ -246,6 +246,73 @@
     assert tracker.age() == pytest.approx(0.5)
 
 
+class OutageSource:
+    """Registrations of a store that one host can't reach for some time.
+
+    Args:
+        clock: Source of time.
+        ends_at: Instant from which a read succeeds, in seconds.
+        read_s: Duration of a read that fails, in seconds.
+        left_at: Instant at which "i-1" leaves, in seconds.
+    """
+
+    def __init__(self, clock, ends_at, read_s, left_at):
+        self.clock = clock
+        self.ends_at = ends_at
+        self.read_s = read_s
+        self.left_at = left_at
+
+    def read_changes(self, revision, wait_s):
+        now = self.clock.monotonic()
+        if now < self.ends_at:
+            self.clock.advance(datetime.timedelta(seconds=self.read_s))
+            raise errors.TableUnavailableError("no answer")
+        removed = ("i-1",) if now >= self.left_at else ()
+        return followers.UpstreamReadResult({}, removed, revision, now)
+
+
+@pytest.mark.parametrize("read_s", [0.0, 0.5, 0.8], ids=str)
+@pytest.mark.parametrize("left_s", [-1.0, 0.5], ids=["during", "after"])
+def test_upstream_that_left_gets_nothing_3_s_after_an_outage(
+    manual_clock, read_s, left_s
+):
+    """Guards against waiting for upstreams that left during an own outage.
+
+    Whatever the moment of the tries, and whether reads fail at once or late.
+    """
+    late = []
+    for phase in range(50, 90):
+        started_at = manual_clock.monotonic()
+        ends_at = started_at + phase / 10
+        directory = builders.directory(manual_clock, builders.plain("i-1"))
+        directory.revision = 1
+        source = OutageSource(manual_clock, ends_at, read_s, ends_at + left_s)
+        follower = followers.UpstreamFollower(source, directory, manual_clock)
+        follower.revision = 1
+        while manual_clock.monotonic() < ends_at + 3.0:
+            wait = datetime.timedelta(seconds=follower.try_step())
+            manual_clock.advance(wait)
+        if directory.candidates("app"):
+            late.append(phase)
+
+    assert late == []
+
+
+def test_entries_missing_after_an_outage_of_the_store_are_kept(manual_clock):
+    """Guards against a host without upstreams while they register again."""
+    directory = builders.directory(manual_clock, builders.plain("i-1"))
+    directory.revision = 1
+    now = manual_clock.monotonic()
+    source = OutageSource(manual_clock, now + 5.0, 0.0, now)
+    follower = followers.UpstreamFollower(source, directory, manual_clock)
+    follower.revision = 1
+
+    while manual_clock.monotonic() < now + 5.0 + 1.5:
+        assert directory.candidates("app")
+        wait = datetime.timedelta(seconds=follower.try_step())
+        manual_clock.advance(wait)
+
+
 def peer_report(**changes):
     base = reports.Report(1, "h2", 1, 1, [], [], [], [], [], [])
     return base._replace(**changes)
