Client: a head with two status lines is no response

Cause: the first bytes of an earlier answer can arrive after the next request was sent, when no check of the connection can see them. Cut in the reason phrase or in a field's value, they make one head with the sound answer: the status is that of the torn copy, the request id and the seal are those of the sound one.

Change: a status line in the reason phrase or in a field of a response head makes it malformed; the sound one always follows the torn bytes. A success without a request id answers no request, and a 101 is malformed instead of an unexpected error.

--- a/src/coltsfootarch/forwarding/upstream_exchange.py
+++ b/src/coltsfootarch/forwarding/upstream_exchange.py
@@ -176,9 +176,7 @@
             if not isinstance(part, messages.ResponseHead):
                 break
             response = self.wire.decode(part)
-            if response.request_id == self.request.id or (
-                not response.request_id and response.status >= 400
-            ):
+            if self.answers_request(response):
                 self.head = part
                 self.notices.apply(self.delivery.upstream, response)
                 return response
@@ -192,6 +190,16 @@
         self.close()
         raise client.BrokenConnectionError("no response to this request")
 
+    def answers_request(self, response: calls.UpstreamResponse) -> bool:
+        """Returns whether a response belongs to the request.
+
+        Only the id shows that. A failure may have none, since upstreams refuse
+        requests before they read the id; a success must have it.
+        """
+        if response.request_id:
+            return response.request_id == self.request.id
+        return response.status >= 400
+
     def skip_body(self, deadline: float) -> None:
         """Reads the body of a response to another request.
 
--- a/src/coltsfootarch/http1/readers.py
+++ b/src/coltsfootarch/http1/readers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import re
 from typing import Any
 
 import httptools
@@ -16,12 +17,18 @@
 # Largest number of successive bytes of a response that yield neither a head nor
 # a part of a body: of a head, interim responses, chunk extensions or trailers.
 MAX_UNPARSED_BYTES = 65536
+# Start of a status line, up to its status code.
+STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 
 
 class MalformedMessageError(Exception):
     """The bytes are not an HTTP/1.1 message, or its framing is ambiguous."""
 
 
+class AmbiguousMessageError(MalformedMessageError):
+    """A response head holds the status line of another response."""
+
+
 class HeaderTooLargeError(MalformedMessageError):
     """The message head exceeds the size limit."""
 
@@ -163,7 +170,10 @@
 class ResponseReader:
     """Parses the responses that arrive on one connection.
 
-    Interim (1xx) responses are discarded.
+    Interim (1xx) responses are discarded. A peer that sends the beginning of
+    another response before a sound one makes a head out of both, with the
+    status of the first and the fields of the second. Such a head is rejected:
+    it holds the status line of the sound response.
 
     Attributes:
         parts: Parsed parts in order: a `ResponseHead`, body parts as bytes and
@@ -177,6 +187,7 @@
         self.parts: collections.deque[messages.ResponseHead | bytes | None] = (
             collections.deque()
         )
+        self.reason = b""
         self.fields: list[tuple[str, str]] = []
         self.is_interim = False
         self.in_progress = False
@@ -200,11 +211,19 @@
         Raises:
             MalformedMessageError: The bytes are not a valid response; the
                 position of the next response is unknown.
+            AmbiguousMessageError: The head consists of two heads.
             HeaderTooLargeError: More than `MAX_UNPARSED_BYTES` yielded no part.
         """
         known_parts = len(self.parts)
         try:
             self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade as error:
+            raise MalformedMessageError("upgrade is not supported") from error
+        except httptools.HttpParserCallbackError as error:
+            callback_error = error.__context__
+            if isinstance(callback_error, MalformedMessageError):
+                raise callback_error from None
+            raise
         except httptools.HttpParserError as error:
             raise MalformedMessageError(str(error)) from error
         if len(self.parts) > known_parts:
@@ -236,14 +255,21 @@
     def on_message_begin(self) -> None:
         """Starts a response."""
         self.begun = True
+        self.reason = b""
         self.fields = []
 
+    def on_status(self, reason: bytes) -> None:
+        """Appends to the reason phrase."""
+        self.reason += reason
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header field."""
+        check_single(value)
         self.fields.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
         """Appends the head to `parts`, unless the response is interim."""
+        check_single(self.reason)
         status = self.parser.get_status_code()
         fields = tuple(self.fields)
         self.is_interim = status < 200
@@ -271,3 +297,16 @@
         if not self.is_interim and self.in_progress:
             self.in_progress = False
             self.parts.append(None)
+
+
+def check_single(text: bytes) -> None:
+    """Checks that a part of a response head holds no other status line.
+
+    Args:
+        text: Reason phrase or value of a field.
+
+    Raises:
+        AmbiguousMessageError: It holds one.
+    """
+    if b"HTTP/" in text and STATUS_LINE.search(text):
+        raise AmbiguousMessageError("the head holds another status line")
--- a/standins/http.py
+++ b/standins/http.py
@@ -28,12 +28,14 @@
     Attributes:
         open: Whether the connection is open.
         on_close: Called when the connection ends, on either side.
+        last_response: Bytes of the last complete response.
     """
 
     def __init__(self, sock: gevent_socket.socket) -> None:
         self.sock = sock
         self.open = True
         self.on_close: Callable[[], object] | None = None
+        self.last_response = b""
 
     def send(self, data: bytes) -> None:
         self.sock.sendall(data)
@@ -49,7 +51,8 @@
         head = messages.render_head(
             messages.status_line(status), [*fields, length]
         )
-        self.send(head + body)
+        self.last_response = head + body
+        self.send(self.last_response)
 
     def chunk(self, data: bytes) -> None:
         """Sends one chunk of a chunked body."""
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -60,6 +60,8 @@
             as it begins to stream; empty for none.
         crashing_target: Target of calls on which the runner crashes; empty for
             none.
+        repeated_bytes: Number of bytes of the last response on a connection
+            that it sends once more before the next one.
         partial_head: Start of a response's head, for the fault "cut head".
         retry_after: Value of `Retry-After` in refusals; empty for none.
         limit: Value of `Server-Limit` in its answers; empty for none.
@@ -104,6 +106,7 @@
         self.crashing_part = ""
         self.crashing_target = ""
         self.partial_head = b""
+        self.repeated_bytes = 0
         self.retry_after = ""
         self.leaving = False
         self.limit = ""
@@ -160,6 +163,7 @@
             connection.respond(200)
         elif request.target == "/api/hold-take":
             self.arrivals += 1
+            self.repeat_response(connection)
             if self.fault == "full":
                 connection.respond(503, self.refusal_fields())
             else:
@@ -173,8 +177,14 @@
             self.stage = self.orders[-1]["stage"]
             connection.respond(202)
         else:
+            self.repeat_response(connection)
             self.serve(request, fields, connection)
 
+    def repeat_response(self, connection: http.Connection) -> None:
+        """Sends `repeated_bytes` of the connection's last response again."""
+        if self.repeated_bytes and connection.last_response:
+            connection.send(connection.last_response[: self.repeated_bytes])
+
     def serve(
         self,
         request: messages.Request,
--- a/tests/forwarding/test_calls.py
+++ b/tests/forwarding/test_calls.py
@@ -184,6 +184,45 @@
     assert response.body.endswith(b" to r1")
 
 
+@pytest.mark.parametrize("target", ["/read/a", "/book/a"])
+@pytest.mark.parametrize(
+    ("first", "second"), [(200, 500), (500, 200), (404, 200), (200, 404)]
+)
+def test_late_part_of_an_earlier_response_changes_no_answer(
+    edge_host, target, first, second
+):
+    """Guards against the status of one response with the body of another."""
+    runner = edge_host.add_runner("i-1", "app")
+    edge_host.start()
+    caller = edge_host.caller()
+    method = "POST" if target.startswith("/book") else "GET"
+    wrong = []
+    whole = 0
+    for size in range(1, 300, 3):
+        runner.status, runner.repeated_bytes = first, 0
+        caller.ask(target, method, request_id=f"a{size}")
+        runner.status, runner.repeated_bytes = second, size
+        answer = caller.ask(target, method, request_id=f"b{size}")
+        sealed = "x-server-seal" in answer.fields
+        whole += answer.status == second
+        if answer.status != (second if sealed else 502):
+            wrong.append((size, answer.status, answer.body))
+
+    assert wrong == []
+    # Whole copies are skipped, and new connections have no earlier response.
+    assert whole > 20
+
+
+def test_success_without_a_request_id_is_no_answer(app):
+    """Guards against a success that may belong to another request."""
+    for runner in app.runners.values():
+        runner.response_fields = lambda request_id: ()
+
+    answer = app.ask("/read/a", request_id="", X_Deadline_Ms="600")
+
+    assert answer.status == 504
+
+
 def test_failed_connection_is_not_an_attempt(app):
     app.runners["i-1"].close()
     app.daemon.context.loads.add("i-2", 1)
--- a/tests/http1/test_readers.py
+++ b/tests/http1/test_readers.py
@@ -113,3 +113,73 @@
 def test_malformed_response_is_rejected():
     with pytest.raises(readers.MalformedMessageError):
         parse_response(b"\x00\x01\x02 what\r\n\r\n")
+
+
+def response_bytes(status, request_id, body):
+    return messages.render_head(
+        messages.status_line(status),
+        [
+            ("Content-Type", "text/plain"),
+            ("X-Request-Id", request_id),
+            ("Content-Length", str(len(body))),
+            ("X-Server-Seal", f"seal of {request_id}"),
+        ],
+    ) + bytes(body)
+
+
+def complete_responses(data, size):
+    """Returns status, id and body of what a reader takes from segments."""
+    reader = readers.ResponseReader()
+    found = []
+    head, body = None, b""
+    for start in range(0, len(data), size):
+        try:
+            reader.feed(data[start : start + size])
+        except readers.MalformedMessageError:
+            break
+    for part in reader.parts:
+        if isinstance(part, messages.ResponseHead):
+            head, body = part, b""
+        elif part is not None:
+            body += part
+        else:
+            request_id = messages.field_value(head.fields, "x-request-id")
+            found.append((head.status, request_id, body))
+    return found
+
+
+@pytest.mark.parametrize("size", [1, 7, 100000])
+@pytest.mark.parametrize("sound_status", [200, 500, 503])
+@pytest.mark.parametrize("torn_status", [100, 200, 404, 503])
+def test_torn_response_gives_nothing_to_the_next_one(
+    torn_status, sound_status, size
+):
+    """Guards against a status, id or body that no peer sent together."""
+    torn = response_bytes(torn_status, "a", b"first")
+    sound = response_bytes(sound_status, "b", b"second")
+    mixed = [
+        (cut, response)
+        for cut in range(1, len(torn))
+        for response in complete_responses(torn[:cut] + sound, size)
+        if response[1] == "b" and response != (sound_status, "b", b"second")
+    ]
+
+    assert mixed == []
+
+
+def test_fields_that_name_a_protocol_are_accepted():
+    found, _ = parse_response(
+        b"HTTP/1.1 200 OK\r\nVia: HTTP/1.1 proxy\r\nServer: HTTP/2\r\n"
+        b"Content-Length: 0\r\n\r\n"
+    )
+
+    assert found[0].status == 200
+
+
+def test_change_of_the_protocol_is_rejected():
+    """Guards against an unexpected error after a peer's 101 response."""
+    with pytest.raises(readers.MalformedMessageError):
+        parse_response(
+            b"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\n"
+            b"Upgrade: x\r\n\r\n"
+        )
