Responses: all that a host holds have one bound

An upstream that sends bodies without end to many requests at once filled the memory of a host, whose process then ends with the requests of all its callers (a report of other operators, LOST).

Cause: calls collect a response before they pass it on. Each one was bounded, by 16 MiB; nothing bounded their sum.

Change: a module without a socket bounds all responses that are read or wait for their caller, 16 MiB together. If they are more, the largest incomplete one of the upstream that uses most is given up and counts as a broken try; up to 16 KiB a response is always taken. Answers to the host's own calls have 64 KiB, a response head 256 fields, and a large body isn't joined with its head any more.

--- a/src/coltsfootarch/forwarding/call_pipeline.py
+++ b/src/coltsfootarch/forwarding/call_pipeline.py
@@ -135,6 +135,7 @@
             call.request,
             delivery,
             self.context.notices,
+            self.context.response_memory,
         )
         self.context.loads.add(upstream.id, 1)
         self.context.notices.limits.take(upstream)
@@ -201,6 +202,7 @@
                 call.sent_upstream = True
                 response = exchange.read_head(deadline)
                 body = exchange.read_body(deadline)
+                call.keep(exchange.take_holding())
             except client.ConnectError as error:
                 self.log_failure(call, exchange, error)
                 return attempts.Failure.NOT_SENT
--- a/src/coltsfootarch/forwarding/calls.py
+++ b/src/coltsfootarch/forwarding/calls.py
@@ -12,6 +12,7 @@
     from coltsfootarch.fleet import policy
     from coltsfootarch.fleet import upstreams
     from coltsfootarch.forwarding import cancellation
+    from coltsfootarch.forwarding import response_memory
     from coltsfootarch.http1 import messages
 
 
@@ -242,6 +243,8 @@
         self.responder = responder
         self.attempts = 0
         self.tried: list[str] = []
+        # Memory of the last complete response.
+        self.holding: response_memory.Holding | None = None
         # Whether an attempt failed after which the upstream may have run it.
         self.may_have_run = False
         # Whether it was sent to an upstream at all.
@@ -253,6 +256,12 @@
             limit = min(limit, request.deadline_s)
         self.ends_at = request.received_at + limit
 
+    def keep(self, holding: response_memory.Holding | None) -> None:
+        """Keeps the memory of a response and frees that of the one before."""
+        previous, self.holding = self.holding, holding
+        if previous is not None:
+            previous.close()
+
     @functools.cached_property
     def digest(self) -> str:
         """Digest of account, target and body; retries have the same one."""
--- a/src/coltsfootarch/forwarding/context.py
+++ b/src/coltsfootarch/forwarding/context.py
@@ -10,6 +10,7 @@
     from coltsfootarch.fleet import upstreams
     from coltsfootarch.forwarding import calls
     from coltsfootarch.forwarding import crash_checks
+    from coltsfootarch.forwarding import response_memory
     from coltsfootarch.http1 import pool
     from coltsfootarch.observability import registry
     from coltsfootarch.retries import shared_budget
@@ -40,6 +41,7 @@
         crash_check: Finds out whether an upstream crashed during a request.
         crashing_parts: Parts of prompts on which engines crash.
         notices: What upstreams state about themselves.
+        response_memory: Bounds the memory of all responses.
         refusals: Requests that were recently refused for lack of capacity.
         budget: Retry budget.
         call_placer: Chooses upstreams of plain services.
@@ -60,6 +62,7 @@
     crash_check: crash_checks.CrashCheck
     crashing_parts: crashing_parts.CrashingParts
     notices: upstream_notices.UpstreamNotices
+    response_memory: response_memory.ResponseMemory
     refusals: refusals.RecentRefusals
     budget: shared_budget.SharedRetryBudget
     call_placer: call_placement.CallPlacer
--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -26,6 +26,7 @@
 from coltsfootarch.forwarding import forwarder
 from coltsfootarch.forwarding import host_status
 from coltsfootarch.forwarding import listener
+from coltsfootarch.forwarding import response_memory
 from coltsfootarch.forwarding import status
 from coltsfootarch.http1 import pool
 from coltsfootarch.limits import shared_bucket
@@ -303,6 +304,9 @@
                 lambda: self.report_exchange.send_soon(),
             ),
             notices=notices,
+            response_memory=response_memory.ResponseMemory(
+                self.record_abandoned_response
+            ),
             refusals=refusals.RecentRefusals(clock),
             budget=shared_budget.SharedRetryBudget(
                 clock,
@@ -321,6 +325,20 @@
             metrics=registry.MetricRegistry(),
         )
 
+    def record_abandoned_response(
+        self, holding: response_memory.Holding, upstream_bytes: int
+    ) -> None:
+        """Logs and counts a response that was given up for others."""
+        memory = self.context.response_memory
+        self.context.metrics.abandoned_responses.inc()
+        logger.warning(
+            "response given up: memory for responses is full",
+            upstream=holding.upstream,
+            bytes=holding.size,
+            upstream_bytes=upstream_bytes,
+            limit_bytes=memory.capacity,
+        )
+
     def build_listeners(self) -> list[listener.CallerListener]:
         """Returns the listeners for readiness checks and metrics."""
         ready = status.ReadinessHandler(self.platform.ready_path, self.is_ready)
@@ -372,6 +390,7 @@
             metrics.policy_transfer.set(tracker.last_transfer.received_s)
         for follower in self.followers:
             metrics.read_failures.labels(follower.name).set(follower.failures)
+        metrics.response_bytes.set(self.context.response_memory.used)
         metrics.reached_share.set(self.hosts.share())
         metrics.fallback_reads.set(self.status_reporter.fallback_reads())
         metrics.registrations_age.set(self.upstreams.age())
--- a/src/coltsfootarch/forwarding/decode_stage.py
+++ b/src/coltsfootarch/forwarding/decode_stage.py
@@ -70,6 +70,7 @@
             generation.call.request,
             self.build_delivery(generation, placement),
             self.context.notices,
+            self.context.response_memory,
         )
 
     def build_delivery(
@@ -275,6 +276,7 @@
         response = exchange.read_head(self.silence_deadline(generation))
         if not 200 <= response.status < 300:
             body = exchange.read_body(self.silence_deadline(generation))
+            call.keep(exchange.take_holding())
             if response.is_from_other_upstream(exchange.delivery.upstream):
                 self.context.directory.reject(exchange.delivery.upstream.id)
             if response.not_run:
@@ -291,6 +293,7 @@
                 )
             for event in splitter.feed(part):
                 self.send_event(generation, response, event)
+            exchange.hold(len(splitter.incomplete))
         exchange.finish()
         if splitter.incomplete:
             raise client.BrokenConnectionError(
--- a/src/coltsfootarch/forwarding/forwarder.py
+++ b/src/coltsfootarch/forwarding/forwarder.py
@@ -150,6 +150,7 @@
             self.in_progress -= 1
             if call is not None:
                 self.calls.discard(call)
+                call.keep(None)
             self.refund_tokens(call, admitted, code)
             self.log_result(request, call, admitted, result)
 
--- a/src/coltsfootarch/forwarding/listener.py
+++ b/src/coltsfootarch/forwarding/listener.py
@@ -30,6 +30,8 @@
 SEND_TIMEOUT_S = 10.0
 # Bytes of pipelined requests that are buffered while one is handled.
 MAX_PIPELINED_BYTES = 262144
+# Larger bodies are sent apart from their head, since joining copies them.
+MAX_JOINED_BYTES = 65536
 # Callers reuse idle connections for up to four fifths of the idle timeout. The
 # host keeps them longer than the timeout, so that it doesn't close one to which
 # a caller is sending a request.
@@ -83,7 +85,11 @@
                 *self.connection_fields(),
             ],
         )
-        self.connection.send(head + body)
+        if len(body) <= MAX_JOINED_BYTES:
+            self.connection.send(head + body)
+        else:
+            self.connection.send(head)
+            self.connection.send(body)
         self.finished = True
 
     def start(self, status: int, fields: messages.Fields) -> None:
--- a/src/coltsfootarch/forwarding/prefill_stage.py
+++ b/src/coltsfootarch/forwarding/prefill_stage.py
@@ -65,6 +65,7 @@
                 prefill_only=True,
             ),
             self.context.notices,
+            self.context.response_memory,
         )
         load_ahead = self.context.loads.load(engine.id)
         self.context.loads.add(engine.id, tokens)
@@ -77,7 +78,9 @@
             with call.cancellation.attached(exchange.abort):
                 exchange.start(recently_used=False)
                 response = exchange.read_head(deadline)
-                body = exchange.read_body(deadline)
+                body = exchange.read_body(
+                    deadline, upstream_exchange.MAX_CONTROL_RESPONSE_BYTES
+                )
             handle = ""
             if response.status == 200:
                 handle = self.context.wire.decode_prefill(body)
--- a/src/coltsfootarch/forwarding/upstream_exchange.py
+++ b/src/coltsfootarch/forwarding/upstream_exchange.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from coltsfootarch.forwarding import response_memory
 from coltsfootarch.http1 import client
 from coltsfootarch.http1 import messages
 
@@ -26,6 +27,8 @@
 # Engines respond to a reservation within milliseconds.
 RESERVATION_TIMEOUT_S = 0.3
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+# Responses to the host's own calls are JSON objects of some hundred bytes.
+MAX_CONTROL_RESPONSE_BYTES = 64 * 1024
 
 logger = structlog.get_logger(__name__)
 
@@ -40,6 +43,7 @@
         request: The caller's request.
         delivery: What the host adds to it for this upstream.
         notices: Receives what the upstream states about itself.
+        memory: Bounds the memory of all responses.
     """
 
     def __init__(
@@ -50,8 +54,11 @@
         request: calls.CallerRequest,
         delivery: calls.Delivery,
         notices: upstream_notices.UpstreamNotices,
+        memory: response_memory.ResponseMemory,
     ) -> None:
         self.notices = notices
+        self.memory = memory
+        self.holding: response_memory.Holding | None = None
         self.connections = connections
         self.wire = wire
         self.clock = clock
@@ -136,7 +143,8 @@
         response = self.find_head(
             deadline, lambda response: not response.request_id
         )
-        body = self.collect_body(deadline)
+        body = self.collect_body(deadline, MAX_CONTROL_RESPONSE_BYTES)
+        self.free_memory()
         if self.head is None or not connection.finish(self.head):
             self.connection = None
         self.head = None
@@ -150,11 +158,50 @@
         self.close()
 
     def close(self) -> None:
+        """Closes the connection unless it was returned to the pool.
+
+        It also frees the memory of a response that `take_holding` didn't take.
+        """
+        self.disconnect()
+        self.free_memory()
+
+    def disconnect(self) -> None:
         """Closes the connection unless it was returned to the pool."""
         connection, self.connection = self.connection, None
         if connection is not None:
             connection.close()
 
+    def free_memory(self) -> None:
+        """Frees the memory of the response."""
+        holding, self.holding = self.holding, None
+        if holding is not None:
+            holding.close()
+
+    def take_holding(self) -> response_memory.Holding | None:
+        """Returns the memory of a complete response; the taker closes it."""
+        holding, self.holding = self.holding, None
+        if holding is not None:
+            holding.settle()
+        return holding
+
+    def hold(self, size: int) -> None:
+        """Counts the bytes of the response that are kept at present.
+
+        Raises:
+            client.BrokenConnectionError: The response is given up, since all
+                responses together are too large.
+        """
+        if self.holding is None:
+            if size <= response_memory.GUARANTEED_BYTES:
+                return
+            self.holding = self.memory.open(
+                self.delivery.upstream.id, self.disconnect
+            )
+        try:
+            self.holding.resize(size)
+        except response_memory.ResponseMemoryError as error:
+            raise client.BrokenConnectionError(str(error)) from error
+
     def read_head(self, deadline: float) -> calls.UpstreamResponse:
         """Returns the head of the response to this request; see `find_head`."""
         return self.find_head(deadline, self.answers_request)
@@ -252,13 +299,15 @@
                 )
             yield part
 
-    def read_body(self, deadline: float) -> bytes:
+    def read_body(
+        self, deadline: float, max_bytes: int = MAX_RESPONSE_BYTES
+    ) -> bytes:
         """Returns the complete body and finishes; see `collect_body`."""
-        body = self.collect_body(deadline)
+        body = self.collect_body(deadline, max_bytes)
         self.finish()
         return body
 
-    def collect_body(self, deadline: float) -> bytes:
+    def collect_body(self, deadline: float, max_bytes: int) -> bytes:
         """Returns the complete body; see `body_parts`.
 
         Raises:
@@ -268,11 +317,12 @@
         body = bytearray()
         for part in self.body_parts(deadline):
             body += part
-            if len(body) > MAX_RESPONSE_BYTES:
+            if len(body) > max_bytes:
                 self.close()
                 raise client.BrokenConnectionError(
-                    "response body longer than 16 MiB"
+                    f"response body longer than {max_bytes} bytes"
                 )
+            self.hold(len(body))
         return bytes(body)
 
     def finish(self) -> None:
--- a/src/coltsfootarch/http1/readers.py
+++ b/src/coltsfootarch/http1/readers.py
@@ -17,6 +17,9 @@
 # Largest number of successive bytes of a response that yield neither a head nor
 # a part of a body: of a head, interim responses, chunk extensions or trailers.
 MAX_UNPARSED_BYTES = 65536
+# Largest number of fields of a response head, trailers included. Each takes
+# many times its bytes in memory.
+MAX_RESPONSE_FIELDS = 256
 # Start of a status line, up to its status code.
 STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 
@@ -265,6 +268,10 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header field."""
         check_single(value)
+        if len(self.fields) >= MAX_RESPONSE_FIELDS:
+            raise HeaderTooLargeError(
+                f"more than {MAX_RESPONSE_FIELDS} fields in a response head"
+            )
         self.fields.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
--- a/src/coltsfootarch/observability/registry.py
+++ b/src/coltsfootarch/observability/registry.py
@@ -54,6 +54,12 @@
         self.read_failures = self.gauge(
             "read_failures", "failed reads of a source", ("source",)
         )
+        self.response_bytes = self.gauge(
+            "response_bytes", "memory of long responses of upstreams"
+        )
+        self.abandoned_responses = self.counter(
+            "abandoned_responses", "responses given up for lack of memory"
+        )
         self.reached_share = self.gauge(
             "reached_share", "part of the limits that the reached hosts have"
         )
--- a/tests/http1/test_endless_responses.py
+++ b/tests/http1/test_endless_responses.py
@@ -87,3 +87,12 @@
     assert [len(part) for part in reader.parts if isinstance(part, bytes)] == [
         2
     ]
+
+
+def test_head_with_too_many_fields_is_rejected():
+    """Guards against short fields that take many times their bytes."""
+    reader = readers.ResponseReader()
+    fields = b"X: a\r\n" * (readers.MAX_RESPONSE_FIELDS + 1)
+
+    with pytest.raises(readers.HeaderTooLargeError):
+        reader.feed(STATUS + fields + b"\r\n")
