Calls: a request without an id is answered on a connection of its own

Callers that send no request id waited for their route's timeout and got 504: since a success without an id answers no request.

Cause: a success needs evidence that it answers the request. Without an id only the connection can give it, and pooled connections don't.

Change: such a request gets a new connection that is not kept, and takes what comes on it without an id. Requests with an id are as before.

--- a/src/coltsfootarch/forwarding/upstream_exchange.py
+++ b/src/coltsfootarch/forwarding/upstream_exchange.py
@@ -72,6 +72,9 @@
     def connect(self, recently_used: bool) -> None:
         """Takes an idle connection from the pool or opens one.
 
+        A request without an id gets a connection of its own, since nothing else
+        shows which response belongs to it.
+
         Args:
             recently_used: Whether to reuse only a connection that was used
                 recently; see `pool.ConnectionPool.acquire`.
@@ -79,12 +82,14 @@
         Raises:
             client.ConnectError: No connection; nothing was sent.
         """
-        connection = self.connections.acquire(
-            self.delivery.upstream.address,
-            min(CONNECT_TIMEOUT_S, self.delivery.time_left_s),
-            recently_used,
-        )
-        self.connection = connection
+        address = self.delivery.upstream.address
+        timeout = min(CONNECT_TIMEOUT_S, self.delivery.time_left_s)
+        if self.request.id:
+            self.connection = self.connections.acquire(
+                address, timeout, recently_used
+            )
+        else:
+            self.connection = self.connections.open(address, timeout)
         if self.aborted:
             self.close()
             raise client.ConnectError("the caller disconnected")
@@ -247,10 +252,11 @@
     def answers_request(self, response: calls.UpstreamResponse) -> bool:
         """Returns whether a response belongs to the request.
 
-        Only the id shows that. A failure may have none, since upstreams refuse
-        requests before they read the id; a success must have it.
+        The id shows that. A failure may have none, since upstreams refuse
+        requests before they read the id; a success must have it, unless the
+        request has none either.
         """
-        if response.request_id:
+        if response.request_id or not self.request.id:
             return response.request_id == self.request.id
         return response.status >= 400
 
@@ -330,5 +336,7 @@
         connection, self.connection = self.connection, None
         if connection is None or self.head is None:
             return
-        if connection.finish(self.head):
+        if not self.request.id:
+            connection.close()
+        elif connection.finish(self.head):
             self.connections.release(connection)
--- a/src/coltsfootarch/http1/pool.py
+++ b/src/coltsfootarch/http1/pool.py
@@ -62,6 +62,10 @@
             if now - connection.idle_since < limit and connection.is_reusable():
                 return connection
             connection.close()
+        return self.open(address, timeout)
+
+    def open(self, address: str, timeout: float) -> client.Connection:
+        """Returns a new connection; see `acquire`."""
         connection = client.Connection(address, self.clock)
         self.opened += 1
         connection.start(timeout)
