--- a/tests/forwarding/test_process_memory.py
+++ b/tests/forwarding/test_process_memory.py
@@ -18,8 +18,8 @@
 MACHINE_BYTES = 128 * 1024 * 1024
 CALLERS = 100
 SECONDS = 6.0
-# The users' `revoke_ms`. The shorter time of the soak test refuses requests when
-# a busy machine delays the confirmation of the keys.
+# The users' `revoke_ms`. The shorter time of the soak test refuses requests
+# when a busy machine delays the confirmation of the keys.
 KEY_CONFIRMATION_S = 5.0
 KEY = "key-1"
 
