Logs: cut streams and closes of callers' connections have lines of their own

`request ended` said "answered" for a stream that was aborted within its body, closes by the host were not logged, and an error of the host's own looked like one of the caller's.

The result is now what the responder did: answered, cut or unanswered. Writing to a caller raises CallerConnectionError, so that any other OSError is logged as local-error; what becomes of the request is as before. A connection keeps the reason of its close, which is counted; closes by the host without an announcement are logged, and those with a request that was read or partly read are warnings with its id.

listener.py is split into listener.py, caller_connection.py and responder.py; refusals and names of results are in endings.py.

--- /dev/null
+++ b/src/coltsfootarch/forwarding/caller_connection.py
@@ -0,0 +1,336 @@
+"""One connection of a caller: reads requests, detects a disconnect."""
+
+from __future__ import annotations
+
+import contextlib
+import enum
+import socket
+from typing import TYPE_CHECKING
+
+import gevent
+import msgspec
+import structlog
+
+from coltsfootarch import results
+from coltsfootarch.forwarding import calls
+from coltsfootarch.forwarding import cancellation as cancellations
+from coltsfootarch.forwarding import responder as responders
+from coltsfootarch.http1 import readers
+
+if TYPE_CHECKING:
+    from gevent import socket as gevent_socket
+
+    from coltsfootarch.forwarding import listener as listeners
+    from coltsfootarch.http1 import messages
+
+# Timeout of writing to a caller that doesn't read, in seconds. Its connection
+# is then closed.
+SEND_TIMEOUT_S = 10.0
+# Bytes of pipelined requests that are buffered while one is handled.
+MAX_PIPELINED_BYTES = 262144
+# Callers reuse idle connections for up to four fifths of the idle timeout. The
+# host keeps them longer than the timeout, so that it doesn't close one to which
+# a caller is sending a request.
+IDLE_TIMEOUT_FACTOR = 1.25
+
+logger = structlog.get_logger(__name__)
+
+
+class CloseReason(enum.Enum):
+    """Why a connection of a caller was closed; values appear in the log."""
+
+    CALLER_CLOSED = "caller-closed"
+    SOCKET_ERROR = "socket-error"
+    SEND_TIMEOUT = "send-timeout"
+    # The response had `Connection: close`: the caller wished it or was told.
+    ANNOUNCED = "announced"
+    IDLE_TIMEOUT = "idle-timeout"
+    HEADER_TIMEOUT = "header-timeout"
+    BODY_TIMEOUT = "body-timeout"
+    HEADER_TOO_LARGE = "header-too-large"
+    BODY_TOO_LARGE = "body-too-large"
+    MALFORMED = "malformed"
+    DRAINED_IDLE = "drained-idle"
+    SHUTDOWN = "shutdown"
+    # A response can't be completed, or there is none.
+    ABORTED = "aborted"
+    ERROR = "error"
+
+
+# Closes that are only counted if no request is lost by them.
+REGULAR_REASONS = frozenset(
+    {
+        CloseReason.CALLER_CLOSED,
+        CloseReason.SOCKET_ERROR,
+        CloseReason.ANNOUNCED,
+    }
+)
+
+
+class CallerConnection:
+    """One connection of a caller.
+
+    Args:
+        sock: The connected socket.
+        listener: Listener that accepted it.
+
+    Attributes:
+        rejected: Whether the request that is read in part was refused.
+        served: Number of requests that were passed to the handler.
+        idle: Whether no byte of a next request has been read.
+        idle_since: Instant since which it waits for bytes, in seconds.
+    """
+
+    def __init__(
+        self, sock: gevent_socket.socket, listener: listeners.CallerListener
+    ) -> None:
+        self.sock = sock
+        self.listener = listener
+        limits = listener.limits()
+        self.reader = readers.RequestReader(
+            limits.header_bytes, limits.body_bytes
+        )
+        self.pipelined = bytearray()
+        self.closed = False
+        self.rejected = False
+        self.served = 0
+        self.idle = True
+        self.idle_since = listener.clock.monotonic()
+        self.cancellation: cancellations.Cancellation | None = None
+        self.responder: responders.ConnectionResponder | None = None
+
+    def close(self, reason: CloseReason) -> None:
+        """Closes the connection; only the first reason is reported."""
+        if self.closed:
+            return
+        self.closed = True
+        try:
+            self.report_close(reason)
+        finally:
+            with contextlib.suppress(OSError):
+                self.sock.shutdown(socket.SHUT_RDWR)
+            self.sock.close()
+
+    def abort(self) -> None:
+        """Closes the connection before the response is complete."""
+        cancellation = self.cancellation
+        if cancellation is not None and cancellation.cancelled:
+            self.close(CloseReason.CALLER_CLOSED)
+        else:
+            self.close(CloseReason.ABORTED)
+
+    def report_close(self, reason: CloseReason) -> None:
+        """Counts a close; logs it if it isn't regular or loses a request."""
+        self.listener.count_close(reason.value)
+        regular = reason in REGULAR_REASONS
+        unread = 0 if regular else self.read_rest()
+        reader = self.reader
+        responder = self.responder
+        request_ids = [
+            self.listener.request_id(request.fields)
+            for request in reader.complete
+        ]
+        if reader.in_progress and not self.rejected:
+            request_ids.append(self.listener.request_id(tuple(reader.fields)))
+        # The end of a request whose caller has left is logged anyway.
+        if responder is not None and not responder.finished and not regular:
+            request_ids.append(responder.request_id)
+        # A caller can tell that a request was not read after a response with
+        # `Connection: close`.
+        pipelined = len(self.pipelined)
+        lost = bool(request_ids or unread or pipelined)
+        if regular and not lost:
+            return
+        idle_s = self.listener.clock.monotonic() - self.idle_since
+        log = logger.warning if lost else logger.info
+        log(
+            "connection of caller closed with a request unanswered"
+            if lost
+            else "connection of caller closed",
+            reason=reason.value,
+            served=self.served,
+            idle_ms=round(idle_s * 1000) if self.idle else None,
+            unanswered=request_ids,
+            in_body=reader.in_body,
+            unread_bytes=unread,
+            pipelined_bytes=pipelined,
+        )
+
+    def read_rest(self) -> int:
+        """Returns the number of bytes that arrived, up to `READ_SIZE`."""
+        try:
+            # The standard socket inside gevent's is non-blocking.
+            return len(self.sock._sock.recv(readers.READ_SIZE))
+        except OSError:
+            # Nothing arrived, or the caller has closed the connection.
+            return 0
+
+    def send(self, data: bytes) -> None:
+        """Sends bytes to the caller.
+
+        Raises:
+            calls.CallerConnectionError: The caller disconnected or doesn't
+                read, or the host has closed the connection.
+        """
+        if self.closed:
+            raise calls.CallerConnectionError("the connection is closed")
+        try:
+            self.sock.settimeout(SEND_TIMEOUT_S)
+            self.sock.sendall(data)
+        except OSError as error:
+            timed_out = isinstance(error, TimeoutError) and error.errno is None
+            self.close(
+                CloseReason.SEND_TIMEOUT
+                if timed_out
+                else CloseReason.SOCKET_ERROR
+            )
+            raise calls.CallerConnectionError(str(error)) from error
+
+    def run(self) -> None:
+        """Handles requests until the connection ends."""
+        reason = CloseReason.ERROR
+        try:
+            while not self.closed:
+                request = self.read_request()
+                if request is None or not self.serve(request):
+                    break
+            reason = CloseReason.ANNOUNCED
+        except calls.CallerConnectionError:
+            reason = CloseReason.SOCKET_ERROR
+        except OSError as error:
+            logger.warning("caller connection failed", reason=str(error))
+        finally:
+            self.close(reason)
+
+    def read_request(self) -> messages.Request | None:
+        """Returns the next request; None if the connection ends before it."""
+        reader = self.reader
+        clock = self.listener.clock
+        try:
+            if self.pipelined:
+                data = bytes(self.pipelined)
+                self.pipelined.clear()
+                reader.feed(data, clock.monotonic())
+            self.idle = not reader.in_progress
+            since = self.idle_since = clock.monotonic()
+            while not reader.complete:
+                data = self.receive(since)
+                if not data:
+                    return None
+                if not reader.in_progress:
+                    since = clock.monotonic()
+                self.idle = False
+                reader.feed(data, clock.monotonic())
+                if reader.expects_continue:
+                    reader.expects_continue = False
+                    self.send(b"HTTP/1.1 100 Continue\r\n\r\n")
+        except readers.BodyTooLargeError:
+            self.reject(results.BODY_TOO_LARGE, CloseReason.BODY_TOO_LARGE)
+            return None
+        except readers.HeaderTooLargeError:
+            self.reject(results.HEADER_TOO_LARGE, CloseReason.HEADER_TOO_LARGE)
+            return None
+        except readers.MalformedMessageError as error:
+            logger.info("malformed request refused", reason=str(error))
+            self.reject(results.MALFORMED_REQUEST, CloseReason.MALFORMED)
+            return None
+        self.idle = False
+        return reader.complete.popleft()
+
+    def receive(self, since: float) -> bytes:
+        """Returns bytes from the caller; none once the connection is closed.
+
+        Args:
+            since: Instant from which the timeout counts, in seconds.
+        """
+        while True:
+            limits = self.listener.limits()
+            limit = limits.idle_timeout_s * IDLE_TIMEOUT_FACTOR
+            reason = CloseReason.IDLE_TIMEOUT
+            if self.reader.in_body:
+                limit = limits.idle_timeout_s
+                reason = CloseReason.BODY_TIMEOUT
+            elif self.reader.in_progress:
+                limit = limits.header_timeout_s
+                reason = CloseReason.HEADER_TIMEOUT
+            remaining = since + limit - self.listener.clock.monotonic()
+            if remaining <= 0:
+                if self.reader.in_progress:
+                    self.reject(results.HEADER_TIMEOUT, reason)
+                self.close(reason)
+                return b""
+            try:
+                self.sock.settimeout(remaining)
+                data: bytes = self.sock.recv(readers.READ_SIZE)
+            except TimeoutError as error:
+                if error.errno is None:
+                    # A newer policy may have raised the timeout meanwhile.
+                    continue
+                self.close(CloseReason.SOCKET_ERROR)
+                return b""
+            except OSError:
+                self.close(CloseReason.SOCKET_ERROR)
+                return b""
+            if not data:
+                self.close(CloseReason.CALLER_CLOSED)
+            return data
+
+    def reject(self, code: results.ResultCode, reason: CloseReason) -> None:
+        """Refuses a request that can't be read; ends the connection."""
+        document = {
+            "code": code.number,
+            "name": code.name,
+            "message": code.summary,
+            "execution": code.execution.value,
+        }
+        responder = responders.ConnectionResponder(self, keep_alive=False)
+        with contextlib.suppress(calls.CallerConnectionError):
+            responder.respond(
+                code.http_status,
+                (("Content-Type", "application/json"),),
+                msgspec.json.encode(document),
+            )
+            self.rejected = True
+        self.close(reason)
+
+    def serve(self, request: messages.Request) -> bool:
+        """Handles a request; returns whether the connection stays open."""
+        cancellation = cancellations.Cancellation()
+        self.cancellation = cancellation
+        responder = responders.ConnectionResponder(self, request.keep_alive)
+        responder.request_id = self.listener.request_id(request.fields)
+        self.responder = responder
+        self.served += 1
+        watcher = gevent.get_hub().loop.io(self.sock.fileno(), 1)
+        watcher.start(self.on_readable, watcher)
+        try:
+            self.listener.handler.handle(request, responder, cancellation)
+            if not responder.finished:
+                self.abort()
+        finally:
+            watcher.stop()
+            watcher.close()
+            self.cancellation = None
+        if cancellation.cancelled:
+            self.close(CloseReason.CALLER_CLOSED)
+        self.responder = None
+        return responder.keep_alive and not self.closed
+
+    def on_readable(self, watcher: object) -> None:
+        """Detects a disconnected caller; buffers pipelined requests."""
+        if self.closed:
+            return
+        try:
+            # The standard socket inside gevent's is non-blocking.
+            data = self.sock._sock.recv(readers.READ_SIZE)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        if data:
+            self.pipelined += data
+            if len(self.pipelined) <= MAX_PIPELINED_BYTES:
+                return
+        watcher.stop()  # type: ignore[attr-defined]
+        if not data and self.cancellation is not None:
+            self.cancellation.cancel()
--- a/src/coltsfootarch/forwarding/calls.py
+++ b/src/coltsfootarch/forwarding/calls.py
@@ -150,6 +150,9 @@
     def decode(self, request: messages.Request) -> CallerRequest:
         """Returns the decoded request."""
 
+    def request_id(self, fields: messages.Fields) -> str:
+        """Returns a request's id from its fields; empty if it has none."""
+
     def refusal_fields(self, request_id: str) -> messages.Fields:
         """Returns the header fields of refusals by this host."""
 
@@ -184,14 +187,22 @@
         """Returns the request that frees a prefill result."""
 
 
+class CallerConnectionError(Exception):
+    """The connection of the caller failed; it gets no more of the response."""
+
+
 class Responder(Protocol):
     """Sends the response to one request.
 
+    Its methods but `abort` raise `CallerConnectionError`.
+
     Attributes:
         started: Whether part of the response may have been sent.
+        finished: Whether the whole response was sent.
     """
 
     started: bool
+    finished: bool
 
     def respond(
         self, status: int, fields: messages.Fields, body: bytes
--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -206,7 +206,14 @@
             clock,
         )
         self.caller_listener = listener.CallerListener(
-            settings.listen, self.forwarder, clock, self.caller_limits
+            settings.listen,
+            self.forwarder,
+            clock,
+            self.caller_limits,
+            platform.callers.request_id,
+            lambda reason: self.context.metrics.caller_closes.labels(
+                reason
+            ).inc(),
         )
         self.internal_listeners = self.build_listeners()
         self.housekeeper = periodic.PeriodicTask(
--- a/src/coltsfootarch/forwarding/forwarder.py
+++ b/src/coltsfootarch/forwarding/forwarder.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
-import msgspec
 import structlog
 
 from coltsfootarch import errors
@@ -15,6 +14,7 @@
 from coltsfootarch.forwarding import call_pipeline
 from coltsfootarch.forwarding import calls
 from coltsfootarch.forwarding import cancellation as cancellations
+from coltsfootarch.forwarding import endings
 from coltsfootarch.forwarding import generation_pipeline
 from coltsfootarch.forwarding import part_refusals
 
@@ -34,8 +34,6 @@
 # Fraction of `Forwarder.confirmation_s` for which a confirmation is valid. The
 # rest is a margin for differences between the hosts' clocks.
 CONFIRMATION_FRACTION = 0.95
-# Lower bound of the `Retry-After` header, in seconds.
-MIN_RETRY_AFTER_S = 0.05
 UNCONFIRMED_RETRY_AFTER_S = 0.1
 
 logger = structlog.get_logger(__name__)
@@ -118,7 +116,7 @@
         self.in_progress += 1
         call: calls.Call | None = None
         admitted: AdmittedRequest | None = None
-        result = "answered"
+        ending: endings.Ending | None = None
         code: results.ResultCode | None = None
         try:
             admitted = self.admit(request)
@@ -128,31 +126,32 @@
             self.run(call, admitted)
         except errors.RefusedError as error:
             code = error.code
-            result = code.name
-            self.refuse(request, responder, error)
+            ending = endings.refuse(self.protocol, request, responder, error)
         except cancellations.CallerDisconnectedError:
-            result = "caller-left"
+            ending = endings.Ending(endings.CALLER_LEFT)
+            responder.abort()
+        except calls.CallerConnectionError as error:
+            ending = endings.Ending(endings.CALLER_LOST, str(error))
             responder.abort()
         except OSError as error:
-            # The caller's connection failed while the response was written.
-            result = "caller-lost"
-            logger.info(
-                "response not delivered",
-                request_id=request.id,
-                reason=str(error),
-            )
+            ending = endings.Ending(endings.LOCAL_ERROR, str(error))
             responder.abort()
         except Exception:
-            result = results.INTERNAL_ERROR.name
             logger.exception("request failed", request_id=request.id)
-            self.send_internal_error(request, responder, call)
+            ending = endings.refuse(
+                self.protocol,
+                request,
+                responder,
+                errors.RefusedError(results.INTERNAL_ERROR),
+            )
         finally:
             self.in_progress -= 1
             if call is not None:
                 self.calls.discard(call)
                 call.keep(None)
             self.refund_tokens(call, admitted, code)
-            self.log_result(request, call, admitted, result)
+            ending = ending or endings.Ending(endings.result_of(responder))
+            self.log_result(request, call, admitted, ending)
 
     def limit_calls(self, ends_by: float) -> None:
         """Ends all calls by an instant, in seconds, before the host exits."""
@@ -174,7 +173,7 @@
         """
         if self.stopping:
             raise errors.RefusedError(
-                results.STOPPING, retry_after=MIN_RETRY_AFTER_S
+                results.STOPPING, retry_after=endings.MIN_RETRY_AFTER_S
             )
         current = self.policy_tracker.policy
         if current is None:
@@ -321,74 +320,22 @@
         if not may_have_run:
             self.buckets.refund(admitted.account, admitted.tokens)
 
-    def refuse(
-        self,
-        request: calls.CallerRequest,
-        responder: calls.Responder,
-        error: errors.RefusedError,
-    ) -> None:
-        """Sends a refusal; aborts a response that has already started."""
-        if responder.started:
-            responder.abort()
-            return
-        code = error.code
-        document = {
-            "code": code.number,
-            "name": code.name,
-            "message": error.message,
-            "execution": code.execution.value,
-            "request_id": request.id,
-        }
-        fields = [
-            ("Content-Type", "application/json"),
-            *self.protocol.refusal_fields(request.id),
-        ]
-        if error.retry_after is not None:
-            retry_after = max(error.retry_after, MIN_RETRY_AFTER_S)
-            retry_after = math.ceil(retry_after * 1000) / 1000
-            document["retry_after"] = retry_after
-            fields.append(("Retry-After", f"{retry_after:.3f}"))
-        try:
-            responder.respond(
-                code.http_status,
-                tuple(fields),
-                msgspec.json.encode(document),
-            )
-        except OSError as os_error:
-            logger.info(
-                "refusal not delivered",
-                request_id=request.id,
-                reason=str(os_error),
-            )
-
-    def send_internal_error(
-        self,
-        request: calls.CallerRequest,
-        responder: calls.Responder,
-        call: calls.Call | None,
-    ) -> None:
-        """Sends an internal error after an unexpected exception."""
-        if call is not None:
-            call.may_have_run = True
-        self.refuse(
-            request, responder, errors.RefusedError(results.INTERNAL_ERROR)
-        )
-
     def log_result(
         self,
         request: calls.CallerRequest,
         call: calls.Call | None,
         admitted: AdmittedRequest | None,
-        result: str,
+        ending: endings.Ending,
     ) -> None:
         """Counts the request and logs its result."""
         service = call.service if call else ""
-        self.context.metrics.requests.labels(service, result).inc()
+        self.context.metrics.requests.labels(service, ending.result).inc()
         age = self.policy_tracker.age()
         logger.info(
             "request ended",
             request_id=request.id,
-            result=result,
+            result=ending.result,
+            reason=ending.reason or None,
             route=admitted.route.name if admitted else None,
             client_account=call.account if call else None,
             service=service,
--- a/src/coltsfootarch/forwarding/status.py
+++ b/src/coltsfootarch/forwarding/status.py
@@ -8,7 +8,7 @@
     from collections.abc import Callable
 
     from coltsfootarch.forwarding import cancellation as cancellations
-    from coltsfootarch.forwarding import listener
+    from coltsfootarch.forwarding import responder as responders
     from coltsfootarch.http1 import messages
 
 STATUS_PATH = "/status"
@@ -31,7 +31,7 @@
     def handle(
         self,
         raw: messages.Request,
-        responder: listener.ConnectionResponder,
+        responder: responders.ConnectionResponder,
         cancellation: cancellations.Cancellation,
     ) -> None:
         """Responds 200 or 503; see `listener.Handler`."""
@@ -61,7 +61,7 @@
     def handle(
         self,
         raw: messages.Request,
-        responder: listener.ConnectionResponder,
+        responder: responders.ConnectionResponder,
         cancellation: cancellations.Cancellation,
     ) -> None:
         """Responds 200; see `listener.Handler`."""
--- a/src/coltsfootarch/observability/registry.py
+++ b/src/coltsfootarch/observability/registry.py
@@ -30,6 +30,9 @@
         self.resumes = self.counter(
             "resumes", "streams that went on at another engine", ("service",)
         )
+        self.caller_closes = self.counter(
+            "caller_closes", "closed connections of callers", ("reason",)
+        )
         self.queue_time = self.histogram(
             "queue_seconds", "time that requests waited for an engine"
         )
--- a/src/coltsfootarch/platform/wire.py
+++ b/src/coltsfootarch/platform/wire.py
@@ -140,6 +140,10 @@
         """Returns the request as `calls.CallerRequest`."""
         return decode_caller(request)
 
+    def request_id(self, fields: messages.Fields) -> str:
+        """Returns a request's id from its fields; empty if it has none."""
+        return messages.field_value(fields, REQUEST_ID.lower())
+
     def refusal_fields(self, request_id: str) -> messages.Fields:
         """Returns the header fields of an answer that this host itself gives.
 
--- /dev/null
+++ b/tests/forwarding/test_caller_connections.py
@@ -0,0 +1,88 @@
+"""Tests when callers' connections are closed, and how the log tells it."""
+
+from __future__ import annotations
+
+import pytest
+import structlog
+
+from coltsfootarch.fleet import policy
+from coltsfootarch.forwarding import caller_connection
+
+CLOSED = "connection of caller closed"
+CLOSED_UNANSWERED = "connection of caller closed with a request unanswered"
+
+
+@pytest.fixture
+def logs():
+    """The log lines that are written during a test."""
+    with structlog.testing.capture_logs() as lines:
+        yield lines
+
+
+@pytest.fixture
+def limits(app, monkeypatch):
+    """Returns a function that changes the limits of the host."""
+
+    def change(**values):
+        current = policy.CallerLimits(**values)
+        listener = app.daemon.caller_listener
+        monkeypatch.setattr(listener, "limits", lambda: current)
+
+    return change
+
+
+def closes(logs):
+    events = (CLOSED, CLOSED_UNANSWERED)
+    return [line for line in logs if line["event"] in events]
+
+
+def test_close_for_idleness_is_logged_with_its_reason(
+    app, limits, logs, monkeypatch
+):
+    """Guards against closes by the host that leave no trace."""
+    monkeypatch.setattr(caller_connection, "IDLE_TIMEOUT_FACTOR", 1.0)
+    limits(idle_timeout_s=0.1)
+    caller = app.caller()
+    caller.ask("/read/a")
+
+    assert caller.read() is None
+
+    (line,) = closes(logs)
+    assert line["event"] == CLOSED
+    assert (line["reason"], line["served"]) == ("idle-timeout", 1)
+    assert line["idle_ms"] >= 100
+
+
+def test_close_within_a_request_is_a_warning_with_its_id(app, logs):
+    """Guards against requests that end without a trace in any log."""
+    caller = app.caller()
+    caller.send_raw(
+        b"POST /book/a HTTP/1.1\r\nHost: api.example\r\n"
+        b"X-Request-Id: half\r\nContent-Length: 9\r\n\r\nabc"
+    )
+    listener = app.daemon.caller_listener
+    app.wait(lambda: any(each.reader.in_body for each in listener.connections))
+
+    listener.close()
+
+    (line,) = closes(logs)
+    assert line["event"] == CLOSED_UNANSWERED
+    assert line["log_level"] == "warning"
+    assert (line["reason"], line["unanswered"]) == ("shutdown", ["half"])
+
+
+@pytest.mark.parametrize("announced", [True, False])
+def test_regular_close_is_only_counted(app, logs, announced):
+    """Guards against a log line for each connection of a caller."""
+    caller = app.caller()
+    if announced:
+        caller.ask("/read/a", Connection="close")
+    else:
+        caller.ask("/read/a")
+        caller.close()
+    app.wait(lambda: not app.daemon.caller_listener.connections)
+
+    assert not closes(logs)
+    reason = "announced" if announced else "caller-closed"
+    expected = f'caller_closes_total{{reason="{reason}"}} 1.0'
+    assert expected in app.daemon.render_metrics().decode()
--- a/tests/forwarding/test_listener.py
+++ b/tests/forwarding/test_listener.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from coltsfootarch.forwarding import listener
+from coltsfootarch.forwarding import responder as responders
 
 
 class RecordingConnection:
@@ -32,7 +32,7 @@
 def test_no_chunk_is_written_outside_of_a_response(prepare):
     """Guards against bytes on a connection that are no response."""
     connection = RecordingConnection()
-    responder = listener.ConnectionResponder(connection, keep_alive=True)
+    responder = responders.ConnectionResponder(connection, keep_alive=True)
     prepare(responder)
     written = connection.sent
 
