Policy: a wait on a silent store connection ends when others know better

Cause: the waiting read of the policy has no sign of life of its own for 2.8 + 0.8 s, and a peer's newer version didn't end the wait.

Change: reports name a new version for 3 s; a host whose wait goes on 0.3 s after a peer has named a newer one repeats the read on a new connection. The same follows when the read of upstreams failed on its connection and works on a new one. A read whose answer has begun goes on. No call is added in calm operation.

--- a/src/coltsfootarch/fleet/followers.py
+++ b/src/coltsfootarch/fleet/followers.py
@@ -18,6 +18,7 @@
 
     from coltsfootarch import clock as clocks
     from coltsfootarch.fleet import policy
+    from coltsfootarch.fleet import reports
     from coltsfootarch.fleet import upstreams
 
 # Longest time that a read of policy changes blocks in the store. Each read also
@@ -52,6 +53,12 @@
 # store without the others noticing.
 READER_COUNT = 2
 READER_INTERVAL_S = 0.5
+# Time after which a read that still waits for a change, though another host has
+# a newer policy, is repeated on a new connection. The store answers all waiting
+# reads within some tens of milliseconds of a change.
+ANNOUNCED_WAIT_S = 0.3
+# Time for which reports name a new version; it covers several lost reports.
+ANNOUNCEMENT_S = 3.0
 # Interval at which a follower checks whether it has to read upstreams itself or
 # a peer has reported a recent read.
 CHECK_INTERVAL_S = 0.1
@@ -119,6 +126,13 @@
             wait_s: Longest time to wait for a change, in seconds.
         """
 
+    def abandon_silent_read(self) -> bool:
+        """Ends a running read whose answer has not begun; it then fails.
+
+        Returns:
+            Whether there was one.
+        """
+
 
 class UpstreamSource(Protocol):
     """Source of upstream registrations."""
@@ -158,6 +172,8 @@
         self.announced = -1
         self.unobtainable = -1
         self.on_change: list[Callable[[policy.Policy], object]] = []
+        self.on_announced: list[Callable[[], object]] = []
+        self.activated_at = float("-inf")
 
     def apply(self, result: PolicyReadResult) -> None:
         """Applies the result of a read."""
@@ -167,6 +183,7 @@
         ):
             previous = self.policy.version if self.policy else None
             self.policy = newer
+            self.activated_at = self.clock.monotonic()
             logger.info(
                 "policy activated",
                 version=newer.version,
@@ -211,14 +228,34 @@
             at: Instant, in seconds, not later than the confirmation; minus
                 infinity if the version was not confirmed.
         """
-        if version > self.announced:
-            self.announced = version
+        self.announce(version)
         if version != self.version() or at > self.clock.monotonic():
             return
         self.confirmed_at = max(self.confirmed_at, at)
         self.confirmed.set()
         self.confirmed.clear()
 
+    def announce(self, version: int) -> None:
+        """Records that another host has a version of the policy."""
+        if version <= self.announced:
+            return
+        self.announced = version
+        if self.is_behind():
+            for notify in self.on_announced:
+                notify()
+
+    def add_to_report(self, report: reports.Report) -> reports.Report:
+        """Adds the version for a while; see `reports.Participant`."""
+        age = self.clock.monotonic() - self.activated_at
+        if self.policy is None or age > ANNOUNCEMENT_S:
+            return report
+        return report._replace(policy_version=self.policy.version)
+
+    def apply_report(self, report: reports.Report, continuous: bool) -> None:
+        """Notes a peer's version; see `reports.Participant`."""
+        if report.policy_version:
+            self.announce(report.policy_version)
+
     def age(self) -> float:
         """Returns the seconds since the policy was last confirmed."""
         return self.clock.monotonic() - self.confirmed_at
@@ -379,6 +416,9 @@
         self.source = source
         self.tracker = tracker
         self.confirm_now = False
+        self.waiting_since: float | None = None
+        self.abandoned = False
+        tracker.on_announced.append(self.expect_change)
 
     def next_wait_s(self) -> float:
         """Returns how long the next read may wait for a change, in seconds.
@@ -410,7 +450,7 @@
             result = self.source.read()
         else:
             wait = self.next_wait_s()
-            result = self.source.read_changes(self.revision, wait)
+            result, wait = self.read_changes(self.revision, wait)
             if result.policy is None and wait > FEED_GAP_S:
                 # Without a change the store responds after the full wait.
                 waited = self.clock.monotonic() - result.sent_at
@@ -429,6 +469,65 @@
         )
         return 0.0 if self.tracker.policy is not None else RETRY_MIN_S
 
+    def read_changes(
+        self, revision: int, wait_s: float
+    ) -> tuple[PolicyReadResult, float]:
+        """Waits for a change; repeats a read that was abandoned.
+
+        Args:
+            revision: Revision of the last read.
+            wait_s: Longest time to wait for a change, in seconds.
+
+        Returns:
+            The result and how long its read could wait, in seconds.
+        """
+        self.abandoned = False
+        self.waiting_since = self.clock.monotonic() if wait_s else None
+        try:
+            return self.source.read_changes(revision, wait_s), wait_s
+        except errors.PlatformError:
+            if not self.abandoned:
+                raise
+        finally:
+            self.waiting_since = None
+        return self.source.read_changes(revision, 0.0), 0.0
+
+    def expect_change(self) -> None:
+        """Expects the end of a waiting read, since there is a newer policy."""
+        if self.waiting_since is not None:
+            gevent.spawn_later(ANNOUNCED_WAIT_S, self.check_wait)
+
+    def check_wait(self) -> None:
+        """Abandons a read that misses a change that other hosts have."""
+        if self.tracker.is_behind():
+            self.abandon_wait(
+                self.clock.monotonic() - ANNOUNCED_WAIT_S,
+                "another host has a newer policy",
+            )
+
+    def abandon_wait(self, sent_before: float, reason: str) -> None:
+        """Repeats a waiting read whose connection seems to be silent.
+
+        Args:
+            sent_before: Instant, in seconds; later reads are left alone.
+            reason: Reason for the log.
+        """
+        since = self.waiting_since
+        if since is None or since > sent_before:
+            return
+        # The failing read must find the mark.
+        self.abandoned = True
+        if not self.source.abandon_silent_read():
+            self.abandoned = False
+            return
+        self.waiting_since = None
+        logger.info(
+            "waiting read repeated on a new connection",
+            dependency=self.name,
+            waited_ms=round((self.clock.monotonic() - since) * 1000),
+            reason=reason,
+        )
+
     def must_read(self) -> bool:
         """Returns whether what others pass on isn't enough."""
         tracker = self.tracker
@@ -445,6 +544,8 @@
         rank: Returns the number of reachable hosts before this one by name.
         on_read: Called after each read, to report it to the other hosts.
         is_relayed: Returns whether reports of reads arrive through relays.
+        on_recovery: Called with the instant, in seconds, of the first failed
+            read when the source answers again.
     """
 
     def __init__(
@@ -455,8 +556,10 @@
         rank: Callable[[], int] = lambda: 0,
         on_read: Callable[[], object] = lambda: None,
         is_relayed: Callable[[], bool] = lambda: False,
+        on_recovery: Callable[[float], object] = lambda failed_at: None,
     ) -> None:
         super().__init__("upstreams", clock)
+        self.on_recovery = on_recovery
         self.is_relayed = is_relayed
         self.max_retry_pause_s = UPSTREAM_RETRY_MAX_S
         self.rank = rank
@@ -484,6 +587,13 @@
         """Tells the directory when the source was still out of reach."""
         self.directory.failed_at = started_at
 
+    def log_recovery(self) -> None:
+        """Reports the end of an outage; see `Follower`."""
+        failing_since = self.failing_since
+        super().log_recovery()
+        if failing_since is not None:
+            self.on_recovery(failing_since)
+
     def max_age_s(self) -> float:
         """Returns the age from which entries are read again, in seconds."""
         if self.rank() < READER_COUNT:
--- a/src/coltsfootarch/fleet/reports.py
+++ b/src/coltsfootarch/fleet/reports.py
@@ -49,6 +49,8 @@
             requests in 1,000 s that it takes from all hosts (-1 if it has no
             limit any more), milliseconds since it stated that. Their use is in
             `usage`.
+        policy_version: Version of the policy, while it is new to this host;
+            otherwise 0.
     """
 
     version: int
@@ -75,6 +77,7 @@
     broken_requests: tuple[tuple[str, tuple[str, ...], int], ...] = ()
     completed_requests: tuple[tuple[str, int], ...] = ()
     upstream_limits: tuple[tuple[str, int, int, int], ...] = ()
+    policy_version: int = 0
 
 
 # Fields that reports leave out if they and all later ones are empty. Hosts of
@@ -85,6 +88,7 @@
     "broken_requests",
     "completed_requests",
     "upstream_limits",
+    "policy_version",
 )
 
 
--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -161,6 +161,7 @@
                 self.context.outcome_tracker,
                 self.context.queue.backlog,
                 self.upstreams,
+                self.policy_tracker,
             ],
             clock,
             self.policy_tracker,
@@ -189,6 +190,9 @@
                 self.hosts.rank,
                 self.report_exchange.send,
                 self.hosts.is_relayed,
+                lambda failed_at: policy_follower.abandon_wait(
+                    failed_at, "another connection to the store was silent"
+                ),
             ),
         ]
         self.renewer = hosts.HostRenewer(
--- a/src/coltsfootarch/platform/feeds.py
+++ b/src/coltsfootarch/platform/feeds.py
@@ -82,6 +82,10 @@
             return self.read()
         return self.decode(rows)
 
+    def abandon_silent_read(self) -> bool:
+        """Ends a read whose answer has not begun; see `PolicySource`."""
+        return self.client.abandon_silent_call()
+
     def decode(self, rows: store.Rows) -> followers.PolicyReadResult:
         """Returns the last valid policy among rows in order of change.
 
--- a/src/coltsfootarch/platform/store.py
+++ b/src/coltsfootarch/platform/store.py
@@ -85,6 +85,18 @@
         self.connection: client.Connection | None = None
         self.calls = 0
         self.transfer = transfers.Transfer()
+        self.progress: transfers.Progress | None = None
+
+    def abandon_silent_call(self) -> bool:
+        """Ends a running call whose answer has not begun; it then fails.
+
+        Returns:
+            Whether there was one.
+        """
+        if self.progress is None or self.progress.first_at is not None:
+            return False
+        self.close()
+        return True
 
     def close(self) -> None:
         """Closes the connection."""
@@ -365,12 +377,14 @@
             timeout, CALL_TIMEOUT_S, MIN_BYTES_PER_S, max_bytes
         )
         progress = transfers.Progress(self.clock, limits)
+        self.progress = progress
         try:
             connection.send(
                 self.render(method, target, body), body, CALL_TIMEOUT_S
             )
             answer, data = receive(connection, progress)
         finally:
+            self.progress = None
             self.transfer = progress.transfer()
         if not connection.finish(answer):
             self.connection = None
