Connections to upstreams: a lack of descriptors is a ConnectError

Callers' connections were closed without an answer: the socket was created outside of the try in Connection.start, so that EMFILE left the pipelines as a plain OSError, which passed for an error of the caller's connection.

It is now a LocalConnectError: nothing was sent, so that the request gets another attempt or a refusal with Retry-After, and the upstream isn't blamed, ejected or counted as crashed. The pool first closes its idle connections, which makes room for the new one.

--- a/src/coltsfootarch/forwarding/crash_checks.py
+++ b/src/coltsfootarch/forwarding/crash_checks.py
@@ -86,6 +86,8 @@
             connection.start(TIMEOUT_S)
             self.clock.sleep(PAUSE)
             return not connection.is_reusable()
+        except client.LocalConnectError:
+            return False
         except client.ConnectError:
             return True
         finally:
--- a/src/coltsfootarch/forwarding/decode_stage.py
+++ b/src/coltsfootarch/forwarding/decode_stage.py
@@ -106,9 +106,10 @@
             call.cancellation.check()
             generation.connect_failures += 1
             call.tried.append(engine.id)
-            self.context.outcome_tracker.record(
-                engine.id, outcomes.Outcome.UNREACHABLE
-            )
+            if not exchange.aborted:
+                self.context.outcome_tracker.record(
+                    engine.id, outcomes.Outcome.UNREACHABLE
+                )
             logger.info(
                 "connection to decode engine failed",
                 request_id=call.request.id,
--- a/src/coltsfootarch/forwarding/upstream_exchange.py
+++ b/src/coltsfootarch/forwarding/upstream_exchange.py
@@ -44,6 +44,10 @@
         delivery: What the host adds to it for this upstream.
         notices: Receives what the upstream states about itself.
         memory: Bounds the memory of all responses.
+
+    Attributes:
+        aborted: Whether this host ended the exchange, so that its failure tells
+            nothing about the upstream.
     """
 
     def __init__(
@@ -86,12 +90,16 @@
         """
         address = self.delivery.upstream.address
         timeout = min(CONNECT_TIMEOUT_S, self.delivery.time_left_s)
-        if self.request.id:
-            self.connection = self.connections.acquire(
-                address, timeout, recently_used
-            )
-        else:
-            self.connection = self.connections.open(address, timeout)
+        try:
+            if self.request.id:
+                self.connection = self.connections.acquire(
+                    address, timeout, recently_used
+                )
+            else:
+                self.connection = self.connections.open(address, timeout)
+        except client.LocalConnectError:
+            self.aborted = True
+            raise
         if self.aborted:
             self.close()
             raise client.ConnectError("the caller disconnected")
--- a/src/coltsfootarch/http1/client.py
+++ b/src/coltsfootarch/http1/client.py
@@ -33,6 +33,17 @@
 # sending them doesn't block while the upstream already responds.
 INLINE_BODY_BYTES = 16384
 
+# Errors of opening a connection that don't come from the peer or the network.
+LOCAL_ERRNOS = frozenset(
+    {
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.EADDRNOTAVAIL,
+    }
+)
+
 logger = structlog.get_logger(__name__)
 
 
@@ -40,6 +51,10 @@
     """The connection could not be opened; nothing was sent."""
 
 
+class LocalConnectError(ConnectError):
+    """This host lacks a resource, which tells nothing about the peer."""
+
+
 class BrokenConnectionError(Exception):
     """The connection failed, or the response is malformed or incomplete."""
 
@@ -98,16 +113,19 @@
             timeout: Timeout in seconds.
 
         Raises:
+            LocalConnectError: This host can't open a connection at present.
             ConnectError: The server refused, is unreachable or timed out.
         """
-        sock = gevent_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.sock = sock
-        sock.settimeout(max(timeout, 0.001))
         try:
+            sock = gevent_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            self.sock = sock
+            sock.settimeout(max(timeout, 0.001))
             set_socket_options(sock)
             sock.connect(split_address(self.address))
         except OSError as error:
             self.close()
+            if error.errno in LOCAL_ERRNOS:
+                raise LocalConnectError(f"{self.address}: {error}") from error
             raise ConnectError(f"{self.address}: {error}") from error
 
     def close(self) -> None:
--- a/src/coltsfootarch/http1/pool.py
+++ b/src/coltsfootarch/http1/pool.py
@@ -5,6 +5,8 @@
 import collections
 from typing import TYPE_CHECKING
 
+import structlog
+
 from coltsfootarch.http1 import client
 
 if TYPE_CHECKING:
@@ -20,6 +22,8 @@
 RECENTLY_USED_MAX_IDLE_S = 1.0
 MAX_IDLE_PER_ADDRESS = 8
 
+logger = structlog.get_logger(__name__)
+
 
 class ConnectionPool:
     """Pool of idle connections by address.
@@ -65,10 +69,26 @@
         return self.open(address, timeout)
 
     def open(self, address: str, timeout: float) -> client.Connection:
-        """Returns a new connection; see `acquire`."""
-        connection = client.Connection(address, self.clock)
+        """Returns a new connection; see `acquire`.
+
+        At the limit of descriptors the idle connections make room for it.
+        """
         self.opened += 1
-        connection.start(timeout)
+        connection = client.Connection(address, self.clock)
+        try:
+            connection.start(timeout)
+        except client.LocalConnectError as error:
+            logger.warning(
+                "connection not opened",
+                upstream=address,
+                reason=str(error),
+                idle_closed=sum(map(len, self.idle.values())),
+            )
+            if not self.idle:
+                raise
+            self.close()
+            connection = client.Connection(address, self.clock)
+            connection.start(timeout)
         return connection
 
     def release(self, connection: client.Connection) -> None:
