Callers: each way out of a request that was read ends in a response

A request that was read was closed without an answer, or its greenlet ended with a trace on standard error only, when - any OSError other than of the caller's socket left a pipeline, - a gevent.Timeout left a pipeline, - the request could not be decoded, - its deadline was "inf" or "nan": the last log line could not be made, which ended the connection after the answer, - the handler failed, or the watcher for a disconnect, - the response could not be rendered: it counted as started already, - malformed bytes followed a whole request in the same segment. An error after accept() other than OSError ended the accepting greenlet.

Each of these now has a response and a log line: errors of the caller's socket have a type of their own, everything else is an internal error; a response counts as started when its first byte is written; requests before malformed bytes are handled first.

Half-closed callers stay cancelled: a close of both directions looks the same until something is written, and runners must not go on working.

--- a/src/coltsfootarch/forwarding/caller_connection.py
+++ b/src/coltsfootarch/forwarding/caller_connection.py
@@ -6,6 +6,7 @@
 import enum
 import socket
 from typing import TYPE_CHECKING
+from typing import Any
 
 import gevent
 import msgspec
@@ -91,6 +92,7 @@
             limits.header_bytes, limits.body_bytes
         )
         self.pipelined = bytearray()
+        self.feed_error: readers.MalformedMessageError | None = None
         self.closed = False
         self.rejected = False
         self.served = 0
@@ -133,7 +135,9 @@
         if reader.in_progress and not self.rejected:
             request_ids.append(self.listener.request_id(tuple(reader.fields)))
         # The end of a request whose caller has left is logged anyway.
-        if responder is not None and not responder.finished and not regular:
+        if not (
+            responder is None or responder.finished or self.rejected or regular
+        ):
             request_ids.append(responder.request_id)
         # A caller can tell that a request was not read after a response with
         # `Connection: close`.
@@ -197,8 +201,8 @@
             reason = CloseReason.ANNOUNCED
         except calls.CallerConnectionError:
             reason = CloseReason.SOCKET_ERROR
-        except OSError as error:
-            logger.warning("caller connection failed", reason=str(error))
+        except Exception:
+            logger.exception("caller connection failed")
         finally:
             self.close(reason)
 
@@ -210,17 +214,19 @@
             if self.pipelined:
                 data = bytes(self.pipelined)
                 self.pipelined.clear()
-                reader.feed(data, clock.monotonic())
+                self.feed(data)
             self.idle = not reader.in_progress
             since = self.idle_since = clock.monotonic()
             while not reader.complete:
+                if self.feed_error is not None:
+                    raise self.feed_error
                 data = self.receive(since)
                 if not data:
                     return None
                 if not reader.in_progress:
                     since = clock.monotonic()
                 self.idle = False
-                reader.feed(data, clock.monotonic())
+                self.feed(data)
                 if reader.expects_continue:
                     reader.expects_continue = False
                     self.send(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -237,6 +243,13 @@
         self.idle = False
         return reader.complete.popleft()
 
+    def feed(self, data: bytes) -> None:
+        """Parses bytes; keeps an error until the requests before it end."""
+        try:
+            self.reader.feed(data, self.listener.clock.monotonic())
+        except readers.MalformedMessageError as error:
+            self.feed_error = error
+
     def receive(self, since: float) -> bytes:
         """Returns bytes from the caller; none once the connection is closed.
 
@@ -301,21 +314,38 @@
         responder.request_id = self.listener.request_id(request.fields)
         self.responder = responder
         self.served += 1
-        watcher = gevent.get_hub().loop.io(self.sock.fileno(), 1)
-        watcher.start(self.on_readable, watcher)
+        watcher = self.watch()
         try:
             self.listener.handler.handle(request, responder, cancellation)
-            if not responder.finished:
-                self.abort()
+        except (Exception, gevent.Timeout):
+            logger.exception(
+                "handling of a request failed", request_id=responder.request_id
+            )
+            if not responder.started:
+                self.reject(results.INTERNAL_ERROR, CloseReason.ERROR)
         finally:
-            watcher.stop()
-            watcher.close()
-            self.cancellation = None
+            if watcher is not None:
+                watcher.stop()
+                watcher.close()
+        if not responder.finished:
+            self.abort()
+        self.cancellation = None
         if cancellation.cancelled:
             self.close(CloseReason.CALLER_CLOSED)
         self.responder = None
         return responder.keep_alive and not self.closed
 
+    def watch(self) -> Any:
+        """Watches for a disconnect; returns None if that isn't possible."""
+        try:
+            watcher = gevent.get_hub().loop.io(self.sock.fileno(), 1)
+            watcher.start(self.on_readable, watcher)
+        except Exception:
+            # The request is handled anyway.
+            logger.exception("caller connection failed")
+            return None
+        return watcher
+
     def on_readable(self, watcher: object) -> None:
         """Detects a disconnected caller; buffers pipelined requests."""
         if self.closed:
--- a/src/coltsfootarch/forwarding/endings.py
+++ b/src/coltsfootarch/forwarding/endings.py
@@ -26,8 +26,6 @@
 CALLER_LEFT = "caller-left"
 # Writing to the caller failed.
 CALLER_LOST = "caller-lost"
-# A system call that has nothing to do with the caller failed.
-LOCAL_ERROR = "local-error"
 
 
 class Ending(NamedTuple):
@@ -51,7 +49,7 @@
 
 def refuse(
     protocol: calls.CallerProtocol,
-    request: calls.CallerRequest,
+    request_id: str,
     responder: calls.Responder,
     error: errors.RefusedError,
 ) -> Ending:
@@ -66,11 +64,11 @@
         "name": code.name,
         "message": error.message,
         "execution": code.execution.value,
-        "request_id": request.id,
+        "request_id": request_id,
     }
     fields = [
         ("Content-Type", "application/json"),
-        *protocol.refusal_fields(request.id),
+        *protocol.refusal_fields(request_id),
     ]
     if error.retry_after is not None:
         retry_after = max(error.retry_after, MIN_RETRY_AFTER_S)
--- a/src/coltsfootarch/forwarding/forwarder.py
+++ b/src/coltsfootarch/forwarding/forwarder.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+import gevent
 import structlog
 
 from coltsfootarch import errors
@@ -112,7 +113,18 @@
         cancellation: cancellations.Cancellation,
     ) -> None:
         """Handles a request; a failure ends in a refusal or an abort."""
-        request = self.protocol.decode(raw)
+        try:
+            request = self.protocol.decode(raw)
+        except Exception:
+            request_id = self.protocol.request_id(raw.fields)
+            logger.exception("request not decoded", request_id=request_id)
+            endings.refuse(
+                self.protocol,
+                request_id,
+                responder,
+                errors.RefusedError(results.MALFORMED_REQUEST),
+            )
+            return
         self.in_progress += 1
         call: calls.Call | None = None
         admitted: AdmittedRequest | None = None
@@ -126,21 +138,18 @@
             self.run(call, admitted)
         except errors.RefusedError as error:
             code = error.code
-            ending = endings.refuse(self.protocol, request, responder, error)
+            ending = endings.refuse(self.protocol, request.id, responder, error)
         except cancellations.CallerDisconnectedError:
             ending = endings.Ending(endings.CALLER_LEFT)
             responder.abort()
         except calls.CallerConnectionError as error:
             ending = endings.Ending(endings.CALLER_LOST, str(error))
             responder.abort()
-        except OSError as error:
-            ending = endings.Ending(endings.LOCAL_ERROR, str(error))
-            responder.abort()
-        except Exception:
+        except (Exception, gevent.Timeout):
             logger.exception("request failed", request_id=request.id)
             ending = endings.refuse(
                 self.protocol,
-                request,
+                request.id,
                 responder,
                 errors.RefusedError(results.INTERNAL_ERROR),
             )
--- a/src/coltsfootarch/forwarding/listener.py
+++ b/src/coltsfootarch/forwarding/listener.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 from typing import TYPE_CHECKING
 from typing import Protocol
@@ -23,6 +24,8 @@
     from coltsfootarch.http1 import messages
 
 BACKLOG = 1024
+# Pause after a failure to accept a connection, in seconds.
+ACCEPT_RETRY_S = 0.05
 
 logger = structlog.get_logger(__name__)
 
@@ -98,21 +101,20 @@
         while True:
             try:
                 accepted, _ = sock.accept()
-            except OSError as error:
+                gevent.spawn(self.serve, accepted)
+            except Exception as error:
                 logger.warning("connection not accepted", reason=str(error))
-                gevent.sleep(0.05)
-                continue
-            gevent.spawn(self.serve, accepted)
+                gevent.sleep(ACCEPT_RETRY_S)
 
     def serve(self, sock: gevent_socket.socket) -> None:
         """Serves one connection until it ends."""
         connection = caller_connection.CallerConnection(sock, self)
         self.connections.add(connection)
         try:
-            client.set_socket_options(sock)
+            with contextlib.suppress(OSError):
+                # The caller may have closed the connection already.
+                client.set_socket_options(sock)
             connection.run()
-        except OSError as error:
-            logger.warning("caller connection failed", reason=str(error))
         finally:
             connection.close(caller_connection.CloseReason.ERROR)
             self.connections.discard(connection)
--- a/src/coltsfootarch/forwarding/responder.py
+++ b/src/coltsfootarch/forwarding/responder.py
@@ -49,7 +49,6 @@
         self, status: int, fields: messages.Fields, body: bytes
     ) -> None:
         """Sends a complete response."""
-        self.started = True
         head = messages.render_head(
             messages.status_line(status),
             [
@@ -58,6 +57,7 @@
                 *self.connection_fields(),
             ],
         )
+        self.started = True
         if len(body) <= MAX_JOINED_BYTES:
             self.connection.send(head + body)
         else:
@@ -67,7 +67,6 @@
 
     def start(self, status: int, fields: messages.Fields) -> None:
         """Sends the head of a chunked response."""
-        self.started = True
         head = messages.render_head(
             messages.status_line(status),
             [
@@ -76,6 +75,7 @@
                 *self.connection_fields(),
             ],
         )
+        self.started = True
         self.connection.send(head)
 
     def send(self, data: bytes) -> None:
--- a/src/coltsfootarch/platform/wire.py
+++ b/src/coltsfootarch/platform/wire.py
@@ -107,9 +107,10 @@
     A negative value counts as 0.
     """
     try:
-        return max(float(value) / decoding.MS_PER_S, 0.0)
+        seconds = float(value) / decoding.MS_PER_S
     except ValueError:
         return None
+    return max(seconds, 0.0) if math.isfinite(seconds) else None
 
 
 def decode_size(value: str) -> tuple[int, int]:
