Callers: at the limit of descriptors half of them stay for upstreams

A host accepted connections until no descriptor was left, so that it could not send on what it read, and further callers waited in the backlog without an answer.

The number of callers' connections is now bounded by half of the limit of the process, less a reserve. A new one beyond the bound replaces the one that is idle longest; if none is, a few are accepted at a time to refuse their requests, with Retry-After and Connection: close. If the system tells no limit, the first failure of accept() shows it.

--- a/src/coltsfootarch/forwarding/caller_connection.py
+++ b/src/coltsfootarch/forwarding/caller_connection.py
@@ -33,6 +33,9 @@
 # host keeps them longer than the timeout, so that it doesn't close one to which
 # a caller is sending a request.
 IDLE_TIMEOUT_FACTOR = 1.25
+# Time for which a connection that there is no room for is kept to refuse a
+# request on it, in seconds.
+SURPLUS_IDLE_S = 1.0
 
 logger = structlog.get_logger(__name__)
 
@@ -51,6 +54,8 @@
     HEADER_TOO_LARGE = "header-too-large"
     BODY_TOO_LARGE = "body-too-large"
     MALFORMED = "malformed"
+    # It was idle, and its descriptor was needed.
+    REPLACED = "replaced"
     DRAINED_IDLE = "drained-idle"
     SHUTDOWN = "shutdown"
     # A response can't be completed, or there is none.
@@ -76,6 +81,7 @@
         listener: Listener that accepted it.
 
     Attributes:
+        surplus: Whether the listener has no room for the connection.
         rejected: Whether the request that is read in part was refused.
         served: Number of requests that were passed to the handler.
         idle: Whether no byte of a next request has been read.
@@ -94,6 +100,7 @@
         self.pipelined = bytearray()
         self.feed_error: readers.MalformedMessageError | None = None
         self.closed = False
+        self.surplus = False
         self.rejected = False
         self.served = 0
         self.idle = True
@@ -113,6 +120,11 @@
                 self.sock.shutdown(socket.SHUT_RDWR)
             self.sock.close()
 
+    def set_surplus(self, surplus: bool) -> None:
+        """Sets whether the listener has no room for the connection."""
+        self.listener.surplus += surplus - self.surplus
+        self.surplus = surplus
+
     def abort(self) -> None:
         """Closes the connection before the response is complete."""
         cancellation = self.cancellation
@@ -259,6 +271,8 @@
         while True:
             limits = self.listener.limits()
             limit = limits.idle_timeout_s * IDLE_TIMEOUT_FACTOR
+            if self.surplus:
+                limit = min(limit, SURPLUS_IDLE_S)
             reason = CloseReason.IDLE_TIMEOUT
             if self.reader.in_body:
                 limit = limits.idle_timeout_s
@@ -313,6 +327,9 @@
         responder = responders.ConnectionResponder(self, request.keep_alive)
         responder.request_id = self.listener.request_id(request.fields)
         self.responder = responder
+        if self.surplus and self.listener.has_room():
+            self.set_surplus(False)
+        responder.surplus = self.surplus
         self.served += 1
         watcher = self.watch()
         try:
--- a/src/coltsfootarch/forwarding/calls.py
+++ b/src/coltsfootarch/forwarding/calls.py
@@ -199,10 +199,13 @@
     Attributes:
         started: Whether part of the response may have been sent.
         finished: Whether the whole response was sent.
+        surplus: Whether the host has no room for the request's connection, so
+            that the request is to be refused.
     """
 
     started: bool
     finished: bool
+    surplus: bool
 
     def respond(
         self, status: int, fields: messages.Fields, body: bytes
--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -23,6 +23,7 @@
 from coltsfootarch.fleet import upstreams
 from coltsfootarch.forwarding import context
 from coltsfootarch.forwarding import crash_checks
+from coltsfootarch.forwarding import descriptors
 from coltsfootarch.forwarding import forwarder
 from coltsfootarch.forwarding import host_status
 from coltsfootarch.forwarding import listener
@@ -214,6 +215,7 @@
             lambda reason: self.context.metrics.caller_closes.labels(
                 reason
             ).inc(),
+            descriptors.DescriptorBudget(clock),
         )
         self.internal_listeners = self.build_listeners()
         self.housekeeper = periodic.PeriodicTask(
--- a/src/coltsfootarch/forwarding/forwarder.py
+++ b/src/coltsfootarch/forwarding/forwarder.py
@@ -36,6 +36,8 @@
 # rest is a margin for differences between the hosts' clocks.
 CONFIRMATION_FRACTION = 0.95
 UNCONFIRMED_RETRY_AFTER_S = 0.1
+# `Retry-After` of a request for whose connection there is no room, in seconds.
+SURPLUS_RETRY_AFTER_S = 0.2
 
 logger = structlog.get_logger(__name__)
 
@@ -131,6 +133,10 @@
         ending: endings.Ending | None = None
         code: results.ResultCode | None = None
         try:
+            if responder.surplus:
+                raise errors.RefusedError(
+                    results.OVERLOADED, retry_after=SURPLUS_RETRY_AFTER_S
+                )
             admitted = self.admit(request)
             call = self.make_call(request, admitted, responder, cancellation)
             call.ends_at = min(call.ends_at, self.ends_by)
--- a/src/coltsfootarch/forwarding/listener.py
+++ b/src/coltsfootarch/forwarding/listener.py
@@ -20,12 +20,15 @@
     from coltsfootarch import clock as clocks
     from coltsfootarch.fleet import policy
     from coltsfootarch.forwarding import cancellation as cancellations
+    from coltsfootarch.forwarding import descriptors
     from coltsfootarch.forwarding import responder as responders
     from coltsfootarch.http1 import messages
 
 BACKLOG = 1024
 # Pause after a failure to accept a connection, in seconds.
 ACCEPT_RETRY_S = 0.05
+# Idle time from which a connection may be closed for a new one, in seconds.
+MIN_REPLACED_IDLE_S = 1.0
 
 logger = structlog.get_logger(__name__)
 
@@ -63,6 +66,12 @@
         request_id: Returns a request's id from its header fields; empty if it
             has none.
         count_close: Counts a closed connection by its reason.
+        budget: Bounds the number of connections; None for no bound.
+
+    Attributes:
+        draining: Whether each connection closes after its next response.
+        surplus: Number of connections beyond the bound, whose requests are
+            refused.
     """
 
     def __init__(
@@ -73,6 +82,7 @@
         limits: Callable[[], policy.CallerLimits],
         request_id: Callable[[messages.Fields], str] = no_request_id,
         count_close: Callable[[str], object] = ignore_close,
+        budget: descriptors.DescriptorBudget | None = None,
     ) -> None:
         self.address = address
         self.handler = handler
@@ -80,7 +90,9 @@
         self.limits = limits
         self.request_id = request_id
         self.count_close = count_close
+        self.budget = budget
         self.draining = False
+        self.surplus = 0
         self.connections: set[caller_connection.CallerConnection] = set()
         self.sock: gevent_socket.socket | None = None
         self.acceptor: gevent.Greenlet | None = None
@@ -100,23 +112,91 @@
         """Accepts connections until the greenlet is killed."""
         while True:
             try:
+                if self.budget and self.surplus >= self.budget.max_surplus:
+                    gevent.sleep(ACCEPT_RETRY_S)
+                    continue
                 accepted, _ = sock.accept()
                 gevent.spawn(self.serve, accepted)
             except Exception as error:
-                logger.warning("connection not accepted", reason=str(error))
+                self.handle_accept_error(error)
                 gevent.sleep(ACCEPT_RETRY_S)
 
+    def handle_accept_error(self, error: Exception) -> None:
+        """Logs an error; makes room if no descriptor was left."""
+        max_callers = None
+        if (
+            self.budget is not None
+            and isinstance(error, OSError)
+            and error.errno in client.LOCAL_ERRNOS
+        ):
+            self.budget.record_shortage()
+            self.close_longest_idle()
+            max_callers = self.budget.max_callers
+        logger.warning(
+            "connection not accepted",
+            reason=str(error) or type(error).__name__,
+            connections=len(self.connections),
+            max_connections=max_callers,
+        )
+
+    @property
+    def overfull(self) -> bool:
+        """Whether there are more connections than the bound."""
+        return (
+            self.budget is not None
+            and len(self.connections) - self.surplus > self.budget.max_callers
+        )
+
+    def has_room(self) -> bool:
+        """Returns whether another connection is within the bound."""
+        return (
+            self.budget is None
+            or len(self.connections) - self.surplus < self.budget.max_callers
+        )
+
+    def make_room(self, connection: caller_connection.CallerConnection) -> None:
+        """Keeps the number of connections within the bound.
+
+        A new connection beyond it replaces the one that has been idle longest.
+        If none has, its requests are refused.
+        """
+        if self.budget is None:
+            return
+        self.budget.record(connection.sock.fileno())
+        if self.overfull and not self.close_longest_idle():
+            connection.set_surplus(True)
+
+    def close_longest_idle(self) -> bool:
+        """Closes the connection that is idle longest; returns if there is one.
+
+        One that was used within `MIN_REPLACED_IDLE_S` is kept, since its next
+        request may be on the way.
+        """
+        latest = self.clock.monotonic() - MIN_REPLACED_IDLE_S
+        idle = [
+            each
+            for each in self.connections
+            if each.idle and not each.closed and each.idle_since <= latest
+        ]
+        if not idle:
+            return False
+        longest = min(idle, key=lambda each: each.idle_since)
+        longest.close(caller_connection.CloseReason.REPLACED)
+        return True
+
     def serve(self, sock: gevent_socket.socket) -> None:
         """Serves one connection until it ends."""
         connection = caller_connection.CallerConnection(sock, self)
         self.connections.add(connection)
         try:
+            self.make_room(connection)
             with contextlib.suppress(OSError):
                 # The caller may have closed the connection already.
                 client.set_socket_options(sock)
             connection.run()
         finally:
             connection.close(caller_connection.CloseReason.ERROR)
+            connection.set_surplus(False)
             self.connections.discard(connection)
 
     def drain(self) -> None:
--- a/src/coltsfootarch/forwarding/responder.py
+++ b/src/coltsfootarch/forwarding/responder.py
@@ -24,6 +24,8 @@
         started: Whether part of the response may have been sent.
         finished: Whether the whole response was sent.
         aborted: Whether the connection was closed without the whole response.
+        surplus: Whether the host has no room for the connection, so that its
+            requests are to be refused.
         request_id: Id of the request, once it is known.
     """
 
@@ -37,11 +39,13 @@
         self.started = False
         self.finished = False
         self.aborted = False
+        self.surplus = False
         self.request_id = ""
 
     def connection_fields(self) -> list[tuple[str, str]]:
         """Returns the header fields that announce a close of the connection."""
-        if self.connection.listener.draining:
+        listener = self.connection.listener
+        if listener.draining or listener.overfull or self.surplus:
             self.keep_alive = False
         return [] if self.keep_alive else [("Connection", "close")]
 
--- a/tests/forwarding/test_listener.py
+++ b/tests/forwarding/test_listener.py
@@ -13,7 +13,7 @@
     """Records what a response writes."""
 
     def __init__(self):
-        self.listener = types.SimpleNamespace(draining=False)
+        self.listener = types.SimpleNamespace(draining=False, overfull=False)
         self.sent = b""
 
     def send(self, data):
