--- a/src/coltsfootarch/forwarding/caller_connection.py
+++ b/src/coltsfootarch/forwarding/caller_connection.py
@@ -6,6 +6,7 @@
 import enum
 import socket
 from typing import TYPE_CHECKING
+from typing import Any
 
 import gevent
 import msgspec
@@ -32,6 +33,9 @@
 # host keeps them longer than the timeout, so that it doesn't close one to which
 # a caller is sending a request.
 IDLE_TIMEOUT_FACTOR = 1.25
+# Time for which a connection that there is no room for is kept to refuse a
+# request on it, in seconds.
+SURPLUS_IDLE_S = 1.0
 
 logger = structlog.get_logger(__name__)
 
@@ -50,6 +54,8 @@
     HEADER_TOO_LARGE = "header-too-large"
     BODY_TOO_LARGE = "body-too-large"
     MALFORMED = "malformed"
+    # It was idle, and its descriptor was needed.
+    REPLACED = "replaced"
     DRAINED_IDLE = "drained-idle"
     SHUTDOWN = "shutdown"
     # A response can't be completed, or there is none.
@@ -75,6 +81,7 @@
         listener: Listener that accepted it.
 
     Attributes:
+        surplus: Whether the listener has no room for the connection.
         rejected: Whether the request that is read in part was refused.
         served: Number of requests that were passed to the handler.
         idle: Whether no byte of a next request has been read.
@@ -91,7 +98,9 @@
             limits.header_bytes, limits.body_bytes
         )
         self.pipelined = bytearray()
+        self.feed_error: readers.MalformedMessageError | None = None
         self.closed = False
+        self.surplus = False
         self.rejected = False
         self.served = 0
         self.idle = True
@@ -111,6 +120,11 @@
                 self.sock.shutdown(socket.SHUT_RDWR)
             self.sock.close()
 
+    def set_surplus(self, surplus: bool) -> None:
+        """Sets whether the listener has no room for the connection."""
+        self.listener.surplus += surplus - self.surplus
+        self.surplus = surplus
+
     def abort(self) -> None:
         """Closes the connection before the response is complete."""
         cancellation = self.cancellation
@@ -133,7 +147,9 @@
         if reader.in_progress and not self.rejected:
             request_ids.append(self.listener.request_id(tuple(reader.fields)))
         # The end of a request whose caller has left is logged anyway.
-        if responder is not None and not responder.finished and not regular:
+        if not (
+            responder is None or responder.finished or self.rejected or regular
+        ):
             request_ids.append(responder.request_id)
         # A caller can tell that a request was not read after a response with
         # `Connection: close`.
@@ -197,8 +213,8 @@
             reason = CloseReason.ANNOUNCED
         except calls.CallerConnectionError:
             reason = CloseReason.SOCKET_ERROR
-        except OSError as error:
-            logger.warning("caller connection failed", reason=str(error))
+        except Exception:
+            logger.exception("caller connection failed")
         finally:
             self.close(reason)
 
@@ -210,17 +226,19 @@
             if self.pipelined:
                 data = bytes(self.pipelined)
                 self.pipelined.clear()
-                reader.feed(data, clock.monotonic())
+                self.feed(data)
             self.idle = not reader.in_progress
             since = self.idle_since = clock.monotonic()
             while not reader.complete:
+                if self.feed_error is not None:
+                    raise self.feed_error
                 data = self.receive(since)
                 if not data:
                     return None
                 if not reader.in_progress:
                     since = clock.monotonic()
                 self.idle = False
-                reader.feed(data, clock.monotonic())
+                self.feed(data)
                 if reader.expects_continue:
                     reader.expects_continue = False
                     self.send(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -237,6 +255,13 @@
         self.idle = False
         return reader.complete.popleft()
 
+    def feed(self, data: bytes) -> None:
+        """Parses bytes; keeps an error until the requests before it end."""
+        try:
+            self.reader.feed(data, self.listener.clock.monotonic())
+        except readers.MalformedMessageError as error:
+            self.feed_error = error
+
     def receive(self, since: float) -> bytes:
         """Returns bytes from the caller; none once the connection is closed.
 
@@ -246,6 +271,8 @@
         while True:
             limits = self.listener.limits()
             limit = limits.idle_timeout_s * IDLE_TIMEOUT_FACTOR
+            if self.surplus:
+                limit = min(limit, SURPLUS_IDLE_S)
             reason = CloseReason.IDLE_TIMEOUT
             if self.reader.in_body:
                 limit = limits.idle_timeout_s
@@ -300,22 +327,42 @@
         responder = responders.ConnectionResponder(self, request.keep_alive)
         responder.request_id = self.listener.request_id(request.fields)
         self.responder = responder
+        if self.surplus and self.listener.has_room():
+            self.set_surplus(False)
+        responder.surplus = self.surplus
         self.served += 1
-        watcher = gevent.get_hub().loop.io(self.sock.fileno(), 1)
-        watcher.start(self.on_readable, watcher)
+        watcher = self.watch()
         try:
             self.listener.handler.handle(request, responder, cancellation)
-            if not responder.finished:
-                self.abort()
+        except (Exception, gevent.Timeout):
+            logger.exception(
+                "handling of a request failed", request_id=responder.request_id
+            )
+            if not responder.started:
+                self.reject(results.INTERNAL_ERROR, CloseReason.ERROR)
         finally:
-            watcher.stop()
-            watcher.close()
-            self.cancellation = None
+            if watcher is not None:
+                watcher.stop()
+                watcher.close()
+        if not responder.finished:
+            self.abort()
+        self.cancellation = None
         if cancellation.cancelled:
             self.close(CloseReason.CALLER_CLOSED)
         self.responder = None
         return responder.keep_alive and not self.closed
 
+    def watch(self) -> Any:
+        """Watches for a disconnect; returns None if that isn't possible."""
+        try:
+            watcher = gevent.get_hub().loop.io(self.sock.fileno(), 1)
+            watcher.start(self.on_readable, watcher)
+        except Exception:
+            # The request is handled anyway.
+            logger.exception("caller connection failed")
+            return None
+        return watcher
+
     def on_readable(self, watcher: object) -> None:
         """Detects a disconnected caller; buffers pipelined requests."""
         if self.closed:
--- a/src/coltsfootarch/forwarding/forwarder.py
+++ b/src/coltsfootarch/forwarding/forwarder.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+import gevent
 import structlog
 
 from coltsfootarch import errors
@@ -35,6 +36,8 @@
 # rest is a margin for differences between the hosts' clocks.
 CONFIRMATION_FRACTION = 0.95
 UNCONFIRMED_RETRY_AFTER_S = 0.1
+# `Retry-After` of a request for whose connection there is no room, in seconds.
+SURPLUS_RETRY_AFTER_S = 0.2
 
 logger = structlog.get_logger(__name__)
 
@@ -112,13 +115,28 @@
         cancellation: cancellations.Cancellation,
     ) -> None:
         """Handles a request; a failure ends in a refusal or an abort."""
-        request = self.protocol.decode(raw)
+        try:
+            request = self.protocol.decode(raw)
+        except Exception:
+            request_id = self.protocol.request_id(raw.fields)
+            logger.exception("request not decoded", request_id=request_id)
+            endings.refuse(
+                self.protocol,
+                request_id,
+                responder,
+                errors.RefusedError(results.MALFORMED_REQUEST),
+            )
+            return
         self.in_progress += 1
         call: calls.Call | None = None
         admitted: AdmittedRequest | None = None
         ending: endings.Ending | None = None
         code: results.ResultCode | None = None
         try:
+            if responder.surplus:
+                raise errors.RefusedError(
+                    results.OVERLOADED, retry_after=SURPLUS_RETRY_AFTER_S
+                )
             admitted = self.admit(request)
             call = self.make_call(request, admitted, responder, cancellation)
             call.ends_at = min(call.ends_at, self.ends_by)
@@ -126,21 +144,18 @@
             self.run(call, admitted)
         except errors.RefusedError as error:
             code = error.code
-            ending = endings.refuse(self.protocol, request, responder, error)
+            ending = endings.refuse(self.protocol, request.id, responder, error)
         except cancellations.CallerDisconnectedError:
             ending = endings.Ending(endings.CALLER_LEFT)
             responder.abort()
         except calls.CallerConnectionError as error:
             ending = endings.Ending(endings.CALLER_LOST, str(error))
             responder.abort()
-        except OSError as error:
-            ending = endings.Ending(endings.LOCAL_ERROR, str(error))
-            responder.abort()
-        except Exception:
+        except (Exception, gevent.Timeout):
             logger.exception("request failed", request_id=request.id)
             ending = endings.refuse(
                 self.protocol,
-                request,
+                request.id,
                 responder,
                 errors.RefusedError(results.INTERNAL_ERROR),
             )
--- a/src/coltsfootarch/forwarding/responder.py
+++ b/src/coltsfootarch/forwarding/responder.py
@@ -24,6 +24,8 @@
         started: Whether part of the response may have been sent.
         finished: Whether the whole response was sent.
         aborted: Whether the connection was closed without the whole response.
+        surplus: Whether the host has no room for the connection, so that its
+            requests are to be refused.
         request_id: Id of the request, once it is known.
     """
 
@@ -37,11 +39,13 @@
         self.started = False
         self.finished = False
         self.aborted = False
+        self.surplus = False
         self.request_id = ""
 
     def connection_fields(self) -> list[tuple[str, str]]:
         """Returns the header fields that announce a close of the connection."""
-        if self.connection.listener.draining:
+        listener = self.connection.listener
+        if listener.draining or listener.overfull or self.surplus:
             self.keep_alive = False
         return [] if self.keep_alive else [("Connection", "close")]
 
@@ -49,7 +53,6 @@
         self, status: int, fields: messages.Fields, body: bytes
     ) -> None:
         """Sends a complete response."""
-        self.started = True
         head = messages.render_head(
             messages.status_line(status),
             [
@@ -58,6 +61,7 @@
                 *self.connection_fields(),
             ],
         )
+        self.started = True
         if len(body) <= MAX_JOINED_BYTES:
             self.connection.send(head + body)
         else:
@@ -67,7 +71,6 @@
 
     def start(self, status: int, fields: messages.Fields) -> None:
         """Sends the head of a chunked response."""
-        self.started = True
         head = messages.render_head(
             messages.status_line(status),
             [
@@ -76,6 +79,7 @@
                 *self.connection_fields(),
             ],
         )
+        self.started = True
         self.connection.send(head)
 
     def send(self, data: bytes) -> None:
