Silent prefills stay open until the decode engine is certain to take over

Callers saw a 503 or a cut stream when a sound prefill engine was silent for more than 1.2 s.

Cause: the prefill was closed first; whether the decode engine could take its place was found out afterwards. Its connection might be closed, it might be drained, its reservation might have ended, and no local prefill was counted at it. The silence also used an attempt, so that a route with two had none left to resume a stream.

Change: a greenlet of its own reads the response. After 1.2 s the decode engine takes over only if it is registered, runs no other local prefill, is connected (again) and its reservation lasts or is renewed; the prompt is then counted as its local prefill. Otherwise the prefill is awaited and the question is repeated after 0.1 to 0.8 s. A first prefill that is silent is no attempt. Before a request is sent, its connection and reservation are restored, also after a prefill that succeeded. A result that is too old to be fetched is freed instead of dropped.

--- a/src/coltsfootarch/forwarding/decode_stage.py
+++ b/src/coltsfootarch/forwarding/decode_stage.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 from typing import TYPE_CHECKING
 
 import structlog
@@ -118,71 +117,6 @@
             return False
         return True
 
-    def reserve(
-        self,
-        generation: generations.Generation,
-        exchange: upstream_exchange.UpstreamExchange,
-    ) -> bool:
-        """Reserves memory for a prompt before its prefill, on large fleets.
-
-        With many hosts, others may have used the capacity that this host's view
-        of loads still shows; only the engine knows. With few hosts the view is
-        recent enough, and reservations would only add refusals: an engine
-        refuses more than necessary, since it can't tell which requests end
-        soon.
-
-        Returns:
-            Whether to continue with this engine.
-        """
-        engine = generation.service.engine
-        many_hosts = self.context.engine_placer.sampler.many_hosts
-        if engine is None or engine.reservation_s <= 0 or not many_hosts:
-            return True
-        call = generation.call
-        upstream = exchange.delivery.upstream
-        tokens = generation.demand.prompt_tokens
-        reason = "no room"
-        try:
-            with call.cancellation.attached(exchange.abort):
-                generation.reservation = (
-                    exchange.reserve(tokens, engine.reservation_s) or ""
-                )
-        except (
-            client.BrokenConnectionError,
-            client.ResponseTimeoutError,
-        ) as error:
-            reason = str(error) or type(error).__name__
-            exchange.close()
-        call.cancellation.check()
-        if generation.reservation:
-            return True
-        generation.reservation_refusals += 1
-        self.context.outcome_tracker.record(
-            upstream.id, outcomes.Outcome.REFUSED
-        )
-        logger.info(
-            "reservation refused",
-            request_id=call.request.id,
-            upstream=upstream.id,
-            tokens=tokens,
-            reason=reason,
-        )
-        return False
-
-    def ensure_connected(
-        self,
-        generation: generations.Generation,
-        exchange: upstream_exchange.UpstreamExchange,
-    ) -> upstream_exchange.UpstreamExchange:
-        """Reconnects the exchange if needed and returns it.
-
-        An engine may close the connection after its response to a reservation.
-        """
-        if exchange.connection is None and generation.reservation:
-            with contextlib.suppress(client.ConnectError):
-                exchange.connect(recently_used=True)
-        return exchange
-
     def generate(
         self,
         generation: generations.Generation,
--- a/src/coltsfootarch/forwarding/generation_pipeline.py
+++ b/src/coltsfootarch/forwarding/generation_pipeline.py
@@ -9,6 +9,7 @@
 
 from coltsfootarch import errors
 from coltsfootarch import results
+from coltsfootarch.forwarding import decode_readiness
 from coltsfootarch.forwarding import decode_stage
 from coltsfootarch.forwarding import generations
 from coltsfootarch.forwarding import part_refusals
@@ -49,7 +50,10 @@
 
     def __init__(self, context: context.Context) -> None:
         self.context = context
-        self.prefill_stage = prefill_stage.PrefillStage(context)
+        self.decode_readiness = decode_readiness.DecodeReadiness(context)
+        self.prefill_stage = prefill_stage.PrefillStage(
+            context, self.decode_readiness
+        )
         self.decode_stage = decode_stage.DecodeStage(context)
         self.generator = random.Random()
 
@@ -78,11 +82,13 @@
                 generation.event_count = 0
                 generation.prompt_prefilled = False
                 generation.reservation = ""
+                generation.reservation_ends_at = 0.0
                 try:
                     self.attempt(generation, placement)
                 finally:
                     self.context.queue.release(
-                        placement, generation.prompt_prefilled
+                        generation.placement or placement,
+                        generation.prompt_prefilled,
                     )
         finally:
             self.prefill_stage.release(generation)
@@ -244,17 +250,18 @@
             prefill_result = generation.prefill_result
             now = self.clock.monotonic()
             if prefill_result is not None and not prefill_result.is_usable(now):
-                generation.prefill_result = None
+                self.prefill_stage.release(generation)
             if (
                 generation.prefill_result is None
                 and placement.prefill is not None
                 and self.admit_prefill(generation)
             ):
-                if not self.decode_stage.reserve(generation, exchange):
+                if not self.decode_readiness.reserve(generation, exchange):
                     return
-                self.prefill_stage.run(generation, placement.prefill)
+                self.prefill_stage.run(generation, placement.prefill, exchange)
             call.cancellation.check()
-            exchange = self.decode_stage.ensure_connected(generation, exchange)
+            if not self.decode_readiness.restore(generation, exchange):
+                return
             if self.is_refused(call):
                 return
             if not self.context.directory.is_serving(placement.decode.id):
--- a/src/coltsfootarch/forwarding/generations.py
+++ b/src/coltsfootarch/forwarding/generations.py
@@ -66,9 +66,10 @@
         self.kv_cache_provided = False
         self.prefill_s = 0.0
         self.placement: engine_placement.Placement | None = None
-        # Name of the memory reservation at the decode engine, and the number of
-        # engines that refused one.
+        # Name of the memory reservation at the decode engine, the instant until
+        # which it lasts, and the number of engines that refused one.
         self.reservation = ""
+        self.reservation_ends_at = 0.0
         self.reservation_refusals = 0
         self.prompt_prefilled = False
         # Events sent to the caller in the current attempt.
--- a/src/coltsfootarch/forwarding/prefill_stage.py
+++ b/src/coltsfootarch/forwarding/prefill_stage.py
@@ -9,8 +9,7 @@
 
 from coltsfootarch.forwarding import calls
 from coltsfootarch.forwarding import generations
-from coltsfootarch.forwarding import upstream_exchange
-from coltsfootarch.http1 import client
+from coltsfootarch.forwarding import prefill_calls
 from coltsfootarch.scheduling import outcomes
 
 if TYPE_CHECKING:
@@ -18,12 +17,16 @@
     from coltsfootarch.fleet import policy
     from coltsfootarch.fleet import upstreams
     from coltsfootarch.forwarding import context
+    from coltsfootarch.forwarding import decode_readiness
+    from coltsfootarch.forwarding import upstream_exchange
 
-# The longest prompts take 0.2 s to prefill; an engine that needs several times
-# as long is stuck.
+# The longest prompts take 0.2 s to prefill; from several times as long on, the
+# decode engine is asked to take over.
 PREFILL_TIMEOUT_S = 1.2
-# Timeout of each step of freeing an unused prefill result, in seconds.
-RELEASE_TIMEOUT_S = 0.5
+# Shortest and longest interval at which it is asked again, in seconds; each
+# interval is twice as long as the one before.
+MIN_TAKE_OVER_INTERVAL_S = 0.1
+MAX_TAKE_OVER_INTERVAL_S = 0.8
 
 logger = structlog.get_logger(__name__)
 
@@ -33,10 +36,16 @@
 
     Args:
         context: Components that all pipelines of the host share.
+        readiness: Lets decode engines take over.
     """
 
-    def __init__(self, context: context.Context) -> None:
+    def __init__(
+        self,
+        context: context.Context,
+        readiness: decode_readiness.DecodeReadiness,
+    ) -> None:
         self.context = context
+        self.decode_readiness = readiness
 
     @property
     def clock(self) -> clocks.Clock:
@@ -44,88 +53,62 @@
         return self.context.clock
 
     def run(
-        self, generation: generations.Generation, engine: upstreams.Upstream
+        self,
+        generation: generations.Generation,
+        engine: upstreams.Upstream,
+        decode_exchange: upstream_exchange.UpstreamExchange,
     ) -> None:
         """Prefills the prompt and stores the result in the generation.
 
-        If this fails, the decode engine prefills the prompt itself.
+        If this fails, the decode engine prefills the prompt itself. An engine
+        that is silent may still respond; it is awaited until the decode engine
+        is certain to take over.
+
+        Args:
+            generation: The request.
+            engine: The prefill engine.
+            decode_exchange: Connected exchange with the decode engine.
         """
         call = generation.call
         now = self.clock.monotonic()
-        tokens = call.request.prompt_tokens
-        exchange = upstream_exchange.UpstreamExchange(
-            self.context.connections,
-            self.context.wire,
-            self.clock,
-            call.request,
-            calls.Delivery(
-                engine,
-                call.account,
-                call.ends_at - now,
-                prefill_only=True,
-            ),
-            self.context.notices,
-            self.context.response_memory,
-        )
         load_ahead = self.context.loads.load(engine.id)
-        self.context.loads.add(engine.id, tokens)
-        self.context.notices.limits.take(engine)
-        self.context.outcome_tracker.record_dispatch(engine.id)
-        deadline = min(call.ends_at, now + PREFILL_TIMEOUT_S)
-        outcome = outcomes.Outcome.BROKEN
-        reason = "done"
+        prefill = prefill_calls.PrefillCall(self.context, call, engine)
+        prefill.start()
         try:
-            with call.cancellation.attached(exchange.abort):
-                exchange.start(recently_used=False)
-                response = exchange.read_head(deadline)
-                body = exchange.read_body(
-                    deadline, upstream_exchange.MAX_CONTROL_RESPONSE_BYTES
-                )
-            handle = ""
-            if response.status == 200:
-                handle = self.context.wire.decode_prefill(body)
-            if handle:
-                generation.prefill_result = generations.PrefillResult(
-                    calls.KvCacheSource(engine.address, handle),
-                    self.clock.monotonic(),
-                    self.handle_lifetime(generation.service),
-                )
-                outcome = outcomes.Outcome.SUCCESS
-            else:
-                reason = f"status {response.status}"
-                if response.is_from_other_upstream(engine):
-                    self.context.directory.reject(engine.id)
-                refused = response.not_run
-                outcome = (
-                    outcomes.Outcome.REFUSED
-                    if refused
-                    else outcomes.Outcome.ERROR
-                )
-        except client.ConnectError as error:
-            outcome = outcomes.Outcome.UNREACHABLE
-            reason = str(error)
-        except (
-            client.BrokenConnectionError,
-            client.ResponseTimeoutError,
-        ) as error:
-            reason = str(error) or type(error).__name__
-            if not exchange.aborted:
-                self.context.crash_check.check(call.digest, engine)
-        finally:
-            self.context.loads.remove(engine.id, tokens)
-            exchange.close()
-            if not exchange.sent:
-                self.context.notices.limits.give_back(engine)
-        call.cancellation.check()
-        if exchange.sent:
-            if generation.prefilled or outcome is not outcomes.Outcome.SUCCESS:
+            self.wait(generation, prefill, decode_exchange)
+            call.cancellation.check()
+        except BaseException:
+            prefill.abandon()
+            raise
+        answered = prefill.ended
+        outcome = prefill.outcome
+        reason = prefill.reason
+        elapsed = self.clock.monotonic() - now
+        if not answered:
+            prefill.abandon()
+        if prefill.broken or not answered:
+            self.context.crash_check.check(call.digest, engine)
+        if prefill.exchange.sent:
+            # The first prefill that an engine accepts is no attempt; one that
+            # is silent has not refused it.
+            accepted = not answered or outcome is outcomes.Outcome.SUCCESS
+            if generation.prefilled or not accepted:
                 call.attempts += 1
             generation.prefilled = True
-        elapsed = self.clock.monotonic() - now
-        generation.prefill_s = elapsed / (1 + load_ahead.requests)
-        if outcome is outcomes.Outcome.SUCCESS:
+        # A silence says nothing about the time that a prefill takes.
+        generation.prefill_s = min(elapsed, PREFILL_TIMEOUT_S) / (
+            1 + load_ahead.requests
+        )
+        if answered and prefill.handle:
+            generation.prefill_result = generations.PrefillResult(
+                calls.KvCacheSource(engine.address, prefill.handle),
+                self.clock.monotonic(),
+                self.handle_lifetime(generation.service),
+            )
             self.context.prefill_times.record(
-                call.service, tokens, generation.prefill_s
+                call.service,
+                call.request.prompt_tokens,
+                generation.prefill_s,
             )
         self.context.outcome_tracker.record(engine.id, outcome, elapsed)
         logger.info(
@@ -139,6 +122,28 @@
             took_ms=round(elapsed * 1000),
         )
 
+    def wait(
+        self,
+        generation: generations.Generation,
+        prefill: prefill_calls.PrefillCall,
+        decode_exchange: upstream_exchange.UpstreamExchange,
+    ) -> None:
+        """Waits until the prefill has ended or the decode engine takes over.
+
+        Raises:
+            cancellation.CallerDisconnectedError: The caller disconnected.
+        """
+        ends_at = generation.call.ends_at
+        wait_s = PREFILL_TIMEOUT_S
+        next_wait_s = MIN_TAKE_OVER_INTERVAL_S
+        while not prefill.wait(min(wait_s, ends_at - self.clock.monotonic())):
+            if self.clock.monotonic() >= ends_at:
+                return
+            if self.decode_readiness.take_over(generation, decode_exchange):
+                return
+            wait_s = next_wait_s
+            next_wait_s = min(2 * next_wait_s, MAX_TAKE_OVER_INTERVAL_S)
+
     def handle_lifetime(self, service: policy.Service) -> float:
         """Returns how long engines keep a prefill result, in seconds."""
         return (
@@ -155,29 +160,6 @@
             return
         age = self.clock.monotonic() - prefill_result.created_at
         if age < prefill_result.lifetime_s:
-            gevent.spawn(self.send_release, prefill_result.source)
-
-    def send_release(self, source: calls.KvCacheSource) -> None:
-        """Asks a prefill engine to free a result.
-
-        A failure is only logged, since results expire by themselves.
-        """
-        connection = client.Connection(source.address, self.clock)
-        try:
-            connection.start(RELEASE_TIMEOUT_S)
-            connection.send(
-                self.context.wire.encode_release(source), b"", RELEASE_TIMEOUT_S
-            )
-            connection.read_part(RELEASE_TIMEOUT_S)
-        except (
-            client.ConnectError,
-            client.BrokenConnectionError,
-            client.ResponseTimeoutError,
-        ) as error:
-            logger.info(
-                "prefill result not freed",
-                upstream=source.address,
-                reason=str(error),
+            gevent.spawn(
+                prefill_calls.send_release, self.context, prefill_result.source
             )
-        finally:
-            connection.close()
--- a/src/coltsfootarch/scheduling/dispatch_queue.py
+++ b/src/coltsfootarch/scheduling/dispatch_queue.py
@@ -156,6 +156,18 @@
             key = engine_placement.local_prefill_key(placement.decode)
             self.loads.add(key, placement.demand.prompt_tokens)
 
+    def prefill_locally(
+        self, placement: engine_placement.Placement
+    ) -> engine_placement.Placement:
+        """Lets the decode engine of a placement prefill the prompt as well.
+
+        Returns:
+            The placement to release instead of this one.
+        """
+        key = engine_placement.local_prefill_key(placement.decode)
+        self.loads.add(key, placement.demand.prompt_tokens)
+        return placement._replace(prefill=None)
+
     def release(
         self, placement: engine_placement.Placement, prompt_prefilled: bool
     ) -> None:
