Silent streams are read on until another engine is certain

What callers saw: an engine that sent nothing for 1.5 s, or for 0.4 of the objective before the first event, lost its streams. They were cut, or got 504, although the engine went on a second later.

Cause: the exchange with the silent engine was closed first. Room, a connection elsewhere and the retry budget were looked for afterwards, and often there were none: all engines were silent, full or already tried.

Now the exchange stays open. Beside it another engine is prepared, in this order: budget not exhausted, room, connection, reservation where the service has them (its answer also shows that the other engine isn't silent itself), and at last the retry is spent. Only then the exchange is closed, without a switch between greenlets after the last look at its socket, so that no event of it follows. If the engine goes on, breaks or the caller leaves, the preparation ends and all of it is released; no attempt and no retry is counted. The crash check runs at the limit as before; a break that follows it counts as the same crash where the engine's start is known.

A probe that isn't sent is withdrawn, since the engine would otherwise get no request for 10 s.

--- a/src/coltsfootarch/forwarding/decode_stage.py
+++ b/src/coltsfootarch/forwarding/decode_stage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import math
 from typing import TYPE_CHECKING
 
 import structlog
@@ -10,28 +11,30 @@
 from coltsfootarch.forwarding import attempts
 from coltsfootarch.forwarding import calls
 from coltsfootarch.forwarding import events
+from coltsfootarch.forwarding import silence_watch
 from coltsfootarch.forwarding import upstream_exchange
 from coltsfootarch.http1 import client
 from coltsfootarch.scheduling import crashing_parts
 from coltsfootarch.scheduling import outcomes
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from coltsfootarch import clock as clocks
     from coltsfootarch.fleet import upstreams
     from coltsfootarch.forwarding import context
     from coltsfootarch.forwarding import generations
     from coltsfootarch.scheduling import engine_placement
 
-# A resumable stream is resumed at another engine after this silence: a multiple
-# of the route's `event_gap_s`, and a lower bound in seconds. Callers give up a
-# little later; see `policy.Route.silence_timeout_s`.
+# Another engine is prepared for a resumable stream after this silence: a
+# multiple of the route's `event_gap_s`, and a lower bound in seconds. Callers
+# give up a little later; see `policy.Route.silence_timeout_s`.
 STALL_GAP_MULTIPLE = 5.0
 MIN_STALL_S = 1.5
-# Fraction of a stream's objective after which an engine that has sent no event
-# is abandoned, so that another one can still respond before the caller
-# disconnects. An engine that fetches the prompt's KV cache sends the first
-# event within a few milliseconds; one that prefills the prompt itself takes
-# several times as long.
+# The same before the first event, as a fraction of the stream's objective, so
+# that another engine can still respond before the caller disconnects. An engine
+# that fetches the prompt's KV cache sends the first event within a few
+# milliseconds; one that prefills the prompt itself takes several times as long.
 FIRST_EVENT_FRACTION = 0.4
 FIRST_EVENT_WITH_PREFILL_FRACTION = 0.9
 # Events of a stream after which a decode engine that prefills prompts itself
@@ -188,8 +191,16 @@
         generation: generations.Generation,
         engine: upstreams.Upstream,
         exchange: upstream_exchange.UpstreamExchange,
+        prepare: Callable[[], silence_watch.Preparation],
     ) -> None:
-        """Sends the request to a decode engine and relays its events."""
+        """Sends the request to a decode engine and relays its events.
+
+        Args:
+            generation: The request.
+            engine: The engine.
+            exchange: Exchange with the engine.
+            prepare: Prepares another engine while this one is silent.
+        """
         call = generation.call
         now = self.clock.monotonic()
         prefill_result, generation.prefill_result = (
@@ -200,6 +211,14 @@
         reason = "done"
         result: attempts.Response | attempts.Failure
         call.tried.append(engine.id)
+        watch = silence_watch.SilenceWatch(
+            self.context,
+            generation,
+            exchange,
+            lambda: self.silence_limit_s(generation),
+            prepare,
+        )
+        exchange.part_reader = watch
         try:
             with call.cancellation.attached(exchange.abort):
                 result = self.relay(generation, exchange)
@@ -211,12 +230,17 @@
             reason = "silent"
             result = attempts.Failure.TIMED_OUT
         except (client.BrokenConnectionError, ValueError) as error:
-            reason = str(error)
-            result = attempts.Failure.BROKEN
+            reason = "silent" if watch.moved else str(error)
+            result = (
+                attempts.Failure.TIMED_OUT
+                if watch.moved
+                else attempts.Failure.BROKEN
+            )
         finally:
             exchange.close()
-        if exchange.sent:
-            call.attempts += 1
+            watch.close()
+            generation.replacement = watch.replacement
+            generation.moved = watch.moved
         call.cancellation.check()
         if prefill_result is not None and result in (
             attempts.Failure.NOT_SENT,
@@ -236,7 +260,9 @@
                 f"{engine.id}@{engine.started_ms}",
             )
         if not exchange.aborted:
-            self.record_outcome(generation, engine, result, now)
+            self.record_outcome(
+                generation, engine, result, now, watch.was_silent
+            )
         self.record_result(generation, result, now)
         self.context.metrics.attempts.labels(call.service, result.label).inc()
         logger.info(
@@ -266,16 +292,19 @@
 
         Raises:
             client.ConnectError: Nothing was sent.
-            client.ResponseTimeoutError: The engine was silent for too long.
-            client.BrokenConnectionError: The stream ended early.
+            client.ResponseTimeoutError: The call has ended.
+            client.BrokenConnectionError: The stream ended early, or has moved.
             ValueError: An event was too long.
         """
         call = generation.call
-        exchange.send()
+        try:
+            exchange.send()
+        finally:
+            call.attempts += exchange.sent
         call.sent_upstream = True
-        response = exchange.read_head(self.silence_deadline(generation))
+        response = exchange.read_head(call.ends_at)
         if not 200 <= response.status < 300:
-            body = exchange.read_body(self.silence_deadline(generation))
+            body = exchange.read_body(call.ends_at)
             call.keep(exchange.take_holding())
             if response.is_from_other_upstream(exchange.delivery.upstream):
                 self.context.directory.reject(exchange.delivery.upstream.id)
@@ -285,7 +314,7 @@
         splitter = events.EventSplitter()
         exchange.discard = splitter.clear
         while True:
-            part = exchange.read_part(self.silence_deadline(generation))
+            part = exchange.read_part(call.ends_at)
             if part is None:
                 break
             if not isinstance(part, bytes):
@@ -334,36 +363,35 @@
             self.context.metrics.answer_time.labels(
                 generation.call.service
             ).observe(elapsed)
-            self.context.outcome_tracker.record_progress(
-                generation.call.tried[-1]
-            )
+            if generation.placement is not None:
+                self.context.outcome_tracker.record_progress(
+                    generation.placement.decode.id
+                )
             responder.start(response.status, response.fields)
         responder.send(event.data)
         generation.last_activity_at = self.clock.monotonic()
         if event.id:
             generation.resume_after = event.id
 
-    def silence_deadline(self, generation: generations.Generation) -> float:
-        """Returns the instant until which to wait for the engine, in seconds.
+    def silence_limit_s(self, generation: generations.Generation) -> float:
+        """Returns the silence after which another engine is prepared.
 
-        If the stream can't be resumed or has no attempt left, this is the end
-        of the call.
+        It is in seconds, and infinite if the stream can't be resumed or has no
+        attempt left.
         """
         call = generation.call
         if not call.route.resumable or (
-            call.attempts + 1 >= call.route.max_attempts
+            call.attempts >= call.route.max_attempts
         ):
-            return call.ends_at
-        silence = max(MIN_STALL_S, STALL_GAP_MULTIPLE * call.route.event_gap_s)
-        if not call.responder.started:
-            has_kv_cache = generation.kv_cache_provided
-            fraction = (
-                FIRST_EVENT_FRACTION
-                if has_kv_cache
-                else FIRST_EVENT_WITH_PREFILL_FRACTION
-            )
-            silence = fraction * call.route.objective_s
-        return min(call.ends_at, self.clock.monotonic() + silence)
+            return math.inf
+        if call.responder.started:
+            return max(MIN_STALL_S, STALL_GAP_MULTIPLE * call.route.event_gap_s)
+        fraction = (
+            FIRST_EVENT_FRACTION
+            if generation.kv_cache_provided
+            else FIRST_EVENT_WITH_PREFILL_FRACTION
+        )
+        return fraction * call.route.objective_s
 
     def record_sound(self, call: calls.Call) -> None:
         """Records that no part of the prompt crashes engines."""
@@ -377,16 +405,22 @@
         engine: upstreams.Upstream,
         result: attempts.Response | attempts.Failure,
         started_at: float,
+        was_silent: bool,
     ) -> None:
-        """Records what an attempt tells about the engine and the request."""
+        """Records what an attempt tells about the engine and the request.
+
+        An engine whose stream fell silent was checked for a crash then. A
+        break after that is the same one.
+        """
         digest = generation.call.digest
         latency = (
             generation.first_event_at or self.clock.monotonic()
         ) - started_at
         self.context.outcome_tracker.record(engine.id, result.outcome, latency)
         if result is attempts.Failure.BROKEN:
-            self.context.break_counts.record(digest)
-        elif result is attempts.Failure.TIMED_OUT:
+            cause = engine.incarnation if was_silent else ""
+            self.context.break_counts.record(digest, cause)
+        elif result is attempts.Failure.TIMED_OUT and not was_silent:
             self.context.crash_check.check(digest, engine)
 
     def record_result(
--- /dev/null
+++ b/src/coltsfootarch/forwarding/engine_preparation.py
@@ -0,0 +1,313 @@
+"""Prepares another engine for a silent stream, which is read on meanwhile.
+
+A sound engine may be silent for a second or so. The exchange with it is closed
+only when nothing can keep the stream from going on elsewhere: another engine
+has room, is connected and, where engines reserve memory, has reserved it; at
+last the retry budget allows the move.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+import gevent
+import gevent.event
+import structlog
+
+from coltsfootarch.forwarding import cancellation
+from coltsfootarch.forwarding import silence_watch
+from coltsfootarch.http1 import client
+from coltsfootarch.scheduling import dispatch_queue
+from coltsfootarch.scheduling import outcomes
+
+if TYPE_CHECKING:
+    from coltsfootarch import clock as clocks
+    from coltsfootarch.fleet import upstreams
+    from coltsfootarch.forwarding import calls
+    from coltsfootarch.forwarding import context
+    from coltsfootarch.forwarding import decode_stage
+    from coltsfootarch.forwarding import generations
+    from coltsfootarch.forwarding import upstream_exchange
+    from coltsfootarch.scheduling import engine_placement
+
+# Shortest pause of all streams of an engine after which none is moved to it.
+MIN_PAUSE_S = 0.5
+# Time between two tries, in seconds; it doubles with each one that fails.
+RETRY_S = 0.25
+MAX_RETRY_S = 2.0
+# Time for the reader to take bytes that have arrived, in seconds.
+READER_S = 0.01
+
+logger = structlog.get_logger(__name__)
+
+
+class Attempts(Protocol):
+    """Rules and queue for the attempts of a request."""
+
+    def may_attempt(self, generation: generations.Generation) -> bool:
+        """Returns whether another attempt is allowed; spends the budget."""
+
+    def is_refused(self, call: calls.Call) -> bool:
+        """Returns whether the request is known to crash or break upstreams."""
+
+    def acquire(
+        self,
+        generation: generations.Generation,
+        waiter: dispatch_queue.Waiter,
+        timeout_s: float,
+    ) -> engine_placement.Placement | None:
+        """Waits for engines with capacity; returns None if there are none."""
+
+
+class EnginePreparation:
+    """Prepares another engine for one silent stream.
+
+    Args:
+        context: Components that all pipelines of the host share.
+        stage: Connects to decode engines.
+        attempts: Rules and queue for the attempts.
+        generation: The request.
+        exchange: Exchange with the silent engine.
+
+    Attributes:
+        cancellation: Ends the preparation.
+        moved: Whether the exchange with the silent engine was closed.
+        ready: Engine that is ready, until it is taken or released.
+        taken: Whether `ready` is released by others.
+    """
+
+    def __init__(
+        self,
+        context: context.Context,
+        stage: decode_stage.DecodeStage,
+        attempts: Attempts,
+        generation: generations.Generation,
+        exchange: upstream_exchange.UpstreamExchange,
+    ) -> None:
+        self.context = context
+        self.stage = stage
+        self.attempts = attempts
+        self.generation = generation
+        self.exchange = exchange
+        self.cancellation = cancellation.Cancellation()
+        self.own = generation.fork(self.cancellation)
+        self.moved = False
+        self.ready: silence_watch.Replacement | None = None
+        self.taken = False
+        self.tries = 0
+
+    @property
+    def clock(self) -> clocks.Clock:
+        """Source of time."""
+        return self.context.clock
+
+    @property
+    def engine(self) -> upstreams.Upstream:
+        """The silent engine."""
+        return self.exchange.delivery.upstream
+
+    def start(self) -> None:
+        """Starts the preparation; see `silence_watch.Preparation`."""
+        gevent.spawn(self.run)
+
+    def stop(self) -> None:
+        """Ends the preparation; see `silence_watch.Preparation`."""
+        self.cancellation.cancel()
+
+    def take(self) -> silence_watch.Replacement | None:
+        """Returns what is ready; see `silence_watch.Preparation`."""
+        self.taken = self.ready is not None
+        self.stop()
+        return self.ready
+
+    def run(self) -> None:
+        """Checks the silent engine and looks for another one."""
+        call = self.generation.call
+        try:
+            self.cancellation.check()
+            self.context.crash_check.check(call.digest, self.engine)
+            self.cancellation.check()
+            # A trial of a request with a crashing part is sent only once.
+            while not call.is_trial and not self.attempts.is_refused(call):
+                if self.has_budget() and self.prepare():
+                    return
+                self.pause(min(RETRY_S * 2**self.tries, MAX_RETRY_S))
+                self.tries += 1
+        except cancellation.CallerDisconnectedError:
+            return
+        logger.info(
+            "silent stream stays at its engine: another one would not get it",
+            request_id=call.request.id,
+            upstream=self.engine.id,
+        )
+
+    def has_budget(self) -> bool:
+        """Returns whether the retry budget would allow a move now."""
+        call = self.generation.call
+        allowed = self.context.budget.may_spend(call.service)
+        if not allowed and not self.tries:
+            logger.info(
+                "silent stream waits for the retry budget",
+                request_id=call.request.id,
+                service=call.service,
+            )
+        return allowed
+
+    def pause(self, seconds: float) -> None:
+        """Waits.
+
+        Raises:
+            cancellation.CallerDisconnectedError: The preparation was stopped.
+        """
+        wake_event = gevent.event.Event()
+        with self.cancellation.attached(wake_event.set):
+            wake_event.wait(seconds)
+        self.cancellation.check()
+
+    def prepare(self) -> bool:
+        """Tries once to move the stream; returns whether it has moved.
+
+        Raises:
+            cancellation.CallerDisconnectedError: The preparation was stopped.
+        """
+        call = self.generation.call
+        waiter = dispatch_queue.RunningWaiter(
+            self.own.service,
+            self.own.demand._replace(
+                may_use_prefill_engine=self.own.may_prefill
+            ),
+            self.excluded,
+            call.route.priority,
+            call.request.received_at,
+            call.request.received_at + call.route.objective_s,
+        )
+        placement = self.attempts.acquire(
+            self.own,
+            waiter,
+            call.ends_at
+            - dispatch_queue.UNLOADED_FIRST_EVENT_S
+            - self.clock.monotonic(),
+        )
+        if placement is None:
+            return False
+        exchange = self.stage.create_exchange(self.own, placement)
+        self.context.notices.limits.take(placement.decode)
+        try:
+            if not self.stage.connect(self.own, exchange):
+                return False
+            if not self.reserve(exchange):
+                return False
+            self.ready = silence_watch.Replacement(
+                placement, exchange, self.own.reservation
+            )
+            return self.move(self.ready)
+        finally:
+            if not self.taken:
+                self.ready = None
+                self.release(placement, exchange)
+
+    def release(
+        self,
+        placement: engine_placement.Placement,
+        exchange: upstream_exchange.UpstreamExchange,
+    ) -> None:
+        """Releases an engine that gets no request.
+
+        A reservation expires by itself.
+        """
+        exchange.close()
+        self.context.outcome_tracker.withdraw_dispatch(placement.decode.id)
+        self.context.notices.limits.give_back(placement.decode)
+        self.context.queue.release(placement, prompt_prefilled=False)
+
+    def excluded(self) -> set[str]:
+        """Returns the ids of the engines that can't take the stream now."""
+        call = self.generation.call
+        engines = self.context.engine_placer.decode_engines(call.service)
+        excluded = set(call.tried)
+        if all(each.id in excluded for each in engines):
+            # Engines that failed may have recovered.
+            excluded = {self.engine.id}
+        return excluded | {each.id for each in engines if self.is_mute(each.id)}
+
+    def is_mute(self, engine: str) -> bool:
+        """Returns whether an engine seems to be silent as well."""
+        activity = self.context.outcome_tracker.activity
+        pause = max(MIN_PAUSE_S, self.generation.call.route.event_gap_s)
+        return activity.is_silent(engine) or activity.is_pausing(engine, pause)
+
+    def reserve(self, exchange: upstream_exchange.UpstreamExchange) -> bool:
+        """Reserves memory where engines do so; returns whether to continue.
+
+        The response also shows that the engine isn't silent itself. A refusal
+        costs nothing here, so that it is done on small fleets, too.
+        """
+        self.own.reservation = ""
+        engine = self.own.service.engine
+        if engine is None or engine.reservation_s <= 0:
+            return True
+        upstream = exchange.delivery.upstream
+        tokens = self.own.demand.prompt_tokens
+        outcome = outcomes.Outcome.REFUSED
+        reason = "no room"
+        try:
+            with self.cancellation.attached(exchange.abort):
+                self.own.reservation = (
+                    exchange.reserve(tokens, engine.reservation_s) or ""
+                )
+                if self.own.reservation and exchange.connection is None:
+                    exchange.connect(recently_used=True)
+        except (
+            client.ConnectError,
+            client.BrokenConnectionError,
+            client.ResponseTimeoutError,
+        ) as error:
+            self.own.reservation = ""
+            outcome = outcomes.Outcome.BROKEN
+            reason = str(error) or type(error).__name__
+        self.cancellation.check()
+        if self.own.reservation:
+            return True
+        self.context.outcome_tracker.record(upstream.id, outcome)
+        logger.info(
+            "reservation refused",
+            request_id=self.own.call.request.id,
+            upstream=upstream.id,
+            tokens=tokens,
+            reason=reason,
+        )
+        return False
+
+    def move(self, replacement: silence_watch.Replacement) -> bool:
+        """Ends the exchange with the silent engine; returns whether it did.
+
+        Nothing may come between the last look at the silent engine and the end
+        of the exchange, so that no event of it is relayed after the move.
+
+        Raises:
+            cancellation.CallerDisconnectedError: The preparation was stopped.
+        """
+        while self.exchange.has_unread_bytes():
+            self.pause(READER_S)
+        self.cancellation.check()
+        engine = replacement.placement.decode
+        if (
+            not self.context.directory.is_serving(engine.id)
+            or self.is_mute(engine.id)
+            or not replacement.exchange.is_ready()
+        ):
+            return False
+        if not self.attempts.may_attempt(self.generation):
+            return False
+        self.moved = self.taken = True
+        logger.info(
+            "silent stream moved to another engine",
+            request_id=self.generation.call.request.id,
+            upstream=self.engine.id,
+            replacement=engine.id,
+            reserved=bool(replacement.reservation),
+            tries=self.tries + 1,
+        )
+        self.exchange.close()
+        return True
--- a/src/coltsfootarch/forwarding/generation_pipeline.py
+++ b/src/coltsfootarch/forwarding/generation_pipeline.py
@@ -10,6 +10,7 @@
 from coltsfootarch import errors
 from coltsfootarch import results
 from coltsfootarch.forwarding import decode_stage
+from coltsfootarch.forwarding import engine_preparation
 from coltsfootarch.forwarding import generations
 from coltsfootarch.forwarding import part_refusals
 from coltsfootarch.forwarding import prefill_stage
@@ -20,6 +21,7 @@
     from coltsfootarch.fleet import policy
     from coltsfootarch.forwarding import calls
     from coltsfootarch.forwarding import context
+    from coltsfootarch.forwarding import upstream_exchange
     from coltsfootarch.scheduling import engine_placement
 
 # Failed connections to decode engines after which a request is given up.
@@ -70,24 +72,73 @@
             call, service, self.context.refusals.was_refused(call.digest)
         )
         try:
-            while not generation.finished and self.may_attempt(generation):
-                placement = self.place(generation)
-                if placement is None:
-                    break
+            while not generation.finished and (
+                generation.moved or self.may_attempt(generation)
+            ):
+                generation.moved = False
+                replacement, generation.replacement = (
+                    generation.replacement,
+                    None,
+                )
+                if replacement is None:
+                    placement = self.place(generation)
+                    if placement is None:
+                        break
+                    exchange = self.create_exchange(generation, placement)
+                else:
+                    placement = replacement.placement
+                    exchange = replacement.exchange
                 generation.placement = placement
                 generation.event_count = 0
                 generation.prompt_prefilled = False
-                generation.reservation = ""
+                generation.reservation = (
+                    replacement.reservation if replacement else ""
+                )
                 try:
-                    self.attempt(generation, placement)
+                    self.attempt(generation, placement, exchange)
                 finally:
-                    self.context.queue.release(
-                        placement, generation.prompt_prefilled
+                    self.release(
+                        placement, exchange, generation.prompt_prefilled
                     )
         finally:
             self.prefill_stage.release(generation)
+            if generation.replacement is not None:
+                self.release(
+                    generation.replacement.placement,
+                    generation.replacement.exchange,
+                    prompt_prefilled=False,
+                )
         self.finish(generation)
 
+    def create_exchange(
+        self,
+        generation: generations.Generation,
+        placement: engine_placement.Placement,
+    ) -> upstream_exchange.UpstreamExchange:
+        """Returns an unconnected exchange; it counts towards limits."""
+        exchange = self.decode_stage.create_exchange(generation, placement)
+        self.context.notices.limits.take(placement.decode)
+        return exchange
+
+    def release(
+        self,
+        placement: engine_placement.Placement,
+        exchange: upstream_exchange.UpstreamExchange,
+        prompt_prefilled: bool,
+    ) -> None:
+        """Releases an engine after an attempt, or if there was none.
+
+        Args:
+            placement: Its capacity.
+            exchange: The exchange with it.
+            prompt_prefilled: See `dispatch_queue.DispatchQueue.release`.
+        """
+        exchange.close()
+        if not exchange.sent:
+            self.context.outcome_tracker.withdraw_dispatch(placement.decode.id)
+            self.context.notices.limits.give_back(placement.decode)
+        self.context.queue.release(placement, prompt_prefilled)
+
     def may_attempt(self, generation: generations.Generation) -> bool:
         """Returns whether another attempt is allowed.
 
@@ -141,7 +192,6 @@
             cancellation.CallerDisconnectedError: The caller disconnected.
         """
         call = generation.call
-        started = self.clock.monotonic()
         # With a prefill result, `attempt` skips the prefill engine. One is
         # chosen nevertheless: a placement without one reserves the decode
         # engine for a local prefill, and the result may expire before the
@@ -167,10 +217,28 @@
             # Attempts failed on all engines, but all could be connected, so
             # that one may have recovered.
             waiter.excluded = frozenset()
+        return self.acquire(generation, waiter, self.max_wait_s(generation))
+
+    def acquire(
+        self,
+        generation: generations.Generation,
+        waiter: dispatch_queue.Waiter,
+        timeout_s: float,
+    ) -> engine_placement.Placement | None:
+        """Waits for engines with capacity; returns None if there are none.
+
+        Args:
+            generation: The request.
+            waiter: The request in the queue.
+            timeout_s: Maximum wait in seconds.
+
+        Raises:
+            cancellation.CallerDisconnectedError: The wait was cancelled.
+        """
+        call = generation.call
+        started = self.clock.monotonic()
         with call.cancellation.attached(waiter.wake_event.set):
-            placement = self.context.queue.acquire(
-                waiter, self.max_wait_s(generation)
-            )
+            placement = self.context.queue.acquire(waiter, timeout_s)
         if call.cancellation.cancelled:
             if placement is not None:
                 self.context.queue.release(placement, prompt_prefilled=False)
@@ -227,6 +295,7 @@
         self,
         generation: generations.Generation,
         placement: engine_placement.Placement,
+        exchange: upstream_exchange.UpstreamExchange,
     ) -> None:
         """Prefills the prompt if needed and generates at the decode engine.
 
@@ -236,41 +305,54 @@
         call = generation.call
         if self.is_refused(call):
             return
-        exchange = self.decode_stage.create_exchange(generation, placement)
-        self.context.notices.limits.take(placement.decode)
-        try:
-            if not self.decode_stage.connect(generation, exchange):
-                return
-            prefill_result = generation.prefill_result
-            now = self.clock.monotonic()
-            if prefill_result is not None and not prefill_result.is_usable(now):
-                generation.prefill_result = None
-            if (
-                generation.prefill_result is None
-                and placement.prefill is not None
-                and self.admit_prefill(generation)
+        is_prepared = exchange.connection is not None
+        if not is_prepared and not self.decode_stage.connect(
+            generation, exchange
+        ):
+            return
+        prefill_result = generation.prefill_result
+        now = self.clock.monotonic()
+        if prefill_result is not None and not prefill_result.is_usable(now):
+            generation.prefill_result = None
+        if (
+            generation.prefill_result is None
+            and placement.prefill is not None
+            and self.admit_prefill(generation)
+        ):
+            if not generation.reservation and not self.decode_stage.reserve(
+                generation, exchange
             ):
-                if not self.decode_stage.reserve(generation, exchange):
-                    return
-                self.prefill_stage.run(generation, placement.prefill)
-            call.cancellation.check()
-            exchange = self.decode_stage.ensure_connected(generation, exchange)
-            if self.is_refused(call):
-                return
-            if not self.context.directory.is_serving(placement.decode.id):
-                # The decode engine was drained or removed during the prefill;
-                # the request was not sent to it.
-                call.tried.append(placement.decode.id)
-                generation.connect_failures += 1
                 return
-            exchange.delivery = self.decode_stage.build_delivery(
-                generation, placement
-            )
-            self.decode_stage.generate(generation, placement.decode, exchange)
-        finally:
-            exchange.close()
-            if not exchange.sent:
-                self.context.notices.limits.give_back(placement.decode)
+            self.prefill_stage.run(generation, placement.prefill)
+        call.cancellation.check()
+        exchange = self.decode_stage.ensure_connected(generation, exchange)
+        if self.is_refused(call):
+            return
+        if not self.context.directory.is_serving(placement.decode.id):
+            # The decode engine was drained or removed during the prefill; the
+            # request was not sent to it.
+            call.tried.append(placement.decode.id)
+            generation.connect_failures += 1
+            return
+        exchange.delivery = self.decode_stage.build_delivery(
+            generation, placement
+        )
+        self.decode_stage.generate(
+            generation,
+            placement.decode,
+            exchange,
+            lambda: self.prepare(generation, exchange),
+        )
+
+    def prepare(
+        self,
+        generation: generations.Generation,
+        exchange: upstream_exchange.UpstreamExchange,
+    ) -> engine_preparation.EnginePreparation:
+        """Returns the preparation of another engine for a silent stream."""
+        return engine_preparation.EnginePreparation(
+            self.context, self.decode_stage, self, generation, exchange
+        )
 
     def admit_prefill(self, generation: generations.Generation) -> bool:
         """Returns whether to prefill the prompt at a prefill engine.
--- a/src/coltsfootarch/forwarding/generations.py
+++ b/src/coltsfootarch/forwarding/generations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 from typing import TYPE_CHECKING
 
 from coltsfootarch.forwarding import attempts
@@ -10,6 +11,8 @@
 if TYPE_CHECKING:
     from coltsfootarch.fleet import policy
     from coltsfootarch.forwarding import calls
+    from coltsfootarch.forwarding import cancellation as cancellations
+    from coltsfootarch.forwarding import silence_watch
 
 # Fraction of a prefill result's lifetime after which no further decode engine
 # is asked to fetch it; the rest is for sending the request and the fetch
@@ -66,6 +69,10 @@
         self.kv_cache_provided = False
         self.prefill_s = 0.0
         self.placement: engine_placement.Placement | None = None
+        # Engine that was prepared while the one before was silent, and whether
+        # the retry budget was spent for it.
+        self.replacement: silence_watch.Replacement | None = None
+        self.moved = False
         # Name of the memory reservation at the decode engine, and the number of
         # engines that refused one.
         self.reservation = ""
@@ -83,6 +90,19 @@
         # one, at which its request arrived.
         self.last_activity_at = call.request.received_at
 
+    def fork(self, cancellation: cancellations.Cancellation) -> Generation:
+        """Returns a copy with which another attempt is prepared.
+
+        The list of engines tried is the same one.
+
+        Args:
+            cancellation: Ends the preparation.
+        """
+        fork = copy.copy(self)
+        fork.call = copy.copy(self.call)
+        fork.call.cancellation = cancellation
+        return fork
+
     @property
     def may_prefill(self) -> bool:
         """Whether the prompt may be sent to a prefill engine.
--- a/src/coltsfootarch/forwarding/upstream_exchange.py
+++ b/src/coltsfootarch/forwarding/upstream_exchange.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import select
 from typing import TYPE_CHECKING
+from typing import Protocol
 
 import structlog
 
@@ -33,6 +35,15 @@
 logger = structlog.get_logger(__name__)
 
 
+class PartReader(Protocol):
+    """Reads the parts of a response."""
+
+    def read(
+        self, connection: client.Connection, deadline: float
+    ) -> messages.ResponseHead | bytes | None:
+        """Returns the next part read by an instant; see `read_part`."""
+
+
 class UpstreamExchange:
     """Sends a request to an upstream and reads the response.
 
@@ -61,6 +72,8 @@
         self.holding: response_memory.Holding | None = None
         # Frees what was read of the response, as soon as it is given up.
         self.discard: Callable[[], object] = ignore_discard
+        # Reads from the connection, if not the exchange itself.
+        self.part_reader: PartReader | None = None
         self.connections = connections
         self.wire = wire
         self.clock = clock
@@ -104,7 +117,7 @@
             client.BrokenConnectionError: Sending failed; the upstream may have
                 received the request.
         """
-        if self.connection is None or not self.connection.is_reusable():
+        if self.connection is None or not self.is_ready():
             self.close()
             raise client.ConnectError(
                 "connection closed before the request was sent"
@@ -297,8 +310,22 @@
         """
         if self.connection is None:
             raise client.BrokenConnectionError("connection closed")
+        if self.part_reader is not None:
+            return self.part_reader.read(self.connection, deadline)
         return self.connection.read_part(deadline - self.clock.monotonic())
 
+    def is_ready(self) -> bool:
+        """Returns whether a request can be sent on the connection."""
+        return self.connection is not None and self.connection.is_reusable()
+
+    def has_unread_bytes(self) -> bool:
+        """Returns whether bytes, or the end, of the connection can be read."""
+        if self.connection is None or self.connection.sock is None:
+            return False
+        poller = select.poll()
+        poller.register(self.connection.sock.fileno(), select.POLLIN)
+        return bool(poller.poll(0))
+
     def body_parts(self, deadline: float) -> Iterator[bytes]:
         """Yields the parts of the body; returns only if it is complete.
 
--- a/src/coltsfootarch/retries/shared_budget.py
+++ b/src/coltsfootarch/retries/shared_budget.py
@@ -71,13 +71,17 @@
 
     def spend(self, service: str) -> bool:
         """Spends one retry; returns False if the budget is exhausted."""
+        if not self.may_spend(service):
+            return False
+        self.window(service).retries.append(self.clock.monotonic())
+        return True
+
+    def may_spend(self, service: str) -> bool:
+        """Returns whether there is a retry left to spend."""
         window = self.window(service)
         allowed = self.ratio * len(window.requests)
         allowed += self.minimum / max(self.hosts(), 1)
-        if len(window.retries) + 1 > allowed * SPENDABLE_FRACTION:
-            return False
-        window.retries.append(self.clock.monotonic())
-        return True
+        return len(window.retries) + 1 <= allowed * SPENDABLE_FRACTION
 
     def window(self, service: str) -> Window:
         """Returns the window of a service without expired events."""
--- a/src/coltsfootarch/scheduling/dispatch_queue.py
+++ b/src/coltsfootarch/scheduling/dispatch_queue.py
@@ -16,6 +16,9 @@
 from coltsfootarch.scheduling import engine_placement
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Collection
+
     from coltsfootarch import clock as clocks
     from coltsfootarch.fleet import policy
     from coltsfootarch.scheduling import backlog as backlogs
@@ -66,12 +69,60 @@
         self.placement: engine_placement.Placement | None = None
         self.wake_event = gevent.event.Event()
 
+    @property
+    def is_counted(self) -> bool:
+        """Whether it counts as waiting for all hosts."""
+        return not self.is_retry
+
+    def exclusions(self) -> Collection[str]:
+        """Returns the ids of engines on which it can't be placed now."""
+        return self.excluded
+
     def rank(self, now: float) -> tuple[bool, int, float]:
         """Returns the sort key in the queue; lower values go first."""
         is_late = self.is_retry or now + UNLOADED_FIRST_EVENT_S > self.due_at
         return (is_late, self.priority, self.arrived_at)
 
 
+class RunningWaiter(Waiter):
+    """A request that runs at an engine and waits for another one.
+
+    It isn't counted as waiting, since it is part of its engine's load.
+
+    Args:
+        service: Its service.
+        demand: Resources that it needs.
+        find_exclusions: Returns the ids of engines on which it can't be placed
+            at present.
+        priority: Priority; 0 is the most urgent.
+        arrived_at: Instant of its arrival, in seconds.
+        due_at: Instant at which its first event was due, in seconds.
+    """
+
+    def __init__(
+        self,
+        service: policy.Service,
+        demand: engine_placement.Demand,
+        find_exclusions: Callable[[], Collection[str]],
+        priority: int,
+        arrived_at: float,
+        due_at: float,
+    ) -> None:
+        super().__init__(
+            service, demand, frozenset(), priority, arrived_at, due_at
+        )
+        self.find_exclusions = find_exclusions
+
+    @property
+    def is_counted(self) -> bool:
+        """Whether it counts as waiting for all hosts."""
+        return False
+
+    def exclusions(self) -> Collection[str]:
+        """Returns the ids of engines on which it can't be placed now."""
+        return self.find_exclusions()
+
+
 class DispatchQueue:
     """Places requests on engines and queues them while there is no capacity.
 
@@ -114,7 +165,7 @@
             self.withdraw(waiter)
             return waiter.placement
         deadline = self.clock.monotonic() + timeout_s
-        if not waiter.is_retry:
+        if waiter.is_counted:
             self.backlog.add_waiting(waiter.service.name)
         try:
             while not waiter.wake_event.is_set():
@@ -124,7 +175,7 @@
                 if not waiter.wake_event.wait(min(remaining_s, RECHECK_S)):
                     self.place_waiting()
         finally:
-            if not waiter.is_retry:
+            if waiter.is_counted:
                 self.backlog.remove_waiting(waiter.service.name)
             self.withdraw(waiter)
         return waiter.placement
@@ -190,7 +241,7 @@
             if waiter.is_retry and self.backlog.total(waiter.service.name):
                 continue
             placement = self.placer.place(
-                waiter.service, waiter.demand, waiter.excluded
+                waiter.service, waiter.demand, waiter.exclusions()
             )
             if placement is None:
                 continue
--- a/src/coltsfootarch/scheduling/outcomes.py
+++ b/src/coltsfootarch/scheduling/outcomes.py
@@ -11,6 +11,7 @@
 
 import structlog
 
+from coltsfootarch.scheduling import engine_activity
 from coltsfootarch.scheduling import upstream_health
 
 if TYPE_CHECKING:
@@ -103,6 +104,7 @@
             upstream id.
         last_failure_at: Monotonic instant of the latest of them by upstream id.
         peer_failure_counts: Latest totals reported by each peer.
+        activity: When engines last sent something.
     """
 
     def __init__(self, clock: clocks.Clock) -> None:
@@ -111,6 +113,7 @@
         self.failure_counts: dict[str, int] = {}
         self.last_failure_at: dict[str, float] = {}
         self.peer_failure_counts: dict[str, dict[str, int]] = {}
+        self.activity = engine_activity.EngineActivity(clock)
 
     def record(
         self, upstream: str, outcome: Outcome, latency_s: float = 0.0
@@ -229,15 +232,23 @@
         if entry is not None:
             entry.health.record_dispatch(self.clock.monotonic())
 
+    def withdraw_dispatch(self, upstream: str) -> None:
+        """Records that a request recorded with `record_dispatch` isn't sent."""
+        entry = self.records.get(upstream)
+        if entry is not None:
+            entry.health.withdraw_dispatch()
+
     def is_usable(self, upstream: str) -> bool:
-        """Returns whether an upstream is not ejected."""
+        """Returns whether an upstream is neither ejected nor silent."""
+        if self.activity.is_silent(upstream):
+            return False
         entry = self.records.get(upstream)
         return entry is None or entry.health.usable(self.clock.monotonic())
 
     def prefer_usable(
         self, candidates: Sequence[upstreams.Upstream]
     ) -> Sequence[upstreams.Upstream]:
-        """Returns the candidates that aren't ejected, or all if each one is."""
+        """Returns the usable candidates, or all if none is."""
         usable = [each for each in candidates if self.is_usable(each.id)]
         return usable or candidates
 
@@ -261,3 +272,4 @@
         for table in (self.records, self.failure_counts, self.last_failure_at):
             for key in [key for key in table if key not in ids_to_keep]:
                 del table[key]
+        self.activity.retain_only(ids_to_keep)
--- a/src/coltsfootarch/scheduling/upstream_health.py
+++ b/src/coltsfootarch/scheduling/upstream_health.py
@@ -53,6 +53,10 @@
         if self.ejections:
             self.probe_started = now
 
+    def withdraw_dispatch(self) -> None:
+        """Records that the probe isn't sent, so that another one may be."""
+        self.probe_started = None
+
     def record_success(self, now: float) -> None:
         """Records a success; it ends an ejection only if a probe was sent.
 
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -75,6 +75,9 @@
         status: Status of a plain service's responses.
         advertised: Address to register if a proxy forwards to the runner;
             empty to register its own.
+        silent_until: Monotonic instant until which it sends nothing, in
+            seconds; then it goes on.
+        silent_within_event: Whether it falls silent within an event.
         journal: Path of a file to which each execution adds a line, which
             outlives the process; empty for none.
     """
@@ -118,6 +121,8 @@
         self.event_gap_s = 0.0
         self.status = 200
         self.advertised = ""
+        self.silent_until = 0.0
+        self.silent_within_event = False
         self.journal = ""
 
     @property
@@ -158,7 +163,18 @@
             connection.respond(200)
         elif request.target == "/standin/runs":
             connection.respond(200, (), msgspec.json.encode(self.runs))
-        elif request.target.startswith("/api/kv-handle/"):
+        else:
+            self.wait_while_silent(connection)
+            self.handle_router(request, fields, connection)
+
+    def handle_router(
+        self,
+        request: messages.Request,
+        fields: dict[str, str],
+        connection: http.Connection,
+    ) -> None:
+        """Handles a request of the router."""
+        if request.target.startswith("/api/kv-handle/"):
             self.freed.append(request.target.rpartition("/")[2])
             connection.respond(200)
         elif request.target == "/api/hold-take":
@@ -180,6 +196,15 @@
             self.repeat_response(connection)
             self.serve(request, fields, connection)
 
+    def fall_silent(self, seconds: float) -> None:
+        """Sends nothing for so many seconds, and then goes on."""
+        self.silent_until = time.monotonic() + seconds
+
+    def wait_while_silent(self, connection: http.Connection) -> None:
+        """Waits for the end of a silence or of the connection."""
+        while connection.open and time.monotonic() < self.silent_until:
+            gevent.sleep(0.01)
+
     def repeat_response(self, connection: http.Connection) -> None:
         """Sends `repeated_bytes` of the connection's last response again."""
         if self.repeated_bytes and connection.last_response:
@@ -373,9 +398,15 @@
         connection.send(messages.render_head(messages.status_line(200), head))
         for number in range(start, self.events + 1):
             gevent.sleep(self.event_gap_s)
+            data = f"id: {number}\ndata: token {number}\n\n".encode()
+            if self.silent_within_event and time.monotonic() < (
+                self.silent_until
+            ):
+                connection.chunk(data[:8])
+                data = data[8:]
+            self.wait_while_silent(connection)
             if not connection.open:
                 return
-            data = f"id: {number}\ndata: token {number}\n\n".encode()
             if self.fault == "crash" and number == 3:
                 connection.chunk(data[:8])
                 connection.reset()
