Calls: a silent upstream is waited for beside its replacement

What callers saw: a repeatable call whose upstream was silent for longer than 0.6 of the objective ended with 502, 503 or 504 although that upstream would have answered in time, whenever the next upstream was missing, full, broken, unreachable or silent too, or the retry budget or the route's attempts were spent.

Cause: the exchange was closed at that moment; only then were another upstream, budget and a connection looked for.

Change: each attempt of a call runs in a greenlet of its own (forwarding/call_attempts.py). When the first one is overdue, another upstream is chosen and connected; number of attempts, time left, refused content, leaving upstreams and the budget are checked again right before the call is sent, without a switch of greenlets in between. The overdue exchange is read on. The first whole response below 500 is relayed and the other exchanges are closed; without one, all are waited for until the deadline. If there is no replacement, one is looked for again after the same time. Calls that must not be repeated are never overdue, as before.

The budget is now spent after the connection is open, so that a replacement that isn't reached costs none. An abandoned probe no longer keeps an ejected upstream unused for 10 s.

Unchanged on purpose: three failed connections (0.4 s each) still end a call as not run, since the caller can go to another host with that, which may reach the service.

--- a/src/coltsfootarch/forwarding/call_pipeline.py
+++ b/src/coltsfootarch/forwarding/call_pipeline.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import structlog
@@ -9,9 +10,10 @@
 from coltsfootarch import errors
 from coltsfootarch import results
 from coltsfootarch.forwarding import attempts
+from coltsfootarch.forwarding import call_attempts
 from coltsfootarch.forwarding import calls
 from coltsfootarch.forwarding import upstream_exchange
-from coltsfootarch.http1 import client
+from coltsfootarch.scheduling import outcomes
 
 if TYPE_CHECKING:
     from coltsfootarch import clock as clocks
@@ -21,16 +23,56 @@
 # Failed connections to upstreams after which a call is given up.
 MAX_CONNECT_FAILURES = 3
 # Fraction of the objective after which a repeatable call without a response is
-# sent to another upstream, so that the objective is met though one hangs.
+# sent to another upstream too, so that the objective is met though one hangs.
 ATTEMPT_FRACTION = 0.6
 # Remaining time below which no further attempt is started, in seconds.
 MIN_TIME_LEFT_S = 0.02
 # `Retry-After` of a refused call, about the duration of one call, in seconds.
 RETRY_AFTER_S = 0.2
+FAILED_OUTCOMES = frozenset(
+    {outcomes.Outcome.BROKEN, outcomes.Outcome.UNREACHABLE}
+)
 
 logger = structlog.get_logger(__name__)
 
 
+class CallProgress:
+    """What the attempts of a call have come to.
+
+    Attributes:
+        response: The latest response.
+        failure: How the latest attempt failed that may have run the call.
+        connect_failures: Attempts that were not sent.
+        is_decided: Whether no further attempt may change the result.
+    """
+
+    def __init__(self) -> None:
+        self.response: attempts.Response | None = None
+        self.failure = attempts.Failure.NOT_SENT
+        self.connect_failures = 0
+        self.is_decided = False
+
+    def add(self, attempt: call_attempts.CallAttempt) -> None:
+        """Adds an attempt that has ended, and frees it."""
+        if not self.is_decided:
+            self.evaluate(attempt)
+        attempt.close()
+
+    def evaluate(self, attempt: call_attempts.CallAttempt) -> None:
+        """Takes the response of an attempt or notes how it failed."""
+        call, result = attempt.call, attempt.result
+        if isinstance(result, attempts.Response):
+            self.response = result
+            call.keep(attempt.take_holding())
+            self.is_decided = result.is_success or not call.route.repeatable
+        elif result is attempts.Failure.NOT_SENT:
+            self.connect_failures += 1
+        elif result is not None and result.may_have_run:
+            self.failure = result
+            call.may_have_run = True
+            self.is_decided = not call.route.repeatable
+
+
 class CallPipeline:
     """Sends calls to upstreams of plain services.
 
@@ -54,186 +96,211 @@
             cancellation.CallerDisconnectedError: The caller disconnected.
         """
         self.context.budget.record(call.service)
-        connect_failures = 0
-        response: attempts.Response | None = None
-        failure = attempts.Failure.NOT_SENT
-        while True:
-            upstream = self.choose_upstream(call, response, connect_failures)
-            if upstream is None:
-                break
-            result = self.attempt(call, upstream)
-            call.tried.append(upstream.id)
-            if isinstance(result, attempts.Response):
-                response = result
-                if result.is_success or not call.route.repeatable:
-                    break
-            elif result is attempts.Failure.NOT_SENT:
-                connect_failures += 1
-            else:
-                failure = result
-                call.may_have_run = call.may_have_run or failure.may_have_run
-                if failure.may_have_run and not call.route.repeatable:
+        group = call_attempts.AttemptGroup(self.clock)
+        # When the caller disconnects, only a call that may be repeated is
+        # aborted; one that must not be repeated runs to its end.
+        wake = group.abort if call.route.repeatable else ignore_cancellation
+        try:
+            with call.cancellation.attached(wake, group.abort):
+                progress = self.run_attempts(call, group)
+        finally:
+            group.close()
+        self.finish(call, progress.response, progress.failure)
+
+    def run_attempts(
+        self, call: calls.Call, group: call_attempts.AttemptGroup
+    ) -> CallProgress:
+        """Runs attempts until one of them decides the call, or all failed.
+
+        An attempt that is silent goes on while another upstream is tried,
+        since the other one may refuse the call or be silent too.
+        """
+        progress = CallProgress()
+        while not progress.is_decided:
+            if not group.ended and not group.waits_for_any():
+                call.cancellation.check()
+                upstream = self.choose_upstream(call, group, progress)
+                if upstream is not None:
+                    self.start_attempt(call, group, upstream)
+                elif not group.running:
                     break
-        self.finish(call, response, failure)
+                else:
+                    group.next_look_at = self.clock.monotonic() + patience(call)
+            group.wait()
+            ended = group.take_ended()
+            if call.route.repeatable:
+                call.cancellation.check()
+            for attempt in ended:
+                progress.add(attempt)
+            if not ended:
+                for attempt in group.take_overdue():
+                    self.record_overdue(attempt)
+        return progress
 
     def choose_upstream(
         self,
         call: calls.Call,
-        response: attempts.Response | None,
-        connect_failures: int,
+        group: call_attempts.AttemptGroup,
+        progress: CallProgress,
     ) -> upstreams.Upstream | None:
-        """Returns the upstream of the next attempt; None to give up.
-
-        Each attempt but the first spends the retry budget.
-        """
-        if connect_failures >= MAX_CONNECT_FAILURES:
+        """Returns the upstream of the next attempt; None if there is none."""
+        if progress.connect_failures >= MAX_CONNECT_FAILURES:
             return None
-        if call.ends_at - self.clock.monotonic() < MIN_TIME_LEFT_S:
+        if not self.is_attempt_left(call):
             return None
         is_first = call.attempts == 0
-        if not is_first and call.attempts >= call.route.max_attempts:
-            return None
-        if self.context.break_counts.is_refused(call.digest):
-            return None
         upstream = self.context.call_placer.choose(call.service, call.tried)
-        if upstream is None and is_first and call.tried:
+        if upstream is None and is_first and call.tried and not group.running:
             # No connection could be made to any; one may have recovered.
             upstream = self.context.call_placer.choose(call.service)
         if upstream is None:
             return None
-        if not is_first and not self.context.budget.spend(call.service):
-            logger.info(
-                "retry budget exhausted",
-                request_id=call.request.id,
-                service=call.service,
-                attempts=call.attempts,
-                answered=response.status if response else None,
-            )
+        if not is_first and not self.context.budget.has_room(call.service):
+            self.log_budget_exhausted(call)
             return None
         return upstream
 
-    def attempt(
-        self, call: calls.Call, upstream: upstreams.Upstream
-    ) -> attempts.Response | attempts.Failure:
-        """Runs one attempt at an upstream and records its outcome."""
+    def is_attempt_left(self, call: calls.Call) -> bool:
+        """Returns whether the call may be sent to one more upstream."""
+        if call.ends_at - self.clock.monotonic() < MIN_TIME_LEFT_S:
+            return False
+        if call.attempts and call.attempts >= call.route.max_attempts:
+            return False
+        return not self.context.break_counts.is_refused(call.digest)
+
+    def take_attempt(self, attempt: call_attempts.CallAttempt) -> bool:
+        """Counts an attempt that is about to be sent.
+
+        Each attempt but the first spends the retry budget.
+
+        Returns:
+            Whether it may be sent.
+        """
+        call = attempt.call
+        if not self.is_attempt_left(call):
+            return False
+        if not self.context.directory.is_serving(attempt.upstream.id):
+            return False
+        if call.attempts and not self.context.budget.spend(call.service):
+            self.log_budget_exhausted(call)
+            return False
+        call.attempts += 1
+        attempt.number = call.attempts
+        return True
+
+    def log_budget_exhausted(self, call: calls.Call) -> None:
+        """Logs that the retry budget allows no further attempt."""
+        logger.info(
+            "retry budget exhausted",
+            request_id=call.request.id,
+            service=call.service,
+            attempts=call.attempts,
+        )
+
+    def start_attempt(
+        self,
+        call: calls.Call,
+        group: call_attempts.AttemptGroup,
+        upstream: upstreams.Upstream,
+    ) -> None:
+        """Starts an attempt at an upstream."""
         now = self.clock.monotonic()
-        deadline = call.ends_at
+        overdue_at = math.inf
         is_last = call.attempts + 1 >= call.route.max_attempts
         load = self.context.loads.load(upstream.id)
         # Without a free slot the call may just be queued at the upstream, and a
         # second copy would only add to the load.
         has_free_slot = load.requests < upstream.slots
         if call.route.repeatable and not is_last and has_free_slot:
-            deadline = min(
-                deadline, now + ATTEMPT_FRACTION * call.route.objective_s
-            )
-        delivery = calls.Delivery(upstream, call.account, call.ends_at - now)
+            overdue_at = now + patience(call)
         exchange = upstream_exchange.UpstreamExchange(
             self.context.connections,
             self.context.wire,
             self.clock,
             call.request,
-            delivery,
+            calls.Delivery(upstream, call.account, call.ends_at - now),
             self.context.notices,
             self.context.response_memory,
         )
+        call.tried.append(upstream.id)
+        group.start(
+            call_attempts.CallAttempt(call, upstream, exchange, overdue_at),
+            self.run_attempt,
+        )
+
+    def run_attempt(self, attempt: call_attempts.CallAttempt) -> None:
+        """Runs an attempt and records its outcome."""
+        call, upstream = attempt.call, attempt.upstream
+        exchange = attempt.exchange
+        started_at = self.clock.monotonic()
+        load = self.context.loads.load(upstream.id)
         self.context.loads.add(upstream.id, 1)
         self.context.notices.limits.take(upstream)
-        self.context.outcome_tracker.record_dispatch(upstream.id)
+        sent_at = self.context.outcome_tracker.record_dispatch(upstream.id)
         try:
-            result = self.run_exchange(call, exchange, deadline)
+            attempt.result = attempt.run(lambda: self.take_attempt(attempt))
         finally:
             self.context.loads.remove(upstream.id, 1)
             exchange.close()
             if not exchange.sent:
                 self.context.notices.limits.give_back(upstream)
-        elapsed = self.clock.monotonic() - now
-        if not exchange.aborted:
-            self.context.outcome_tracker.record(
-                upstream.id, result.outcome, elapsed
-            )
-            self.record_break(call, upstream, result)
-        self.context.metrics.attempts.labels(call.service, result.label).inc()
-        if isinstance(result, attempts.Response):
-            self.context.metrics.answer_time.labels(call.service).observe(
-                elapsed
-            )
+        elapsed = self.clock.monotonic() - started_at
+        if attempt.is_abandoned or attempt.is_denied:
+            self.context.outcome_tracker.withdraw_probe(upstream.id, sent_at)
+        else:
+            self.record_outcome(attempt, elapsed)
+        self.context.metrics.attempts.labels(call.service, attempt.label).inc()
         logger.info(
             "attempt ended",
             request_id=call.request.id,
             upstream=upstream.id,
-            attempt=call.attempts,
+            attempt=attempt.number,
             digest=call.digest,
             breaks=self.context.break_counts.count(call.digest),
             load=load.requests,
             load_age_ms=round(self.context.loads.age() * 1000),
-            outcome=result.label,
+            outcome=attempt.label,
+            overdue=attempt.is_overdue,
             took_ms=round(elapsed * 1000),
         )
-        return result
 
-    def record_break(
-        self,
-        call: calls.Call,
-        upstream: upstreams.Upstream,
-        result: attempts.Response | attempts.Failure,
+    def record_outcome(
+        self, attempt: call_attempts.CallAttempt, elapsed: float
     ) -> None:
-        """Records whether the upstream crashed while it ran the call."""
+        """Records what an attempt tells about the upstream and the call."""
+        call, upstream, result = attempt.call, attempt.upstream, attempt.result
+        if result is None:
+            return
+        if attempt.is_misdirected:
+            self.context.directory.reject(upstream.id)
+        # The failure of an overdue attempt was recorded when it became so.
+        if not (attempt.is_overdue and result.outcome in FAILED_OUTCOMES):
+            self.context.outcome_tracker.record(
+                upstream.id, result.outcome, elapsed
+            )
         if isinstance(result, attempts.Response):
+            self.context.metrics.answer_time.labels(call.service).observe(
+                elapsed
+            )
             if result.is_success:
                 self.context.break_counts.clear(call.digest)
         elif result.may_have_run:
             self.context.crash_check.check(call.digest, upstream)
 
-    def run_exchange(
-        self,
-        call: calls.Call,
-        exchange: upstream_exchange.UpstreamExchange,
-        deadline: float,
-    ) -> attempts.Response | attempts.Failure:
-        """Sends the call and returns the response or how it failed."""
-        # When the caller disconnects, only a call that may be repeated is
-        # aborted; one that must not be repeated runs to its end.
-        wake = exchange.abort if call.route.repeatable else ignore_cancellation
-        with call.cancellation.attached(wake, exchange.abort):
-            try:
-                exchange.start(recently_used=not call.route.repeatable)
-                call.attempts += 1
-                call.sent_upstream = True
-                response = exchange.read_head(deadline)
-                body = exchange.read_body(deadline)
-                call.keep(exchange.take_holding())
-            except client.ConnectError as error:
-                self.log_failure(call, exchange, error)
-                return attempts.Failure.NOT_SENT
-            except client.ResponseTimeoutError as error:
-                self.log_failure(call, exchange, error)
-                return attempts.Failure.TIMED_OUT
-            except client.BrokenConnectionError as error:
-                call.attempts += call.attempts == 0
-                if call.cancellation.cancelled and exchange.aborted:
-                    call.cancellation.check()
-                self.log_failure(call, exchange, error)
-                return attempts.Failure.BROKEN
-        if response.is_from_other_upstream(exchange.delivery.upstream):
-            self.context.directory.reject(exchange.delivery.upstream.id)
-        if response.not_run:
-            return attempts.Failure.NOT_RUN
-        return attempts.Response(response.status, response.fields, body)
-
-    def log_failure(
-        self,
-        call: calls.Call,
-        exchange: upstream_exchange.UpstreamExchange,
-        error: Exception,
-    ) -> None:
-        """Logs why an exchange with an upstream failed."""
+    def record_overdue(self, attempt: call_attempts.CallAttempt) -> None:
+        """Records that an upstream is silent for longer than expected."""
+        call, upstream = attempt.call, attempt.upstream
         logger.info(
-            "exchange with upstream failed",
+            "attempt overdue",
             request_id=call.request.id,
-            upstream=exchange.delivery.upstream.id,
-            reason=str(error) or type(error).__name__,
+            upstream=upstream.id,
+            attempt=attempt.number,
         )
+        self.context.outcome_tracker.record(
+            upstream.id, outcomes.Outcome.BROKEN
+        )
+        if attempt.exchange.sent:
+            self.context.crash_check.check(call.digest, upstream)
 
     def finish(
         self,
@@ -266,3 +333,8 @@
 
 def ignore_cancellation() -> None:
     """Lets an exchange go on after its caller disconnected."""
+
+
+def patience(call: calls.Call) -> float:
+    """Returns the silence after which another upstream is tried, in seconds."""
+    return ATTEMPT_FRACTION * call.route.objective_s
--- a/src/coltsfootarch/retries/shared_budget.py
+++ b/src/coltsfootarch/retries/shared_budget.py
@@ -69,14 +69,18 @@
         """Counts the first attempt of a request for a service."""
         self.window(service).requests.append(self.clock.monotonic())
 
-    def spend(self, service: str) -> bool:
-        """Spends one retry; returns False if the budget is exhausted."""
+    def has_room(self, service: str) -> bool:
+        """Returns whether the budget allows one more retry."""
         window = self.window(service)
         allowed = self.ratio * len(window.requests)
         allowed += self.minimum / max(self.hosts(), 1)
-        if len(window.retries) + 1 > allowed * SPENDABLE_FRACTION:
+        return len(window.retries) + 1 <= allowed * SPENDABLE_FRACTION
+
+    def spend(self, service: str) -> bool:
+        """Spends one retry; returns False if the budget is exhausted."""
+        if not self.has_room(service):
             return False
-        window.retries.append(self.clock.monotonic())
+        self.window(service).retries.append(self.clock.monotonic())
         return True
 
     def window(self, service: str) -> Window:
--- a/src/coltsfootarch/scheduling/outcomes.py
+++ b/src/coltsfootarch/scheduling/outcomes.py
@@ -223,11 +223,28 @@
             if entry.health.usable(self.clock.monotonic()):
                 self.record_failure(upstream, entry, eject_immediately=False)
 
-    def record_dispatch(self, upstream: str) -> None:
-        """Records that a request is sent; after an ejection it is the probe."""
+    def record_dispatch(self, upstream: str) -> float:
+        """Records that a request is sent; after an ejection it is the probe.
+
+        Returns:
+            The instant, in seconds.
+        """
+        now = self.clock.monotonic()
         entry = self.records.get(upstream)
         if entry is not None:
-            entry.health.record_dispatch(self.clock.monotonic())
+            entry.health.record_dispatch(now)
+        return now
+
+    def withdraw_probe(self, upstream: str, sent_at: float) -> None:
+        """Allows another probe if a request was one and told nothing.
+
+        Args:
+            upstream: Id of the upstream.
+            sent_at: What `record_dispatch` returned for the request.
+        """
+        entry = self.records.get(upstream)
+        if entry is not None and entry.health.probe_started == sent_at:
+            entry.health.probe_started = None
 
     def is_usable(self, upstream: str) -> bool:
         """Returns whether an upstream is not ejected."""
