Calls: a status that can't be relayed decides no repeatable call

What callers saw: 502 where an upstream answered 408, 421 or 429 without stating that the call was not run, although another attempt had answered (with 500), was about to answer, or could have been made.

Cause: such a response, below 500, counted as a success that ends the attempts; it can't be relayed, since it would promise "not run", so the host replaced it by a failure.

Change: only a response that can be relayed decides the call, and one that can't doesn't replace one that can.

--- a/src/coltsfootarch/forwarding/call_pipeline.py
+++ b/src/coltsfootarch/forwarding/call_pipeline.py
@@ -40,7 +40,7 @@
     """What the attempts of a call have come to.
 
     Attributes:
-        response: The latest response.
+        response: The latest response, one that can be relayed if there is any.
         failure: How the latest attempt failed that may have run the call.
         connect_failures: Attempts that were not sent.
         is_decided: Whether no further attempt may change the result.
@@ -62,9 +62,11 @@
         """Takes the response of an attempt or notes how it failed."""
         call, result = attempt.call, attempt.result
         if isinstance(result, attempts.Response):
-            self.response = result
-            call.keep(attempt.take_holding())
-            self.is_decided = result.is_success or not call.route.repeatable
+            if self.response is None or not result.implies_not_run:
+                self.response = result
+                call.keep(attempt.take_holding())
+            usable = result.is_success and not result.implies_not_run
+            self.is_decided = usable or not call.route.repeatable
         elif result is attempts.Failure.NOT_SENT:
             self.connect_failures += 1
         elif result is not None and result.may_have_run:
--- a/tests/forwarding/test_silent_calls.py
+++ b/tests/forwarding/test_silent_calls.py
@@ -117,7 +117,7 @@
     assert host.ask("/read/a").body == b"answer of i-1 to r1"
 
 
-@pytest.mark.parametrize("status", [500, 502, 503])
+@pytest.mark.parametrize("status", [429, 500, 502, 503])
 def test_silent_upstream_answers_though_its_replacement_errs(start, status):
     """Guards against relaying a failure while a success is on its way."""
     host = start(0.6, 0.0)
@@ -126,6 +126,26 @@
     assert host.ask("/read/a").body == b"answer of i-1 to r1"
 
 
+def test_status_that_implies_not_run_does_not_hide_an_answer(start):
+    """Guards against a failure of the host where an upstream answers."""
+    host = start(0.0, 0.0)
+    host.runners["i-1"].status = 429
+
+    assert host.ask("/read/a").body == b"answer of i-2 to r1"
+
+
+def test_error_is_relayed_though_a_later_status_implies_not_run(start):
+    """Guards against an answer that a useless one replaces."""
+    host = start(0.0, 0.0)
+    host.runners["i-1"].status = 500
+    host.runners["i-2"].status = 429
+
+    response = host.ask("/read/a")
+
+    assert response.status == 500
+    assert response.fields["x-server-seal"] == "seal-i-1-r1"
+
+
 def test_first_answers_though_its_replacement_is_silent_too(start):
     """Guards against waiting only for the upstream that got the call last."""
     host = start(0.6, 0.0)
