Soak: each run has a loopback IP of its own

Cause: the soak test chose ports of 127.0.0.1 by the id of its process, from the range of the stand-ins of the process tests. A port was free when it was chosen and in use when its program started: a host did not become ready, "Address already in use".

Change: a run chooses a random IP of 127.0.0.0/8 and owns it while it listens on one port of it. Each port is given once.

--- a/soak/processes.py
+++ b/soak/processes.py
@@ -4,11 +4,8 @@
 
 import base64
 import contextlib
-import itertools
-import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -20,6 +17,7 @@
 from coltsfootarch import clock as clocks
 from coltsfootarch.http1 import client
 from coltsfootarch.http1 import messages
+from soak import loopback
 from soak import proxy
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -44,28 +42,6 @@
 """
 
 
-# Ports below the ephemeral range, so that no outgoing connection takes a port
-# after it was chosen and before its program listens on it.
-FIRST_PORT = 20000
-LAST_PORT = 32000
-ports = itertools.cycle(range(FIRST_PORT, LAST_PORT))
-# Concurrent runs of the soak test start at different ports.
-for _ in range(os.getpid() * 97 % (LAST_PORT - FIRST_PORT)):
-    next(ports)
-
-
-def free_address(kind: socket.SocketKind = socket.SOCK_STREAM) -> str:
-    """Returns an unused loopback address ("ip:port")."""
-    while True:
-        port = next(ports)
-        with (
-            contextlib.suppress(OSError),
-            socket.socket(socket.AF_INET, kind) as sock,
-        ):
-            sock.bind(("127.0.0.1", port))
-            return f"127.0.0.1:{port}"
-
-
 def call(
     address: str,
     method: str,
@@ -155,8 +131,15 @@
 class Host(Program):
     """Entry host that reaches the store through a proxy of its own."""
 
-    def __init__(self, name: str, store: str, folder: pathlib.Path) -> None:
-        self.listen, self.ready = free_address(), free_address()
+    def __init__(
+        self,
+        name: str,
+        store: str,
+        folder: pathlib.Path,
+        addresses: loopback.LoopbackAddresses,
+    ) -> None:
+        self.listen = addresses.next_address()
+        self.ready = addresses.next_address()
         self.store_proxy = proxy.Proxy(store)
         self.store_proxy.start()
         path = folder / f"{name}.toml"
@@ -165,7 +148,7 @@
                 name=name,
                 listen=self.listen,
                 ready=self.ready,
-                reports=free_address(socket.SOCK_DGRAM),
+                reports=addresses.next_address(),
                 store=self.store_proxy.address,
                 confirmation=int(KEY_CONFIRMATION_S * 1000),
             )
@@ -202,10 +185,11 @@
         stage: str,
         store: str,
         folder: pathlib.Path,
+        addresses: loopback.LoopbackAddresses,
     ) -> None:
         self.service = service
         self.stage = stage
-        self.listen = free_address()
+        self.listen = addresses.next_address()
         self.proxy = proxy.Proxy(self.listen)
         self.proxy.start()
         arguments = ["standins.runner", "--listen", self.listen]
@@ -228,14 +212,22 @@
     def __init__(self, folder: pathlib.Path, hosts: int) -> None:
         self.folder = folder
         self.crashing_part = ""
-        self.store_address = free_address()
+        self.addresses = loopback.LoopbackAddresses()
+        self.store_address = self.addresses.next_address()
         self.store = Program(
             "store",
             ["standins.metadata_store", "--listen", self.store_address],
             folder / "store.log",
         )
         self.runners = [
-            Runner(name, service, stage, self.store_address, folder)
+            Runner(
+                name,
+                service,
+                stage,
+                self.store_address,
+                folder,
+                self.addresses,
+            )
             for name, service, stage in (
                 ("a-1", "app", ""),
                 ("a-2", "app", ""),
@@ -245,7 +237,7 @@
             )
         ]
         self.hosts = [
-            Host(f"h-{number}", self.store_address, folder)
+            Host(f"h-{number}", self.store_address, folder, self.addresses)
             for number in range(hosts)
         ]
 
@@ -339,6 +331,7 @@
             host.store_proxy.close()
         for runner in self.runners:
             runner.proxy.close()
+        self.addresses.close()
 
     def runs(self) -> list[tuple[str, str, float]]:
         """Returns request id, runner and instant of each execution."""
