Soak: sound runners fall silent beside planned changes, callers unharmed

The series has a random generator of its own and is in no list of excuses. New check in all runs: without an unplanned fault (or a crashing part) around it, each request that was read gets a complete response or a refusal until the route's timeout, the caller's patience with a stream or the grace period of its host is over. 502, 504 and other 4xx are failures too. Versions of the configuration now reach the store in order.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -4,6 +4,7 @@
 
 import itertools
 import random
+import sys
 import time
 from typing import TYPE_CHECKING
 from typing import NamedTuple
@@ -29,6 +30,45 @@
 CRASHING_INTERVAL = 8
 
 
+class Habits(NamedTuple):
+    """How callers behave.
+
+    Attributes:
+        timeout_s: Longest time until a response is complete.
+        patience_s: Longest silence in a stream.
+        events: Events of a complete stream.
+        pause_s: Longest time for which some connections are idle.
+    """
+
+    timeout_s: float = REQUEST_TIMEOUT_S
+    patience_s: float = REQUEST_TIMEOUT_S
+    events: int = EVENTS_PER_STREAM
+    pause_s: float = 0.0
+
+
+DEFAULT_HABITS = Habits()
+# One of this many requests is followed by a pause, if there are any.
+PAUSE_INTERVAL = 8
+
+
+class Response(NamedTuple):
+    """Response as far as it was received.
+
+    Attributes:
+        head: Its head, if that was received.
+        body: Its body.
+        complete: Whether it was received to its end.
+        timed_out: Whether the caller stopped waiting.
+        silent_s: Seconds since its last bytes, when it ended.
+    """
+
+    head: messages.ResponseHead | None
+    body: bytes
+    complete: bool
+    timed_out: bool
+    silent_s: float
+
+
 class Observation(NamedTuple):
     """Record of one request by its caller.
 
@@ -44,6 +84,8 @@
         body: Body as far as it was received.
         complete: Whether the response was received to its end.
         timed_out: Whether the caller stopped waiting.
+        events: Events of a complete stream.
+        silent_s: Seconds since the last bytes of the response, when it ended.
     """
 
     id: str
@@ -57,6 +99,8 @@
     body: bytes
     complete: bool
     timed_out: bool
+    events: int = EVENTS_PER_STREAM
+    silent_s: float = 0.0
 
 
 class Callers:
@@ -69,6 +113,7 @@
         seed: Seed of the random choices.
         count: Number of callers.
         crashing: Whether some requests have a part that crashes engines.
+        habits: How the callers behave.
 
     Attributes:
         observations: Records of all requests that have ended.
@@ -81,9 +126,11 @@
         seed: int,
         count: int,
         crashing: bool = False,
+        habits: Habits = DEFAULT_HABITS,
     ) -> None:
         self.hosts = hosts
         self.crashing = crashing
+        self.habits = habits
         self.generator = random.Random(seed)
         self.numbers = itertools.count()
         self.observations: list[Observation] = []
@@ -94,23 +141,40 @@
     def stop(self) -> None:
         """Stops all callers after their current request and waits for it."""
         self.stopping = True
-        gevent.joinall(self.greenlets, timeout=2 * REQUEST_TIMEOUT_S)
+        gevent.joinall(self.greenlets, timeout=2 * self.habits.timeout_s)
+
+    def burst(self, count: int) -> None:
+        """Starts callers that use one connection for two requests at most."""
+        self.greenlets += [gevent.spawn(self.connect, 2) for _ in range(count)]
 
     def run(self) -> None:
         """Runs one caller until `stop`."""
         while not self.stopping:
-            host = self.generator.choice(self.hosts)
-            sock = gevent_socket.socket()
-            sock.settimeout(1.0)
-            try:
-                sock.connect(client.split_address(host.listen))
-            except OSError:
-                gevent.sleep(0.05)
-                continue
-            # The connection is reused until its host closes it.
-            while not self.stopping and self.send_request(sock, host.name):
-                gevent.sleep(self.generator.uniform(0.0, 0.05))
-            sock.close()
+            self.connect()
+
+    def connect(self, requests: int = sys.maxsize) -> None:
+        """Sends requests over a connection until its host closes it.
+
+        Args:
+            requests: Number of requests after which the caller closes it.
+        """
+        host = self.generator.choice(self.hosts)
+        sock = gevent_socket.socket()
+        sock.settimeout(1.0)
+        try:
+            sock.connect(client.split_address(host.listen))
+        except OSError:
+            gevent.sleep(0.05)
+            return
+        for _ in range(requests):
+            if self.stopping or not self.send_request(sock, host.name):
+                break
+            gevent.sleep(self.generator.uniform(0.0, 0.05))
+            if self.habits.pause_s and not self.generator.randrange(
+                PAUSE_INTERVAL
+            ):
+                gevent.sleep(self.generator.uniform(0.0, self.habits.pause_s))
+        sock.close()
 
     def send_request(self, sock: gevent_socket.socket, host: str) -> bool:
         """Sends one request and records its response.
@@ -138,7 +202,7 @@
         fields = [
             ("Host", "api.example"),
             ("X-Request-Id", request_id),
-            ("X-Deadline-Ms", str(int(REQUEST_TIMEOUT_S * 1000))),
+            ("X-Deadline-Ms", str(int(self.habits.timeout_s * 1000))),
             ("Authorization", f"Bearer {key}"),
         ]
         if kind in ("write", "once"):
@@ -151,13 +215,18 @@
         # crashed runners, and after a few crashes would refuse every request
         # if all had the same content.
         line = f"{method} /{kind}/{request_id} HTTP/1.1"
-        sock.settimeout(REQUEST_TIMEOUT_S)
+        sock.settimeout(self.habits.timeout_s)
         try:
             sock.sendall(messages.render_head(line, fields) + body)
         except OSError:
             return False
         sent_at = time.monotonic()
-        head, data, complete, timed_out = self.read(sock)
+        streaming = kind in ("write", "once")
+        patience_s = (
+            self.habits.patience_s if streaming else self.habits.timeout_s
+        )
+        response = self.read(sock, patience_s)
+        head = response.head
         self.observations.append(
             Observation(
                 request_id,
@@ -170,42 +239,51 @@
                 messages.field_value(head.fields, "x-server-seal")
                 if head
                 else "",
-                data,
-                complete,
-                timed_out,
+                response.body,
+                response.complete,
+                response.timed_out,
+                self.habits.events,
+                response.silent_s,
             )
         )
-        return complete and head is not None and head.keep_alive
+        return response.complete and head is not None and head.keep_alive
 
-    def read(
-        self, sock: gevent_socket.socket
-    ) -> tuple[messages.ResponseHead | None, bytes, bool, bool]:
+    def read(self, sock: gevent_socket.socket, patience_s: float) -> Response:
         """Reads one response until its end, a timeout or a closed connection.
 
-        Returns:
-            The head if it was received, the body as far as it was received,
-            whether the response is complete and whether the wait timed out.
+        Args:
+            sock: Connection to read from.
+            patience_s: Longest silence.
         """
         reader = readers.ResponseReader()
         head: messages.ResponseHead | None = None
         data = b""
-        deadline = time.monotonic() + REQUEST_TIMEOUT_S
+        complete = timed_out = False
+        received_at = time.monotonic()
+        deadline = received_at + self.habits.timeout_s
         while True:
             while reader.parts:
                 part = reader.parts.popleft()
                 if part is None:
-                    return head, data, True, False
-                if isinstance(part, messages.ResponseHead):
+                    complete = True
+                elif isinstance(part, messages.ResponseHead):
                     head = part
                 else:
                     data += part
-            sock.settimeout(max(deadline - time.monotonic(), 0.01))
+            if complete:
+                break
+            left_s = min(deadline - time.monotonic(), patience_s)
+            sock.settimeout(max(left_s, 0.01))
             try:
                 received = sock.recv(65536)
             except TimeoutError:
-                return head, data, False, True
+                timed_out = True
+                break
             except OSError:
                 received = b""
             if not received:
-                return head, data, False, False
+                break
+            received_at = time.monotonic()
             reader.feed(received)
+        silent_s = time.monotonic() - received_at
+        return Response(head, data, complete, timed_out, silent_s)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import collections
+import itertools
+import math
 from typing import TYPE_CHECKING
 
 from soak import callers
@@ -25,6 +27,16 @@
 MAX_CRASHES = 5
 REFUSAL_S = 3.0
 MAX_LATE_CRASHES = 3
+# Longest time until hosts apply a configuration.
+APPLY_S = 5.0
+# Requests may be given up after the timeout of their route, streams also after
+# a silence after which callers give up: the longest of 2 s, four times the
+# objective and eight times the gap between events.
+STREAM_SILENCE_S = 3.6
+TIME_SLACK_S = 0.2
+# Responses later than this part of the grace period of a host that stops may
+# be cut off.
+GRACE_FRACTION = 5 / 6
 # If a connection closes within this many seconds after a request was sent on
 # it, host and caller acted at the same time.
 CLOSE_RACE_S = 0.2
@@ -47,12 +59,20 @@
     )
     for request_id, runner, at in runs:
         executions_by_id[request_id].append((runner, at))
+    crashes = [at for request_id, _, at in runs if is_crashing(request_id)]
     found = []
     for request in observations:
         executions = executions_by_id.get(request.id, [])
+        problems = [*find_violations(request, executions, schedule)]
+        if not (
+            problems
+            or is_crashing(request.id)
+            or any(is_near(request, at, at) for at in crashes)
+        ):
+            problems += find_failure(request, executions, schedule)
         found += [
             f"{request.id} ({request.kind}, {request.host}): {problem}"
-            for problem in find_violations(request, executions, schedule)
+            for problem in problems
         ]
     for request_id, runner, at in runs:
         if ran_while_draining(runner, at, schedule):
@@ -60,6 +80,11 @@
     return found + list(find_repeated_crashes(runs))
 
 
+def is_crashing(request_id: str) -> bool:
+    """Returns whether a request has a part that crashes engines."""
+    return request_id.endswith(callers.CRASHING_SUFFIX)
+
+
 def find_repeated_crashes(
     runs: list[tuple[str, str, float]],
 ) -> Iterator[str]:
@@ -69,9 +94,7 @@
         runs: Request id, runner and monotonic instant of each execution.
     """
     crashed_at = sorted(
-        at
-        for request_id, _, at in runs
-        if request_id.endswith(callers.CRASHING_SUFFIX)
+        at for request_id, _, at in runs if is_crashing(request_id)
     )
     if len(crashed_at) <= MAX_CRASHES:
         return
@@ -147,7 +170,7 @@
     ]
     if numbers != list(range(1, len(numbers) + 1)):
         yield f"has the events {numbers}"
-    if request.complete and len(numbers) != callers.EVENTS_PER_STREAM:
+    if request.complete and len(numbers) != request.events:
         yield f"ended as complete after {len(numbers)} events"
 
 
@@ -161,13 +184,97 @@
     A request that meets the close of its connection on the way and isn't
     executed is no violation: it is safe to send again.
     """
-    if not executions and request.ended_at - request.sent_at < CLOSE_RACE_S:
+    if met_close(request, executions) or is_disturbed(request, schedule):
         return
-    for start, end in schedule.unplanned:
-        if start - RECOVERY_S < request.ended_at and request.sent_at < (
-            end + RECOVERY_S
-        ):
-            return
     for host, start, end in schedule.planned:
         if host == request.host and start < request.ended_at < end + 1.0:
             yield "was interrupted by a planned restart"
+
+
+def met_close(
+    request: callers.Observation, executions: list[tuple[str, float]]
+) -> bool:
+    """Returns whether a request met the close of its connection."""
+    return (
+        not executions
+        and not request.status
+        and request.ended_at - request.sent_at < CLOSE_RACE_S
+    )
+
+
+def is_near(request: callers.Observation, start: float, end: float) -> bool:
+    """Returns whether a request was sent or ended around an interval."""
+    return (
+        start - RECOVERY_S < request.ended_at
+        and request.sent_at < end + RECOVERY_S
+    )
+
+
+def is_disturbed(request: callers.Observation, schedule: faults.Faults) -> bool:
+    """Returns whether an unplanned fault excuses a request."""
+    return any(
+        is_near(request, start, end) for start, end in schedule.unplanned
+    )
+
+
+def find_failure(
+    request: callers.Observation,
+    executions: list[tuple[str, float]],
+    schedule: faults.Faults,
+) -> Iterator[str]:
+    """Yields a description if a request failed without an excuse.
+
+    Without an unplanned fault each request gets a complete response or a
+    refusal until its time is used up. Silence of a runner is no excuse.
+    """
+    if (
+        request.timed_out
+        or met_close(request, executions)
+        or is_disturbed(request, schedule)
+        or is_time_used_up(request, schedule)
+        or is_grace_over(request, schedule)
+    ):
+        return
+    times = (
+        f"after {request.ended_at - request.sent_at:.2f} s, "
+        f"{request.silent_s:.2f} s of silence"
+    )
+    if not request.status:
+        yield f"ended without a response {times}"
+    elif not request.complete:
+        yield f"had its response cut off {times}"
+    elif request.status == 401 and request.key in schedule.withdrawn:
+        return
+    elif request.status not in {200, *NOT_EXECUTED_STATUSES}:
+        yield f"was answered {request.status} {times}"
+
+
+def is_time_used_up(
+    request: callers.Observation, schedule: faults.Faults
+) -> bool:
+    """Returns whether a request may be given up for its time."""
+    is_stream = request.kind in ("write", "once")
+    if is_stream and request.silent_s > STREAM_SILENCE_S - TIME_SLACK_S:
+        return True
+    # Hosts apply a configuration some time after it was written.
+    limit_s = min(
+        limit_s
+        for (at, limit_s), (replaced_at, _) in itertools.pairwise(
+            [*schedule.time_limits, (math.inf, 0.0)]
+        )
+        if at < request.ended_at and request.sent_at < replaced_at + APPLY_S
+    )
+    return request.ended_at - request.sent_at > limit_s - TIME_SLACK_S
+
+
+def is_grace_over(
+    request: callers.Observation, schedule: faults.Faults
+) -> bool:
+    """Returns whether the grace period of a host ended with a request."""
+    part_s = GRACE_FRACTION * processes.GRACE_S
+    return any(
+        host == request.host
+        and request.sent_at < end
+        and start + part_s < request.ended_at < end + 1.0
+        for host, start, end in schedule.planned
+    )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 import gevent
+from gevent import lock
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -68,6 +69,8 @@
             name, start, end.
         reserved: Names of the programs to which a fault applies now.
         applied: Kinds of the faults applied, in order.
+        time_limits: Instant at which each configuration was written and the
+            timeout of its routes, in seconds.
     """
 
     def __init__(
@@ -91,6 +94,8 @@
         self.non_disruptive_generator = random.Random(f"quiet {seed}")
         self.reserved: set[str] = set()
         self.applied: list[str] = []
+        self.time_limits = [(0.0, route_timeout_s(configuration(1, [])))]
+        self.writing = lock.BoundedSemaphore()
 
     def run(self, seconds: float) -> None:
         """Applies faults for so many seconds and waits for their end."""
@@ -288,5 +293,18 @@
         self.withdrawn["key-b"] = time.monotonic()
 
     def write_configuration(self) -> None:
-        keys = ["key-a"] if "key-b" in self.withdrawn else ["key-a", "key-b"]
-        self.fleet.put("config", self.configuration(self.version, keys))
+        # Versions reach the store in order, also of concurrent changes.
+        with self.writing:
+            keys = ["key-a"]
+            if "key-b" not in self.withdrawn:
+                keys.append("key-b")
+            document = self.configuration(self.version, keys)
+            self.time_limits.append(
+                (time.monotonic(), route_timeout_s(document))
+            )
+            self.fleet.put("config", document)
+
+
+def route_timeout_s(document: Any) -> float:
+    """Returns the timeout of the routes of a configuration, in seconds."""
+    return float(document["routes"][0]["timeout_ms"]) / 1000
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -9,7 +9,9 @@
 import subprocess
 import sys
 import time
+from typing import TYPE_CHECKING
 from typing import Any
+from typing import NamedTuple
 
 import gevent
 import msgspec
@@ -20,6 +22,9 @@
 from soak import loopback
 from soak import proxy
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 ROOT = pathlib.Path(__file__).parent.parent
 START_TIMEOUT_S = 20.0
 # Longest time until a runner that crashed on a request is up again.
@@ -37,9 +42,34 @@
 
 [limits]
 key_confirmation = "{confirmation}ms"
-grace = "5s"
-retry_minimum = 200
+grace = "{grace:g}s"
+retry_ratio = {budget.ratio}
+retry_minimum = {budget.minimum}
 """
+GRACE_S = 5.0
+# Name, service and stage of each runner.
+RUNNERS = (
+    ("a-1", "app", ""),
+    ("a-2", "app", ""),
+    ("p-1", "llm", "prefill"),
+    ("d-1", "llm", "decode"),
+    ("d-2", "llm", "decode"),
+)
+
+
+class RetryBudget(NamedTuple):
+    """Retries that the hosts may make in a window of 10 s.
+
+    Attributes:
+        ratio: Retries for each request.
+        minimum: Retries without requests.
+    """
+
+    ratio: float = 0.2
+    minimum: float = 200.0
+
+
+DEFAULT_BUDGET = RetryBudget()
 
 
 def call(
@@ -137,6 +167,7 @@
         store: str,
         folder: pathlib.Path,
         addresses: loopback.LoopbackAddresses,
+        budget: RetryBudget,
     ) -> None:
         self.listen = addresses.next_address()
         self.ready = addresses.next_address()
@@ -151,6 +182,8 @@
                 reports=addresses.next_address(),
                 store=self.store_proxy.address,
                 confirmation=int(KEY_CONFIRMATION_S * 1000),
+                grace=GRACE_S,
+                budget=budget,
             )
         )
         self.clock_file = folder / f"{name}.clock"
@@ -204,12 +237,24 @@
 class Fleet:
     """All programs of one run of the soak test.
 
+    Args:
+        folder: Folder for settings and logs.
+        hosts: Number of entry hosts.
+        runners: Name, service and stage of each runner.
+        budget: Retry budget of the hosts.
+
     Attributes:
         crashing_part: Part of a prompt on which decode engines crash; empty for
             none.
     """
 
-    def __init__(self, folder: pathlib.Path, hosts: int) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        hosts: int,
+        runners: Sequence[tuple[str, str, str]] = RUNNERS,
+        budget: RetryBudget = DEFAULT_BUDGET,
+    ) -> None:
         self.folder = folder
         self.crashing_part = ""
         self.addresses = loopback.LoopbackAddresses()
@@ -228,16 +273,16 @@
                 folder,
                 self.addresses,
             )
-            for name, service, stage in (
-                ("a-1", "app", ""),
-                ("a-2", "app", ""),
-                ("p-1", "llm", "prefill"),
-                ("d-1", "llm", "decode"),
-                ("d-2", "llm", "decode"),
-            )
+            for name, service, stage in runners
         ]
         self.hosts = [
-            Host(f"h-{number}", self.store_address, folder, self.addresses)
+            Host(
+                f"h-{number}",
+                self.store_address,
+                folder,
+                self.addresses,
+                budget,
+            )
             for number in range(hosts)
         ]
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -15,11 +15,13 @@
 from soak import checks
 from soak import faults
 from soak import processes
+from soak import silences
 
 if TYPE_CHECKING:
     import pathlib
 
 CALLERS = 12
+SILENCE_CALLERS = 14
 # Seeds divisible by this have planned changes only, so that no unplanned fault
 # excuses a request that a restart interrupts.
 PLANNED_ONLY = 4
@@ -30,8 +32,9 @@
 # host whose link to the store needs 1.6 s for it.
 ADDED_ROUTES = 1500
 SLOW_LINK_BYTES_PER_S = 250_000.0
-# Longest time after the last fault until a ready host has the newest version.
-APPLY_S = 5.0
+# Seeds that leave a remainder of 3 have planned changes and silences only.
+SILENCE_EVERY = 5
+SILENCE_REMAINDER = 3
 ROUTE_HOST = "api.example"
 
 
@@ -126,7 +129,13 @@
     }
 
 
-def run(seed: int, seconds: float, hosts: int, folder: pathlib.Path) -> Result:
+def run(
+    seed: int,
+    seconds: float,
+    hosts: int,
+    folder: pathlib.Path,
+    silent: bool = False,
+) -> Result:
     """Runs one seed.
 
     Args:
@@ -134,7 +143,10 @@
         seconds: Time in which faults are applied.
         hosts: Number of entry hosts.
         folder: Folder for settings and logs, which stay there.
+        silent: Whether it has planned changes and silences only.
     """
+    if silent or seed % SILENCE_EVERY == SILENCE_REMAINDER:
+        return run_silences(seed, seconds, hosts, folder)
     fleet = processes.Fleet(folder, hosts)
     build = configuration
     if seed % 2:
@@ -149,17 +161,49 @@
         planned_only = seed % PLANNED_ONLY == 0
         schedule = faults.Faults(fleet, load, build, seed, planned_only)
         schedule.run(seconds)
-        gevent.sleep(SETTLE_S)
-        load.stop()
-        violations = checks.violations(
-            load.observations, fleet.runs(), schedule
+        return judge(fleet, load, schedule)
+    finally:
+        fleet.close()
+
+
+def run_silences(
+    seed: int, seconds: float, hosts: int, folder: pathlib.Path
+) -> Result:
+    """Runs one seed with planned changes and silences of sound runners.
+
+    The arguments are those of `run`.
+    """
+    series = silences.Silences(configuration, seed)
+    fleet = processes.Fleet(folder, hosts, silences.RUNNERS, series.budget)
+    build = series.changes.configuration
+    try:
+        fleet.start(build(1, ["key-a", "key-b"]))
+        series.prepare(fleet)
+        load = callers.Callers(
+            fleet.hosts, seed, SILENCE_CALLERS, habits=series.habits
         )
-        violations += outdated_hosts(fleet, schedule.version)
-        served = sum(each.status == 200 for each in load.observations)
-        if not served:
-            violations.append("no request succeeded")
+        # Few requests have the key that is withdrawn.
+        load.keys += ["key-a"] * 6
+        schedule = faults.Faults(fleet, load, build, seed, planned_only=True)
+        silent = gevent.spawn(series.run, schedule, seconds)
+        schedule.run(seconds)
+        silent.get()
+        return judge(fleet, load, schedule)
     finally:
         fleet.close()
+
+
+def judge(
+    fleet: processes.Fleet, load: callers.Callers, schedule: faults.Faults
+) -> Result:
+    """Ends the load and returns the outcome after the last fault."""
+    gevent.sleep(SETTLE_S)
+    load.stop()
+    violations = checks.violations(load.observations, fleet.runs(), schedule)
+    violations += outdated_hosts(fleet, schedule.version)
+    served = sum(each.status == 200 for each in load.observations)
+    if not served:
+        violations.append("no request succeeded")
     statuses = collections.Counter(each.status for each in load.observations)
     return Result(
         violations,
@@ -176,7 +220,7 @@
         version: Version that was written last.
     """
     fleet.wait_ready()
-    deadline = time.monotonic() + APPLY_S
+    deadline = time.monotonic() + checks.APPLY_S
     path = f"/v{version}/"
     outdated = list(fleet.hosts)
     while outdated and time.monotonic() < deadline:
@@ -185,6 +229,6 @@
             host for host in outdated if not host.has_route(ROUTE_HOST, path)
         ]
     return [
-        f"{host.name}: version {version} not in force after {APPLY_S} s"
+        f"{host.name}: version {version} not in force after {checks.APPLY_S} s"
         for host in outdated
     ]
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -15,6 +15,7 @@
     935050,
 )
 SECONDS = 4.0
+SILENCE_SEED = 3
 HOSTS = 2
 
 
@@ -24,3 +25,11 @@
 
     assert result.violations == []
     assert result.statuses.get(200, 0) > 0
+
+
+def test_callers_do_not_notice_silent_runners(tmp_path):
+    """Guards against requests given up while a sound runner is silent."""
+    result = run.run(SILENCE_SEED, SECONDS, HOSTS, tmp_path, silent=True)
+
+    assert result.violations == []
+    assert result.statuses.get(200, 0) > 0
