--- a/soak/processes.py
+++ b/soak/processes.py
@@ -4,15 +4,14 @@
 
 import base64
 import contextlib
-import itertools
-import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import time
+from typing import TYPE_CHECKING
 from typing import Any
+from typing import NamedTuple
 
 import gevent
 import msgspec
@@ -20,8 +19,12 @@
 from coltsfootarch import clock as clocks
 from coltsfootarch.http1 import client
 from coltsfootarch.http1 import messages
+from soak import loopback
 from soak import proxy
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 ROOT = pathlib.Path(__file__).parent.parent
 START_TIMEOUT_S = 20.0
 # Longest time until a runner that crashed on a request is up again.
@@ -39,31 +42,34 @@
 
 [limits]
 key_confirmation = "{confirmation}ms"
-grace = "5s"
-retry_minimum = 200
+grace = "{grace:g}s"
+retry_ratio = {budget.ratio}
+retry_minimum = {budget.minimum}
 """
+GRACE_S = 5.0
+# Name, service and stage of each runner.
+RUNNERS = (
+    ("a-1", "app", ""),
+    ("a-2", "app", ""),
+    ("p-1", "llm", "prefill"),
+    ("d-1", "llm", "decode"),
+    ("d-2", "llm", "decode"),
+)
 
 
-# Ports below the ephemeral range, so that no outgoing connection takes a port
-# after it was chosen and before its program listens on it.
-FIRST_PORT = 20000
-LAST_PORT = 32000
-ports = itertools.cycle(range(FIRST_PORT, LAST_PORT))
-# Concurrent runs of the soak test start at different ports.
-for _ in range(os.getpid() * 97 % (LAST_PORT - FIRST_PORT)):
-    next(ports)
+class RetryBudget(NamedTuple):
+    """Retries that the hosts may make in a window of 10 s.
 
+    Attributes:
+        ratio: Retries for each request.
+        minimum: Retries without requests.
+    """
+
+    ratio: float = 0.2
+    minimum: float = 200.0
 
-def free_address(kind: socket.SocketKind = socket.SOCK_STREAM) -> str:
-    """Returns an unused loopback address ("ip:port")."""
-    while True:
-        port = next(ports)
-        with (
-            contextlib.suppress(OSError),
-            socket.socket(socket.AF_INET, kind) as sock,
-        ):
-            sock.bind(("127.0.0.1", port))
-            return f"127.0.0.1:{port}"
+
+DEFAULT_BUDGET = RetryBudget()
 
 
 def call(
@@ -155,8 +161,16 @@
 class Host(Program):
     """Entry host that reaches the store through a proxy of its own."""
 
-    def __init__(self, name: str, store: str, folder: pathlib.Path) -> None:
-        self.listen, self.ready = free_address(), free_address()
+    def __init__(
+        self,
+        name: str,
+        store: str,
+        folder: pathlib.Path,
+        addresses: loopback.LoopbackAddresses,
+        budget: RetryBudget,
+    ) -> None:
+        self.listen = addresses.next_address()
+        self.ready = addresses.next_address()
         self.store_proxy = proxy.Proxy(store)
         self.store_proxy.start()
         path = folder / f"{name}.toml"
@@ -165,9 +179,11 @@
                 name=name,
                 listen=self.listen,
                 ready=self.ready,
-                reports=free_address(socket.SOCK_DGRAM),
+                reports=addresses.next_address(),
                 store=self.store_proxy.address,
                 confirmation=int(KEY_CONFIRMATION_S * 1000),
+                grace=GRACE_S,
+                budget=budget,
             )
         )
         self.clock_file = folder / f"{name}.clock"
@@ -202,10 +218,11 @@
         stage: str,
         store: str,
         folder: pathlib.Path,
+        addresses: loopback.LoopbackAddresses,
     ) -> None:
         self.service = service
         self.stage = stage
-        self.listen = free_address()
+        self.listen = addresses.next_address()
         self.proxy = proxy.Proxy(self.listen)
         self.proxy.start()
         arguments = ["standins.runner", "--listen", self.listen]
@@ -220,32 +237,52 @@
 class Fleet:
     """All programs of one run of the soak test.
 
+    Args:
+        folder: Folder for settings and logs.
+        hosts: Number of entry hosts.
+        runners: Name, service and stage of each runner.
+        budget: Retry budget of the hosts.
+
     Attributes:
         crashing_part: Part of a prompt on which decode engines crash; empty for
             none.
     """
 
-    def __init__(self, folder: pathlib.Path, hosts: int) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        hosts: int,
+        runners: Sequence[tuple[str, str, str]] = RUNNERS,
+        budget: RetryBudget = DEFAULT_BUDGET,
+    ) -> None:
         self.folder = folder
         self.crashing_part = ""
-        self.store_address = free_address()
+        self.addresses = loopback.LoopbackAddresses()
+        self.store_address = self.addresses.next_address()
         self.store = Program(
             "store",
             ["standins.metadata_store", "--listen", self.store_address],
             folder / "store.log",
         )
         self.runners = [
-            Runner(name, service, stage, self.store_address, folder)
-            for name, service, stage in (
-                ("a-1", "app", ""),
-                ("a-2", "app", ""),
-                ("p-1", "llm", "prefill"),
-                ("d-1", "llm", "decode"),
-                ("d-2", "llm", "decode"),
+            Runner(
+                name,
+                service,
+                stage,
+                self.store_address,
+                folder,
+                self.addresses,
             )
+            for name, service, stage in runners
         ]
         self.hosts = [
-            Host(f"h-{number}", self.store_address, folder)
+            Host(
+                f"h-{number}",
+                self.store_address,
+                folder,
+                self.addresses,
+                budget,
+            )
             for number in range(hosts)
         ]
 
@@ -339,6 +376,7 @@
             host.store_proxy.close()
         for runner in self.runners:
             runner.proxy.close()
+        self.addresses.close()
 
     def runs(self) -> list[tuple[str, str, float]]:
         """Returns request id, runner and instant of each execution."""
