A reservation that is not answered in time is no refusal

On large fleets callers got a 503 "overloaded" when the decode engines were silent for a second or two, although the callers had more time.

Cause: 0.3 s without an answer counted as "no room": the engine was avoided as if it had refused, six such silences ended the request, and after the first one it waited only as long as its objective allowed. A reservation that the silent engine made afterwards stayed there until it ended, and each further try made another one.

Change: a greenlet of its own reads the answer. After 0.3 s another engine is tried; the silent one gets no requests from this host for 0.3 s and then is asked again, where the request waits for its first reservation instead of making a second. Only an answer counts as a refusal; a broken connection counts as a failed connection. A request that found an engine silent, or whose engines are all silent, waits as long as its caller. Reservations that aren't used are dropped, late ones too if they are answered within 3 s (DELETE /api/hold-drop); others end by themselves.

--- a/src/coltsfootarch/forwarding/calls.py
+++ b/src/coltsfootarch/forwarding/calls.py
@@ -180,6 +180,14 @@
     def decode_reservation(self, body: bytes) -> str:
         """Returns the name of the granted reservation; empty if refused."""
 
+    def encode_drop(self, address: str, name: str) -> bytes:
+        """Returns the request that drops a reservation.
+
+        Args:
+            address: "ip:port" of the engine.
+            name: Name of the reservation.
+        """
+
     def encode_release(self, source: KvCacheSource) -> bytes:
         """Returns the request that frees a prefill result."""
 
--- a/src/coltsfootarch/forwarding/decode_readiness.py
+++ b/src/coltsfootarch/forwarding/decode_readiness.py
@@ -6,10 +6,12 @@
 
 from __future__ import annotations
 
+import enum
 from typing import TYPE_CHECKING
 
 import structlog
 
+from coltsfootarch.forwarding import reservation_calls
 from coltsfootarch.http1 import client
 from coltsfootarch.scheduling import outcomes
 
@@ -19,21 +21,45 @@
     from coltsfootarch.forwarding import generations
     from coltsfootarch.forwarding import upstream_exchange
 
+# Engines respond to a reservation within milliseconds.
+RESERVATION_TIMEOUT_S = 0.3
+# Time for which this host sends no requests to an engine that was silent.
+SILENCE_BACKOFF_S = 0.3
+# Time for which an engine counts as silent; it is asked again in this time.
+SILENT_S = 1.0
 # A reservation that ends sooner is renewed before the request is sent.
 MIN_RESERVATION_S = 0.1
 
 logger = structlog.get_logger(__name__)
 
 
+class ReservationResult(enum.Enum):
+    """Result of a reservation.
+
+    `SILENT` means that there is no answer yet, `BROKEN` that there will be
+    none.
+    """
+
+    GRANTED = "granted"
+    REFUSED = "refused"
+    SILENT = "silent"
+    BROKEN = "broken"
+
+
 class DecodeReadiness:
     """Reserves memory at decode engines and restores what was lost meanwhile.
 
     Args:
         context: Components that all pipelines of the host share.
+
+    Attributes:
+        silent_until: Instant until which an engine counts as silent, in
+            seconds, by engine id.
     """
 
     def __init__(self, context: contexts.Context) -> None:
         self.context = context
+        self.silent_until: dict[str, float] = {}
 
     @property
     def clock(self) -> clocks.Clock:
@@ -60,48 +86,139 @@
         many_hosts = self.context.engine_placer.sampler.many_hosts
         if engine is None or engine.reservation_s <= 0 or not many_hosts:
             return True
-        if self.request_reservation(generation, exchange, engine.reservation_s):
-            return True
-        generation.reservation_refusals += 1
-        return False
+        return self.is_granted(
+            generation,
+            self.request_reservation(
+                generation, exchange, engine.reservation_s
+            ),
+        )
+
+    def awaits_silent_engines(self, generation: generations.Generation) -> bool:
+        """Returns whether a request may need an engine that is silent.
+
+        It has found one, or all engines are silent.
+        """
+        if generation.met_silence or not self.silent_until:
+            return generation.met_silence
+        now = self.clock.monotonic()
+        engines = self.context.engine_placer.decode_engines(
+            generation.call.service
+        )
+        return bool(engines) and all(
+            self.silent_until.get(engine.id, 0.0) > now for engine in engines
+        )
+
+    def record_silence(self, upstream_id: str) -> None:
+        """Records that an engine hasn't answered a reservation in time."""
+        now = self.clock.monotonic()
+        for each in [id for id, end in self.silent_until.items() if end < now]:
+            del self.silent_until[each]
+        self.silent_until[upstream_id] = now + SILENT_S
+        self.context.outcome_tracker.back_off(upstream_id, SILENCE_BACKOFF_S)
+
+    def is_granted(
+        self, generation: generations.Generation, result: ReservationResult
+    ) -> bool:
+        """Counts a failed reservation; returns whether it was granted.
+
+        Only what an engine says is a refusal. One that is silent may come back
+        and doesn't count.
+        """
+        if result is ReservationResult.REFUSED:
+            generation.reservation_refusals += 1
+        elif result is ReservationResult.BROKEN:
+            generation.connect_failures += 1
+        return result is ReservationResult.GRANTED
 
     def request_reservation(
         self,
         generation: generations.Generation,
         exchange: upstream_exchange.UpstreamExchange,
         seconds: float,
-    ) -> bool:
-        """Makes one reservation; returns whether the engine granted it."""
+    ) -> ReservationResult:
+        """Makes one reservation, or waits for one that wasn't answered yet.
+
+        Args:
+            generation: The request.
+            exchange: Connected exchange with the engine.
+            seconds: Time for which to reserve.
+
+        Raises:
+            cancellation.CallerDisconnectedError: The caller disconnected.
+        """
         call = generation.call
         upstream = exchange.delivery.upstream
-        tokens = generation.demand.prompt_tokens
-        reason = "no room"
-        ends_at = self.clock.monotonic() + seconds
-        generation.reservation = ""
-        try:
-            with call.cancellation.attached(exchange.abort):
-                generation.reservation = exchange.reserve(tokens, seconds) or ""
-        except (
-            client.BrokenConnectionError,
-            client.ResponseTimeoutError,
-        ) as error:
-            reason = str(error) or type(error).__name__
-            exchange.close()
-        call.cancellation.check()
-        if generation.reservation:
-            generation.reservation_ends_at = ends_at
-            return True
-        self.context.outcome_tracker.record(
-            upstream.id, outcomes.Outcome.REFUSED
-        )
+        reservation = self.late_reservation(generation, upstream.id)
+        if reservation is None:
+            reservation = reservation_calls.ReservationCall(
+                self.context,
+                call,
+                exchange,
+                generation.demand.prompt_tokens,
+                seconds,
+            )
+            reservation.start()
+        ended = reservation.wait(RESERVATION_TIMEOUT_S)
+        if call.cancellation.cancelled:
+            reservation.abandon()
+            call.cancellation.check()
+        if reservation.name or reservation.refused:
+            self.silent_until.pop(upstream.id, None)
+        if reservation.name:
+            reservation.exchange.move_connection(exchange)
+            generation.reservation = reservation.name
+            generation.reservation_ends_at = reservation.ends_at
+            self.abandon_late(generation)
+            return ReservationResult.GRANTED
+        tracker = self.context.outcome_tracker
+        result = ReservationResult.BROKEN
+        if not ended:
+            result = ReservationResult.SILENT
+            generation.late_reservations[upstream.id] = reservation
+            generation.met_silence = True
+            self.record_silence(upstream.id)
+        elif reservation.refused:
+            result = ReservationResult.REFUSED
+            tracker.record(upstream.id, outcomes.Outcome.REFUSED)
+        elif not reservation.exchange.aborted:
+            tracker.record(upstream.id, outcomes.Outcome.BROKEN)
         logger.info(
-            "reservation refused",
+            "reservation refused"
+            if reservation.refused
+            else "reservation not answered",
             request_id=call.request.id,
             upstream=upstream.id,
-            tokens=tokens,
-            reason=reason,
+            tokens=reservation.tokens,
+            reason=reservation.reason,
         )
-        return False
+        return result
+
+    def late_reservation(
+        self, generation: generations.Generation, upstream_id: str
+    ) -> reservation_calls.ReservationCall | None:
+        """Returns a reservation of the request that may still be granted."""
+        reservation = generation.late_reservations.pop(upstream_id, None)
+        if reservation is None or not reservation.ended:
+            return reservation
+        left_s = reservation.ends_at - self.clock.monotonic()
+        if reservation.name and left_s >= MIN_RESERVATION_S:
+            return reservation
+        reservation.abandon()
+        return None
+
+    def abandon_late(self, generation: generations.Generation) -> None:
+        """Drops the reservations that weren't answered in time."""
+        while generation.late_reservations:
+            _, reservation = generation.late_reservations.popitem()
+            reservation.abandon()
+
+    def drop_reservation(self, generation: generations.Generation) -> None:
+        """Drops a reservation with which no request was sent."""
+        name, generation.reservation = generation.reservation, ""
+        if name and generation.placement is not None:
+            reservation_calls.send_drop(
+                self.context, generation.placement.decode.address, name
+            )
 
     def restore(
         self,
@@ -119,8 +236,9 @@
         if generation.call.ends_at <= self.clock.monotonic():
             return False
         connected = self.ensure_connected(generation, exchange)
-        if connected and not self.ensure_reserved(generation, exchange):
-            generation.reservation_refusals += 1
+        if connected and not self.is_granted(
+            generation, self.renew_reservation(generation, exchange)
+        ):
             return False
         if generation.prefill_result is None:
             self.add_local_prefill(generation)
@@ -149,8 +267,10 @@
             return False
         local = self.context.queue.prefill_locally(placement)
         generation.placement = local
-        if self.ensure_connected(generation, exchange) and self.ensure_reserved(
-            generation, exchange
+        if (
+            self.ensure_connected(generation, exchange)
+            and self.renew_reservation(generation, exchange)
+            is ReservationResult.GRANTED
         ):
             return True
         self.context.queue.finish_local_prefill(local)
@@ -191,15 +311,16 @@
             return False
         return True
 
-    def ensure_reserved(
+    def renew_reservation(
         self,
         generation: generations.Generation,
         exchange: upstream_exchange.UpstreamExchange,
-    ) -> bool:
+    ) -> ReservationResult:
         """Renews a reservation that is about to end.
 
         Returns:
-            Whether the engine has memory for the request, as far as known.
+            `GRANTED` also if the request needs none or the one that it has
+            lasts.
         """
         engine = generation.service.engine
         left_s = generation.reservation_ends_at - self.clock.monotonic()
@@ -208,7 +329,13 @@
             or not generation.reservation_ends_at
             or left_s >= MIN_RESERVATION_S
         ):
-            return True
-        return self.request_reservation(
+            return ReservationResult.GRANTED
+        self.drop_reservation(generation)
+        result = self.request_reservation(
             generation, exchange, engine.reservation_s
-        ) and self.ensure_connected(generation, exchange)
+        )
+        if result is ReservationResult.GRANTED and not self.ensure_connected(
+            generation, exchange
+        ):
+            return ReservationResult.BROKEN
+        return result
--- a/src/coltsfootarch/forwarding/generation_pipeline.py
+++ b/src/coltsfootarch/forwarding/generation_pipeline.py
@@ -92,6 +92,7 @@
                     )
         finally:
             self.prefill_stage.release(generation)
+            self.decode_readiness.abandon_late(generation)
         self.finish(generation)
 
     def may_attempt(self, generation: generations.Generation) -> bool:
@@ -209,8 +210,9 @@
 
         A new request waits as long as it can meet its objective. One that can't
         is refused with a `Retry-After`, since newer requests would be placed
-        first. A retry after such a refusal, and a request that was sent to an
-        engine before, wait as long as the caller does.
+        first. A retry after such a refusal, a request that was sent to an
+        engine before, and one that needs an engine that is silent wait as long
+        as the caller does.
         """
         call = generation.call
         now = self.clock.monotonic()
@@ -221,7 +223,11 @@
             min(call.ends_at, caller_leaves_at)
             - dispatch_queue.UNLOADED_FIRST_EVENT_S
         )
-        if call.attempts or generation.is_retry:
+        if (
+            call.attempts
+            or generation.is_retry
+            or self.decode_readiness.awaits_silent_engines(generation)
+        ):
             return latest - now
         due_at = call.request.received_at + call.route.objective_s
         due_at -= dispatch_queue.UNLOADED_FIRST_EVENT_S
@@ -278,6 +284,7 @@
             exchange.close()
             if not exchange.sent:
                 self.context.notices.limits.give_back(placement.decode)
+                self.decode_readiness.drop_reservation(generation)
 
     def admit_prefill(self, generation: generations.Generation) -> bool:
         """Returns whether to prefill the prompt at a prefill engine.
--- a/src/coltsfootarch/forwarding/generations.py
+++ b/src/coltsfootarch/forwarding/generations.py
@@ -10,6 +10,7 @@
 if TYPE_CHECKING:
     from coltsfootarch.fleet import policy
     from coltsfootarch.forwarding import calls
+    from coltsfootarch.forwarding import reservation_calls
 
 # Fraction of a prefill result's lifetime after which no further decode engine
 # is asked to fetch it; the rest is for sending the request and the fetch
@@ -71,6 +72,12 @@
         self.reservation = ""
         self.reservation_ends_at = 0.0
         self.reservation_refusals = 0
+        # Reservations by engine that were not answered in time, and whether
+        # there was one.
+        self.late_reservations: dict[
+            str, reservation_calls.ReservationCall
+        ] = {}
+        self.met_silence = False
         self.prompt_prefilled = False
         # Events sent to the caller in the current attempt.
         self.event_count = 0
--- a/src/coltsfootarch/forwarding/upstream_exchange.py
+++ b/src/coltsfootarch/forwarding/upstream_exchange.py
@@ -24,8 +24,6 @@
 CONNECT_TIMEOUT_S = 0.4
 # Responses to earlier requests that may precede the expected one.
 MAX_UNRELATED_RESPONSES = 3
-# Engines respond to a reservation within milliseconds.
-RESERVATION_TIMEOUT_S = 0.3
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 # Responses to the host's own calls are JSON objects of some hundred bytes.
 MAX_CONTROL_RESPONSE_BYTES = 64 * 1024
@@ -121,12 +119,20 @@
         self.connect(recently_used)
         self.send()
 
-    def reserve(self, tokens: int, seconds: float) -> str | None:
+    def move_connection(self, other: UpstreamExchange) -> None:
+        """Gives the connection to another exchange with the same upstream."""
+        other.disconnect()
+        other.connection, self.connection = self.connection, None
+
+    def reserve(
+        self, tokens: int, seconds: float, timeout_s: float
+    ) -> str | None:
         """Reserves a slot and memory at the connected upstream.
 
         Args:
             tokens: Memory to reserve, in tokens.
             seconds: Time for which it is reserved.
+            timeout_s: Timeout of the call, in seconds.
 
         Returns:
             The name of the reservation; None if the upstream refused it.
@@ -144,8 +150,8 @@
             self.delivery.upstream, tokens, seconds
         )
         self.notices.limits.take(self.delivery.upstream)
-        connection.send(call, b"", RESERVATION_TIMEOUT_S)
-        deadline = self.clock.monotonic() + RESERVATION_TIMEOUT_S
+        deadline = self.clock.monotonic() + timeout_s
+        connection.send(call, b"", timeout_s)
         # The call has no request id, so that its response has none either.
         response = self.find_head(
             deadline, lambda response: not response.request_id
--- a/src/coltsfootarch/platform/wire.py
+++ b/src/coltsfootarch/platform/wire.py
@@ -230,6 +230,12 @@
         """Returns the name of a reservation; empty if there is none."""
         return decode_string_field(body, "hold")
 
+    def encode_drop(self, address: str, name: str) -> bytes:
+        """Returns the request that drops a reservation."""
+        return messages.render_head(
+            f"DELETE /api/hold-drop/{name} HTTP/1.1", [("Host", address)]
+        )
+
     def encode_release(self, source: calls.KvCacheSource) -> bytes:
         """Returns the request that frees the KV memory of a prefill result."""
         return messages.render_head(
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -47,6 +47,9 @@
         handles: Request id by handle of a prefill result.
         freed: Handles that a client has freed.
         reservations: Bodies of the calls that reserved memory.
+        dropped: Names of reservations that a client has dropped.
+        silent_until: Instant (`time.monotonic`) before which it answers no
+            reservation.
         orders: Orders received.
         fault: "" for none; "mute" sends no response, "full" refuses requests
             and reservations, "reset" resets the connection, "cut" ends a body
@@ -101,6 +104,8 @@
         self.handles: dict[str, str] = {}
         self.freed: list[str] = []
         self.reservations: list[dict[str, Any]] = []
+        self.dropped: list[str] = []
+        self.silent_until = 0.0
         self.orders: list[dict[str, Any]] = []
         self.fault = ""
         self.crashing_part = ""
@@ -162,16 +167,10 @@
             self.freed.append(request.target.rpartition("/")[2])
             connection.respond(200)
         elif request.target == "/api/hold-take":
-            self.arrivals += 1
-            self.repeat_response(connection)
-            if self.fault == "full":
-                connection.respond(503, self.refusal_fields())
-            else:
-                self.reservations.append(msgspec.json.decode(request.body))
-                hold = msgspec.json.encode(
-                    {"hold": f"k{len(self.reservations)}"}
-                )
-                connection.respond(200, (), hold)
+            self.reserve(request, connection)
+        elif request.target.startswith("/api/hold-drop/"):
+            self.dropped.append(request.target.rpartition("/")[2])
+            connection.respond(200)
         elif request.target == "/api/order":
             self.orders.append(msgspec.json.decode(request.body))
             self.stage = self.orders[-1]["stage"]
@@ -180,6 +179,20 @@
             self.repeat_response(connection)
             self.serve(request, fields, connection)
 
+    def reserve(
+        self, request: messages.Request, connection: http.Connection
+    ) -> None:
+        """Reserves memory, unless it is full."""
+        self.arrivals += 1
+        self.repeat_response(connection)
+        gevent.sleep(max(self.silent_until - time.monotonic(), 0.0))
+        if self.fault == "full":
+            connection.respond(503, self.refusal_fields())
+            return
+        self.reservations.append(msgspec.json.decode(request.body))
+        hold = msgspec.json.encode({"hold": f"k{len(self.reservations)}"})
+        connection.respond(200, (), hold)
+
     def repeat_response(self, connection: http.Connection) -> None:
         """Sends `repeated_bytes` of the connection's last response again."""
         if self.repeated_bytes and connection.last_response:
