--- a/src/coltsfootarch/forwarding/engine_preparation.py
+++ b/src/coltsfootarch/forwarding/engine_preparation.py
@@ -16,10 +16,9 @@
 import structlog
 
 from coltsfootarch.forwarding import cancellation
+from coltsfootarch.forwarding import decode_readiness
 from coltsfootarch.forwarding import silence_watch
-from coltsfootarch.http1 import client
 from coltsfootarch.scheduling import dispatch_queue
-from coltsfootarch.scheduling import outcomes
 
 if TYPE_CHECKING:
     from coltsfootarch import clock as clocks
@@ -66,6 +65,7 @@
     Args:
         context: Components that all pipelines of the host share.
         stage: Connects to decode engines.
+        readiness: Reserves memory at them.
         attempts: Rules and queue for the attempts.
         generation: The request.
         exchange: Exchange with the silent engine.
@@ -81,12 +81,14 @@
         self,
         context: context.Context,
         stage: decode_stage.DecodeStage,
+        readiness: decode_readiness.DecodeReadiness,
         attempts: Attempts,
         generation: generations.Generation,
         exchange: upstream_exchange.UpstreamExchange,
     ) -> None:
         self.context = context
         self.stage = stage
+        self.decode_readiness = readiness
         self.attempts = attempts
         self.generation = generation
         self.exchange = exchange
@@ -191,6 +193,9 @@
         )
         if placement is None:
             return False
+        self.own.placement = placement
+        self.own.reservation = ""
+        self.own.reservation_ends_at = 0.0
         exchange = self.stage.create_exchange(self.own, placement)
         self.context.notices.limits.take(placement.decode)
         try:
@@ -215,11 +220,9 @@
         placement: engine_placement.Placement,
         exchange: upstream_exchange.UpstreamExchange,
     ) -> None:
-        """Releases an engine that gets no request.
-
-        A reservation expires by itself.
-        """
+        """Releases an engine that gets no request."""
         exchange.close()
+        self.decode_readiness.drop_reservation(self.own)
         self.context.outcome_tracker.withdraw_dispatch(placement.decode.id)
         self.context.notices.limits.give_back(placement.decode)
         self.context.queue.release(placement, prompt_prefilled=False)
@@ -245,44 +248,20 @@
 
         The response also shows that the engine isn't silent itself. A refusal
         costs nothing here, so that it is done on small fleets, too.
+
+        Raises:
+            cancellation.CallerDisconnectedError: The preparation was stopped.
         """
-        self.own.reservation = ""
         engine = self.own.service.engine
         if engine is None or engine.reservation_s <= 0:
             return True
-        upstream = exchange.delivery.upstream
-        tokens = self.own.demand.prompt_tokens
-        outcome = outcomes.Outcome.REFUSED
-        reason = "no room"
-        ends_at = self.clock.monotonic() + engine.reservation_s
-        try:
-            with self.cancellation.attached(exchange.abort):
-                self.own.reservation = (
-                    exchange.reserve(tokens, engine.reservation_s) or ""
-                )
-                if self.own.reservation and exchange.connection is None:
-                    exchange.connect(recently_used=True)
-        except (
-            client.ConnectError,
-            client.BrokenConnectionError,
-            client.ResponseTimeoutError,
-        ) as error:
-            self.own.reservation = ""
-            outcome = outcomes.Outcome.BROKEN
-            reason = str(error) or type(error).__name__
-        self.cancellation.check()
-        if self.own.reservation:
-            self.own.reservation_ends_at = ends_at
-            return True
-        self.context.outcome_tracker.record(upstream.id, outcome)
-        logger.info(
-            "reservation refused",
-            request_id=self.own.call.request.id,
-            upstream=upstream.id,
-            tokens=tokens,
-            reason=reason,
+        result = self.decode_readiness.request_reservation(
+            self.own, exchange, engine.reservation_s
+        )
+        return (
+            result is decode_readiness.ReservationResult.GRANTED
+            and self.decode_readiness.ensure_connected(self.own, exchange)
         )
-        return False
 
     def move(self, replacement: silence_watch.Replacement) -> bool:
         """Ends the exchange with the silent engine; returns whether it did.
--- a/src/coltsfootarch/forwarding/generation_pipeline.py
+++ b/src/coltsfootarch/forwarding/generation_pipeline.py
@@ -104,19 +104,15 @@
                 try:
                     self.attempt(generation, placement, exchange)
                 finally:
-                    self.release(
-                        generation.placement or placement,
-                        exchange,
-                        generation.prompt_prefilled,
-                    )
+                    self.release(generation, exchange)
         finally:
             self.prefill_stage.release(generation)
-            if generation.replacement is not None:
-                self.release(
-                    generation.replacement.placement,
-                    generation.replacement.exchange,
-                    prompt_prefilled=False,
-                )
+            replacement = generation.replacement
+            if replacement is not None:
+                generation.placement = replacement.placement
+                generation.reservation = replacement.reservation
+                self.release(generation, replacement.exchange)
+            self.decode_readiness.abandon_late(generation)
         self.finish(generation)
 
     def create_exchange(
@@ -131,22 +127,19 @@
 
     def release(
         self,
-        placement: engine_placement.Placement,
+        generation: generations.Generation,
         exchange: upstream_exchange.UpstreamExchange,
-        prompt_prefilled: bool,
     ) -> None:
-        """Releases an engine after an attempt, or if there was none.
-
-        Args:
-            placement: Its capacity.
-            exchange: The exchange with it.
-            prompt_prefilled: See `dispatch_queue.DispatchQueue.release`.
-        """
+        """Releases a decode engine after an attempt, or if there was none."""
         exchange.close()
+        placement = generation.placement
+        if placement is None:
+            return
         if not exchange.sent:
             self.context.outcome_tracker.withdraw_dispatch(placement.decode.id)
             self.context.notices.limits.give_back(placement.decode)
-        self.context.queue.release(placement, prompt_prefilled)
+            self.decode_readiness.drop_reservation(generation)
+        self.context.queue.release(placement, generation.prompt_prefilled)
 
     def may_attempt(self, generation: generations.Generation) -> bool:
         """Returns whether another attempt is allowed.
@@ -280,8 +273,9 @@
 
         A new request waits as long as it can meet its objective. One that can't
         is refused with a `Retry-After`, since newer requests would be placed
-        first. A retry after such a refusal, and a request that was sent to an
-        engine before, wait as long as the caller does.
+        first. A retry after such a refusal, a request that was sent to an
+        engine before, and one that needs an engine that is silent wait as long
+        as the caller does.
         """
         call = generation.call
         now = self.clock.monotonic()
@@ -292,7 +286,11 @@
             min(call.ends_at, caller_leaves_at)
             - dispatch_queue.UNLOADED_FIRST_EVENT_S
         )
-        if call.attempts or generation.is_retry:
+        if (
+            call.attempts
+            or generation.is_retry
+            or self.decode_readiness.awaits_silent_engines(generation)
+        ):
             return latest - now
         due_at = call.request.received_at + call.route.objective_s
         due_at -= dispatch_queue.UNLOADED_FIRST_EVENT_S
@@ -361,7 +359,12 @@
     ) -> engine_preparation.EnginePreparation:
         """Returns the preparation of another engine for a silent stream."""
         return engine_preparation.EnginePreparation(
-            self.context, self.decode_stage, self, generation, exchange
+            self.context,
+            self.decode_stage,
+            self.decode_readiness,
+            self,
+            generation,
+            exchange,
         )
 
     def admit_prefill(self, generation: generations.Generation) -> bool:
--- a/src/coltsfootarch/forwarding/generations.py
+++ b/src/coltsfootarch/forwarding/generations.py
@@ -12,6 +12,7 @@
     from coltsfootarch.fleet import policy
     from coltsfootarch.forwarding import calls
     from coltsfootarch.forwarding import cancellation as cancellations
+    from coltsfootarch.forwarding import reservation_calls
     from coltsfootarch.forwarding import silence_watch
 
 # Fraction of a prefill result's lifetime after which no further decode engine
@@ -78,6 +79,12 @@
         self.reservation = ""
         self.reservation_ends_at = 0.0
         self.reservation_refusals = 0
+        # Reservations by engine that were not answered in time, and whether
+        # there was one.
+        self.late_reservations: dict[
+            str, reservation_calls.ReservationCall
+        ] = {}
+        self.met_silence = False
         self.prompt_prefilled = False
         # Events sent to the caller in the current attempt.
         self.event_count = 0
