Callers: a request that has arrived is read before its time is up

After a pause of the process, or while it is busy, the limit for a request could pass while its bytes lay in the socket: the host answered 408 without reading on as soon as one read returned only a part, and a drain closed idle connections in which a request lay unread.

Nothing is closed for lack of time before a look at the socket: after the limit the host reads what has arrived, and it closes an idle connection, in a drain or to make room, only if nothing has arrived.

test_request_that_arrives_during_a_pause_is_answered[10] (a body of 200 kB) and test_idle_connection_with_a_request_that_arrived_is_not_closed failed before with 408 and a closed connection.

--- a/src/coltsfootarch/forwarding/caller_connection.py
+++ b/src/coltsfootarch/forwarding/caller_connection.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import enum
+import select
 import socket
 from typing import TYPE_CHECKING
 from typing import Any
@@ -16,6 +17,7 @@
 from coltsfootarch.forwarding import calls
 from coltsfootarch.forwarding import cancellation as cancellations
 from coltsfootarch.forwarding import responder as responders
+from coltsfootarch.http1 import client
 from coltsfootarch.http1 import readers
 
 if TYPE_CHECKING:
@@ -175,10 +177,9 @@
     def read_rest(self) -> int:
         """Returns the number of bytes that arrived, up to `READ_SIZE`."""
         try:
-            # The standard socket inside gevent's is non-blocking.
-            return len(self.sock._sock.recv(readers.READ_SIZE))
+            return len(client.read_arrived(self.sock) or b"")
         except OSError:
-            # Nothing arrived, or the caller has closed the connection.
+            # The caller has closed the connection.
             return 0
 
     def send(self, data: bytes) -> None:
@@ -281,14 +282,12 @@
                 limit = limits.header_timeout_s
                 reason = CloseReason.HEADER_TIMEOUT
             remaining = since + limit - self.listener.clock.monotonic()
-            if remaining <= 0:
-                if self.reader.in_progress:
-                    self.reject(results.HEADER_TIMEOUT, reason)
-                self.close(reason)
-                return b""
             try:
-                self.sock.settimeout(remaining)
-                data: bytes = self.sock.recv(readers.READ_SIZE)
+                if remaining > 0:
+                    self.sock.settimeout(remaining)
+                    data: bytes | None = self.sock.recv(readers.READ_SIZE)
+                else:
+                    data = client.read_arrived(self.sock)
             except TimeoutError as error:
                 if error.errno is None:
                     # A newer policy may have raised the timeout meanwhile.
@@ -298,10 +297,28 @@
             except OSError:
                 self.close(CloseReason.SOCKET_ERROR)
                 return b""
+            if data is None:
+                if self.reader.in_progress:
+                    self.reject(results.HEADER_TIMEOUT, reason)
+                self.close(reason)
+                return b""
             if not data:
                 self.close(CloseReason.CALLER_CLOSED)
             return data
 
+    def close_unless_used(self, reason: CloseReason) -> bool:
+        """Closes an idle connection unless a request has arrived.
+
+        Returns:
+            Whether the connection is closed.
+        """
+        poller = select.poll()
+        poller.register(self.sock.fileno(), select.POLLIN)
+        if poller.poll(0):
+            return False
+        self.close(reason)
+        return True
+
     def reject(self, code: results.ResultCode, reason: CloseReason) -> None:
         """Refuses a request that can't be read; ends the connection."""
         document = {
@@ -368,12 +385,11 @@
         if self.closed:
             return
         try:
-            # The standard socket inside gevent's is non-blocking.
-            data = self.sock._sock.recv(readers.READ_SIZE)
-        except BlockingIOError:
-            return
+            data = client.read_arrived(self.sock)
         except OSError:
             data = b""
+        if data is None:
+            return
         if data:
             self.pipelined += data
             if len(self.pipelined) <= MAX_PIPELINED_BYTES:
--- a/src/coltsfootarch/forwarding/listener.py
+++ b/src/coltsfootarch/forwarding/listener.py
@@ -178,11 +178,11 @@
             for each in self.connections
             if each.idle and not each.closed and each.idle_since <= latest
         ]
-        if not idle:
-            return False
-        longest = min(idle, key=lambda each: each.idle_since)
-        longest.close(caller_connection.CloseReason.REPLACED)
-        return True
+        idle.sort(key=lambda each: each.idle_since)
+        return any(
+            each.close_unless_used(caller_connection.CloseReason.REPLACED)
+            for each in idle
+        )
 
     def serve(self, sock: gevent_socket.socket) -> None:
         """Serves one connection until it ends."""
@@ -214,8 +214,14 @@
         """
         oldest = self.clock.monotonic() - idle_s
         for connection in tuple(self.connections):
-            if connection.idle and connection.idle_since <= oldest:
-                connection.close(caller_connection.CloseReason.DRAINED_IDLE)
+            if (
+                connection.idle
+                and not connection.closed
+                and connection.idle_since <= oldest
+            ):
+                connection.close_unless_used(
+                    caller_connection.CloseReason.DRAINED_IDLE
+                )
 
     def close(self) -> None:
         """Stops accepting and closes all connections."""
--- a/src/coltsfootarch/http1/client.py
+++ b/src/coltsfootarch/http1/client.py
@@ -74,6 +74,27 @@
     sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
+def read_arrived(sock: gevent_socket.socket) -> bytes | None:
+    """Returns bytes that have arrived without waiting for any.
+
+    After a pause of the process its timers run before its sockets are read, so
+    that a timeout doesn't show that nothing arrived.
+
+    Returns:
+        The bytes, none of them at the end of the connection, or None if nothing
+        has arrived.
+
+    Raises:
+        OSError: The connection failed.
+    """
+    try:
+        # The standard socket inside gevent's is non-blocking.
+        data: bytes = sock._sock.recv(readers.READ_SIZE)
+    except BlockingIOError:
+        return None
+    return data
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Returns the host and port of an address "ip:port"."""
     host, _, port = address.rpartition(":")
--- a/tests/forwarding/test_caller_connections.py
+++ b/tests/forwarding/test_caller_connections.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import gevent
+import gevent.monkey
 import pytest
 import structlog
 
 from coltsfootarch.fleet import policy
 from coltsfootarch.forwarding import caller_connection
+from tests.platform import documents
 
 CLOSED = "connection of caller closed"
 CLOSED_UNANSWERED = "connection of caller closed with a request unanswered"
@@ -86,3 +89,51 @@
     reason = "announced" if announced else "caller-closed"
     expected = f'caller_closes_total{{reason="{reason}"}} 1.0'
     assert expected in app.daemon.render_metrics().decode()
+
+
+# Larger than one read of the host.
+BODY_BYTES = 200_000
+REQUEST = (
+    b"POST /read/a HTTP/1.1\r\nHost: api.example\r\nX-Request-Id: r2\r\n"
+    b"X-Deadline-Ms: 4000\r\nContent-Length: %d\r\n"
+    b"Authorization: Bearer %b\r\n\r\n%b"
+) % (BODY_BYTES, documents.KEY.encode(), b"b" * BODY_BYTES)
+
+
+def send_during_pause(caller, data, seconds):
+    """Sends while the whole process, the host included, stands still."""
+    assert caller.sock._sock.send(data) == len(data)
+    gevent.monkey.get_original("time", "sleep")(seconds)
+
+
+@pytest.mark.parametrize("first", [0, 10, len(REQUEST) - 2])
+def test_request_that_arrives_during_a_pause_is_answered(
+    app, limits, monkeypatch, first
+):
+    """Guards against timers that fire before the sockets are read."""
+    monkeypatch.setattr(caller_connection, "IDLE_TIMEOUT_FACTOR", 1.0)
+    limits(idle_timeout_s=0.15, header_timeout_s=0.15)
+    caller = app.caller()
+    caller.ask("/read/a")
+    caller.send_raw(REQUEST[:first])
+    gevent.sleep(0.05)
+
+    send_during_pause(caller, REQUEST[first:], 0.3)
+
+    response = caller.read()
+    assert response is not None
+    assert response.status == 200
+
+
+def test_idle_connection_with_a_request_that_arrived_is_not_closed(app, limits):
+    """Guards against a drain that closes a connection with unread bytes."""
+    limits()
+    caller = app.caller()
+    caller.ask("/read/a")
+
+    send_during_pause(caller, REQUEST, 0.05)
+    app.daemon.caller_listener.close_idle(0.0)
+
+    response = caller.read()
+    assert response is not None
+    assert response.status == 200
