Upstreams: a response that has arrived is delivered after its timeout

client.receive raised ResponseTimeoutError without a look at the socket once the time had passed, so that a response that arrived during a pause of the host was given up, and a connection that the peer had closed counted as silent.

Bytes that have arrived are read after the timeout, at most 1 MiB in a row, so that an endless response still ends.

test_response_that_has_arrived_is_delivered and test_end_that_has_arrived_is_a_broken_connection failed before with ResponseTimeoutError.

--- a/src/coltsfootarch/http1/client.py
+++ b/src/coltsfootarch/http1/client.py
@@ -33,6 +33,9 @@
 # sending them doesn't block while the upstream already responds.
 INLINE_BODY_BYTES = 16384
 
+# Bytes that are read although the time for them has passed. More than the
+# buffers of a connection hold weren't there in time.
+MAX_LATE_BYTES = 1024 * 1024
 # Errors of opening a connection that don't come from the peer or the network.
 LOCAL_ERRNOS = frozenset(
     {
@@ -125,6 +128,7 @@
         self.request_count = 0
         self.idle_since = 0.0
         self.announced_idle_s = 0.0
+        self.late_bytes = 0
         self.body_sender: gevent.Greenlet | None = None
 
     def start(self, timeout: float) -> None:
@@ -185,6 +189,7 @@
         if self.sock is None:
             raise BrokenConnectionError(f"{self.address}: closed")
         self.request_count += 1
+        self.late_bytes = 0
         self.sock.settimeout(max(timeout, 0.001))
         try:
             if len(body) <= INLINE_BODY_BYTES:
@@ -221,6 +226,9 @@
     def receive(self, timeout: float) -> None:
         """Reads from the socket once and parses the bytes.
 
+        Bytes that have arrived are read after the timeout, too, up to
+        `MAX_LATE_BYTES` in a row: the process may have paused.
+
         Raises:
             ResponseTimeoutError: Nothing arrived within the timeout.
             BrokenConnectionError: The response can't be completed.
@@ -230,20 +238,16 @@
         if self.malformed:
             self.close()
             raise BrokenConnectionError(f"{self.address}: malformed response")
-        if timeout <= 0:
-            raise ResponseTimeoutError(self.address)
-        self.sock.settimeout(timeout)
         try:
-            data = self.sock.recv(readers.READ_SIZE)
-        except TimeoutError as error:
-            if error.errno == errno.ETIMEDOUT:
-                # TCP keep-alive failed; this isn't the read timeout.
-                self.close()
-                raise BrokenConnectionError(
-                    f"{self.address}: {error}"
-                ) from error
-            raise ResponseTimeoutError(self.address) from error
+            if timeout > 0:
+                self.late_bytes = 0
+                self.sock.settimeout(timeout)
+                data = self.sock.recv(readers.READ_SIZE)
+            else:
+                data = self.read_late(self.sock)
         except OSError as error:
+            if isinstance(error, TimeoutError) and error.errno is None:
+                raise ResponseTimeoutError(self.address) from error
             self.close()
             raise BrokenConnectionError(f"{self.address}: {error}") from error
         try:
@@ -268,6 +272,22 @@
             self.close()
             raise BrokenConnectionError(f"{self.address}: {error}") from error
 
+    def read_late(self, sock: gevent_socket.socket) -> bytes:
+        """Returns bytes that have arrived before a timeout was noticed.
+
+        Raises:
+            ResponseTimeoutError: Nothing has arrived, or more than
+                `MAX_LATE_BYTES` in a row.
+            OSError: The connection failed.
+        """
+        data = None
+        if self.late_bytes <= MAX_LATE_BYTES:
+            data = read_arrived(sock)
+        if data is None:
+            raise ResponseTimeoutError(self.address)
+        self.late_bytes += len(data)
+        return data
+
     def finish(self, head: messages.ResponseHead) -> bool:
         """Completes an exchange; closes a connection that can't be reused.
 
