Crash checks: a silent upstream is no crash until it stays dark

What callers saw: requests of common content, asked while several upstreams were silent for a second or so, were refused as repeated-breaks (503) for 60 s on all hosts, though every upstream was sound.

Cause: after a failed or overdue call a connection that wasn't accepted within 0.2 s counted as a crash, and so did any local error of connect().

Change: only a refused, reset or at once closed connection is a crash by itself. A silent upstream is tried again (0.5 s a try, one check for an address and incarnation at a time) until it accepts, refuses, its registration ends or names another start, or it has been silent for 3.2 s since the request was sent (at least 1.2 s of failed connections), which counts as a crash, so that a request that darkens machines is still refused after three. A crash isn't counted if any host had an answer to the same content since the failure: the longer check would otherwise record it after the success that clears it. Two failures of one attempt count once if the upstream's start isn't known. Errors of this host are logged as `upstream not checked`.

A retry still waits for the check only if one more crash refuses it, now 0.25 s at most and never beyond the call's deadline; a failure at the deadline was sent up to 0.23 s late.

CrashCheck.watch lets other stages do the same; is_down is unchanged apart from local errors and is used by the decode stage only.

--- a/src/coltsfootarch/forwarding/call_attempts.py
+++ b/src/coltsfootarch/forwarding/call_attempts.py
@@ -37,6 +37,7 @@
     Attributes:
         number: Its number among the attempts that were sent, from 1; 0 for one
             that wasn't sent.
+        sent_at: Instant at which it was sent, in seconds.
         is_overdue: Whether it was silent at `overdue_at`.
         is_denied: Whether it was no longer allowed once it was connected.
         is_misdirected: Whether another upstream uses the address now.
@@ -57,6 +58,7 @@
         self.exchange = exchange
         self.overdue_at = overdue_at
         self.number = 0
+        self.sent_at = 0.0
         self.is_overdue = False
         self.is_denied = False
         self.is_misdirected = False
--- a/src/coltsfootarch/forwarding/call_pipeline.py
+++ b/src/coltsfootarch/forwarding/call_pipeline.py
@@ -12,6 +12,7 @@
 from coltsfootarch.forwarding import attempts
 from coltsfootarch.forwarding import call_attempts
 from coltsfootarch.forwarding import calls
+from coltsfootarch.forwarding import crash_checks
 from coltsfootarch.forwarding import upstream_exchange
 from coltsfootarch.scheduling import outcomes
 
@@ -188,6 +189,7 @@
             return False
         call.attempts += 1
         attempt.number = call.attempts
+        attempt.sent_at = self.clock.monotonic()
         return True
 
     def log_budget_exhausted(self, call: calls.Call) -> None:
@@ -287,7 +289,7 @@
             if result.is_success:
                 self.context.break_counts.clear(call.digest)
         elif result.may_have_run:
-            self.context.crash_check.check(call.digest, upstream)
+            self.check_crash(attempt)
 
     def record_overdue(self, attempt: call_attempts.CallAttempt) -> None:
         """Records that an upstream is silent for longer than expected."""
@@ -302,7 +304,19 @@
             upstream.id, outcomes.Outcome.BROKEN
         )
         if attempt.exchange.sent:
-            self.context.crash_check.check(call.digest, upstream)
+            self.check_crash(attempt)
+
+    def check_crash(self, attempt: call_attempts.CallAttempt) -> None:
+        """Finds out whether an upstream crashed while it ran the call."""
+        call = attempt.call
+        time_left = max(call.ends_at - self.clock.monotonic(), 0.0)
+        self.context.crash_check.check(
+            call.digest,
+            attempt.upstream,
+            attempt.sent_at,
+            f"{call.request.id}/{attempt.number}",
+            min(crash_checks.MAX_DELAY_S, time_left),
+        )
 
     def finish(
         self,
--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -297,7 +297,7 @@
             loads=loads,
             outcome_tracker=outcome_tracker,
             break_counts=breaks,
-            crash_check=crash_checks.CrashCheck(breaks, clock),
+            crash_check=crash_checks.CrashCheck(breaks, clock, self.upstreams),
             crashing_parts=crashing_parts.CrashingParts(
                 clock,
                 lambda: self.hosts.rank() == 0,
--- a/src/coltsfootarch/scheduling/break_counts.py
+++ b/src/coltsfootarch/scheduling/break_counts.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import collections
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -81,8 +82,10 @@
 
     Attributes:
         breaks: Breaks observed by any host by request digest.
-        cleared_at: Instant at which a request with earlier breaks completed, by
-            its digest.
+        cleared_at: Instant at which a request that has breaks, or may have one,
+            completed, by its digest.
+        suspected: Number of failures of a request for which it isn't known yet
+            whether they are breaks, by its digest.
     """
 
     def __init__(
@@ -96,6 +99,7 @@
         self.report_soon = report_soon
         self.breaks: dict[str, Breaks] = {}
         self.cleared_at: dict[str, float] = {}
+        self.suspected: collections.Counter[str] = collections.Counter()
         self.recorded = 0
         self.report_count = 0
         self.next_in_turn = 0
@@ -141,9 +145,19 @@
         """Returns the sort key of a request's breaks, least first."""
         return self.breaks[digest].weight
 
+    def suspect(self, digest: str) -> None:
+        """Notes a failure of a request that may turn out to be a break."""
+        self.suspected[digest] += 1
+
+    def end_suspicion(self, digest: str) -> None:
+        """Notes that it is known whether a failure was a break."""
+        self.suspected[digest] -= 1
+        if self.suspected[digest] <= 0:
+            del self.suspected[digest]
+
     def clear(self, digest: str) -> None:
         """Removes the breaks of a request that completed."""
-        if digest in self.breaks:
+        if digest in self.breaks or digest in self.suspected:
             self.note_cleared(digest, self.clock.monotonic())
 
     def note_cleared(self, digest: str, at: float) -> None:
