Attempts to generate are recorded in a module of their own

No change of behaviour: the three methods that record an attempt moved, with the clock taken from the context.

--- a/src/coltsfootarch/forwarding/decode_stage.py
+++ b/src/coltsfootarch/forwarding/decode_stage.py
@@ -8,6 +8,7 @@
 
 import structlog
 
+from coltsfootarch.forwarding import attempt_recorder
 from coltsfootarch.forwarding import attempts
 from coltsfootarch.forwarding import calls
 from coltsfootarch.forwarding import events
@@ -54,6 +55,7 @@
 
     def __init__(self, context: context.Context) -> None:
         self.context = context
+        self.recorder = attempt_recorder.AttemptRecorder(context)
 
     @property
     def clock(self) -> clocks.Clock:
@@ -260,10 +262,10 @@
                 f"{engine.id}@{engine.started_ms}",
             )
         if not exchange.aborted:
-            self.record_outcome(
+            self.recorder.record_outcome(
                 generation, engine, result, now, watch.was_silent
             )
-        self.record_result(generation, result, now)
+        self.recorder.record_result(generation, result, now)
         self.context.metrics.attempts.labels(call.service, result.label).inc()
         logger.info(
             "decode ended",
@@ -347,7 +349,7 @@
         responder = generation.call.responder
         generation.event_count += 1
         if generation.event_count == crashing_parts.SOUND_EVENTS:
-            self.record_sound(generation.call)
+            self.recorder.record_sound(generation.call)
         if (
             generation.event_count >= EVENTS_BETWEEN_PROMPTS
             and generation.placement is not None
@@ -392,67 +394,3 @@
             else FIRST_EVENT_WITH_PREFILL_FRACTION
         )
         return fraction * call.route.objective_s
-
-    def record_sound(self, call: calls.Call) -> None:
-        """Records that no part of the prompt crashes engines."""
-        self.context.crashing_parts.record_sound(
-            call.service, call.request.shared_parts
-        )
-
-    def record_outcome(
-        self,
-        generation: generations.Generation,
-        engine: upstreams.Upstream,
-        result: attempts.Response | attempts.Failure,
-        started_at: float,
-        was_silent: bool,
-    ) -> None:
-        """Records what an attempt tells about the engine and the request.
-
-        An engine whose stream fell silent was checked for a crash then. A
-        break after that is the same one.
-        """
-        digest = generation.call.digest
-        latency = (
-            generation.first_event_at or self.clock.monotonic()
-        ) - started_at
-        self.context.outcome_tracker.record(engine.id, result.outcome, latency)
-        if result is attempts.Failure.BROKEN:
-            cause = engine.incarnation if was_silent else ""
-            self.context.break_counts.record(digest, cause)
-        elif result is attempts.Failure.TIMED_OUT and not was_silent:
-            self.context.crash_check.check(digest, engine)
-
-    def record_result(
-        self,
-        generation: generations.Generation,
-        result: attempts.Response | attempts.Failure,
-        started_at: float,
-    ) -> None:
-        """Records an attempt's result; decides if the request is finished."""
-        call = generation.call
-        if isinstance(result, attempts.Response):
-            succeeded = result.is_success
-            generation.response = result
-            if succeeded:
-                if generation.event_count:
-                    self.record_sound(call)
-                self.context.break_counts.clear(call.digest)
-                duration = self.clock.monotonic() - started_at
-                self.context.queue.backlog.record_duration(
-                    call.service, duration
-                )
-                if generation.prefill_s:
-                    self.context.balancer.record(
-                        call.service,
-                        generation.prefill_s,
-                        duration,
-                        generation.demand.memory_tokens,
-                    )
-            if succeeded or not call.route.repeatable:
-                generation.finished = True
-            return
-        generation.failure = result
-        call.may_have_run = call.may_have_run or result.may_have_run
-        if result.may_have_run and not call.route.repeatable:
-            generation.finished = True
