Silent streams: an engine without reservations has to accept the stream first

What callers saw: 502, or a cut stream, after a move to an engine that turned out to be full.

Cause: where engines reserve no memory, the move relied on this host's view of their loads, which lacks what other hosts have sent in the last tenths of a second. The exchange with the silent engine was closed before the new one had the request, and with two attempts none was left.

Change: without reservations the request is sent while the old exchange stays open. It is closed once the new engine has answered 200, or has not refused within 0.3 s, so that both work on it for less than 0.4 s. A refusal leaves the stream where it is.

Evidence: test_refusal_of_the_replacement_costs_no_stream fails without the change (the stream is cut) and passes with it.

--- a/src/coltsfootarch/forwarding/decode_stage.py
+++ b/src/coltsfootarch/forwarding/decode_stage.py
@@ -147,7 +147,8 @@
         generation.kv_cache_provided = prefill_result is not None
         reason = "done"
         result: attempts.Response | attempts.Failure
-        call.tried.append(engine.id)
+        if not exchange.sent:
+            call.tried.append(engine.id)
         watch = silence_watch.SilenceWatch(
             self.context,
             generation,
@@ -234,12 +235,13 @@
             ValueError: An event was too long.
         """
         call = generation.call
-        try:
-            exchange.send()
-        finally:
-            call.attempts += exchange.sent
+        if not exchange.sent:
+            try:
+                exchange.send()
+            finally:
+                call.attempts += exchange.sent
         call.sent_upstream = True
-        response = exchange.read_head(call.ends_at)
+        response = exchange.accepted or exchange.read_head(call.ends_at)
         if not 200 <= response.status < 300:
             body = exchange.read_body(call.ends_at)
             call.keep(exchange.take_holding())
--- a/src/coltsfootarch/forwarding/engine_preparation.py
+++ b/src/coltsfootarch/forwarding/engine_preparation.py
@@ -18,7 +18,9 @@
 from coltsfootarch.forwarding import cancellation
 from coltsfootarch.forwarding import decode_readiness
 from coltsfootarch.forwarding import silence_watch
+from coltsfootarch.http1 import client
 from coltsfootarch.scheduling import dispatch_queue
+from coltsfootarch.scheduling import outcomes
 
 if TYPE_CHECKING:
     from coltsfootarch import clock as clocks
@@ -37,6 +39,9 @@
 MAX_RETRY_S = 2.0
 # Time for the reader to take bytes that have arrived, in seconds.
 READER_S = 0.01
+# Longest time for which both engines have the request, in seconds. An engine
+# that has no room refuses within milliseconds.
+ACCEPTANCE_S = 0.3
 
 logger = structlog.get_logger(__name__)
 
@@ -109,6 +114,12 @@
         """The silent engine."""
         return self.exchange.delivery.upstream
 
+    @property
+    def reserves_memory(self) -> bool:
+        """Whether engines of the service reserve memory."""
+        engine = self.own.service.engine
+        return engine is not None and engine.reservation_s > 0
+
     def start(self) -> None:
         """Starts the preparation; see `silence_watch.Preparation`."""
         gevent.spawn(self.run)
@@ -178,6 +189,7 @@
             self.own.service,
             self.own.demand._replace(
                 may_use_prefill_engine=self.own.may_prefill
+                and self.reserves_memory
             ),
             self.excluded,
             call.route.priority,
@@ -209,6 +221,10 @@
                 self.own.reservation,
                 self.own.reservation_ends_at,
             )
+            if not self.may_move(self.ready):
+                return False
+            if not self.reserves_memory and not self.is_accepted(self.ready):
+                return False
             return self.move(self.ready)
         finally:
             if not self.taken:
@@ -223,8 +239,9 @@
         """Releases an engine that gets no request."""
         exchange.close()
         self.decode_readiness.drop_reservation(self.own)
-        self.context.outcome_tracker.withdraw_dispatch(placement.decode.id)
-        self.context.notices.limits.give_back(placement.decode)
+        if not exchange.sent:
+            self.context.outcome_tracker.withdraw_dispatch(placement.decode.id)
+            self.context.notices.limits.give_back(placement.decode)
         self.context.queue.release(placement, prompt_prefilled=False)
 
     def excluded(self) -> set[str]:
@@ -263,11 +280,23 @@
             and self.decode_readiness.ensure_connected(self.own, exchange)
         )
 
-    def move(self, replacement: silence_watch.Replacement) -> bool:
-        """Ends the exchange with the silent engine; returns whether it did.
+    def may_move(self, replacement: silence_watch.Replacement) -> bool:
+        """Returns whether the stream may move now; spends the retry budget.
 
-        Nothing may come between the last look at the silent engine and the end
-        of the exchange, so that no event of it is relayed after the move.
+        Raises:
+            cancellation.CallerDisconnectedError: The preparation was stopped.
+        """
+        self.wait_for_reader()
+        engine = replacement.placement.decode
+        return (
+            self.context.directory.is_serving(engine.id)
+            and not self.is_mute(engine.id)
+            and replacement.exchange.is_ready()
+            and self.attempts.may_attempt(self.generation)
+        )
+
+    def wait_for_reader(self) -> None:
+        """Waits until nothing that the silent engine sent is unread.
 
         Raises:
             cancellation.CallerDisconnectedError: The preparation was stopped.
@@ -275,21 +304,68 @@
         while self.exchange.has_unread_bytes():
             self.pause(READER_S)
         self.cancellation.check()
+
+    def is_accepted(self, replacement: silence_watch.Replacement) -> bool:
+        """Sends the request; returns whether the engine takes it.
+
+        Without a reservation only the engine knows whether it has room. One
+        that has not refused within `ACCEPTANCE_S` has taken the request.
+
+        Raises:
+            cancellation.CallerDisconnectedError: The preparation was stopped.
+        """
         engine = replacement.placement.decode
-        if (
-            not self.context.directory.is_serving(engine.id)
-            or self.is_mute(engine.id)
-            or not replacement.exchange.is_ready()
-        ):
-            return False
-        if not self.attempts.may_attempt(self.generation):
-            return False
+        exchange = replacement.exchange
+        exchange.delivery = self.stage.build_delivery(
+            self.own, replacement.placement
+        )
+        outcome = outcomes.Outcome.BROKEN
+        try:
+            with self.cancellation.attached(exchange.abort):
+                exchange.send()
+                exchange.accepted = exchange.read_head(
+                    self.clock.monotonic() + ACCEPTANCE_S
+                )
+            status = exchange.accepted.status
+            if 200 <= status < 300:
+                return True
+            reason = f"status {status}"
+            if exchange.accepted.not_run:
+                outcome = outcomes.Outcome.REFUSED
+        except client.ResponseTimeoutError:
+            return True
+        except (client.ConnectError, client.BrokenConnectionError) as error:
+            reason = str(error)
+        finally:
+            if exchange.sent:
+                self.generation.call.attempts += 1
+                self.generation.call.tried.append(engine.id)
+        self.cancellation.check()
+        self.context.outcome_tracker.record(engine.id, outcome)
+        logger.info(
+            "silent stream not accepted by another engine",
+            request_id=self.own.call.request.id,
+            upstream=engine.id,
+            reason=reason,
+        )
+        return False
+
+    def move(self, replacement: silence_watch.Replacement) -> bool:
+        """Ends the exchange with the silent engine; returns True.
+
+        Nothing may come between the last look at the silent engine and the end
+        of the exchange, so that no event of it is relayed after the move.
+
+        Raises:
+            cancellation.CallerDisconnectedError: The preparation was stopped.
+        """
+        self.wait_for_reader()
         self.moved = self.taken = True
         logger.info(
             "silent stream moved to another engine",
             request_id=self.generation.call.request.id,
             upstream=self.engine.id,
-            replacement=engine.id,
+            replacement=replacement.placement.decode.id,
             reserved=bool(replacement.reservation),
             tries=self.tries + 1,
         )
--- a/src/coltsfootarch/forwarding/generation_pipeline.py
+++ b/src/coltsfootarch/forwarding/generation_pipeline.py
@@ -312,11 +312,31 @@
         call = generation.call
         if self.is_refused(call):
             return
+        if exchange.sent or self.make_ready(generation, placement, exchange):
+            self.decode_stage.generate(
+                generation,
+                placement.decode,
+                exchange,
+                lambda: self.prepare(generation, exchange),
+            )
+
+    def make_ready(
+        self,
+        generation: generations.Generation,
+        placement: engine_placement.Placement,
+        exchange: upstream_exchange.UpstreamExchange,
+    ) -> bool:
+        """Connects the decode engine and prefills the prompt if needed.
+
+        Returns:
+            Whether the request may be sent to the decode engine.
+        """
+        call = generation.call
         is_prepared = exchange.connection is not None
         if not is_prepared and not self.decode_stage.connect(
             generation, exchange
         ):
-            return
+            return False
         prefill_result = generation.prefill_result
         now = self.clock.monotonic()
         if prefill_result is not None and not prefill_result.is_usable(now):
@@ -329,28 +349,23 @@
             if not generation.reservation and not self.decode_readiness.reserve(
                 generation, exchange
             ):
-                return
+                return False
             self.prefill_stage.run(generation, placement.prefill, exchange)
         call.cancellation.check()
         if not self.decode_readiness.restore(generation, exchange):
-            return
+            return False
         if self.is_refused(call):
-            return
+            return False
         if not self.context.directory.is_serving(placement.decode.id):
             # The decode engine was drained or removed during the prefill; the
             # request was not sent to it.
             call.tried.append(placement.decode.id)
             generation.connect_failures += 1
-            return
+            return False
         exchange.delivery = self.decode_stage.build_delivery(
             generation, placement
         )
-        self.decode_stage.generate(
-            generation,
-            placement.decode,
-            exchange,
-            lambda: self.prepare(generation, exchange),
-        )
+        return True
 
     def prepare(
         self,
--- a/src/coltsfootarch/forwarding/upstream_exchange.py
+++ b/src/coltsfootarch/forwarding/upstream_exchange.py
@@ -85,6 +85,8 @@
         self.head: messages.ResponseHead | None = None
         self.aborted = False
         self.sent = False
+        # Head of a response that was read before the exchange was handed over.
+        self.accepted: calls.UpstreamResponse | None = None
 
     def connect(self, recently_used: bool) -> None:
         """Takes an idle connection from the pool or opens one.
--- a/tests/forwarding/test_silent_streams.py
+++ b/tests/forwarding/test_silent_streams.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import gevent
 import pytest
 
@@ -496,3 +498,21 @@
 
     Stream(engines, request_id="r4").check()
     assert "r4" in engines.runs()["d-1"]
+
+
+def test_refusal_of_the_replacement_costs_no_stream(engines):
+    """Guards against closing the old exchange before the new one is taken."""
+    document = documents.configuration(2)
+    del document["services"][0]["engine"]["hold_ms"]
+    engines.configure(document)
+    engines.wait(lambda: engines.daemon.policy_tracker.version() == 2)
+    engines.runners["d-2"].fault = "full"
+    stream = start_on(engines, "d-1")
+    engines.runners["d-1"].fall_silent(math.inf)
+    engines.wait(lambda: engines.runners["d-2"].refused)
+    engines.runners["d-1"].fall_silent(0.0)
+
+    stream.check()
+    assert engines.runners["d-2"].refused == 1
+    assert engines.runs() == {"d-1": ["r1"]}
+    check_released(engines)
