Callers: a refusal reaches a caller that is still sending

A request over a limit was refused with 413 or 431 and the connection closed at once. With bytes unread that resets it: the caller got neither an answer nor a refusal, and no host logged the request. It shows beside a configuration that raises max_body_bytes or max_header_bytes, since callers may know it before a host does.

After its last response the host closes its own direction only and drops what still arrives until the caller closes, for up to 1 s.

test_refusal_reaches_a_caller_that_is_still_sending (both limits) failed before with BrokenPipeError at the caller.

--- a/src/coltsfootarch/forwarding/caller_connection.py
+++ b/src/coltsfootarch/forwarding/caller_connection.py
@@ -38,6 +38,9 @@
 # Time for which a connection that there is no room for is kept to refuse a
 # request on it, in seconds.
 SURPLUS_IDLE_S = 1.0
+# Longest time for which a caller may go on to send after its last response, in
+# seconds.
+LINGER_S = 1.0
 
 logger = structlog.get_logger(__name__)
 
@@ -212,6 +215,8 @@
                 if request is None or not self.serve(request):
                     break
             reason = CloseReason.ANNOUNCED
+            if not self.closed:
+                self.linger()
         except calls.CallerConnectionError:
             reason = CloseReason.SOCKET_ERROR
         except Exception:
@@ -335,8 +340,28 @@
                 msgspec.json.encode(document),
             )
             self.rejected = True
+            self.linger()
         self.close(reason)
 
+    def linger(self) -> None:
+        """Waits until the caller has closed; drops what it still sends.
+
+        A close with bytes unread resets the connection, and the caller, which
+        may still be sending, then doesn't get the response.
+        """
+        deadline = self.listener.clock.monotonic() + LINGER_S
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+            while (
+                left := deadline - self.listener.clock.monotonic()
+            ) > 0 and not self.closed:
+                self.sock.settimeout(left)
+                if not self.sock.recv(readers.READ_SIZE):
+                    return
+        except OSError:
+            # The caller has gone, or sends longer than the host waits.
+            return
+
     def serve(self, request: messages.Request) -> bool:
         """Handles a request; returns whether the connection stays open."""
         cancellation = cancellations.Cancellation()
--- a/tests/forwarding/test_caller_connections.py
+++ b/tests/forwarding/test_caller_connections.py
@@ -137,3 +137,23 @@
     response = caller.read()
     assert response is not None
     assert response.status == 200
+
+
+@pytest.mark.parametrize("limit", ["body_bytes", "header_bytes"])
+def test_refusal_reaches_a_caller_that_is_still_sending(
+    app, limits, logs, limit
+):
+    """Guards against a reset that discards the refusal."""
+    limits(**{limit: 100})
+    caller = app.caller()
+
+    for start in range(0, len(REQUEST), 10_000):
+        caller.send_raw(REQUEST[start : start + 10_000])
+        gevent.sleep(0.005)
+
+    response = caller.read()
+    assert response is not None
+    assert response.status in (413, 431)
+    caller.close()
+    app.wait(lambda: closes(logs))
+    assert "too-large" in closes(logs)[0]["reason"]
