Callers: a changed limit applies to open connections, a lowered one later

The limits for heads and bodies were read once, when a connection was accepted. A lowered idle or header limit took effect at once, while callers that still went by the old one reused connections that the host was closing.

Limits are now read for each read of a connection, and a limit that grows within a request holds for it.

Failed before: test_connection_that_is_open_gets_a_raised_limit (431), test_request_that_began_before_a_limit_was_raised_is_answered (413, both cases), test_idle_connection_outlives_a_lowered_limit (closed).

--- a/src/coltsfootarch/forwarding/caller_connection.py
+++ b/src/coltsfootarch/forwarding/caller_connection.py
@@ -262,9 +262,20 @@
         return reader.complete.popleft()
 
     def feed(self, data: bytes) -> None:
-        """Parses bytes; keeps an error until the requests before it end."""
+        """Parses bytes; keeps an error until the requests before it end.
+
+        A limit that is lowered within a request doesn't hold for it.
+        """
+        reader = self.reader
+        limits = self.listener.limits()
+        header_bytes, body_bytes = limits.header_bytes, limits.body_bytes
+        if reader.in_progress:
+            header_bytes = max(header_bytes, reader.max_header_bytes)
+            body_bytes = max(body_bytes, reader.max_body_bytes)
+        reader.max_header_bytes = header_bytes
+        reader.max_body_bytes = body_bytes
         try:
-            self.reader.feed(data, self.listener.clock.monotonic())
+            reader.feed(data, self.listener.clock.monotonic())
         except readers.MalformedMessageError as error:
             self.feed_error = error
 
--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -27,6 +27,7 @@
 from coltsfootarch.forwarding import forwarder
 from coltsfootarch.forwarding import host_status
 from coltsfootarch.forwarding import listener
+from coltsfootarch.forwarding import recent_limits
 from coltsfootarch.forwarding import response_memory
 from coltsfootarch.forwarding import status
 from coltsfootarch.http1 import pool
@@ -206,11 +207,14 @@
             self.context.outcome_tracker,
             clock,
         )
+        self.recent_limits = recent_limits.RecentLimits(
+            self.caller_limits, clock
+        )
         self.caller_listener = listener.CallerListener(
             settings.listen,
             self.forwarder,
             clock,
-            self.caller_limits,
+            self.recent_limits.current,
             platform.callers.request_id,
             lambda reason: self.context.metrics.caller_closes.labels(
                 reason
@@ -353,7 +357,10 @@
         ready = status.ReadinessHandler(self.platform.ready_path, self.is_ready)
         listeners = [
             listener.CallerListener(
-                self.settings.ready, ready, self.clock, self.caller_limits
+                self.settings.ready,
+                ready,
+                self.clock,
+                self.recent_limits.current,
             )
         ]
         if self.settings.metrics:
@@ -365,15 +372,15 @@
                     self.settings.metrics,
                     metrics,
                     self.clock,
-                    self.caller_limits,
+                    self.recent_limits.current,
                 )
             )
         return listeners
 
-    def caller_limits(self) -> policy.CallerLimits:
-        """Returns the limits for callers of the active policy."""
+    def caller_limits(self) -> policy.CallerLimits | None:
+        """Returns the limits of the active policy; None without a policy."""
         current = self.policy_tracker.policy
-        return current.limits if current else policy.CallerLimits()
+        return current.limits if current else None
 
     def is_ready(self) -> bool:
         """Returns whether the host is ready for new callers."""
--- /dev/null
+++ b/tests/forwarding/test_recent_limits.py
@@ -0,0 +1,126 @@
+"""Tests the limits for callers around a change of the configuration."""
+
+from __future__ import annotations
+
+import gevent
+import pytest
+
+from coltsfootarch import clock as clocks
+from coltsfootarch.fleet import policy
+from coltsfootarch.forwarding import caller_connection
+from coltsfootarch.forwarding import recent_limits
+from tests.platform import documents
+
+
+class SteppedClock(clocks.SystemClock):
+    """A clock that only a test moves."""
+
+    now_s = 100.0
+
+    def monotonic(self):
+        return self.now_s
+
+
+LARGE = policy.CallerLimits(16000, 60000, 3.0, 15.0)
+SMALL = policy.CallerLimits(4000, 20000, 1.0, 5.0)
+
+
+@pytest.fixture
+def clock():
+    return SteppedClock()
+
+
+@pytest.fixture
+def active():
+    return [LARGE]
+
+
+@pytest.fixture
+def limits(clock, active):
+    tracked = recent_limits.RecentLimits(lambda: active[0], clock)
+    tracked.current()
+    return tracked
+
+
+def test_lowered_limits_hold_when_every_caller_knows_them(
+    clock, active, limits
+):
+    """Guards against a close that crosses a request within the old limit."""
+    active[0] = SMALL
+    assert limits.current() == LARGE
+    clock.now_s += recent_limits.OVERLAP_S - 0.1
+    assert limits.current() == LARGE
+    clock.now_s += 0.2
+    assert limits.current() == SMALL
+
+
+def test_raised_limits_hold_at_once(active, limits):
+    active[0] = SMALL
+    limits.current()
+    active[0] = LARGE._replace(body_bytes=90000)
+
+    assert limits.current() == active[0]
+
+
+def test_defaults_without_a_policy_are_not_remembered(clock, active):
+    active[0] = None
+    tracked = recent_limits.RecentLimits(lambda: active[0], clock)
+    assert tracked.current() == policy.CallerLimits()
+    active[0] = SMALL
+
+    assert tracked.current() == SMALL
+
+
+def configure_limits(edge_host, version, **limits):
+    document = documents.configuration(version=version)
+    document["limits"] |= limits
+    edge_host.configure(document)
+    tracker = edge_host.daemon.policy_tracker
+    edge_host.wait(lambda: tracker.version() == version)
+
+
+def test_connection_that_is_open_gets_a_raised_limit(app):
+    """Guards against refusals by the limits of when a caller connected."""
+    caller = app.caller()
+    assert caller.ask("/read/a", "POST", b"x" * 1000).status == 200
+    configure_limits(app, 9, max_body_bytes=300_000, max_header_bytes=30_000)
+
+    response = caller.ask(
+        "/read/a", "POST", b"x" * 200_000, request_id="r2", X_Long="y" * 9000
+    )
+
+    assert response.status == 200
+
+
+@pytest.mark.parametrize("begun", [40, 400])
+def test_request_that_began_before_a_limit_was_raised_is_answered(app, begun):
+    """Guards against a body that is refused though its limit was raised."""
+    data = (
+        b"POST /read/a HTTP/1.1\r\nHost: api.example\r\nX-Request-Id: r2\r\n"
+        b"Authorization: Bearer %b\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"%x\r\n%b\r\n0\r\n\r\n"
+    ) % (documents.KEY.encode(), 100_000, b"b" * 100_000)
+    caller = app.caller()
+    caller.send_raw(data[:begun])
+    gevent.sleep(0.05)
+    configure_limits(app, 9, max_body_bytes=300_000)
+
+    caller.send_raw(data[begun:])
+
+    assert caller.read().status == 200
+
+
+def test_idle_connection_outlives_a_lowered_limit(app, monkeypatch):
+    """Guards against a close while a caller sends within the old limit."""
+    monkeypatch.setattr(caller_connection, "IDLE_TIMEOUT_FACTOR", 1.0)
+    caller = app.caller()
+    assert caller.ask("/read/a").status == 200
+    other = app.caller()
+    gevent.sleep(0.3)
+    configure_limits(app, 9, idle_timeout_ms=100)
+    other.send_raw(b"G")
+    gevent.sleep(0.3)
+
+    assert caller.ask("/read/a", request_id="r2").status == 200
+    gevent.sleep(0.3)
+    assert caller.ask("/read/a", request_id="r3").status == 200
