--- a/src/coltsfootarch/forwarding/caller_connection.py
+++ b/src/coltsfootarch/forwarding/caller_connection.py
@@ -38,6 +38,9 @@
 # Time for which a connection that there is no room for is kept to refuse a
 # request on it, in seconds.
 SURPLUS_IDLE_S = 1.0
+# Longest time for which a caller may go on to send after its last response, in
+# seconds.
+LINGER_S = 1.0
 
 logger = structlog.get_logger(__name__)
 
@@ -212,6 +215,8 @@
                 if request is None or not self.serve(request):
                     break
             reason = CloseReason.ANNOUNCED
+            if not self.closed:
+                self.linger()
         except calls.CallerConnectionError:
             reason = CloseReason.SOCKET_ERROR
         except Exception:
@@ -257,9 +262,20 @@
         return reader.complete.popleft()
 
     def feed(self, data: bytes) -> None:
-        """Parses bytes; keeps an error until the requests before it end."""
+        """Parses bytes; keeps an error until the requests before it end.
+
+        A limit that is lowered within a request doesn't hold for it.
+        """
+        reader = self.reader
+        limits = self.listener.limits()
+        header_bytes, body_bytes = limits.header_bytes, limits.body_bytes
+        if reader.in_progress:
+            header_bytes = max(header_bytes, reader.max_header_bytes)
+            body_bytes = max(body_bytes, reader.max_body_bytes)
+        reader.max_header_bytes = header_bytes
+        reader.max_body_bytes = body_bytes
         try:
-            self.reader.feed(data, self.listener.clock.monotonic())
+            reader.feed(data, self.listener.clock.monotonic())
         except readers.MalformedMessageError as error:
             self.feed_error = error
 
@@ -335,8 +351,28 @@
                 msgspec.json.encode(document),
             )
             self.rejected = True
+            self.linger()
         self.close(reason)
 
+    def linger(self) -> None:
+        """Waits until the caller has closed; drops what it still sends.
+
+        A close with bytes unread resets the connection, and the caller, which
+        may still be sending, then doesn't get the response.
+        """
+        deadline = self.listener.clock.monotonic() + LINGER_S
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+            while (
+                left := deadline - self.listener.clock.monotonic()
+            ) > 0 and not self.closed:
+                self.sock.settimeout(left)
+                if not self.sock.recv(readers.READ_SIZE):
+                    return
+        except OSError:
+            # The caller has gone, or sends longer than the host waits.
+            return
+
     def serve(self, request: messages.Request) -> bool:
         """Handles a request; returns whether the connection stays open."""
         cancellation = cancellations.Cancellation()
