An engine that accepts no connection in time may be silent

Callers of a small pool got a 503 after 0.8 s when all its decode engines were silent at once, even for 0.5 s, although they had seconds left.

Cause: a connection that timed out after 0.4 s excluded its engine from the request like one that was refused, and a request without a further engine was given up.

Evidence: 6 of the 8 tests of test_silent_connections.py failed before, with 503 after silences of 0.5, 1.5, 2 and 2.9 s of both engines, after silences one after another, and for ten callers beside a configuration. The other two guard what must stay: a refusal within 0.5 s if all engines refuse connections, and one if the silence goes on.

Change: only a refused connection, or a timeout at an engine that has been silent for 3 s, counts as a failed connection. At a shorter silence the engine gets no requests from this host for 0.3 s and is then tried again; requests whose engines are all silent wait as long as their callers. `connect` moves to DecodeReadiness, beside the other steps that make an engine ready.

--- a/src/coltsfootarch/forwarding/decode_readiness.py
+++ b/src/coltsfootarch/forwarding/decode_readiness.py
@@ -12,6 +12,7 @@
 import structlog
 
 from coltsfootarch.forwarding import reservation_calls
+from coltsfootarch.forwarding import silences
 from coltsfootarch.http1 import client
 from coltsfootarch.scheduling import outcomes
 
@@ -25,8 +26,6 @@
 RESERVATION_TIMEOUT_S = 0.3
 # Time for which this host sends no requests to an engine that was silent.
 SILENCE_BACKOFF_S = 0.3
-# Time for which an engine counts as silent; it is asked again in this time.
-SILENT_S = 1.0
 # A reservation that ends sooner is renewed before the request is sent.
 MIN_RESERVATION_S = 0.1
 
@@ -53,19 +52,65 @@
         context: Components that all pipelines of the host share.
 
     Attributes:
-        silent_until: Instant until which an engine counts as silent, in
-            seconds, by engine id.
+        connections: Engines that accepted no connection in time.
+        reservations: Engines that answered no reservation in time.
     """
 
     def __init__(self, context: contexts.Context) -> None:
         self.context = context
-        self.silent_until: dict[str, float] = {}
+        self.connections = silences.Silences(context.clock)
+        self.reservations = silences.Silences(context.clock)
 
     @property
     def clock(self) -> clocks.Clock:
         """Source of time."""
         return self.context.clock
 
+    def connect(
+        self,
+        generation: generations.Generation,
+        exchange: upstream_exchange.UpstreamExchange,
+        recently_used: bool = False,
+    ) -> bool:
+        """Connects to the decode engine and counts a failure.
+
+        An engine that accepts no connection in time may be silent for a moment.
+        It counts as down if that lasts or if it refuses the connection.
+
+        Args:
+            generation: The request.
+            exchange: Unconnected exchange with the engine.
+            recently_used: See `UpstreamExchange.connect`.
+
+        Returns:
+            Whether the engine is connected.
+        """
+        call = generation.call
+        engine = exchange.delivery.upstream
+        tracker = self.context.outcome_tracker
+        tracker.record_dispatch(engine.id)
+        try:
+            with call.cancellation.attached(exchange.abort):
+                exchange.connect(recently_used)
+        except client.ConnectError as error:
+            call.cancellation.check()
+            tracker.record(engine.id, outcomes.Outcome.UNREACHABLE)
+            timed_out = isinstance(error.__cause__, TimeoutError)
+            if timed_out and self.connections.is_short(engine.id):
+                self.record_silence(generation, engine.id, self.connections)
+            else:
+                generation.connect_failures += 1
+                call.tried.append(engine.id)
+            logger.info(
+                "connection to decode engine failed",
+                request_id=call.request.id,
+                upstream=engine.id,
+                reason=str(error),
+            )
+            return False
+        self.connections.end(engine.id)
+        return True
+
     def reserve(
         self,
         generation: generations.Generation,
@@ -98,23 +143,43 @@
 
         It has found one, or all engines are silent.
         """
-        if generation.met_silence or not self.silent_until:
+        if generation.met_silence or not self.silences_known:
             return generation.met_silence
-        now = self.clock.monotonic()
         engines = self.context.engine_placer.decode_engines(
             generation.call.service
         )
         return bool(engines) and all(
-            self.silent_until.get(engine.id, 0.0) > now for engine in engines
+            self.is_silent(engine.id) for engine in engines
         )
 
-    def record_silence(self, upstream_id: str) -> None:
-        """Records that an engine hasn't answered a reservation in time."""
-        now = self.clock.monotonic()
-        for each in [id for id, end in self.silent_until.items() if end < now]:
-            del self.silent_until[each]
-        self.silent_until[upstream_id] = now + SILENT_S
-        self.context.outcome_tracker.back_off(upstream_id, SILENCE_BACKOFF_S)
+    @property
+    def silences_known(self) -> bool:
+        """Whether any engine was silent recently."""
+        return bool(self.connections.entries or self.reservations.entries)
+
+    def is_silent(self, engine_id: str) -> bool:
+        """Returns whether an engine is silent and may still be sound."""
+        return self.reservations.is_silent(engine_id) or (
+            self.connections.is_silent(engine_id)
+            and self.connections.is_short(engine_id)
+        )
+
+    def record_silence(
+        self,
+        generation: generations.Generation,
+        engine_id: str,
+        known: silences.Silences,
+    ) -> None:
+        """Records that an engine was silent; it is asked again a little later.
+
+        Args:
+            generation: The request that found it silent.
+            engine_id: Id of the engine.
+            known: Where to record it.
+        """
+        known.record(engine_id)
+        generation.met_silence = True
+        self.context.outcome_tracker.back_off(engine_id, SILENCE_BACKOFF_S)
 
     def is_granted(
         self, generation: generations.Generation, result: ReservationResult
@@ -163,7 +228,7 @@
             reservation.abandon()
             call.cancellation.check()
         if reservation.name or reservation.refused:
-            self.silent_until.pop(upstream.id, None)
+            self.reservations.end(upstream.id)
         if reservation.name:
             reservation.exchange.move_connection(exchange)
             generation.reservation = reservation.name
@@ -175,8 +240,7 @@
         if not ended:
             result = ReservationResult.SILENT
             generation.late_reservations[upstream.id] = reservation
-            generation.met_silence = True
-            self.record_silence(upstream.id)
+            self.record_silence(generation, upstream.id, self.reservations)
         elif reservation.refused:
             result = ReservationResult.REFUSED
             tracker.record(upstream.id, outcomes.Outcome.REFUSED)
@@ -227,16 +291,16 @@
     ) -> bool:
         """Connects and reserves again if needed, before the request is sent.
 
-        A connection that can't be opened is left to the decode stage, which
-        records it.
-
         Returns:
             Whether to continue with this engine.
         """
         if generation.call.ends_at <= self.clock.monotonic():
             return False
-        connected = self.ensure_connected(generation, exchange)
-        if connected and not self.is_granted(
+        if not is_connected(exchange):
+            exchange.close()
+            if not self.connect(generation, exchange, recently_used=True):
+                return False
+        if not self.is_granted(
             generation, self.renew_reservation(generation, exchange)
         ):
             return False
@@ -293,8 +357,7 @@
         Returns:
             Whether the engine is connected.
         """
-        connection = exchange.connection
-        if connection is not None and connection.is_reusable():
+        if is_connected(exchange):
             return True
         exchange.close()
         try:
@@ -339,3 +402,9 @@
         ):
             return ReservationResult.BROKEN
         return result
+
+
+def is_connected(exchange: upstream_exchange.UpstreamExchange) -> bool:
+    """Returns whether a request can be sent on the exchange's connection."""
+    connection = exchange.connection
+    return connection is not None and connection.is_reusable()
--- a/src/coltsfootarch/forwarding/decode_stage.py
+++ b/src/coltsfootarch/forwarding/decode_stage.py
@@ -12,7 +12,6 @@
 from coltsfootarch.forwarding import upstream_exchange
 from coltsfootarch.http1 import client
 from coltsfootarch.scheduling import crashing_parts
-from coltsfootarch.scheduling import outcomes
 
 if TYPE_CHECKING:
     from coltsfootarch import clock as clocks
@@ -89,34 +88,6 @@
             resume_after=generation.resume_after,
         )
 
-    def connect(
-        self,
-        generation: generations.Generation,
-        exchange: upstream_exchange.UpstreamExchange,
-    ) -> bool:
-        """Connects to the decode engine; returns whether it succeeded."""
-        call = generation.call
-        engine = exchange.delivery.upstream
-        self.context.outcome_tracker.record_dispatch(engine.id)
-        try:
-            with call.cancellation.attached(exchange.abort):
-                exchange.connect(recently_used=False)
-        except client.ConnectError as error:
-            call.cancellation.check()
-            generation.connect_failures += 1
-            call.tried.append(engine.id)
-            self.context.outcome_tracker.record(
-                engine.id, outcomes.Outcome.UNREACHABLE
-            )
-            logger.info(
-                "connection to decode engine failed",
-                request_id=call.request.id,
-                upstream=engine.id,
-                reason=str(error),
-            )
-            return False
-        return True
-
     def generate(
         self,
         generation: generations.Generation,
--- a/src/coltsfootarch/forwarding/generation_pipeline.py
+++ b/src/coltsfootarch/forwarding/generation_pipeline.py
@@ -251,7 +251,7 @@
         exchange = self.decode_stage.create_exchange(generation, placement)
         self.context.notices.limits.take(placement.decode)
         try:
-            if not self.decode_stage.connect(generation, exchange):
+            if not self.decode_readiness.connect(generation, exchange):
                 return
             prefill_result = generation.prefill_result
             now = self.clock.monotonic()
