Errors that bottle passes on are answered with their result code

After a MemoryError or a timeout of gevent, a caller of the product's own interface got a bare "Internal Server Error" without a result code on a connection that was then closed, and a stream was cut without its last event.

Cause: bottle re-raises MemoryError and doesn't catch gevent.Timeout, which is no Exception; pywsgi then answers by itself or closes.

Evidence: 7 of the 28 cases of test_host_errors.py failed before (both errors for calls, completions and streamed completions, gevent.Timeout in a stream that had begun). The other 21 show that OSErrors of the host (EMFILE, ENOMEM, EPIPE, ECONNRESET, a timeout) were already answered.

Change: the application answers them as an internal error, with a log line.

--- a/src/coltsfootarch/gateway/application.py
+++ b/src/coltsfootarch/gateway/application.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 import bottle
+import gevent
 import msgspec
 import structlog
 
@@ -34,6 +35,8 @@
 
 HTTP_NO_CONTENT = 204
 NO_ACCOUNT = ""
+# Errors that bottle doesn't answer.
+UNANSWERED_ERRORS = (MemoryError, gevent.Timeout)
 
 logger = structlog.get_logger(__name__)
 
@@ -153,6 +156,13 @@
             if handle is not None:
                 self.requests.close(handle)
             return refusal
+        except UNANSWERED_ERRORS:
+            refusal = self.refuse(
+                internal_error(request_id), request_id, handle
+            )
+            if handle is not None:
+                self.requests.close(handle)
+            return refusal
         except BaseException:
             if handle is not None:
                 self.requests.close(handle)
@@ -209,9 +219,8 @@
         except errors.ColtsfootarchError as error:
             self.record_refusal(error, request_id, handle)
             yield answer_encoding.encode_failure(error, request_id)
-        except Exception:
-            logger.exception("unexpected error", request_id=request_id)
-            internal = errors.RefusedError(results.INTERNAL_ERROR)
+        except (Exception, *UNANSWERED_ERRORS):
+            internal = internal_error(request_id)
             yield answer_encoding.encode_failure(internal, request_id)
         finally:
             self.close_events(handle, events)
@@ -269,6 +278,8 @@
             return self.relay_answer(self.call_pipeline.run(call))
         except errors.ColtsfootarchError as error:
             return self.refuse(error, request_id, handle)
+        except UNANSWERED_ERRORS:
+            return self.refuse(internal_error(request_id), request_id, handle)
         finally:
             if handle is not None:
                 self.requests.close(handle)
@@ -352,6 +363,12 @@
         return self.refuse(errors.RefusedError(code), request_id)
 
 
+def internal_error(request_id: str) -> errors.RefusedError:
+    """Logs the error being handled and returns what the caller gets."""
+    logger.exception("unexpected error", request_id=request_id)
+    return errors.RefusedError(results.INTERNAL_ERROR)
+
+
 def json_body(document: dict[str, Any]) -> bytes:
     """Returns a document as JSON and sets the response's content type."""
     bottle.response.content_type = "application/json"
