A host without descriptors or memory blames no upstream

In the product's own gateway an EMFILE or ENOMEM of the host while it connected counted against the upstream: the engine was reported to the scheduler as failed or crashed and excluded, an instance of a plain service was marked as failing and excluded, and calls were refused as crashing their instances. With one prefill engine the caller got a 503.

Cause: every error of `connect` became an UpstreamConnectError.

Change: errors of which the host is the cause are a LocalConnectError. It ends the attempt without blame; a crash is concluded only from a question that was asked.

--- a/src/coltsfootarch/errors.py
+++ b/src/coltsfootarch/errors.py
@@ -132,6 +132,10 @@
     default_code = results.UPSTREAM_CONNECT_FAILED
 
 
+class LocalConnectError(UpstreamConnectError):
+    """This host lacked the descriptors, memory or ports for a connection."""
+
+
 class UpstreamTimeoutError(UpstreamError):
     """The upstream made no progress within the deadline."""
 
--- a/src/coltsfootarch/gateway/call_pipeline.py
+++ b/src/coltsfootarch/gateway/call_pipeline.py
@@ -169,6 +169,7 @@
 
         Raises:
             UpstreamConnectError: The instance accepts no connection.
+            LocalConnectError: This host could not open a connection.
             RefusedError: There is no instance.
         """
         denied: set[str] = set()
@@ -181,6 +182,9 @@
                 connection = self.connector.connect(
                     upstream.address, self.timeout(call)
                 )
+            except errors.LocalConnectError:
+                self.balancer.record_cancel(upstream.name)
+                raise
             except errors.UpstreamConnectError:
                 self.balancer.record_failure(upstream.name)
                 excluded.add(upstream.name)
--- a/src/coltsfootarch/gateway/completion_run.py
+++ b/src/coltsfootarch/gateway/completion_run.py
@@ -285,6 +285,11 @@
         self.sent = True
         try:
             source = self.pipeline.engines.prefill(upstream.address, request)
+        except errors.LocalConnectError as error:
+            self.sent = sent_before
+            raise failures.AttemptFailedError(
+                upstream.name, failures.CANCELLED
+            ) from error
         except errors.UpstreamConnectError as error:
             self.sent = sent_before
             self.pipeline.reachability.record_failure(upstream.address)
@@ -455,9 +460,15 @@
         }
 
     def held_requests(self, address: str) -> list[engine.EngineEntry] | None:
-        """Returns an engine's requests, or None if it does not answer."""
+        """Returns an engine's requests, or None if it does not answer.
+
+        Raises:
+            LocalConnectError: It could not be asked.
+        """
         try:
             return self.pipeline.engines.requests(address)
+        except errors.LocalConnectError:
+            raise
         except errors.UpstreamError:
             self.pipeline.reachability.record_failure(address)
             return None
--- a/src/coltsfootarch/gateway/crashing_calls.py
+++ b/src/coltsfootarch/gateway/crashing_calls.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 import gevent
+import structlog
 
 from coltsfootarch import errors
 from coltsfootarch import results
@@ -22,6 +23,8 @@
 # Calls that break within this time after a crash break by the same crash.
 SAME_CRASH_S = 2.0
 
+logger = structlog.get_logger(__name__)
+
 
 class Connector(Protocol):
     """Connects to instances; see `plain_client.PlainConnector`."""
@@ -78,6 +81,12 @@
         """Counts a crash if the instance accepts no connection."""
         try:
             self.connector.connect(upstream.address, CHECK_TIMEOUT).close()
+        except errors.LocalConnectError as error:
+            logger.warning(
+                "instance not checked for a crash",
+                upstream=upstream.name,
+                reason=str(error),
+            )
         except errors.UpstreamConnectError:
             self.counts.expire()
             self.counts.record(digest, self.crash_name(upstream.name))
--- a/src/coltsfootarch/gateway/failures.py
+++ b/src/coltsfootarch/gateway/failures.py
@@ -69,6 +69,12 @@
             return AttemptFailedError(upstream, CANCELLED)
         lost = error.reason in LOST_STATE
         return AttemptFailedError(upstream, CRASHED if lost else FAILED)
+    if isinstance(error, errors.LocalConnectError):
+        return AttemptFailedError(upstream, CANCELLED)
     timed_out = isinstance(error, errors.UpstreamTimeoutError)
-    alive = is_responding() if timed_out else holds_request()
+    try:
+        alive = is_responding() if timed_out else holds_request()
+    except errors.LocalConnectError:
+        # The engine could not be asked.
+        alive = True
     return AttemptFailedError(upstream, FAILED if alive else CRASHED)
--- a/src/coltsfootarch/upstreams/connection.py
+++ b/src/coltsfootarch/upstreams/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import http.client
 import socket
 from typing import TYPE_CHECKING
@@ -24,6 +25,16 @@
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 # Smallest socket timeout; 0 would make the socket non-blocking.
 SHORTEST_TIMEOUT_SECONDS = 0.001
+# Errors of `connect` for which this host is the cause.
+LOCAL_ERRNOS = frozenset(
+    {
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOMEM,
+        errno.ENOBUFS,
+        errno.EADDRNOTAVAIL,
+    }
+)
 
 
 class Deadline:
@@ -70,6 +81,7 @@
 
     Raises:
         UpstreamConnectError: The connection failed and nothing was sent.
+        LocalConnectError: The same, because of this host.
     """
 
     def __init__(self, address: str, timeout: datetime.timedelta) -> None:
@@ -83,7 +95,10 @@
             self.connection.connect()
         except (OSError, urllib3.exceptions.HTTPError) as error:
             self.connection.close()
-            raise errors.UpstreamConnectError(
+            kind = errors.UpstreamConnectError
+            if is_local(error):
+                kind = errors.LocalConnectError
+            raise kind(
                 f"no connection to upstream {address} ({type(error).__name__})"
             ) from error
         # http.client drops its own reference to the socket when the response
@@ -182,6 +197,12 @@
             ) from error
 
 
+def is_local(error: Exception) -> bool:
+    """Returns whether this host is the cause of a failed connection."""
+    cause = error if isinstance(error, OSError) else error.__cause__
+    return isinstance(cause, OSError) and cause.errno in LOCAL_ERRNOS
+
+
 def limit_time(deadline: Deadline) -> contextlib.AbstractContextManager[object]:
     """Returns a context that raises TimeoutError when the deadline passes.
 
