Reservations and silences of engines get modules of their own

`reservations.py` makes, renews and drops reservations, `silent_engines.py` tells which requests need a silent engine. A silence is forgotten after 6 s without a timeout instead of 30 s: an ejected engine is tried again every 4 s, so that a longer pause only means that no request needed it. Behaviour is otherwise the same.

--- a/src/coltsfootarch/forwarding/decode_readiness.py
+++ b/src/coltsfootarch/forwarding/decode_readiness.py
@@ -1,4 +1,4 @@
-"""Keeps a decode engine ready to take a request while its prompt is prefilled.
+"""Makes a decode engine ready to take a request, before and after its prefill.
 
 The engine must be registered and connected, and its reservation must last. A
 prefill engine that is silent is replaced only by a decode engine that is ready.
@@ -6,13 +6,11 @@
 
 from __future__ import annotations
 
-import enum
 from typing import TYPE_CHECKING
 
 import structlog
 
-from coltsfootarch.forwarding import reservation_calls
-from coltsfootarch.forwarding import silences
+from coltsfootarch.forwarding import reservations
 from coltsfootarch.http1 import client
 from coltsfootarch.scheduling import outcomes
 
@@ -20,46 +18,30 @@
     from coltsfootarch import clock as clocks
     from coltsfootarch.forwarding import context as contexts
     from coltsfootarch.forwarding import generations
+    from coltsfootarch.forwarding import silent_engines
     from coltsfootarch.forwarding import upstream_exchange
 
-# Engines respond to a reservation within milliseconds.
-RESERVATION_TIMEOUT_S = 0.3
-# Time for which this host sends no requests to an engine that was silent.
-SILENCE_BACKOFF_S = 0.3
-# A reservation that ends sooner is renewed before the request is sent.
-MIN_RESERVATION_S = 0.1
-
 logger = structlog.get_logger(__name__)
 
 
-class ReservationResult(enum.Enum):
-    """Result of a reservation.
-
-    `SILENT` means that there is no answer yet, `BROKEN` that there will be
-    none.
-    """
-
-    GRANTED = "granted"
-    REFUSED = "refused"
-    SILENT = "silent"
-    BROKEN = "broken"
-
-
 class DecodeReadiness:
-    """Reserves memory at decode engines and restores what was lost meanwhile.
+    """Connects to decode engines and restores what was lost meanwhile.
 
     Args:
         context: Components that all pipelines of the host share.
-
-    Attributes:
-        connections: Engines that accepted no connection in time.
-        reservations: Engines that answered no reservation in time.
+        silent: Engines that are silent at present.
+        reservation_stage: Makes the reservations.
     """
 
-    def __init__(self, context: contexts.Context) -> None:
+    def __init__(
+        self,
+        context: contexts.Context,
+        silent: silent_engines.SilentEngines,
+        reservation_stage: reservations.Reservations,
+    ) -> None:
         self.context = context
-        self.connections = silences.Silences(context.clock)
-        self.reservations = silences.Silences(context.clock)
+        self.silent = silent
+        self.reservations = reservation_stage
 
     @property
     def clock(self) -> clocks.Clock:
@@ -88,6 +70,7 @@
         call = generation.call
         engine = exchange.delivery.upstream
         tracker = self.context.outcome_tracker
+        known = self.silent.connections
         tracker.record_dispatch(engine.id)
         try:
             with call.cancellation.attached(exchange.abort):
@@ -96,8 +79,8 @@
             call.cancellation.check()
             tracker.record(engine.id, outcomes.Outcome.UNREACHABLE)
             timed_out = isinstance(error.__cause__, TimeoutError)
-            if timed_out and self.connections.is_short(engine.id):
-                self.record_silence(generation, engine.id, self.connections)
+            if timed_out and known.is_short(engine.id):
+                self.silent.record(generation, engine.id, known)
             else:
                 generation.connect_failures += 1
                 call.tried.append(engine.id)
@@ -108,181 +91,19 @@
                 reason=str(error),
             )
             return False
-        self.connections.end(engine.id)
+        known.end(engine.id)
         return True
 
-    def reserve(
+    def reconnect(
         self,
         generation: generations.Generation,
         exchange: upstream_exchange.UpstreamExchange,
     ) -> bool:
-        """Reserves memory for a prompt before its prefill, on large fleets.
-
-        With many hosts, others may have used the capacity that this host's view
-        of loads still shows; only the engine knows. With few hosts the view is
-        recent enough, and reservations would only add refusals: an engine
-        refuses more than necessary, since it can't tell which requests end
-        soon.
-
-        Returns:
-            Whether to continue with this engine.
-        """
-        engine = generation.service.engine
-        many_hosts = self.context.engine_placer.sampler.many_hosts
-        if engine is None or engine.reservation_s <= 0 or not many_hosts:
+        """Connects again if needed and counts a failure; see `connect`."""
+        if is_connected(exchange):
             return True
-        return self.is_granted(
-            generation,
-            self.request_reservation(
-                generation, exchange, engine.reservation_s
-            ),
-        )
-
-    def awaits_silent_engines(self, generation: generations.Generation) -> bool:
-        """Returns whether a request may need an engine that is silent.
-
-        It has found one, or all engines are silent.
-        """
-        if generation.met_silence or not self.silences_known:
-            return generation.met_silence
-        engines = self.context.engine_placer.decode_engines(
-            generation.call.service
-        )
-        return bool(engines) and all(
-            self.is_silent(engine.id) for engine in engines
-        )
-
-    @property
-    def silences_known(self) -> bool:
-        """Whether any engine was silent recently."""
-        return bool(self.connections.entries or self.reservations.entries)
-
-    def is_silent(self, engine_id: str) -> bool:
-        """Returns whether an engine is silent and may still be sound."""
-        return self.reservations.is_silent(engine_id) or (
-            self.connections.is_silent(engine_id)
-            and self.connections.is_short(engine_id)
-        )
-
-    def record_silence(
-        self,
-        generation: generations.Generation,
-        engine_id: str,
-        known: silences.Silences,
-    ) -> None:
-        """Records that an engine was silent; it is asked again a little later.
-
-        Args:
-            generation: The request that found it silent.
-            engine_id: Id of the engine.
-            known: Where to record it.
-        """
-        known.record(engine_id)
-        generation.met_silence = True
-        self.context.outcome_tracker.back_off(engine_id, SILENCE_BACKOFF_S)
-
-    def is_granted(
-        self, generation: generations.Generation, result: ReservationResult
-    ) -> bool:
-        """Counts a failed reservation; returns whether it was granted.
-
-        Only what an engine says is a refusal. One that is silent may come back
-        and doesn't count.
-        """
-        if result is ReservationResult.REFUSED:
-            generation.reservation_refusals += 1
-        elif result is ReservationResult.BROKEN:
-            generation.connect_failures += 1
-        return result is ReservationResult.GRANTED
-
-    def request_reservation(
-        self,
-        generation: generations.Generation,
-        exchange: upstream_exchange.UpstreamExchange,
-        seconds: float,
-    ) -> ReservationResult:
-        """Makes one reservation, or waits for one that wasn't answered yet.
-
-        Args:
-            generation: The request.
-            exchange: Connected exchange with the engine.
-            seconds: Time for which to reserve.
-
-        Raises:
-            cancellation.CallerDisconnectedError: The caller disconnected.
-        """
-        call = generation.call
-        upstream = exchange.delivery.upstream
-        reservation = self.late_reservation(generation, upstream.id)
-        if reservation is None:
-            reservation = reservation_calls.ReservationCall(
-                self.context,
-                call,
-                exchange,
-                generation.demand.prompt_tokens,
-                seconds,
-            )
-            reservation.start()
-        ended = reservation.wait(RESERVATION_TIMEOUT_S)
-        if call.cancellation.cancelled:
-            reservation.abandon()
-            call.cancellation.check()
-        if reservation.name or reservation.refused:
-            self.reservations.end(upstream.id)
-        if reservation.name:
-            reservation.exchange.move_connection(exchange)
-            generation.reservation = reservation.name
-            generation.reservation_ends_at = reservation.ends_at
-            self.abandon_late(generation)
-            return ReservationResult.GRANTED
-        tracker = self.context.outcome_tracker
-        result = ReservationResult.BROKEN
-        if not ended:
-            result = ReservationResult.SILENT
-            generation.late_reservations[upstream.id] = reservation
-            self.record_silence(generation, upstream.id, self.reservations)
-        elif reservation.refused:
-            result = ReservationResult.REFUSED
-            tracker.record(upstream.id, outcomes.Outcome.REFUSED)
-        elif not reservation.exchange.aborted:
-            tracker.record(upstream.id, outcomes.Outcome.BROKEN)
-        logger.info(
-            "reservation refused"
-            if reservation.refused
-            else "reservation not answered",
-            request_id=call.request.id,
-            upstream=upstream.id,
-            tokens=reservation.tokens,
-            reason=reservation.reason,
-        )
-        return result
-
-    def late_reservation(
-        self, generation: generations.Generation, upstream_id: str
-    ) -> reservation_calls.ReservationCall | None:
-        """Returns a reservation of the request that may still be granted."""
-        reservation = generation.late_reservations.pop(upstream_id, None)
-        if reservation is None or not reservation.ended:
-            return reservation
-        left_s = reservation.ends_at - self.clock.monotonic()
-        if reservation.name and left_s >= MIN_RESERVATION_S:
-            return reservation
-        reservation.abandon()
-        return None
-
-    def abandon_late(self, generation: generations.Generation) -> None:
-        """Drops the reservations that weren't answered in time."""
-        while generation.late_reservations:
-            _, reservation = generation.late_reservations.popitem()
-            reservation.abandon()
-
-    def drop_reservation(self, generation: generations.Generation) -> None:
-        """Drops a reservation with which no request was sent."""
-        name, generation.reservation = generation.reservation, ""
-        if name and generation.placement is not None:
-            reservation_calls.send_drop(
-                self.context, generation.placement.decode.address, name
-            )
+        exchange.close()
+        return self.connect(generation, exchange, recently_used=True)
 
     def restore(
         self,
@@ -296,13 +117,13 @@
         """
         if generation.call.ends_at <= self.clock.monotonic():
             return False
-        if not is_connected(exchange):
-            exchange.close()
-            if not self.connect(generation, exchange, recently_used=True):
-                return False
-        if not self.is_granted(
-            generation, self.renew_reservation(generation, exchange)
-        ):
+        if not self.reconnect(generation, exchange):
+            return False
+        result = self.reservations.renew(generation, exchange)
+        if not self.reservations.is_granted(generation, result):
+            return False
+        # An engine may close the connection after a reservation.
+        if not self.reconnect(generation, exchange):
             return False
         if generation.prefill_result is None:
             self.add_local_prefill(generation)
@@ -333,8 +154,9 @@
         generation.placement = local
         if (
             self.ensure_connected(generation, exchange)
-            and self.renew_reservation(generation, exchange)
-            is ReservationResult.GRANTED
+            and self.reservations.renew(generation, exchange)
+            is reservations.ReservationResult.GRANTED
+            and self.ensure_connected(generation, exchange)
         ):
             return True
         self.context.queue.finish_local_prefill(local)
@@ -374,35 +196,6 @@
             return False
         return True
 
-    def renew_reservation(
-        self,
-        generation: generations.Generation,
-        exchange: upstream_exchange.UpstreamExchange,
-    ) -> ReservationResult:
-        """Renews a reservation that is about to end.
-
-        Returns:
-            `GRANTED` also if the request needs none or the one that it has
-            lasts.
-        """
-        engine = generation.service.engine
-        left_s = generation.reservation_ends_at - self.clock.monotonic()
-        if (
-            engine is None
-            or not generation.reservation_ends_at
-            or left_s >= MIN_RESERVATION_S
-        ):
-            return ReservationResult.GRANTED
-        self.drop_reservation(generation)
-        result = self.request_reservation(
-            generation, exchange, engine.reservation_s
-        )
-        if result is ReservationResult.GRANTED and not self.ensure_connected(
-            generation, exchange
-        ):
-            return ReservationResult.BROKEN
-        return result
-
 
 def is_connected(exchange: upstream_exchange.UpstreamExchange) -> bool:
     """Returns whether a request can be sent on the exchange's connection."""
--- a/src/coltsfootarch/forwarding/generation_pipeline.py
+++ b/src/coltsfootarch/forwarding/generation_pipeline.py
@@ -14,6 +14,8 @@
 from coltsfootarch.forwarding import generations
 from coltsfootarch.forwarding import part_refusals
 from coltsfootarch.forwarding import prefill_stage
+from coltsfootarch.forwarding import reservations
+from coltsfootarch.forwarding import silent_engines
 from coltsfootarch.scheduling import dispatch_queue
 
 if TYPE_CHECKING:
@@ -50,7 +52,13 @@
 
     def __init__(self, context: context.Context) -> None:
         self.context = context
-        self.decode_readiness = decode_readiness.DecodeReadiness(context)
+        self.silent_engines = silent_engines.SilentEngines(context)
+        self.reservations = reservations.Reservations(
+            context, self.silent_engines
+        )
+        self.decode_readiness = decode_readiness.DecodeReadiness(
+            context, self.silent_engines, self.reservations
+        )
         self.prefill_stage = prefill_stage.PrefillStage(
             context, self.decode_readiness
         )
@@ -92,7 +100,7 @@
                     )
         finally:
             self.prefill_stage.release(generation)
-            self.decode_readiness.abandon_late(generation)
+            self.reservations.abandon_late(generation)
         self.finish(generation)
 
     def may_attempt(self, generation: generations.Generation) -> bool:
@@ -226,7 +234,7 @@
         if (
             call.attempts
             or generation.is_retry
-            or self.decode_readiness.awaits_silent_engines(generation)
+            or self.silent_engines.is_awaited(generation)
         ):
             return latest - now
         due_at = call.request.received_at + call.route.objective_s
@@ -262,7 +270,7 @@
                 and placement.prefill is not None
                 and self.admit_prefill(generation)
             ):
-                if not self.decode_readiness.reserve(generation, exchange):
+                if not self.reservations.reserve(generation, exchange):
                     return
                 self.prefill_stage.run(generation, placement.prefill, exchange)
             call.cancellation.check()
@@ -284,7 +292,7 @@
             exchange.close()
             if not exchange.sent:
                 self.context.notices.limits.give_back(placement.decode)
-                self.decode_readiness.drop_reservation(generation)
+                self.reservations.drop(generation)
 
     def admit_prefill(self, generation: generations.Generation) -> bool:
         """Returns whether to prefill the prompt at a prefill engine.
--- a/src/coltsfootarch/forwarding/silences.py
+++ b/src/coltsfootarch/forwarding/silences.py
@@ -13,8 +13,9 @@
 # Time for which an upstream counts as silent after a timeout; it is tried again
 # within this time.
 SILENT_S = 1.0
-# Time without a timeout after which a silence is forgotten.
-MEMORY_S = 30.0
+# Time without a timeout after which a silence is forgotten. An ejected upstream
+# is tried again every 4 s.
+MEMORY_S = 6.0
 
 
 class Silence(NamedTuple):
@@ -65,4 +66,6 @@
         entry = self.entries.get(upstream)
         if entry is None:
             return True
+        if self.clock.monotonic() - entry.latest > MEMORY_S:
+            return True
         return self.clock.monotonic() - entry.since < MAX_SILENCE_S
