--- a/src/coltsfootarch/forwarding/engine_preparation.py
+++ b/src/coltsfootarch/forwarding/engine_preparation.py
@@ -16,7 +16,7 @@
 import structlog
 
 from coltsfootarch.forwarding import cancellation
-from coltsfootarch.forwarding import decode_readiness
+from coltsfootarch.forwarding import reservations
 from coltsfootarch.forwarding import silence_watch
 from coltsfootarch.http1 import client
 from coltsfootarch.scheduling import dispatch_queue
@@ -27,6 +27,7 @@
     from coltsfootarch.fleet import upstreams
     from coltsfootarch.forwarding import calls
     from coltsfootarch.forwarding import context
+    from coltsfootarch.forwarding import decode_readiness
     from coltsfootarch.forwarding import decode_stage
     from coltsfootarch.forwarding import generations
     from coltsfootarch.forwarding import upstream_exchange
@@ -69,8 +70,8 @@
 
     Args:
         context: Components that all pipelines of the host share.
-        stage: Connects to decode engines.
-        readiness: Reserves memory at them.
+        stage: Creates the exchanges with decode engines.
+        readiness: Connects to them and reserves memory.
         attempts: Rules and queue for the attempts.
         generation: The request.
         exchange: Exchange with the silent engine.
@@ -211,7 +212,7 @@
         exchange = self.stage.create_exchange(self.own, placement)
         self.context.notices.limits.take(placement.decode)
         try:
-            if not self.stage.connect(self.own, exchange):
+            if not self.decode_readiness.connect(self.own, exchange):
                 return False
             if not self.reserve(exchange):
                 return False
@@ -238,7 +239,7 @@
     ) -> None:
         """Releases an engine that gets no request."""
         exchange.close()
-        self.decode_readiness.drop_reservation(self.own)
+        self.decode_readiness.reservations.drop(self.own)
         if not exchange.sent:
             self.context.outcome_tracker.withdraw_dispatch(placement.decode.id)
             self.context.notices.limits.give_back(placement.decode)
@@ -272,11 +273,11 @@
         engine = self.own.service.engine
         if engine is None or engine.reservation_s <= 0:
             return True
-        result = self.decode_readiness.request_reservation(
+        result = self.decode_readiness.reservations.request(
             self.own, exchange, engine.reservation_s
         )
         return (
-            result is decode_readiness.ReservationResult.GRANTED
+            result is reservations.ReservationResult.GRANTED
             and self.decode_readiness.ensure_connected(self.own, exchange)
         )
 
--- a/src/coltsfootarch/forwarding/generation_pipeline.py
+++ b/src/coltsfootarch/forwarding/generation_pipeline.py
@@ -15,6 +15,8 @@
 from coltsfootarch.forwarding import generations
 from coltsfootarch.forwarding import part_refusals
 from coltsfootarch.forwarding import prefill_stage
+from coltsfootarch.forwarding import reservations
+from coltsfootarch.forwarding import silent_engines
 from coltsfootarch.scheduling import dispatch_queue
 
 if TYPE_CHECKING:
@@ -52,7 +54,13 @@
 
     def __init__(self, context: context.Context) -> None:
         self.context = context
-        self.decode_readiness = decode_readiness.DecodeReadiness(context)
+        self.silent_engines = silent_engines.SilentEngines(context)
+        self.reservations = reservations.Reservations(
+            context, self.silent_engines
+        )
+        self.decode_readiness = decode_readiness.DecodeReadiness(
+            context, self.silent_engines, self.reservations
+        )
         self.prefill_stage = prefill_stage.PrefillStage(
             context, self.decode_readiness
         )
@@ -112,7 +120,7 @@
                 generation.placement = replacement.placement
                 generation.reservation = replacement.reservation
                 self.release(generation, replacement.exchange)
-            self.decode_readiness.abandon_late(generation)
+            self.reservations.abandon_late(generation)
         self.finish(generation)
 
     def create_exchange(
@@ -138,7 +146,7 @@
         if not exchange.sent:
             self.context.outcome_tracker.withdraw_dispatch(placement.decode.id)
             self.context.notices.limits.give_back(placement.decode)
-            self.decode_readiness.drop_reservation(generation)
+            self.reservations.drop(generation)
         self.context.queue.release(placement, generation.prompt_prefilled)
 
     def may_attempt(self, generation: generations.Generation) -> bool:
@@ -289,7 +297,7 @@
         if (
             call.attempts
             or generation.is_retry
-            or self.decode_readiness.awaits_silent_engines(generation)
+            or self.silent_engines.is_awaited(generation)
         ):
             return latest - now
         due_at = call.request.received_at + call.route.objective_s
@@ -333,7 +341,7 @@
         """
         call = generation.call
         is_prepared = exchange.connection is not None
-        if not is_prepared and not self.decode_stage.connect(
+        if not is_prepared and not self.decode_readiness.connect(
             generation, exchange
         ):
             return False
@@ -346,7 +354,7 @@
             and placement.prefill is not None
             and self.admit_prefill(generation)
         ):
-            if not generation.reservation and not self.decode_readiness.reserve(
+            if not generation.reservation and not self.reservations.reserve(
                 generation, exchange
             ):
                 return False
