Product's interface: a silent instance is no crash until it stays dark

What callers saw: a call whose instances were silent for a second was refused as quarantined (code 4003) for 60 s, though all were sound.

Cause: gateway/crashing_calls.py had a copy of the fault in forwarding/crash_checks.py: after a failed call any connection that couldn't be opened within 0.2 s counted as a crash, also one that this host had no descriptor for.

Change: failed connections to upstreams of this interface tell a refusal (UpstreamConnectError) from silence (UpstreamSilentError) and from errors of this host (LocalConnectError). A silent instance is asked again each half second for 3.2 s, by one check for each address, and a call that was answered meanwhile has crashed nothing. The register has no start times, so only connections decide here.

--- a/src/coltsfootarch/errors.py
+++ b/src/coltsfootarch/errors.py
@@ -132,6 +132,14 @@
     default_code = results.UPSTREAM_CONNECT_FAILED
 
 
+class UpstreamSilentError(UpstreamConnectError):
+    """The upstream did not reply to a connection attempt."""
+
+
+class LocalConnectError(UpstreamConnectError):
+    """This host could not open a connection; the upstream was not asked."""
+
+
 class UpstreamTimeoutError(UpstreamError):
     """The upstream made no progress within the deadline."""
 
--- a/src/coltsfootarch/gateway/crashing_calls.py
+++ b/src/coltsfootarch/gateway/crashing_calls.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 import gevent
+import structlog
 
 from coltsfootarch import errors
 from coltsfootarch import results
@@ -19,9 +20,15 @@
 
 # A running instance accepts a connection within a few milliseconds.
 CHECK_TIMEOUT = datetime.timedelta(seconds=0.2)
+CHECK_PAUSE = datetime.timedelta(seconds=0.3)
+# Sound instances may be silent for up to 3 s. One that accepts no connection
+# for longer counts as crashed, in seconds.
+DARK_S = 3.2
 # Calls that break within this time after a crash break by the same crash.
 SAME_CRASH_S = 2.0
 
+logger = structlog.get_logger(__name__)
+
 
 class Connector(Protocol):
     """Connects to instances; see `plain_client.PlainConnector`."""
@@ -42,6 +49,7 @@
     Attributes:
         counts: Crashes by digest of the call.
         crashed_at: Instant of the latest crash by instance, in seconds.
+        running: Checks in progress by address.
     """
 
     def __init__(self, clock: clock.Clock, connector: Connector) -> None:
@@ -49,6 +57,7 @@
         self.connector = connector
         self.counts = break_counts.BreakCounts(clock)
         self.crashed_at: dict[str, float] = {}
+        self.running: dict[str, gevent.Greenlet[[], bool]] = {}
 
     def check(self, digest: str) -> None:
         """Checks that a call may be sent.
@@ -72,15 +81,50 @@
             digest: Digest of the call.
             upstream: Instance at which it failed.
         """
-        gevent.spawn(self.record_crash, digest, upstream)
-
-    def record_crash(self, digest: str, upstream: register.Upstream) -> None:
-        """Counts a crash if the instance accepts no connection."""
+        failed_at = self.clock.monotonic()
+        gevent.spawn(self.record_crash, digest, upstream, failed_at)
+
+    def record_crash(
+        self, digest: str, upstream: register.Upstream, failed_at: float
+    ) -> None:
+        """Counts a crash unless the call was answered since it failed."""
+        check = self.running.get(upstream.address)
+        if check is None:
+            check = gevent.spawn(self.has_crashed, upstream)
+            self.running[upstream.address] = check
+        self.counts.suspect(digest)
         try:
-            self.connector.connect(upstream.address, CHECK_TIMEOUT).close()
-        except errors.UpstreamConnectError:
-            self.counts.expire()
-            self.counts.record(digest, self.crash_name(upstream.name))
+            has_crashed = check.get()
+            answered_at = self.counts.cleared_at.get(digest, float("-inf"))
+            if has_crashed and answered_at < failed_at:
+                self.counts.expire()
+                self.counts.record(digest, self.crash_name(upstream.name))
+        finally:
+            self.counts.end_suspicion(digest)
+            if self.running.get(upstream.address) is check:
+                del self.running[upstream.address]
+
+    def has_crashed(self, upstream: register.Upstream) -> bool:
+        """Returns whether an instance refuses connections or stays silent."""
+        ends_at = self.clock.monotonic() + DARK_S
+        while True:
+            try:
+                self.connector.connect(upstream.address, CHECK_TIMEOUT).close()
+            except errors.UpstreamSilentError:
+                if self.clock.monotonic() >= ends_at:
+                    return True
+            except errors.LocalConnectError as error:
+                logger.warning(
+                    "upstream not checked",
+                    upstream=upstream.name,
+                    reason=str(error),
+                )
+                return False
+            except errors.UpstreamConnectError:
+                return True
+            else:
+                return False
+            self.clock.sleep(CHECK_PAUSE)
 
     def crash_name(self, upstream: str) -> str:
         """Returns the name of an instance's latest crash."""
--- a/src/coltsfootarch/upstreams/connection.py
+++ b/src/coltsfootarch/upstreams/connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import http.client
 import socket
 from typing import TYPE_CHECKING
@@ -24,6 +25,8 @@
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 # Smallest socket timeout; 0 would make the socket non-blocking.
 SHORTEST_TIMEOUT_SECONDS = 0.001
+# Errors by which an upstream or its machine replies to a connection attempt.
+REPLY_ERRORS = frozenset({errno.ECONNREFUSED, errno.ECONNRESET})
 
 
 class Deadline:
@@ -69,7 +72,8 @@
         timeout: Limit for establishing the connection.
 
     Raises:
-        UpstreamConnectError: The connection failed and nothing was sent.
+        UpstreamConnectError: The connection failed and nothing was sent; see
+            its subclasses for the cause.
     """
 
     def __init__(self, address: str, timeout: datetime.timedelta) -> None:
@@ -83,7 +87,7 @@
             self.connection.connect()
         except (OSError, urllib3.exceptions.HTTPError) as error:
             self.connection.close()
-            raise errors.UpstreamConnectError(
+            raise connect_error_type(error)(
                 f"no connection to upstream {address} ({type(error).__name__})"
             ) from error
         # http.client drops its own reference to the socket when the response
@@ -191,3 +195,16 @@
         deadline.remaining(), TimeoutError
     )
     return timeout
+
+
+def connect_error_type(
+    error: BaseException,
+) -> type[errors.UpstreamConnectError]:
+    """Returns the type of error that a failed connection attempt raises."""
+    cause = error.__cause__ or error
+    code = cause.errno if isinstance(cause, OSError) else None
+    if isinstance(cause, TimeoutError) or code == errno.EHOSTUNREACH:
+        return errors.UpstreamSilentError
+    if code in REPLY_ERRORS:
+        return errors.UpstreamConnectError
+    return errors.LocalConnectError
--- a/tests/upstreams/test_plain_client.py
+++ b/tests/upstreams/test_plain_client.py
@@ -4,8 +4,10 @@
 
 import contextlib
 import datetime
+import errno
 
 import pytest
+from urllib3.util import connection as util_connection
 
 from coltsfootarch import errors
 from coltsfootarch.upstreams import connection
@@ -36,6 +38,33 @@
         return connection.send(request, timeout)
 
 
+@pytest.mark.parametrize(
+    ("cause", "expected"),
+    [
+        (ConnectionRefusedError(errno.ECONNREFUSED, "refused"), None),
+        (ConnectionResetError(errno.ECONNRESET, "reset"), None),
+        (TimeoutError("timed out"), errors.UpstreamSilentError),
+        (OSError(errno.ETIMEDOUT, "no reply"), errors.UpstreamSilentError),
+        (OSError(errno.EHOSTUNREACH, "no host"), errors.UpstreamSilentError),
+        (OSError(errno.EMFILE, "no descriptor"), errors.LocalConnectError),
+        (OSError(errno.EADDRNOTAVAIL, "no port"), errors.LocalConnectError),
+    ],
+)
+def test_failed_connection_tells_a_refusal_from_silence(
+    monkeypatch, cause, expected
+):
+    """Guards against taking silence or a local error for a crash."""
+
+    def fail(*_arguments, **_options):
+        raise cause
+
+    monkeypatch.setattr(util_connection, "create_connection", fail)
+    with pytest.raises(errors.UpstreamConnectError) as raised:
+        plain_client.PlainConnector().connect("127.0.0.1:9", SHORT)
+
+    assert raised.type is (expected or errors.UpstreamConnectError)
+
+
 def test_only_hop_by_hop_fields_are_removed(running, raw_server):
     service = running(plain.PlainStandin())
     answer = send(service.address, BOOKING)
