Calls: a connection that opens late makes no needless second run

Found while reading: where a connection took longer than 0.6 of the objective, another upstream got the call first, and the late connection then carried it too, as a second run that spent the retry budget. Besides, an upstream whose connection failed after that time was no longer ejected at once as unreachable, but only after two calls.

Change: right before a call is sent on a connection, another attempt that was sent and isn't overdue makes it needless; the upstream may still be chosen later. A connection that opens while the other one isn't open yet is used at once, and its time starts anew.

Errors of connections are logged also where this host ended the attempt.

Evidence: five new tests in tests/forwarding/test_silent_calls.py; three failed on the commit before, all pass now.

--- a/src/coltsfootarch/forwarding/call_attempts.py
+++ b/src/coltsfootarch/forwarding/call_attempts.py
@@ -108,7 +108,8 @@
             self.log_failure(error)
             return attempts.Failure.TIMED_OUT
         except client.BrokenConnectionError as error:
-            self.log_failure(error)
+            if not exchange.aborted:
+                self.log_failure(error)
             return attempts.Failure.BROKEN
         self.is_misdirected = response.is_from_other_upstream(self.upstream)
         if response.not_run:
@@ -127,9 +128,7 @@
             self.call.sent_upstream |= self.exchange.sent
 
     def log_failure(self, error: Exception) -> None:
-        """Logs why the exchange failed unless this host ended it."""
-        if self.exchange.aborted:
-            return
+        """Logs why the exchange with the upstream failed."""
         logger.info(
             "exchange with upstream failed",
             request_id=self.call.request.id,
@@ -242,6 +241,14 @@
         """Returns whether an attempt runs that isn't overdue."""
         return any(not attempt.is_overdue for attempt in self.running)
 
+    def is_replaced(self, attempt: CallAttempt) -> bool:
+        """Returns whether another attempt was sent and isn't overdue."""
+        return any(
+            each.exchange.sent and not each.is_overdue
+            for each in self.running
+            if each is not attempt
+        )
+
     def abort(self) -> None:
         """Ends all exchanges, which ends the attempts."""
         for attempt in tuple(self.running):
--- a/src/coltsfootarch/forwarding/call_pipeline.py
+++ b/src/coltsfootarch/forwarding/call_pipeline.py
@@ -30,9 +30,6 @@
 MIN_TIME_LEFT_S = 0.02
 # `Retry-After` of a refused call, about the duration of one call, in seconds.
 RETRY_AFTER_S = 0.2
-FAILED_OUTCOMES = frozenset(
-    {outcomes.Outcome.BROKEN, outcomes.Outcome.UNREACHABLE}
-)
 
 logger = structlog.get_logger(__name__)
 
@@ -158,7 +155,7 @@
             upstream = self.context.call_placer.choose(call.service)
         if upstream is None:
             return None
-        if not is_first and not self.context.budget.has_room(call.service):
+        if not is_first and not self.context.budget.may_spend(call.service):
             self.log_budget_exhausted(call)
             return None
         return upstream
@@ -171,7 +168,11 @@
             return False
         return not self.context.break_counts.is_refused(call.digest)
 
-    def take_attempt(self, attempt: call_attempts.CallAttempt) -> bool:
+    def take_attempt(
+        self,
+        attempt: call_attempts.CallAttempt,
+        group: call_attempts.AttemptGroup,
+    ) -> bool:
         """Counts an attempt that is about to be sent.
 
         Each attempt but the first spends the retry budget.
@@ -180,6 +181,10 @@
             Whether it may be sent.
         """
         call = attempt.call
+        if group.is_replaced(attempt):
+            # Its connection took so long that another one was faster.
+            call.tried.remove(attempt.upstream.id)
+            return False
         if not self.is_attempt_left(call):
             return False
         if not self.context.directory.is_serving(attempt.upstream.id):
@@ -190,6 +195,10 @@
         call.attempts += 1
         attempt.number = call.attempts
         attempt.sent_at = self.clock.monotonic()
+        if attempt.is_overdue:
+            # Its connection was; the upstream has just replied.
+            attempt.is_overdue = False
+            attempt.overdue_at = attempt.sent_at + patience(call)
         return True
 
     def log_budget_exhausted(self, call: calls.Call) -> None:
@@ -229,10 +238,14 @@
         call.tried.append(upstream.id)
         group.start(
             call_attempts.CallAttempt(call, upstream, exchange, overdue_at),
-            self.run_attempt,
+            lambda attempt: self.run_attempt(attempt, group),
         )
 
-    def run_attempt(self, attempt: call_attempts.CallAttempt) -> None:
+    def run_attempt(
+        self,
+        attempt: call_attempts.CallAttempt,
+        group: call_attempts.AttemptGroup,
+    ) -> None:
         """Runs an attempt and records its outcome."""
         call, upstream = attempt.call, attempt.upstream
         exchange = attempt.exchange
@@ -242,7 +255,9 @@
         self.context.notices.limits.take(upstream)
         sent_at = self.context.outcome_tracker.record_dispatch(upstream.id)
         try:
-            attempt.result = attempt.run(lambda: self.take_attempt(attempt))
+            attempt.result = attempt.run(
+                lambda: self.take_attempt(attempt, group)
+            )
         finally:
             self.context.loads.remove(upstream.id, 1)
             exchange.close()
@@ -277,8 +292,9 @@
             return
         if attempt.is_misdirected:
             self.context.directory.reject(upstream.id)
-        # The failure of an overdue attempt was recorded when it became so.
-        if not (attempt.is_overdue and result.outcome in FAILED_OUTCOMES):
+        # That of an overdue attempt was recorded when it became overdue.
+        is_known = result.outcome is outcomes.Outcome.BROKEN
+        if not (is_known and attempt.is_overdue):
             self.context.outcome_tracker.record(
                 upstream.id, result.outcome, elapsed
             )
--- a/src/coltsfootarch/retries/shared_budget.py
+++ b/src/coltsfootarch/retries/shared_budget.py
@@ -69,20 +69,20 @@
         """Counts the first attempt of a request for a service."""
         self.window(service).requests.append(self.clock.monotonic())
 
-    def has_room(self, service: str) -> bool:
-        """Returns whether the budget allows one more retry."""
-        window = self.window(service)
-        allowed = self.ratio * len(window.requests)
-        allowed += self.minimum / max(self.hosts(), 1)
-        return len(window.retries) + 1 <= allowed * SPENDABLE_FRACTION
-
     def spend(self, service: str) -> bool:
         """Spends one retry; returns False if the budget is exhausted."""
-        if not self.has_room(service):
+        if not self.may_spend(service):
             return False
         self.window(service).retries.append(self.clock.monotonic())
         return True
 
+    def may_spend(self, service: str) -> bool:
+        """Returns whether there is a retry left to spend."""
+        window = self.window(service)
+        allowed = self.ratio * len(window.requests)
+        allowed += self.minimum / max(self.hosts(), 1)
+        return len(window.retries) + 1 <= allowed * SPENDABLE_FRACTION
+
     def window(self, service: str) -> Window:
         """Returns the window of a service without expired events."""
         window = self.windows.setdefault(service, Window())
--- a/tests/forwarding/test_silent_calls.py
+++ b/tests/forwarding/test_silent_calls.py
@@ -261,6 +261,87 @@
     assert_nothing_left(host)
 
 
+def slow_connections(monkeypatch, host, name, seconds, error=None):
+    """Lets connections to a runner take so long and then fail by an error."""
+    start = client.Connection.start
+    address = host.runners[name].address
+
+    def start_slowly(connection, timeout):
+        if connection.address == address:
+            gevent.sleep(seconds)
+            if error is not None:
+                raise error
+        start(connection, timeout)
+
+    monkeypatch.setattr(client.Connection, "start", start_slowly)
+
+
+def test_slow_connection_is_not_used_once_another_upstream_works(
+    start, monkeypatch
+):
+    """Guards against a second run that nobody waits for."""
+    host = start(0.0, 0.4)
+    slow_connections(monkeypatch, host, "i-1", 0.3)
+
+    assert host.ask("/read/a").body == b"answer of i-2 to r1"
+
+    gevent.sleep(0.3)
+    assert host.runs() == {"i-2": ["r1"]}
+    assert not host.daemon.context.budget.window("app").retries
+
+
+def test_slow_connection_is_used_if_the_other_upstream_breaks(
+    start, monkeypatch
+):
+    """Guards against an upstream that is lost for a call it never got."""
+    host = start(0.0, 0.15)
+    host.runners["i-2"].fault = "reset"
+    slow_connections(monkeypatch, host, "i-1", 0.3)
+
+    assert host.ask("/read/a").body == b"answer of i-1 to r1"
+
+
+def test_slow_connection_is_used_while_the_other_is_not_open(
+    start, monkeypatch
+):
+    """Guards against a connection that waits for one that fails."""
+    host = start(0.0, 0.0)
+    slow_connections(monkeypatch, host, "i-1", 0.3)
+    error = client.ConnectError("timed out")
+    slow_connections(monkeypatch, host, "i-2", 0.2, error)
+    started = time.monotonic()
+
+    assert host.ask("/read/a").body == b"answer of i-1 to r1"
+
+    assert time.monotonic() - started < 0.36
+
+
+def test_second_connection_is_not_used_once_the_slow_one_is_open(
+    start, monkeypatch
+):
+    """Guards against a second run while the first one has just begun."""
+    host = start(0.15, 0.0)
+    slow_connections(monkeypatch, host, "i-1", 0.25)
+    slow_connections(monkeypatch, host, "i-2", 0.2)
+
+    assert host.ask("/read/a").body == b"answer of i-1 to r1"
+
+    gevent.sleep(0.2)
+    assert host.runs() == {"i-1": ["r1"]}
+
+
+def test_upstream_that_accepts_no_connection_in_time_is_ejected(
+    start, monkeypatch
+):
+    """Guards against calls that wait for an unreachable upstream in turn."""
+    host = start(0.0)
+    error = client.ConnectError("timed out")
+    slow_connections(monkeypatch, host, "i-1", 0.3, error)
+
+    assert host.ask("/read/a", X_Deadline_Ms="310").status == 503
+    assert not host.daemon.context.outcome_tracker.is_usable("i-1")
+
+
 def test_exit_of_the_host_ends_both_attempts_with_an_answer(start):
     """Guards against a connection that is closed without an answer."""
     host = start(4.0, 4.0)
