--- a/src/coltsfootarch/errors.py
+++ b/src/coltsfootarch/errors.py
@@ -132,6 +132,10 @@
     default_code = results.UPSTREAM_CONNECT_FAILED
 
 
+class UpstreamSilentError(UpstreamConnectError):
+    """The upstream did not reply to a connection attempt."""
+
+
 class LocalConnectError(UpstreamConnectError):
     """This host lacked the descriptors, memory or ports for a connection."""
 
--- a/src/coltsfootarch/upstreams/connection.py
+++ b/src/coltsfootarch/upstreams/connection.py
@@ -25,16 +25,8 @@
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 # Smallest socket timeout; 0 would make the socket non-blocking.
 SHORTEST_TIMEOUT_SECONDS = 0.001
-# Errors of `connect` for which this host is the cause.
-LOCAL_ERRNOS = frozenset(
-    {
-        errno.EMFILE,
-        errno.ENFILE,
-        errno.ENOMEM,
-        errno.ENOBUFS,
-        errno.EADDRNOTAVAIL,
-    }
-)
+# Errors by which an upstream or its machine replies to a connection attempt.
+REPLY_ERRORS = frozenset({errno.ECONNREFUSED, errno.ECONNRESET})
 
 
 class Deadline:
@@ -80,8 +72,8 @@
         timeout: Limit for establishing the connection.
 
     Raises:
-        UpstreamConnectError: The connection failed and nothing was sent.
-        LocalConnectError: The same, because of this host.
+        UpstreamConnectError: The connection failed and nothing was sent; see
+            its subclasses for the cause.
     """
 
     def __init__(self, address: str, timeout: datetime.timedelta) -> None:
@@ -95,10 +87,7 @@
             self.connection.connect()
         except (OSError, urllib3.exceptions.HTTPError) as error:
             self.connection.close()
-            kind = errors.UpstreamConnectError
-            if is_local(error):
-                kind = errors.LocalConnectError
-            raise kind(
+            raise connect_error_type(error)(
                 f"no connection to upstream {address} ({type(error).__name__})"
             ) from error
         # http.client drops its own reference to the socket when the response
@@ -197,12 +186,6 @@
             ) from error
 
 
-def is_local(error: Exception) -> bool:
-    """Returns whether this host is the cause of a failed connection."""
-    cause = error if isinstance(error, OSError) else error.__cause__
-    return isinstance(cause, OSError) and cause.errno in LOCAL_ERRNOS
-
-
 def limit_time(deadline: Deadline) -> contextlib.AbstractContextManager[object]:
     """Returns a context that raises TimeoutError when the deadline passes.
 
@@ -212,3 +195,16 @@
         deadline.remaining(), TimeoutError
     )
     return timeout
+
+
+def connect_error_type(
+    error: BaseException,
+) -> type[errors.UpstreamConnectError]:
+    """Returns the type of error that a failed connection attempt raises."""
+    cause = error.__cause__ or error
+    code = cause.errno if isinstance(cause, OSError) else None
+    if isinstance(cause, TimeoutError) or code == errno.EHOSTUNREACH:
+        return errors.UpstreamSilentError
+    if code in REPLY_ERRORS:
+        return errors.UpstreamConnectError
+    return errors.LocalConnectError
