Soak: silences with callers of different number and patience

Cause: in the runs of silences all callers waited for 10 s, always 14 of them kept all engines full, and the ends of the hosts' grace periods excused streams that were cut.

Change: a seed plays 6, 14 or 24 callers, which wait for 3 to 10 s each; the check uses the time of each request. Odd seeds restart no hosts.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -35,12 +35,14 @@
 
     Attributes:
         timeout_s: Longest time until a response is complete.
+        min_timeout_s: Shortest such time of a caller.
         patience_s: Longest silence in a stream.
         events: Events of a complete stream.
         pause_s: Longest time for which some connections are idle.
     """
 
     timeout_s: float = REQUEST_TIMEOUT_S
+    min_timeout_s: float = REQUEST_TIMEOUT_S
     patience_s: float = REQUEST_TIMEOUT_S
     events: int = EVENTS_PER_STREAM
     pause_s: float = 0.0
@@ -86,6 +88,7 @@
         timed_out: Whether the caller stopped waiting.
         events: Events of a complete stream.
         silent_s: Seconds since the last bytes of the response, when it ended.
+        timeout_s: Longest time that the caller waits, in seconds.
     """
 
     id: str
@@ -101,6 +104,7 @@
     timed_out: bool
     events: int = EVENTS_PER_STREAM
     silent_s: float = 0.0
+    timeout_s: float = REQUEST_TIMEOUT_S
 
 
 class Callers:
@@ -187,6 +191,7 @@
             Whether the connection can be reused.
         """
         kind = self.generator.choice(KINDS)
+        timeout_s = self.choose_timeout()
         number = next(self.numbers)
         request_id = f"r{number}"
         parts = f"common:50,{request_id}:50"
@@ -202,7 +207,7 @@
         fields = [
             ("Host", "api.example"),
             ("X-Request-Id", request_id),
-            ("X-Deadline-Ms", str(int(self.habits.timeout_s * 1000))),
+            ("X-Deadline-Ms", str(int(timeout_s * 1000))),
             ("Authorization", f"Bearer {key}"),
         ]
         if kind in ("write", "once"):
@@ -215,17 +220,15 @@
         # crashed runners, and after a few crashes would refuse every request
         # if all had the same content.
         line = f"{method} /{kind}/{request_id} HTTP/1.1"
-        sock.settimeout(self.habits.timeout_s)
+        sock.settimeout(timeout_s)
         try:
             sock.sendall(messages.render_head(line, fields) + body)
         except OSError:
             return False
         sent_at = time.monotonic()
         streaming = kind in ("write", "once")
-        patience_s = (
-            self.habits.patience_s if streaming else self.habits.timeout_s
-        )
-        response = self.read(sock, patience_s)
+        patience_s = self.habits.patience_s if streaming else timeout_s
+        response = self.read(sock, timeout_s, patience_s)
         head = response.head
         self.observations.append(
             Observation(
@@ -244,23 +247,34 @@
                 response.timed_out,
                 self.habits.events,
                 response.silent_s,
+                timeout_s,
             )
         )
         return response.complete and head is not None and head.keep_alive
 
-    def read(self, sock: gevent_socket.socket, patience_s: float) -> Response:
+    def choose_timeout(self) -> float:
+        """Returns how long the caller of the next request waits, in seconds."""
+        habits = self.habits
+        if habits.min_timeout_s == habits.timeout_s:
+            return habits.timeout_s
+        return self.generator.uniform(habits.min_timeout_s, habits.timeout_s)
+
+    def read(
+        self, sock: gevent_socket.socket, timeout_s: float, patience_s: float
+    ) -> Response:
         """Reads one response until its end, a timeout or a closed connection.
 
         Args:
             sock: Connection to read from.
-            patience_s: Longest silence.
+            timeout_s: Longest time until the end, in seconds.
+            patience_s: Longest silence, in seconds.
         """
         reader = readers.ResponseReader()
         head: messages.ResponseHead | None = None
         data = b""
         complete = timed_out = False
         received_at = time.monotonic()
-        deadline = received_at + self.habits.timeout_s
+        deadline = received_at + timeout_s
         while True:
             while reader.parts:
                 part = reader.parts.popleft()
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -256,6 +256,7 @@
     is_stream = request.kind in ("write", "once")
     if is_stream and request.silent_s > STREAM_SILENCE_S - TIME_SLACK_S:
         return True
+    took_s = request.ended_at - request.sent_at + TIME_SLACK_S
     # Hosts apply a configuration some time after it was written.
     limit_s = min(
         limit_s
@@ -264,7 +265,7 @@
         )
         if at < request.ended_at and request.sent_at < replaced_at + APPLY_S
     )
-    return request.ended_at - request.sent_at > limit_s - TIME_SLACK_S
+    return took_s > min(limit_s, request.timeout_s)
 
 
 def is_grace_over(
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -18,7 +18,8 @@
     from soak import callers
     from soak import processes
 
-PLANNED = ("restart", "reconfigure", "withdraw")
+CONFIGURATION_CHANGES = ("reconfigure", "withdraw")
+PLANNED = ("restart", *CONFIGURATION_CHANGES)
 UNPLANNED = (
     "kill_host",
     "pause_host",
@@ -85,7 +86,9 @@
         self.load = load
         self.configuration = configuration
         self.generator = random.Random(seed)
-        self.kinds = PLANNED if planned_only else PLANNED + UNPLANNED
+        self.kinds: tuple[str, ...] = PLANNED
+        if not planned_only:
+            self.kinds += UNPLANNED
         self.version = 1
         self.withdrawn: dict[str, float] = {}
         self.planned: list[tuple[str, float, float]] = []
--- a/soak/run.py
+++ b/soak/run.py
@@ -21,7 +21,6 @@
     import pathlib
 
 CALLERS = 12
-SILENCE_CALLERS = 14
 # Seeds divisible by this have planned changes only, so that no unplanned fault
 # excuses a request that a restart interrupts.
 PLANNED_ONLY = 4
@@ -32,7 +31,8 @@
 # host whose link to the store needs 1.6 s for it.
 ADDED_ROUTES = 1500
 SLOW_LINK_BYTES_PER_S = 250_000.0
-# Seeds that leave a remainder of 3 have planned changes and silences only.
+# Seeds that leave a remainder of 3 have planned changes and silences only. Odd
+# ones don't restart hosts, so that the end of no grace period is an excuse.
 SILENCE_EVERY = 5
 SILENCE_REMAINDER = 3
 ROUTE_HOST = "api.example"
@@ -180,11 +180,13 @@
         fleet.start(build(1, ["key-a", "key-b"]))
         series.prepare(fleet)
         load = callers.Callers(
-            fleet.hosts, seed, SILENCE_CALLERS, habits=series.habits
+            fleet.hosts, seed, series.callers, habits=series.habits
         )
         # Few requests have the key that is withdrawn.
         load.keys += ["key-a"] * 6
         schedule = faults.Faults(fleet, load, build, seed, planned_only=True)
+        if seed % 2:
+            schedule.kinds = faults.CONFIGURATION_CHANGES
         silent = gevent.spawn(series.run, schedule, seconds)
         schedule.run(seconds)
         silent.get()
--- a/soak/silences.py
+++ b/soak/silences.py
@@ -36,6 +36,8 @@
 EVENT_GAPS_S = (0.1, 0.2, 0.25)
 WORK_S = (0.05, 0.2, 0.3)
 PLAIN_SLOTS = 6
+CALLERS = (6, 14, 24)
+MIN_TIMEOUT_S = 3.0
 TIMEOUT_S = 10.0
 # Silence after which callers give up a stream: four times the objective.
 PATIENCE_S = 3.6
@@ -53,6 +55,7 @@
 
     Attributes:
         generator: Source of the random choices.
+        callers: Number of callers.
         habits: How the callers behave.
         budget: Retry budget of the hosts.
         changes: Configuration that is changed beside the silences.
@@ -62,10 +65,12 @@
         self.generator = random.Random(f"silence {seed}")
         self.habits = callers.Habits(
             timeout_s=TIMEOUT_S,
+            min_timeout_s=MIN_TIMEOUT_S,
             patience_s=PATIENCE_S,
             events=self.generator.choice(EVENTS),
             pause_s=PAUSE_S,
         )
+        self.callers = self.generator.choice(CALLERS)
         self.budget = processes.RetryBudget(
             self.generator.choice(RETRY_RATIOS), RETRY_MINIMUM
         )
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -167,6 +167,7 @@
     [
         (GATEWAY_TIMEOUT, {"unplanned": [(6.0, 8.0)]}),
         (GATEWAY_TIMEOUT._replace(ended_at=14.9), {}),
+        (GATEWAY_TIMEOUT._replace(timeout_s=1.1), {}),
         (
             GATEWAY_TIMEOUT,
             {"time_limits": [(0.0, 1.0), (8.0, 5.0)]},
@@ -195,6 +196,7 @@
         (GATEWAY_TIMEOUT, {"unplanned": [(6.0, 6.9)]}),
         (GATEWAY_TIMEOUT, {"time_limits": [(0.0, 1.0), (4.9, 5.0)]}),
         (GATEWAY_TIMEOUT, {"time_limits": [(0.0, 5.0), (11.1, 1.0)]}),
+        (GATEWAY_TIMEOUT._replace(timeout_s=1.3), {}),
         (GATEWAY_TIMEOUT._replace(silent_s=3.5), {}),
         (CUT_STREAM._replace(silent_s=3.3), {}),
         (CUT_STREAM, {"planned": [("h-0", 8.5, 13.5)]}),
