--- a/soak/checks.py
+++ b/soak/checks.py
@@ -249,6 +249,34 @@
         yield f"was answered {request.status} {times}"
 
 
+def find_forgotten(
+    observations: list[callers.Observation],
+    logged: dict[str, set[str]],
+    schedule: faults.Faults,
+) -> Iterator[str]:
+    """Yields a description of each request without a response or a trace.
+
+    A host logs the end of each request that it has read, also of those that
+    their callers gave up.
+
+    Args:
+        observations: Records of the callers.
+        logged: Ids of the requests whose end was logged, by host.
+        schedule: Faults that were applied.
+    """
+    for request in observations:
+        if (
+            not request.status
+            and request.id not in logged[request.host]
+            and request.ended_at - request.sent_at >= CLOSE_RACE_S
+            and not is_disturbed(request, schedule)
+        ):
+            yield (
+                f"{request.id} ({request.kind}, {request.host}): has neither a "
+                "response nor a log line"
+            )
+
+
 def is_time_used_up(
     request: callers.Observation, schedule: faults.Faults
 ) -> bool:
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -196,6 +196,14 @@
             return call(self.ready, "GET", "/api/readyz")[0] == 200
         return False
 
+    def ended_requests(self) -> set[str]:
+        """Returns the ids of requests whose end the host has logged."""
+        return {
+            str(msgspec.json.decode(line)["request_id"])
+            for line in self.log.read_bytes().splitlines()
+            if b'"request ended"' in line
+        }
+
     def has_route(self, name: str, path: str) -> bool:
         """Returns whether a route of the configuration is in force.
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -203,6 +203,8 @@
     load.stop()
     violations = checks.violations(load.observations, fleet.runs(), schedule)
     violations += outdated_hosts(fleet, schedule.version)
+    logged = {host.name: host.ended_requests() for host in fleet.hosts}
+    violations += checks.find_forgotten(load.observations, logged, schedule)
     served = sum(each.status == 200 for each in load.observations)
     if not served:
         violations.append("no request succeeded")
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -245,3 +245,27 @@
     stream = make_observation(kind="write", body=STREAM_EVENTS, events=events)
 
     assert bool(check(stream, ["d-1"])) == violated
+
+
+@pytest.mark.parametrize(
+    ("changes", "logged", "unplanned", "violated"),
+    [
+        ({}, set(), [], True),
+        ({"timed_out": True}, set(), [], True),
+        ({}, {"r2"}, [], True),
+        ({}, {"r1"}, [], False),
+        ({}, set(), [(6.0, 8.0)], False),
+        ({"ended_at": 10.1}, set(), [], False),
+        ({"status": 200}, set(), [], False),
+    ],
+)
+def test_request_without_response_and_log_line_is_reported(
+    changes, logged, unplanned, violated
+):
+    """Guards against hosts that forget a request which its caller gives up."""
+    request = NO_RESPONSE._replace(**changes)
+    schedule = types.SimpleNamespace(unplanned=unplanned)
+
+    found = list(checks.find_forgotten([request], {"h-0": logged}, schedule))
+
+    assert bool(found) == violated
