--- a/src/coltsfootarch/forwarding/decode_readiness.py
+++ b/src/coltsfootarch/forwarding/decode_readiness.py
@@ -77,7 +77,8 @@
                 exchange.connect(recently_used)
         except client.ConnectError as error:
             call.cancellation.check()
-            tracker.record(engine.id, outcomes.Outcome.UNREACHABLE)
+            if not exchange.aborted:
+                tracker.record(engine.id, outcomes.Outcome.UNREACHABLE)
             timed_out = isinstance(error.__cause__, TimeoutError)
             if timed_out and known.is_short(engine.id):
                 self.silent.record(generation, engine.id, known)
--- a/src/coltsfootarch/forwarding/engine_preparation.py
+++ b/src/coltsfootarch/forwarding/engine_preparation.py
@@ -159,7 +159,7 @@
     def has_budget(self) -> bool:
         """Returns whether the retry budget would allow a move now."""
         call = self.generation.call
-        allowed = self.context.budget.has_room(call.service)
+        allowed = self.context.budget.may_spend(call.service)
         if not allowed and not self.tries:
             logger.info(
                 "silent stream waits for the retry budget",
--- a/tests/forwarding/test_silent_streams.py
+++ b/tests/forwarding/test_silent_streams.py
@@ -241,8 +241,9 @@
     """Guards against a late move, and against what a search leaves behind."""
     stream = start_on(engines, "d-1")
     fill(engines, "d-2")
-    engines.runners["d-1"].fall_silent(0.4)
+    engines.runners["d-1"].fall_silent(math.inf)
     wait_for_preparation(engines, "d-1")
+    engines.runners["d-1"].fall_silent(0.0)
     engines.wait(lambda: not engines.daemon.context.queue.waiters)
 
     empty(engines, "d-2")
@@ -430,7 +431,7 @@
     wait_for_preparation(engines, "d-1")
 
     engines.runners["d-1"].server.close_connections()
-    engines.wait(lambda: engines.runners["d-1"].ended_executions)
+    engines.wait(lambda: not engines.runners["d-1"].running)
     empty(engines, "d-2")
 
     stream.check()
@@ -455,7 +456,7 @@
 
     engines.wait(lambda: breaks)
     server.close_connections()
-    engines.wait(lambda: engines.runners["d-1"].ended_executions)
+    engines.wait(lambda: not engines.runners["d-1"].running)
     (counted,) = breaks.values()
     assert len(counted.causes) == 1
     empty(engines, "d-2")
