Callers: a host that is behind waits for the policy before it refuses

Callers know a raised limit as soon as the version is acknowledged, a host up to config_apply_ms later. Until then it refused their requests with 413, 431 or 408, though they kept to the limits in force.

A request that exceeds a limit by its head or its time now waits up to 2 s for a newer policy, or for the confirmation that there is none, and is read again under the new limits.

LimitedReader holds this apart from the connection; refused requests have a log line with their id, and reasons of closes are in close_reasons.py.

test_request_within_a_limit_that_the_host_learns_later_is_answered (413 and 431) and test_head_within_a_timeout_that_the_host_learns_later_is_answered failed before.

--- a/src/coltsfootarch/fleet/followers.py
+++ b/src/coltsfootarch/fleet/followers.py
@@ -223,6 +223,21 @@
         """Returns the seconds since the policy was last confirmed."""
         return self.clock.monotonic() - self.confirmed_at
 
+    def wait_newer(self, timeout: float) -> None:
+        """Waits for a newer policy, or the confirmation that there is none.
+
+        Args:
+            timeout: Longest wait in seconds.
+        """
+        now = self.clock.monotonic()
+        version = self.version()
+        deadline = now + timeout
+        while self.version() == version and self.confirmed_at < now:
+            remaining = deadline - self.clock.monotonic()
+            if remaining <= 0:
+                return
+            self.confirmed.wait(remaining)
+
     def wait_confirmed(self, since: float, timeout: float) -> bool:
         """Waits for a confirmation by a read sent at or after an instant.
 
--- a/src/coltsfootarch/forwarding/caller_connection.py
+++ b/src/coltsfootarch/forwarding/caller_connection.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import enum
 import select
 import socket
 from typing import TYPE_CHECKING
@@ -16,6 +15,8 @@
 from coltsfootarch import results
 from coltsfootarch.forwarding import calls
 from coltsfootarch.forwarding import cancellation as cancellations
+from coltsfootarch.forwarding import close_reasons
+from coltsfootarch.forwarding import limited_reader
 from coltsfootarch.forwarding import responder as responders
 from coltsfootarch.http1 import client
 from coltsfootarch.http1 import readers
@@ -45,37 +46,16 @@
 logger = structlog.get_logger(__name__)
 
 
-class CloseReason(enum.Enum):
-    """Why a connection of a caller was closed; values appear in the log."""
-
-    CALLER_CLOSED = "caller-closed"
-    SOCKET_ERROR = "socket-error"
-    SEND_TIMEOUT = "send-timeout"
-    # The response had `Connection: close`: the caller wished it or was told.
-    ANNOUNCED = "announced"
-    IDLE_TIMEOUT = "idle-timeout"
-    HEADER_TIMEOUT = "header-timeout"
-    BODY_TIMEOUT = "body-timeout"
-    HEADER_TOO_LARGE = "header-too-large"
-    BODY_TOO_LARGE = "body-too-large"
-    MALFORMED = "malformed"
-    # It was idle, and its descriptor was needed.
-    REPLACED = "replaced"
-    DRAINED_IDLE = "drained-idle"
-    SHUTDOWN = "shutdown"
-    # A response can't be completed, or there is none.
-    ABORTED = "aborted"
-    ERROR = "error"
-
-
-# Closes that are only counted if no request is lost by them.
-REGULAR_REASONS = frozenset(
-    {
-        CloseReason.CALLER_CLOSED,
-        CloseReason.SOCKET_ERROR,
-        CloseReason.ANNOUNCED,
-    }
-)
+def refusal_of(
+    error: readers.MalformedMessageError,
+) -> tuple[results.ResultCode, close_reasons.CloseReason]:
+    """Returns how a request that can't be read is refused."""
+    reasons = close_reasons.CloseReason
+    if isinstance(error, readers.BodyTooLargeError):
+        return results.BODY_TOO_LARGE, reasons.BODY_TOO_LARGE
+    if isinstance(error, readers.HeaderTooLargeError):
+        return results.HEADER_TOO_LARGE, reasons.HEADER_TOO_LARGE
+    return results.MALFORMED_REQUEST, reasons.MALFORMED
 
 
 class CallerConnection:
@@ -98,12 +78,10 @@
     ) -> None:
         self.sock = sock
         self.listener = listener
-        limits = listener.limits()
-        self.reader = readers.RequestReader(
-            limits.header_bytes, limits.body_bytes
+        self.reader = limited_reader.LimitedReader(
+            listener.limits, listener.await_policy, listener.clock
         )
         self.pipelined = bytearray()
-        self.feed_error: readers.MalformedMessageError | None = None
         self.closed = False
         self.surplus = False
         self.rejected = False
@@ -113,7 +91,7 @@
         self.cancellation: cancellations.Cancellation | None = None
         self.responder: responders.ConnectionResponder | None = None
 
-    def close(self, reason: CloseReason) -> None:
+    def close(self, reason: close_reasons.CloseReason) -> None:
         """Closes the connection; only the first reason is reported."""
         if self.closed:
             return
@@ -134,14 +112,14 @@
         """Closes the connection before the response is complete."""
         cancellation = self.cancellation
         if cancellation is not None and cancellation.cancelled:
-            self.close(CloseReason.CALLER_CLOSED)
+            self.close(close_reasons.CloseReason.CALLER_CLOSED)
         else:
-            self.close(CloseReason.ABORTED)
+            self.close(close_reasons.CloseReason.ABORTED)
 
-    def report_close(self, reason: CloseReason) -> None:
+    def report_close(self, reason: close_reasons.CloseReason) -> None:
         """Counts a close; logs it if it isn't regular or loses a request."""
         self.listener.count_close(reason.value)
-        regular = reason in REGULAR_REASONS
+        regular = reason in close_reasons.REGULAR_REASONS
         unread = 0 if regular else self.read_rest()
         reader = self.reader
         responder = self.responder
@@ -200,25 +178,25 @@
         except OSError as error:
             timed_out = isinstance(error, TimeoutError) and error.errno is None
             self.close(
-                CloseReason.SEND_TIMEOUT
+                close_reasons.CloseReason.SEND_TIMEOUT
                 if timed_out
-                else CloseReason.SOCKET_ERROR
+                else close_reasons.CloseReason.SOCKET_ERROR
             )
             raise calls.CallerConnectionError(str(error)) from error
 
     def run(self) -> None:
         """Handles requests until the connection ends."""
-        reason = CloseReason.ERROR
+        reason = close_reasons.CloseReason.ERROR
         try:
             while not self.closed:
                 request = self.read_request()
                 if request is None or not self.serve(request):
                     break
-            reason = CloseReason.ANNOUNCED
+            reason = close_reasons.CloseReason.ANNOUNCED
             if not self.closed:
                 self.linger()
         except calls.CallerConnectionError:
-            reason = CloseReason.SOCKET_ERROR
+            reason = close_reasons.CloseReason.SOCKET_ERROR
         except Exception:
             logger.exception("caller connection failed")
         finally:
@@ -232,71 +210,53 @@
             if self.pipelined:
                 data = bytes(self.pipelined)
                 self.pipelined.clear()
-                self.feed(data)
+                reader.read(data)
             self.idle = not reader.in_progress
             since = self.idle_since = clock.monotonic()
             while not reader.complete:
-                if self.feed_error is not None:
-                    raise self.feed_error
+                if reader.error is not None:
+                    raise reader.error
                 data = self.receive(since)
                 if not data:
                     return None
                 if not reader.in_progress:
                     since = clock.monotonic()
                 self.idle = False
-                self.feed(data)
+                reader.read(data)
                 if reader.expects_continue:
                     reader.expects_continue = False
                     self.send(b"HTTP/1.1 100 Continue\r\n\r\n")
-        except readers.BodyTooLargeError:
-            self.reject(results.BODY_TOO_LARGE, CloseReason.BODY_TOO_LARGE)
-            return None
-        except readers.HeaderTooLargeError:
-            self.reject(results.HEADER_TOO_LARGE, CloseReason.HEADER_TOO_LARGE)
-            return None
         except readers.MalformedMessageError as error:
-            logger.info("malformed request refused", reason=str(error))
-            self.reject(results.MALFORMED_REQUEST, CloseReason.MALFORMED)
+            code, reason = refusal_of(error)
+            logger.info(
+                "malformed request refused",
+                request_id=self.listener.request_id(tuple(self.reader.fields)),
+                reason=str(error),
+            )
+            self.reject(code, reason)
             return None
         self.idle = False
         return reader.complete.popleft()
 
-    def feed(self, data: bytes) -> None:
-        """Parses bytes; keeps an error until the requests before it end.
-
-        A limit that is lowered within a request doesn't hold for it.
-        """
-        reader = self.reader
-        limits = self.listener.limits()
-        header_bytes, body_bytes = limits.header_bytes, limits.body_bytes
-        if reader.in_progress:
-            header_bytes = max(header_bytes, reader.max_header_bytes)
-            body_bytes = max(body_bytes, reader.max_body_bytes)
-        reader.max_header_bytes = header_bytes
-        reader.max_body_bytes = body_bytes
-        try:
-            reader.feed(data, self.listener.clock.monotonic())
-        except readers.MalformedMessageError as error:
-            self.feed_error = error
-
     def receive(self, since: float) -> bytes:
         """Returns bytes from the caller; none once the connection is closed.
 
         Args:
             since: Instant from which the timeout counts, in seconds.
         """
+        awaited = False
         while True:
             limits = self.listener.limits()
             limit = limits.idle_timeout_s * IDLE_TIMEOUT_FACTOR
             if self.surplus:
                 limit = min(limit, SURPLUS_IDLE_S)
-            reason = CloseReason.IDLE_TIMEOUT
+            reason = close_reasons.CloseReason.IDLE_TIMEOUT
             if self.reader.in_body:
                 limit = limits.idle_timeout_s
-                reason = CloseReason.BODY_TIMEOUT
+                reason = close_reasons.CloseReason.BODY_TIMEOUT
             elif self.reader.in_progress:
                 limit = limits.header_timeout_s
-                reason = CloseReason.HEADER_TIMEOUT
+                reason = close_reasons.CloseReason.HEADER_TIMEOUT
             remaining = since + limit - self.listener.clock.monotonic()
             try:
                 if remaining > 0:
@@ -308,21 +268,26 @@
                 if error.errno is None:
                     # A newer policy may have raised the timeout meanwhile.
                     continue
-                self.close(CloseReason.SOCKET_ERROR)
+                self.close(close_reasons.CloseReason.SOCKET_ERROR)
                 return b""
             except OSError:
-                self.close(CloseReason.SOCKET_ERROR)
+                self.close(close_reasons.CloseReason.SOCKET_ERROR)
                 return b""
             if data is None:
+                if self.reader.in_progress and not awaited:
+                    # Callers may know a raised limit before this host does.
+                    awaited = True
+                    self.listener.await_policy()
+                    continue
                 if self.reader.in_progress:
                     self.reject(results.HEADER_TIMEOUT, reason)
                 self.close(reason)
                 return b""
             if not data:
-                self.close(CloseReason.CALLER_CLOSED)
+                self.close(close_reasons.CloseReason.CALLER_CLOSED)
             return data
 
-    def close_unless_used(self, reason: CloseReason) -> bool:
+    def close_unless_used(self, reason: close_reasons.CloseReason) -> bool:
         """Closes an idle connection unless a request has arrived.
 
         Returns:
@@ -335,7 +300,9 @@
         self.close(reason)
         return True
 
-    def reject(self, code: results.ResultCode, reason: CloseReason) -> None:
+    def reject(
+        self, code: results.ResultCode, reason: close_reasons.CloseReason
+    ) -> None:
         """Refuses a request that can't be read; ends the connection."""
         document = {
             "code": code.number,
@@ -392,7 +359,9 @@
                 "handling of a request failed", request_id=responder.request_id
             )
             if not responder.started:
-                self.reject(results.INTERNAL_ERROR, CloseReason.ERROR)
+                self.reject(
+                    results.INTERNAL_ERROR, close_reasons.CloseReason.ERROR
+                )
         finally:
             if watcher is not None:
                 watcher.stop()
@@ -401,7 +370,7 @@
             self.abort()
         self.cancellation = None
         if cancellation.cancelled:
-            self.close(CloseReason.CALLER_CLOSED)
+            self.close(close_reasons.CloseReason.CALLER_CLOSED)
         self.responder = None
         return responder.keep_alive and not self.closed
 
--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -73,6 +73,9 @@
 # process is killed.
 EXIT_MARGIN_S = 0.4
 HOUSEKEEPING_S = 1.0
+# Longest time for which a request beyond a limit waits for a newer policy, in
+# seconds. Most hosts have a new version within a second.
+POLICY_WAIT_S = 2.0
 POLL_S = 0.05
 # Fraction of the `rate_slack` setting by which the hosts' copies of a rate
 # limit bucket may be overdrawn because they differ. The rest of the slack
@@ -219,6 +222,7 @@
             lambda reason: self.context.metrics.caller_closes.labels(
                 reason
             ).inc(),
+            self.await_policy,
             descriptors.DescriptorBudget(clock),
         )
         self.internal_listeners = self.build_listeners()
@@ -382,6 +386,10 @@
         current = self.policy_tracker.policy
         return current.limits if current else None
 
+    def await_policy(self) -> None:
+        """Waits for a newer policy or the confirmation that there is none."""
+        self.policy_tracker.wait_newer(POLICY_WAIT_S)
+
     def is_ready(self) -> bool:
         """Returns whether the host is ready for new callers."""
         current = self.policy_tracker.policy
--- a/src/coltsfootarch/forwarding/listener.py
+++ b/src/coltsfootarch/forwarding/listener.py
@@ -12,6 +12,7 @@
 from gevent import socket as gevent_socket
 
 from coltsfootarch.forwarding import caller_connection
+from coltsfootarch.forwarding import close_reasons
 from coltsfootarch.http1 import client
 
 if TYPE_CHECKING:
@@ -55,6 +56,10 @@
     """Doesn't count a closed connection."""
 
 
+def await_nothing() -> None:
+    """Doesn't wait, for listeners whose limits never change."""
+
+
 class CallerListener:
     """Accepts callers' connections.
 
@@ -66,6 +71,8 @@
         request_id: Returns a request's id from its header fields; empty if it
             has none.
         count_close: Counts a closed connection by its reason.
+        await_policy: Waits for a newer policy or the confirmation that there is
+            none; see `limited_reader.LimitedReader`.
         budget: Bounds the number of connections; None for no bound.
 
     Attributes:
@@ -82,6 +89,7 @@
         limits: Callable[[], policy.CallerLimits],
         request_id: Callable[[messages.Fields], str] = no_request_id,
         count_close: Callable[[str], object] = ignore_close,
+        await_policy: Callable[[], object] = await_nothing,
         budget: descriptors.DescriptorBudget | None = None,
     ) -> None:
         self.address = address
@@ -90,6 +98,7 @@
         self.limits = limits
         self.request_id = request_id
         self.count_close = count_close
+        self.await_policy = await_policy
         self.budget = budget
         self.draining = False
         self.surplus = 0
@@ -180,7 +189,7 @@
         ]
         idle.sort(key=lambda each: each.idle_since)
         return any(
-            each.close_unless_used(caller_connection.CloseReason.REPLACED)
+            each.close_unless_used(close_reasons.CloseReason.REPLACED)
             for each in idle
         )
 
@@ -195,7 +204,7 @@
                 client.set_socket_options(sock)
             connection.run()
         finally:
-            connection.close(caller_connection.CloseReason.ERROR)
+            connection.close(close_reasons.CloseReason.ERROR)
             connection.set_surplus(False)
             self.connections.discard(connection)
 
@@ -220,7 +229,7 @@
                 and connection.idle_since <= oldest
             ):
                 connection.close_unless_used(
-                    caller_connection.CloseReason.DRAINED_IDLE
+                    close_reasons.CloseReason.DRAINED_IDLE
                 )
 
     def close(self) -> None:
@@ -230,4 +239,4 @@
         if self.sock is not None:
             self.sock.close()
         for connection in tuple(self.connections):
-            connection.close(caller_connection.CloseReason.SHUTDOWN)
+            connection.close(close_reasons.CloseReason.SHUTDOWN)
--- a/tests/forwarding/test_recent_limits.py
+++ b/tests/forwarding/test_recent_limits.py
@@ -124,3 +124,38 @@
     assert caller.ask("/read/a", request_id="r2").status == 200
     gevent.sleep(0.3)
     assert caller.ask("/read/a", request_id="r3").status == 200
+
+
+@pytest.mark.parametrize(
+    ("body", "long"), [(b"x" * 200_000, "y"), (b"x", "y" * 9000)]
+)
+def test_request_within_a_limit_that_the_host_learns_later_is_answered(
+    app, body, long
+):
+    """Guards against refusals by a host that is behind its callers."""
+    caller = app.caller()
+    caller.send("/read/a", "POST", body, X_Long=long)
+    gevent.sleep(0.2)
+
+    configure_limits(app, 9, max_body_bytes=300_000, max_header_bytes=30_000)
+
+    assert caller.read().status == 200
+    assert caller.ask("/read/a", request_id="r2").status == 200
+
+
+def test_head_within_a_timeout_that_the_host_learns_later_is_answered(app):
+    """Guards against 408 from a host that is behind its callers."""
+    configure_limits(app, 5, header_timeout_ms=200)
+    app.daemon.recent_limits.replaced.clear()
+    caller = app.caller()
+    caller.send_raw(b"GET /read/a HTTP/1.1\r\nHost: api.example\r\n")
+    gevent.sleep(0.4)
+    configure_limits(app, 9, header_timeout_ms=3000)
+    gevent.sleep(0.2)
+
+    caller.send_raw(
+        b"X-Request-Id: r2\r\nAuthorization: Bearer %b\r\n\r\n"
+        % documents.KEY.encode()
+    )
+
+    assert caller.read().status == 200
