Shutdown: requests that are arriving are answered within the grace period

A stopping host closed all connections as soon as no request was in progress, also one on which the head or a part of the body had arrived: the caller was cut without an answer.

Requests that are read in part count as work now; when they are complete they are refused as not run, like others that come late. The grace period bounds the wait as before.

test_request_that_is_arriving_is_refused_as_not_run failed before: the connection was closed.

--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -483,7 +483,9 @@
             self.caller_listener.close_idle(MIN_IDLE_S)
             if elapsed >= REFUSE_AFTER_S:
                 self.forwarder.stopping = True
-                if not self.forwarder.in_progress:
+                if not (
+                    self.forwarder.in_progress or self.caller_listener.receiving
+                ):
                     break
             if elapsed >= grace - EXIT_MARGIN_S:
                 break
--- a/src/coltsfootarch/forwarding/listener.py
+++ b/src/coltsfootarch/forwarding/listener.py
@@ -156,6 +156,14 @@
             and len(self.connections) - self.surplus > self.budget.max_callers
         )
 
+    @property
+    def receiving(self) -> bool:
+        """Whether a request has been read in part."""
+        return any(
+            each.reader.in_progress and not each.closed
+            for each in self.connections
+        )
+
     def has_room(self) -> bool:
         """Returns whether another connection is within the bound."""
         return (
--- a/tests/forwarding/test_shutdown.py
+++ b/tests/forwarding/test_shutdown.py
@@ -82,6 +82,26 @@
     assert "r2" not in str(stopping.runs())
 
 
+def test_request_that_is_arriving_is_refused_as_not_run(stopping):
+    """Guards against requests that are cut while a host reads them."""
+    caller = stopping.caller()
+    caller.ask("/read/a")
+    shutdown = start_shutdown(stopping)
+    gevent.sleep(0.1)
+    caller.send_raw(
+        b"POST /book/a HTTP/1.1\r\nHost: api.example\r\n"
+        b"X-Request-Id: r2\r\nContent-Length: 4\r\n\r\nbo"
+    )
+    gevent.sleep(0.8)
+
+    caller.send_raw(b"dy")
+
+    response = caller.read()
+    assert response is not None
+    assert (response.status, response.code) == (503, "stopping")
+    shutdown.get(timeout=5)
+
+
 def test_idle_connections_are_closed(stopping):
     caller = stopping.caller()
     caller.ask("/read/a")
