Decode: a prompt part is blamed for a crash only if the engine is down for certain

What callers saw: prompts with a common part could be refused on all hosts after streams had broken at engines that were silent for a moment.

Cause: the decode stage took a connection that wasn't accepted within 0.2 s for a crash.

Change: it uses the watch of the other stages: a refused connection is a crash at once, a silent engine only if it stays dark.

Evidence: test_prompt_part_is_blamed_only_for_a_certain_crash[UP] failed before; a test of local errors asks has_crashed now, since is_down is gone.

--- a/src/coltsfootarch/forwarding/crash_checks.py
+++ b/src/coltsfootarch/forwarding/crash_checks.py
@@ -22,7 +22,6 @@
 
 # A running upstream accepts a connection within a few milliseconds. A proxy in
 # front of one that is down accepts it too, but closes it within the pause.
-TIMEOUT_S = 0.2
 PAUSE = datetime.timedelta(milliseconds=30)
 # Sound upstreams may be silent for up to 3 s. One that neither answers nor
 # accepts a connection for longer counts as crashed, in seconds since it was
@@ -214,10 +213,6 @@
             or registered.started_ms != upstream.started_ms
         )
 
-    def is_down(self, upstream: upstreams.Upstream) -> bool:
-        """Returns whether it accepts no connection or closes it at once."""
-        return self.state(upstream, TIMEOUT_S) in (State.DOWN, State.SILENT)
-
     def state(self, upstream: upstreams.Upstream, timeout: float) -> State:
         """Returns what a new connection shows, after `timeout` seconds."""
         connection = client.Connection(upstream.address, self.clock)
--- a/src/coltsfootarch/forwarding/decode_stage.py
+++ b/src/coltsfootarch/forwarding/decode_stage.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import math
 from typing import TYPE_CHECKING
 
@@ -10,6 +11,7 @@
 from coltsfootarch.forwarding import attempt_recorder
 from coltsfootarch.forwarding import attempts
 from coltsfootarch.forwarding import calls
+from coltsfootarch.forwarding import crash_checks
 from coltsfootarch.forwarding import events
 from coltsfootarch.forwarding import silence_watch
 from coltsfootarch.forwarding import upstream_exchange
@@ -160,13 +162,19 @@
             result is attempts.Failure.BROKEN
             and not exchange.aborted
             and generation.event_count < crashing_parts.SOUND_EVENTS
-            and self.context.crash_check.is_down(engine)
         ):
-            self.context.crashing_parts.record_crash(
-                call.service,
-                call.request.shared_parts,
-                f"{engine.id}@{engine.started_ms}",
+            check = self.context.crash_check.watch(
+                engine,
+                functools.partial(
+                    self.context.crashing_parts.record_crash,
+                    call.service,
+                    call.request.shared_parts,
+                    f"{engine.id}@{engine.started_ms}",
+                ),
+                generation.last_activity_at,
+                call.digest,
             )
+            check.join(crash_checks.MAX_DELAY_S)
         if not exchange.aborted:
             self.recorder.record_outcome(
                 generation, engine, result, now, watch.was_silent
--- a/tests/forwarding/test_crash_checks.py
+++ b/tests/forwarding/test_crash_checks.py
@@ -383,3 +383,39 @@
             gevent.sleep(0.01)
 
     return call
+
+
+@pytest.mark.parametrize(
+    ("state", "is_recorded"),
+    [(crash_checks.State.UP, False), (crash_checks.State.DOWN, True)],
+)
+def test_prompt_part_is_blamed_only_for_a_certain_crash(
+    engines, monkeypatch, state, is_recorded
+):
+    """Guards against parts refused since an engine was silent for a moment."""
+    states = [crash_checks.State.SILENT, state, state, state]
+    context = engines.daemon.context
+    monkeypatch.setattr(crash_checks, "CONNECT_TIMEOUT_S", 0.01)
+    monkeypatch.setattr(
+        context.crash_check, "state", lambda upstream, timeout: states.pop(0)
+    )
+    recorded = []
+    monkeypatch.setattr(
+        context.crashing_parts,
+        "record_crash",
+        lambda *crash: recorded.append(crash),
+    )
+    for name in ("d-1", "d-2"):
+        engines.runners[name].fault = "cut head"
+
+    engines.ask(
+        "/once/a",
+        "POST",
+        b"prompt",
+        X_Token_Count="100,50",
+        X_Model="m",
+        X_Prefix_Hash="a1:50",
+    )
+
+    engines.wait(lambda: not context.crash_check.running)
+    assert bool(recorded) == is_recorded
--- a/tests/forwarding/test_descriptor_limit.py
+++ b/tests/forwarding/test_descriptor_limit.py
@@ -85,8 +85,8 @@
     context = engines.daemon.context
     descriptors_used_up(engines, monkeypatch)
 
-    assert not context.crash_check.is_down(
-        engines.daemon.upstreams.upstreams["d-1"]
+    assert not context.crash_check.has_crashed(
+        engines.daemon.upstreams.upstreams["d-1"], context.clock.monotonic()
     )
 
 
