Silent streams stay where they are if little time is left

What callers saw: with one of two engines stopped for 2.4 s, 1 of 14 streams was moved so late that the time of the call (5 s) ended first; its own engine would have sent the rest in time.

Cause: a move needed 0.15 s of time left only.

A started stream is moved only if the time left is longer than the rest of a usual stream of the service (measured mean, at most half of the call's time), and waits no longer than that for room elsewhere.

--- a/src/coltsfootarch/forwarding/engine_preparation.py
+++ b/src/coltsfootarch/forwarding/engine_preparation.py
@@ -36,6 +36,8 @@
 # Time between two tries, in seconds; it doubles with each one that fails.
 RETRY_S = 0.25
 MAX_RETRY_S = 2.0
+# Largest part of a call's time that a stream is expected to take.
+USUAL_FRACTION = 0.5
 # Time for the reader to take bytes that have arrived, in seconds.
 READER_S = 0.01
 
@@ -129,7 +131,7 @@
             self.context.crash_check.check(call.digest, self.engine)
             self.cancellation.check()
             # A trial of a request with a crashing part is sent only once.
-            while not call.is_trial and not self.attempts.is_refused(call):
+            while self.is_movable():
                 if self.has_budget() and self.prepare():
                     return
                 self.pause(min(RETRY_S * 2**self.tries, MAX_RETRY_S))
@@ -137,11 +139,46 @@
         except cancellation.CallerDisconnectedError:
             return
         logger.info(
-            "silent stream stays at its engine: another one would not get it",
+            "silent stream stays at its engine",
             request_id=call.request.id,
             upstream=self.engine.id,
+            needed_ms=round(self.needed_s() * 1000),
+            time_left_ms=round(self.time_left_s() * 1000),
+            refused=self.attempts.is_refused(call),
         )
 
+    def is_movable(self) -> bool:
+        """Returns whether the stream could go on at another engine now."""
+        call = self.generation.call
+        return (
+            not call.is_trial
+            and not self.attempts.is_refused(call)
+            and self.time_left_s() > self.needed_s()
+        )
+
+    def time_left_s(self) -> float:
+        """Returns the time left for the call, in seconds."""
+        return self.generation.call.ends_at - self.clock.monotonic()
+
+    def needed_s(self) -> float:
+        """Returns the time that the rest of the stream is expected to take.
+
+        It is in seconds. A started stream that could not end in time at another
+        engine has better chances at its own one.
+        """
+        generation = self.generation
+        started_at = generation.first_event_at
+        if started_at is None:
+            return dispatch_queue.UNLOADED_FIRST_EVENT_S
+        call = generation.call
+        durations = self.context.queue.backlog.mean_durations
+        usual = min(
+            durations.get(call.service, 0.0),
+            USUAL_FRACTION * (call.ends_at - call.request.received_at),
+        )
+        remaining = usual - (generation.last_activity_at - started_at)
+        return max(remaining, 0.0) + dispatch_queue.UNLOADED_FIRST_EVENT_S
+
     def has_budget(self) -> bool:
         """Returns whether the retry budget would allow a move now."""
         call = self.generation.call
@@ -183,11 +220,7 @@
             call.request.received_at + call.route.objective_s,
         )
         placement = self.attempts.acquire(
-            self.own,
-            waiter,
-            call.ends_at
-            - dispatch_queue.UNLOADED_FIRST_EVENT_S
-            - self.clock.monotonic(),
+            self.own, waiter, self.time_left_s() - self.needed_s()
         )
         if placement is None:
             return False
@@ -296,6 +329,7 @@
             not self.context.directory.is_serving(engine.id)
             or self.is_mute(engine.id)
             or not replacement.exchange.is_ready()
+            or not self.is_movable()
         ):
             return False
         if not self.attempts.may_attempt(self.generation):
