--- a/src/coltsfootarch/errors.py
+++ b/src/coltsfootarch/errors.py
@@ -132,12 +132,12 @@
     default_code = results.UPSTREAM_CONNECT_FAILED
 
 
-class UpstreamSilentError(UpstreamConnectError):
-    """The upstream did not reply to a connection attempt."""
+class LocalConnectError(UpstreamConnectError):
+    """This host lacked the descriptors, memory or ports for a connection."""
 
 
-class LocalConnectError(UpstreamConnectError):
-    """This host could not open a connection; the upstream was not asked."""
+class UpstreamSilentError(UpstreamConnectError):
+    """The upstream did not reply to a connection attempt."""
 
 
 class UpstreamTimeoutError(UpstreamError):
--- a/src/coltsfootarch/gateway/crashing_calls.py
+++ b/src/coltsfootarch/gateway/crashing_calls.py
@@ -81,13 +81,11 @@
             digest: Digest of the call.
             upstream: Instance at which it failed.
         """
-        failed_at = self.clock.monotonic()
-        gevent.spawn(self.record_crash, digest, upstream, failed_at)
+        gevent.spawn(self.record_crash, digest, upstream)
 
-    def record_crash(
-        self, digest: str, upstream: register.Upstream, failed_at: float
-    ) -> None:
-        """Counts a crash unless the call was answered since it failed."""
+    def record_crash(self, digest: str, upstream: register.Upstream) -> None:
+        """Counts a crash unless the call is answered during the check."""
+        failed_at = self.clock.monotonic()
         check = self.running.get(upstream.address)
         if check is None:
             check = gevent.spawn(self.has_crashed, upstream)
@@ -115,7 +113,7 @@
                     return True
             except errors.LocalConnectError as error:
                 logger.warning(
-                    "upstream not checked",
+                    "instance not checked for a crash",
                     upstream=upstream.name,
                     reason=str(error),
                 )
--- a/src/coltsfootarch/upstreams/connection.py
+++ b/src/coltsfootarch/upstreams/connection.py
@@ -25,8 +25,20 @@
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 # Smallest socket timeout; 0 would make the socket non-blocking.
 SHORTEST_TIMEOUT_SECONDS = 0.001
-# Errors by which an upstream or its machine replies to a connection attempt.
-REPLY_ERRORS = frozenset({errno.ECONNREFUSED, errno.ECONNRESET})
+# Errors of `connect` for which this host is the cause.
+LOCAL_ERRNOS = frozenset(
+    {
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOMEM,
+        errno.ENOBUFS,
+        errno.EADDRNOTAVAIL,
+    }
+)
+# Errors of `connect` to a machine that doesn't reply; it may go on.
+SILENT_ERRNOS = frozenset(
+    {errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH}
+)
 
 
 class Deadline:
@@ -198,13 +210,13 @@
 
 
 def connect_error_type(
-    error: BaseException,
+    error: Exception,
 ) -> type[errors.UpstreamConnectError]:
     """Returns the type of error that a failed connection attempt raises."""
-    cause = error.__cause__ or error
+    cause = error if isinstance(error, OSError) else error.__cause__
     code = cause.errno if isinstance(cause, OSError) else None
-    if isinstance(cause, TimeoutError) or code == errno.EHOSTUNREACH:
+    if code in LOCAL_ERRNOS:
+        return errors.LocalConnectError
+    if isinstance(cause, TimeoutError) or code in SILENT_ERRNOS:
         return errors.UpstreamSilentError
-    if code in REPLY_ERRORS:
-        return errors.UpstreamConnectError
-    return errors.LocalConnectError
+    return errors.UpstreamConnectError
--- a/tests/upstreams/test_plain_client.py
+++ b/tests/upstreams/test_plain_client.py
@@ -46,6 +46,7 @@
         (TimeoutError("timed out"), errors.UpstreamSilentError),
         (OSError(errno.ETIMEDOUT, "no reply"), errors.UpstreamSilentError),
         (OSError(errno.EHOSTUNREACH, "no host"), errors.UpstreamSilentError),
+        (OSError(errno.ENETUNREACH, "no route"), errors.UpstreamSilentError),
         (OSError(errno.EMFILE, "no descriptor"), errors.LocalConnectError),
         (OSError(errno.EADDRNOTAVAIL, "no port"), errors.LocalConnectError),
     ],
