--- a/src/coltsfootarch/errors.py
+++ b/src/coltsfootarch/errors.py
@@ -132,14 +132,14 @@
     default_code = results.UPSTREAM_CONNECT_FAILED
 
 
-class UpstreamSilentError(UpstreamConnectError):
-    """The upstream did not reply to a connection attempt."""
-
-
 class LocalConnectError(UpstreamConnectError):
     """This host lacked the descriptors, memory or ports for a connection."""
 
 
+class UpstreamSilentError(UpstreamConnectError):
+    """The upstream did not reply to a connection attempt."""
+
+
 class UpstreamTimeoutError(UpstreamError):
     """The upstream made no progress within the deadline."""
 
