An answer is not given up at a silent engine before its restart is certain

In the product's own gateway a caller that resumed an answer lost it if the engine was silent for 2 s and the restart was refused, for instance for the account's rate or for want of an engine, although the engine still had it.

Cause: after the silence the answer was cancelled at its engine first, and the restart, which is charged and placed as a new request, came afterwards.

Evidence: test_answer_is_resumed_if_it_can_t_be_restarted failed before for both refusals, with the events "restart" and "error". The other two tests of test_silent_resumes.py guard the restart and the release of the memory.

Change: the answer at the silent engine is cancelled once the new one has its first event. If the restart is refused, the engine is asked once more. Engines that refuse or break are handled as before.

--- a/src/coltsfootarch/gateway/completion_pipeline.py
+++ b/src/coltsfootarch/gateway/completion_pipeline.py
@@ -11,6 +11,7 @@
 from coltsfootarch import results
 from coltsfootarch.gateway import completion_run
 from coltsfootarch.gateway import completions
+from coltsfootarch.gateway import failures
 from coltsfootarch.gateway import resume_tokens
 from coltsfootarch.observability import metrics
 from coltsfootarch.protocol import messages
@@ -137,16 +138,24 @@
             raise errors.RefusedError(results.INVALID_RESUME_TOKEN)
         self.metrics.increment(metrics.CALLER_RESUMES)
         upstream = self.register().upstreams.get(reference.upstream)
+        silent = False
         try:
             if upstream is None or offset < reference.base_offset:
                 raise errors.UpstreamError("the answer can't be resumed")
-            yield from self.resume_stream(
+            stream = self.resume_stream(
                 request_id, upstream, reference, request, token, offset
             )
+            with completions.closing(stream):
+                try:
+                    first = next(stream)
+                except errors.UpstreamTimeoutError:
+                    silent = True
+                    raise
+                yield first
+                yield from stream
         except errors.UpstreamError:
-            if upstream is not None:
+            if upstream is not None and not silent:
                 self.cancel_later(upstream.address, reference.request_id)
-            self.metrics.increment(metrics.RESTARTS)
         except errors.RefusedError:
             if upstream is not None:
                 self.cancel_later(upstream.address, reference.request_id)
@@ -159,8 +168,97 @@
             raise
         else:
             return
-        yield completions.Restarted(request_id)
-        yield from self.run(request_id, caller, request)
+        restart = self.run(request_id, caller, request)
+        if upstream is None or not silent:
+            self.metrics.increment(metrics.RESTARTS)
+            yield completions.Restarted(request_id)
+            yield from restart
+            return
+        again = self.resume_stream(
+            request_id, upstream, reference, request, token, offset
+        )
+        yield from self.restart_or_resume(
+            request_id, upstream, reference, restart, again
+        )
+
+    def restart_or_resume(
+        self,
+        request_id: str,
+        upstream: register.Upstream,
+        reference: resume_tokens.ResumeReference,
+        restart: Iterator[completions.AnswerEvent],
+        again: Iterator[completions.AnswerEvent],
+    ) -> Iterator[completions.AnswerEvent]:
+        """Yields a new answer, or else the rest of one whose engine is silent.
+
+        The engine may still hold the answer, which is cancelled there as soon
+        as the new one has begun.
+
+        Args:
+            request_id: Id of this request.
+            upstream: The silent engine.
+            reference: The answer that it holds.
+            restart: Events of the new answer.
+            again: Events of another resume.
+
+        Raises:
+            RefusedError: The new answer was refused, and the engine is silent
+                still.
+        """
+        with completions.closing(restart), completions.closing(again):
+            try:
+                first = next(restart)
+            except errors.RefusedError as refusal:
+                if refusal.code in failures.EXTERNAL_END_CODES:
+                    self.cancel_later(upstream.address, reference.request_id)
+                    raise
+                yield from self.resume_or_refuse(
+                    request_id, upstream, reference, again, refusal
+                )
+                return
+            except BaseException:
+                self.cancel_later(upstream.address, reference.request_id)
+                raise
+            self.cancel_later(upstream.address, reference.request_id)
+            self.metrics.increment(metrics.RESTARTS)
+            yield completions.Restarted(request_id)
+            yield first
+            yield from restart
+
+    def resume_or_refuse(
+        self,
+        request_id: str,
+        upstream: register.Upstream,
+        reference: resume_tokens.ResumeReference,
+        again: Iterator[completions.AnswerEvent],
+        refusal: errors.RefusedError,
+    ) -> Iterator[completions.AnswerEvent]:
+        """Yields the rest of an answer that could not be restarted.
+
+        Args:
+            request_id: Id of this request.
+            upstream: The engine that was silent.
+            reference: The answer that it holds.
+            again: Events of another resume.
+            refusal: Why it could not be restarted.
+
+        Raises:
+            RefusedError: The engine doesn't continue the answer either.
+        """
+        try:
+            yield from again
+        except errors.UpstreamError:
+            self.cancel_later(upstream.address, reference.request_id)
+            yield completions.Restarted(request_id)
+            raise refusal from None
+        except errors.RefusedError:
+            self.cancel_later(upstream.address, reference.request_id)
+            raise
+        except GeneratorExit:
+            self.cancel_later_unless_resumed(
+                reference.request_id, reference.attempt, upstream
+            )
+            raise
 
     def resume_stream(
         self,
