Callers: the bound of connections follows from a shortage alone

RLIMIT_NOFILE needn't be the limit that holds for sockets: where it is lower, half of it would have replaced and refused callers for nothing.

The bound now starts with the first accept() that fails for lack of descriptors, follows from the highest descriptor in use, and ends 60 s after the last such failure.

--- a/src/coltsfootarch/forwarding/descriptors.py
+++ b/src/coltsfootarch/forwarding/descriptors.py
@@ -1,19 +1,17 @@
 """Shares a process's descriptors between callers and upstreams.
 
 A connection of a caller is of no use if none is left for an upstream, and the
-request that was read on it has to be refused.
+request that was read on it has to be refused. The limit is known from the
+failure to accept a connection only: what the system gives as the process's
+limit needn't hold for sockets.
 """
 
 from __future__ import annotations
 
-import resource
+import math
 from typing import TYPE_CHECKING
 
-import structlog
-
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from coltsfootarch import clock as clocks
 
 # Descriptors for files and for connections to the platform and other hosts. The
@@ -28,22 +26,8 @@
 # Connections beyond the bound that are accepted at a time, to refuse their
 # requests, as a fraction of the bound.
 SURPLUS_FRACTION = 0.125
-# Used where the system gives no limit.
-UNLIMITED = 1 << 20
-# Interval of reading the process's limit, in seconds.
-REFRESH_S = 1.0
-
-logger = structlog.get_logger(__name__)
-
-
-def process_limit() -> int:
-    """Returns the number of descriptors that the process may open."""
-    try:
-        limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
-    except OSError as error:
-        logger.warning("limit of descriptors unknown", reason=str(error))
-        return UNLIMITED
-    return UNLIMITED if limit == resource.RLIM_INFINITY else limit
+# Time for which an observed limit holds, in seconds; it may be raised.
+OBSERVATION_S = 60.0
 
 
 class DescriptorBudget:
@@ -51,36 +35,28 @@
 
     Args:
         clock: Source of time.
-        read_limit: Returns the process's limit of descriptors.
 
     Attributes:
-        max_callers: Number of connections of callers that may be open.
+        max_callers: Number of connections of callers that may be open; infinite
+            until a shortage was observed.
     """
 
-    def __init__(
-        self,
-        clock: clocks.Clock,
-        read_limit: Callable[[], int] = process_limit,
-    ) -> None:
+    def __init__(self, clock: clocks.Clock) -> None:
         self.clock = clock
-        self.read_limit = read_limit
         self.highest = 0
-        # Limit that an error showed; the system needn't tell it.
-        self.observed: int | None = None
-        self.refreshed_at = clock.monotonic()
-        self.max_callers = 0
-        self.refresh()
+        self.observed_at = -math.inf
+        self.max_callers = math.inf
 
     @property
-    def max_surplus(self) -> int:
+    def max_surplus(self) -> float:
         """Number of connections to accept beyond `max_callers`."""
-        return max(1, int(self.max_callers * SURPLUS_FRACTION))
+        return max(1.0, self.max_callers * SURPLUS_FRACTION)
 
     def record(self, descriptor: int) -> None:
         """Records the descriptor of a new connection."""
         self.highest = max(self.highest, descriptor)
-        if self.clock.monotonic() - self.refreshed_at >= REFRESH_S:
-            self.refresh()
+        if self.clock.monotonic() - self.observed_at >= OBSERVATION_S:
+            self.max_callers = math.inf
 
     def record_shortage(self) -> None:
         """Records that no descriptor could be had.
@@ -88,16 +64,8 @@
         Numbers are given out from the lowest, so that all up to the highest
         one are in use.
         """
-        if self.highest:
-            self.observed = self.highest + 1
-        self.refresh()
-
-    def refresh(self) -> None:
-        """Computes the bound from the present limit."""
-        self.refreshed_at = self.clock.monotonic()
-        limit = self.read_limit()
-        if self.observed is not None:
-            limit = min(limit, self.observed)
+        self.observed_at = self.clock.monotonic()
+        limit = self.highest + 1
         reserved = min(RESERVED, int(limit * MAX_RESERVED_FRACTION))
         self.max_callers = max(
             MIN_CALLERS, int((limit - reserved) * CALLER_FRACTION)
