Calls: a look for another upstream ends, and so does what ended attempts hold

A call that had found no other upstream kept the instant of its next look, in the past, after a later attempt had started: the wait returned at once until that attempt ended (1.2 s of processor time in a call of 1.6 s). The instant is cleared before each look. Responses of attempts that ended in the turn in which the caller left kept their place in the memory for responses for ever; they are freed now, like those that a better response replaces.

test_call_that_found_no_other_upstream_waits_without_a_loop and test_answer_that_crosses_the_end_of_the_caller_is_freed failed before.

--- a/src/coltsfootarch/forwarding/call_pipeline.py
+++ b/src/coltsfootarch/forwarding/call_pipeline.py
@@ -120,6 +120,7 @@
             if not group.ended and not group.waits_for_any():
                 call.cancellation.check()
                 upstream = self.choose_upstream(call, group, progress)
+                group.next_look_at = math.inf
                 if upstream is not None:
                     self.start_attempt(call, group, upstream)
                 elif not group.running:
@@ -128,10 +129,11 @@
                     group.next_look_at = self.clock.monotonic() + patience(call)
             group.wait()
             ended = group.take_ended()
-            if call.route.repeatable:
-                call.cancellation.check()
             for attempt in ended:
                 progress.add(attempt)
+                attempt.close()
+            if call.route.repeatable:
+                call.cancellation.check()
             if not ended:
                 for attempt in group.take_overdue():
                     self.record_overdue(attempt)
--- a/tests/forwarding/test_silent_calls.py
+++ b/tests/forwarding/test_silent_calls.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import math
 import time
 
 import gevent
 import pytest
 
+from coltsfootarch.forwarding import call_attempts
 from coltsfootarch.forwarding import call_pipeline
 from coltsfootarch.http1 import client
 from tests.platform import documents
@@ -487,3 +489,55 @@
     assert host.ask("/read/a").body == b"answer of i-1 to r1"
     assert host.runners["i-2"].arrivals == 0
     assert host.daemon.context.outcome_tracker.is_usable("i-2")
+
+
+def test_call_that_found_no_other_upstream_waits_without_a_loop(
+    start, monkeypatch
+):
+    """Guards against a busy loop after a look that found no other upstream."""
+    host = start(1.2, 0.6)
+    budget = host.daemon.context.budget
+    minimum = budget.minimum
+    monkeypatch.setattr(budget, "minimum", 0.0)
+    waits = []
+    wait = call_attempts.AttemptGroup.wait
+
+    def count(group):
+        waits.append(group)
+        # The budget has room again at the second look.
+        if group.next_look_at < math.inf:
+            budget.minimum = minimum
+        wait(group)
+
+    monkeypatch.setattr(call_attempts.AttemptGroup, "wait", count)
+
+    assert host.ask("/read/a").body == b"answer of i-2 to r1"
+    assert len(waits) < 10
+
+
+def test_answer_that_crosses_the_end_of_the_caller_is_freed(app, monkeypatch):
+    """Guards against responses that fill the memory for all of them."""
+    run = call_attempts.AttemptGroup.run
+
+    def run_and_leave(group, attempt, runner):
+        run(group, attempt, runner)
+        attempt.call.cancellation.cancel()
+
+    monkeypatch.setattr(call_attempts.AttemptGroup, "run", run_and_leave)
+    for runner in app.runners.values():
+        monkeypatch.setattr(runner, "call", respond_at_length(runner))
+    caller = app.caller()
+    caller.send("/read/a")
+
+    assert caller.read() is None
+    assert app.daemon.context.response_memory.used == 0
+
+
+def respond_at_length(runner):
+    """Returns a handler of calls with responses that take a place in memory."""
+
+    def call(request_id, connection):
+        body = b"x" * 200_000
+        connection.respond(200, runner.response_fields(request_id), body)
+
+    return call
