Local errors: prefill engines aren't blamed; only EMFILE bounds callers

A prefill that couldn't be sent for lack of descriptors ejected its engine on all hosts, and any local error of accept() was taken for the limit of descriptors, so that a few callers became the bound.

test_prefill_engine_is_not_blamed_for_a_lack_of_descriptors failed before.

--- a/src/coltsfootarch/forwarding/listener.py
+++ b/src/coltsfootarch/forwarding/listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import errno
 import socket
 from typing import TYPE_CHECKING
 from typing import Protocol
@@ -136,7 +137,7 @@
         if (
             self.budget is not None
             and isinstance(error, OSError)
-            and error.errno in client.LOCAL_ERRNOS
+            and error.errno == errno.EMFILE
         ):
             self.budget.record_shortage()
             self.close_longest_idle()
--- a/src/coltsfootarch/forwarding/prefill_stage.py
+++ b/src/coltsfootarch/forwarding/prefill_stage.py
@@ -110,7 +110,8 @@
                 call.request.prompt_tokens,
                 generation.prefill_s,
             )
-        self.context.outcome_tracker.record(engine.id, outcome, elapsed)
+        if not prefill.exchange.aborted:
+            self.context.outcome_tracker.record(engine.id, outcome, elapsed)
         logger.info(
             "prefill ended",
             request_id=call.request.id,
--- a/tests/forwarding/test_descriptor_limit.py
+++ b/tests/forwarding/test_descriptor_limit.py
@@ -60,6 +60,25 @@
     assert "retry-after" in response.fields
 
 
+def test_prefill_engine_is_not_blamed_for_a_lack_of_descriptors(
+    engines, monkeypatch
+):
+    """Guards against a sound prefill engine that is ejected on all hosts."""
+    address = engines.runners["p-1"].address
+    start = client.Connection.start
+
+    def start_others(self, timeout):
+        if self.address == address:
+            raise client.LocalConnectError("Too many open files")
+        start(self, timeout)
+
+    monkeypatch.setattr(client.Connection, "start", start_others)
+
+    assert engines.ask("/write/a", "POST", b"p", **SIZES).status == 200
+
+    assert not engines.daemon.context.outcome_tracker.failure_counts
+
+
 @pytest.mark.parametrize("target", ["/read/a", "/write/a"])
 def test_upstreams_are_not_blamed_for_a_lack_of_descriptors(
     edge_host, monkeypatch, target
