Silent streams: what a move takes, and what a try without a move spends

- The silent engine's connection broke while another one was asked: the request that the other one had taken was ended, and the stream cut.
Its exchange is handed over with the request now.
- A caller that left then left a local prefill counted for ever.
- With and without reservations, each try took a retry, also one that connected to nothing: two silent connections used up a budget of two and the stream was cut.
A retry is taken right before the request is sent.

--- a/src/coltsfootarch/forwarding/engine_preparation.py
+++ b/src/coltsfootarch/forwarding/engine_preparation.py
@@ -53,7 +53,10 @@
     """Rules and queue for the attempts of a request."""
 
     def may_attempt(self, generation: generations.Generation) -> bool:
-        """Returns whether another attempt is allowed; spends the budget."""
+        """Returns whether another attempt is allowed now."""
+
+    def take_retry(self, generation: generations.Generation) -> bool:
+        """Takes a retry from the budget; returns whether there was one."""
 
     def is_refused(self, call: calls.Call) -> bool:
         """Returns whether the request is known to crash or break upstreams."""
@@ -106,6 +109,8 @@
         self.ready: silence_watch.Replacement | None = None
         self.taken = False
         self.tries = 0
+        self.accepting = False
+        self.greenlet: gevent.Greenlet[[], None] | None = None
 
     @property
     def clock(self) -> clocks.Clock:
@@ -125,7 +130,7 @@
 
     def start(self) -> None:
         """Starts the preparation; see `silence_watch.Preparation`."""
-        gevent.spawn(self.run)
+        self.greenlet = gevent.spawn(self.run)
 
     def stop(self) -> None:
         """Ends the preparation; see `silence_watch.Preparation`."""
@@ -134,6 +139,10 @@
     def take(self) -> silence_watch.Replacement | None:
         """Returns what is ready; see `silence_watch.Preparation`."""
         self.taken = self.ready is not None
+        if self.accepting and self.greenlet is not None:
+            # The engine has the request; its response is read by the taker.
+            self.moved = True
+            self.greenlet.kill()
         self.stop()
         return self.ready
 
@@ -273,8 +282,8 @@
         """Releases an engine that gets no request."""
         exchange.close()
         self.decode_readiness.reservations.drop(self.own)
+        self.context.outcome_tracker.withdraw_dispatch(placement.decode.id)
         if not exchange.sent:
-            self.context.outcome_tracker.withdraw_dispatch(placement.decode.id)
             self.context.notices.limits.give_back(placement.decode)
         self.context.queue.release(placement, prompt_prefilled=False)
 
@@ -328,6 +337,7 @@
             and replacement.exchange.is_ready()
             and self.is_movable()
             and self.attempts.may_attempt(self.generation)
+            and self.attempts.take_retry(self.generation)
         )
 
     def wait_for_reader(self) -> None:
@@ -344,7 +354,8 @@
         """Sends the request; returns whether the engine takes it.
 
         Without a reservation only the engine knows whether it has room. One
-        that has not refused within `ACCEPTANCE_S` has taken the request.
+        that has not refused within `ACCEPTANCE_S` has taken the request if it
+        isn't silent itself.
 
         Raises:
             cancellation.CallerDisconnectedError: The preparation was stopped.
@@ -354,13 +365,13 @@
         exchange.delivery = self.stage.build_delivery(
             self.own, replacement.placement
         )
-        outcome = outcomes.Outcome.BROKEN
+        outcome: outcomes.Outcome | None = outcomes.Outcome.BROKEN
+        sent_at = self.clock.monotonic()
         try:
             with self.cancellation.attached(exchange.abort):
                 exchange.send()
-                exchange.accepted = exchange.read_head(
-                    self.clock.monotonic() + ACCEPTANCE_S
-                )
+                self.accepting = True
+                exchange.accepted = exchange.read_head(sent_at + ACCEPTANCE_S)
             status = exchange.accepted.status
             if 200 <= status < 300:
                 return True
@@ -368,15 +379,24 @@
             if exchange.accepted.not_run:
                 outcome = outcomes.Outcome.REFUSED
         except client.ResponseTimeoutError:
-            return True
+            if self.is_heard(engine.id, sent_at):
+                return True
+            reason = "no response"
+            outcome = None
         except (client.ConnectError, client.BrokenConnectionError) as error:
             reason = str(error)
+            if exchange.sent and not exchange.aborted:
+                self.context.break_counts.record(
+                    self.own.call.digest, engine.incarnation
+                )
         finally:
+            self.accepting = False
             if exchange.sent:
                 self.generation.call.attempts += 1
                 self.generation.call.tried.append(engine.id)
         self.cancellation.check()
-        self.context.outcome_tracker.record(engine.id, outcome)
+        if outcome is not None:
+            self.context.outcome_tracker.record(engine.id, outcome)
         logger.info(
             "silent stream not accepted by another engine",
             request_id=self.own.call.request.id,
@@ -385,6 +405,11 @@
         )
         return False
 
+    def is_heard(self, engine: str, since: float) -> bool:
+        """Returns whether a stream of an engine was heard since an instant."""
+        activity = self.context.outcome_tracker.activity
+        return activity.heard_at.get(engine, float("-inf")) >= since
+
     def move(self, replacement: silence_watch.Replacement) -> bool:
         """Ends the exchange with the silent engine; returns True.
 
--- a/src/coltsfootarch/forwarding/generation_pipeline.py
+++ b/src/coltsfootarch/forwarding/generation_pipeline.py
@@ -87,6 +87,9 @@
             while not generation.finished and (
                 generation.moved or self.may_attempt(generation)
             ):
+                generation.needs_retry = bool(
+                    generation.call.attempts and not generation.moved
+                )
                 generation.moved = False
                 replacement, generation.replacement = (
                     generation.replacement,
@@ -119,6 +122,7 @@
             if replacement is not None:
                 generation.placement = replacement.placement
                 generation.reservation = replacement.reservation
+                generation.prompt_prefilled = False
                 self.release(generation, replacement.exchange)
             self.reservations.abandon_late(generation)
         self.finish(generation)
@@ -150,10 +154,7 @@
         self.context.queue.release(placement, generation.prompt_prefilled)
 
     def may_attempt(self, generation: generations.Generation) -> bool:
-        """Returns whether another attempt is allowed.
-
-        Each attempt but the first takes a retry from the service's budget.
-        """
+        """Returns whether another attempt is allowed now."""
         call = generation.call
         if generation.connect_failures >= MAX_CONNECT_FAILURES:
             return False
@@ -167,18 +168,34 @@
             return True
         if call.attempts >= call.route.max_attempts:
             return False
-        allowed = self.context.budget.spend(call.service)
-        if allowed and call.responder.started:
-            self.context.metrics.resumes.labels(call.service).inc()
+        allowed = self.context.budget.may_spend(call.service)
         if not allowed:
-            logger.info(
-                "retry budget exhausted",
-                request_id=call.request.id,
-                service=call.service,
-                attempts=call.attempts,
-            )
+            self.log_budget_exhausted(call)
         return allowed
 
+    def take_retry(self, generation: generations.Generation) -> bool:
+        """Takes a retry from the service's budget for an attempt to be sent.
+
+        Returns:
+            Whether there was one.
+        """
+        call = generation.call
+        if not self.context.budget.spend(call.service):
+            self.log_budget_exhausted(call)
+            return False
+        if call.responder.started:
+            self.context.metrics.resumes.labels(call.service).inc()
+        return True
+
+    def log_budget_exhausted(self, call: calls.Call) -> None:
+        """Logs that the retry budget allows no further attempt."""
+        logger.info(
+            "retry budget exhausted",
+            request_id=call.request.id,
+            service=call.service,
+            attempts=call.attempts,
+        )
+
     def is_refused(self, call: calls.Call) -> bool:
         """Returns whether the request is known to crash or break upstreams."""
         return self.context.break_counts.is_refused(
@@ -320,13 +337,17 @@
         call = generation.call
         if self.is_refused(call):
             return
-        if exchange.sent or self.make_ready(generation, placement, exchange):
-            self.decode_stage.generate(
-                generation,
-                placement.decode,
-                exchange,
-                lambda: self.prepare(generation, exchange),
-            )
+        if not exchange.sent:
+            if not self.make_ready(generation, placement, exchange):
+                return
+            if generation.needs_retry and not self.take_retry(generation):
+                return
+        self.decode_stage.generate(
+            generation,
+            placement.decode,
+            exchange,
+            lambda: self.prepare(generation, exchange),
+        )
 
     def make_ready(
         self,
--- a/src/coltsfootarch/forwarding/silence_watch.py
+++ b/src/coltsfootarch/forwarding/silence_watch.py
@@ -145,8 +145,8 @@
         try:
             part = connection.read_part(deadline - self.clock.monotonic())
         except (client.BrokenConnectionError, client.ResponseTimeoutError):
-            self.moved = self.preparation.moved
             self.replacement = self.preparation.take()
+            self.moved = self.preparation.moved
             raise
         finally:
             self.activity.end_silence(self.engine_id)
