Soak: the end of a grace period excuses no request sent late in it

Cause: a cut response in the last sixth of a host's grace period was excused whenever its request had been sent. The users' rule excuses only requests sent no later than 3 s after the SIGTERM; a host that stops has to refuse later ones.

Change: the check has that limit, with a case of its own.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -35,8 +35,10 @@
 STREAM_SILENCE_S = 3.6
 TIME_SLACK_S = 0.2
 # Responses later than this part of the grace period of a host that stops may
-# be cut off.
+# be cut off, if the request was sent no later than `GRACE_START_S` after its
+# begin.
 GRACE_FRACTION = 5 / 6
+GRACE_START_S = 3.0
 # If a connection closes within this many seconds after a request was sent on
 # it, host and caller acted at the same time.
 CLOSE_RACE_S = 0.2
@@ -303,7 +305,7 @@
     part_s = GRACE_FRACTION * processes.GRACE_S
     return any(
         host == request.host
-        and request.sent_at < end
+        and request.sent_at <= start + GRACE_START_S
         and start + part_s < request.ended_at < end + 1.0
         for host, start, end in schedule.planned
     )
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -200,6 +200,7 @@
         (GATEWAY_TIMEOUT._replace(silent_s=3.5), {}),
         (CUT_STREAM._replace(silent_s=3.3), {}),
         (CUT_STREAM, {"planned": [("h-0", 8.5, 13.5)]}),
+        (CUT_STREAM._replace(ended_at=11.5), {"planned": [("h-0", 6.9, 12.0)]}),
         (
             CUT_STREAM._replace(ended_at=13.0),
             {"planned": [("h-1", 8.5, 13.5)]},
