Callers: the wait for a raised limit counts for the request

A request that was read again under a newer policy got the instant after the wait, up to 2 s late, from which its timeout and deadline were counted.

--- a/src/coltsfootarch/forwarding/limited_reader.py
+++ b/src/coltsfootarch/forwarding/limited_reader.py
@@ -46,12 +46,19 @@
         # began within bytes of the one before.
         self.head: bytearray | None = bytearray()
 
-    def read(self, data: bytes) -> None:
+    def read(self, data: bytes, received_at: float | None = None) -> None:
         """Parses bytes; appends to `complete` or sets `error`.
 
         It waits for a newer policy if a head exceeds a limit or declares a body
         that does.
+
+        Args:
+            data: Received bytes.
+            received_at: Instant at which they arrived, in seconds; now if not
+                given.
         """
+        if received_at is None:
+            received_at = self.clock.monotonic()
         limits = self.limits()
         self.apply(limits)
         in_head = not self.in_body
@@ -59,7 +66,7 @@
         if in_head and self.head is not None:
             self.head += data
         try:
-            self.feed(data, self.clock.monotonic())
+            self.feed(data, received_at)
         except (
             readers.HeaderTooLargeError,
             readers.BodyTooLargeError,
@@ -73,7 +80,7 @@
                 self.error = error
                 return
             self.restart()
-            self.read(bytes(head))
+            self.read(bytes(head), self.started_at)
             return
         except readers.MalformedMessageError as error:
             self.error = error
--- a/tests/forwarding/test_recent_limits.py
+++ b/tests/forwarding/test_recent_limits.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import datetime
+
 import gevent
 import pytest
 
 from coltsfootarch import clock as clocks
 from coltsfootarch.fleet import policy
 from coltsfootarch.forwarding import caller_connection
+from coltsfootarch.forwarding import limited_reader
 from coltsfootarch.forwarding import recent_limits
 from tests.platform import documents
 
@@ -159,3 +162,21 @@
     )
 
     assert caller.read().status == 200
+
+
+def test_wait_for_a_raised_limit_counts_for_the_request(manual_clock):
+    """Guards against deadlines that are counted from the end of the wait."""
+    limits = [policy.CallerLimits(header_bytes=20)]
+    arrived_at = manual_clock.monotonic()
+
+    def await_policy():
+        manual_clock.advance(datetime.timedelta(seconds=2))
+        limits[0] = policy.CallerLimits(header_bytes=4096)
+
+    reader = limited_reader.LimitedReader(
+        lambda: limits[0], await_policy, manual_clock
+    )
+    reader.read(b"GET /long/target/of/a/request HTTP/1.1\r\nHost: a\r\n\r\n")
+
+    (request,) = reader.complete
+    assert request.received_at == arrived_at
