Prefill: a stream that has moved doesn't wait 1.2 s for a silent engine

The silences of a decode engine and, after the move, of a prefill engine added up to more than callers wait. After 0.4 s the decode engine, which is reserved, is asked to take over.

--- a/src/coltsfootarch/forwarding/generation_pipeline.py
+++ b/src/coltsfootarch/forwarding/generation_pipeline.py
@@ -95,6 +95,7 @@
                     generation.replacement,
                     None,
                 )
+                generation.has_moved = replacement is not None
                 if replacement is None:
                     placement = self.place(generation)
                     if placement is None:
--- a/src/coltsfootarch/forwarding/generations.py
+++ b/src/coltsfootarch/forwarding/generations.py
@@ -74,6 +74,8 @@
         # the retry budget was spent for it.
         self.replacement: silence_watch.Replacement | None = None
         self.moved = False
+        # Whether the present attempt is at an engine to which it moved.
+        self.has_moved = False
         # Whether the present attempt takes a retry from the budget.
         self.needs_retry = False
         # Name of the memory reservation at the decode engine, the instant until
--- a/src/coltsfootarch/forwarding/prefill_stage.py
+++ b/src/coltsfootarch/forwarding/prefill_stage.py
@@ -23,6 +23,8 @@
 # The longest prompts take 0.2 s to prefill; from several times as long on, the
 # decode engine is asked to take over.
 PREFILL_TIMEOUT_S = 1.2
+# The same for a stream that has moved, which has been silent for long already.
+MOVED_PREFILL_TIMEOUT_S = 0.4
 # Shortest and longest interval at which it is asked again, in seconds; each
 # interval is twice as long as the one before.
 MIN_TAKE_OVER_INTERVAL_S = 0.1
@@ -136,6 +138,8 @@
         """
         ends_at = generation.call.ends_at
         wait_s = PREFILL_TIMEOUT_S
+        if generation.has_moved:
+            wait_s = MOVED_PREFILL_TIMEOUT_S
         next_wait_s = MIN_TAKE_OVER_INTERVAL_S
         while not prefill.wait(min(wait_s, ends_at - self.clock.monotonic())):
             if self.clock.monotonic() >= ends_at:
--- a/tests/forwarding/test_moves_of_silent_streams.py
+++ b/tests/forwarding/test_moves_of_silent_streams.py
@@ -9,6 +9,7 @@
 import pytest
 
 from coltsfootarch.forwarding import decode_stage
+from coltsfootarch.forwarding import prefill_stage
 from coltsfootarch.http1 import client
 from coltsfootarch.scheduling import outcomes
 from tests.forwarding import test_silent_streams
@@ -151,3 +152,18 @@
 
     stream.check()
     assert tracker.is_usable("d-2")
+
+
+def test_stream_that_has_moved_does_not_wait_long_for_a_silent_prefill(engines):
+    """Guards against silences of two engines that add up for one caller."""
+    test_silent_streams.configure(engines, 2, max_attempts=4)
+    stream = test_silent_streams.start_on(engines, "d-1")
+    engines.runners["p-1"].fall_silent(math.inf)
+    engines.runners["d-1"].fall_silent(math.inf)
+    loads = engines.daemon.context.loads
+    engines.wait(lambda: loads.load("p-1").requests)
+    asked_at = time.monotonic()
+    engines.wait(lambda: len(stream.events) > 1)
+
+    assert time.monotonic() - asked_at < prefill_stage.PREFILL_TIMEOUT_S
+    stream.check()
