Refusals without a request id: their connections aren't used again

Cause: upstreams refuse requests before they read the id, so that a failure without an id counts as the response to the request that was sent last. A faulty upstream writes a refusal once more on its connection; the copy arrives after the next request was sent and is taken for its refusal.

Change: a connection whose last response named no request is closed rather than pooled, and so is one on which a reservation was refused. A copy can only come on the connection of the original, so no later request sees it.

--- a/src/coltsfootarch/forwarding/upstream_exchange.py
+++ b/src/coltsfootarch/forwarding/upstream_exchange.py
@@ -185,6 +185,8 @@
             self.connection = None
         self.head = None
         if response.status != 200:
+            # A late copy would be taken for a refusal of the next request.
+            self.disconnect()
             return None
         return self.wire.decode_reservation(body) or None
 
@@ -387,11 +389,15 @@
         return bytes(body)
 
     def finish(self) -> None:
-        """Returns the connection to the pool after a complete response."""
+        """Returns the connection to the pool after a complete response.
+
+        It is closed if nothing showed which request the response belongs to,
+        since a late copy would be taken for the response to the next request.
+        """
         connection, self.connection = self.connection, None
         if connection is None or self.head is None:
             return
-        if not self.request.id:
+        if not self.wire.decode(self.head).request_id:
             connection.close()
         elif connection.finish(self.head):
             self.connections.release(connection)
