Requests that must run once don't share a connection with earlier ones

A response without a request id on a used connection can belong to anything that was on it before, and to what its upstream mistook for it; only on a connection without a past it surely answers the request.

Change: a booking, and a stream that may not be resumed, opens a connection of its own; the connection is pooled afterwards for requests that may be repeated. Until now such requests reused connections idle for less than 1 s, which on fleets is rare: a host of the users' sites sends one booking in several seconds to an upstream.

--- a/src/coltsfootarch/forwarding/call_attempts.py
+++ b/src/coltsfootarch/forwarding/call_attempts.py
@@ -93,7 +93,7 @@
         call, exchange = self.call, self.exchange
         deadline = call.ends_at
         try:
-            exchange.connect(recently_used=not call.route.repeatable)
+            exchange.connect(repeatable=call.route.repeatable)
             if not may_send():
                 self.is_denied = True
                 raise client.ConnectError("not sent: no longer allowed")
--- a/src/coltsfootarch/forwarding/decode_readiness.py
+++ b/src/coltsfootarch/forwarding/decode_readiness.py
@@ -74,7 +74,7 @@
         tracker.record_dispatch(engine.id)
         try:
             with call.cancellation.attached(exchange.abort):
-                exchange.connect(recently_used)
+                exchange.connect(recently_used, call.route.repeatable)
         except client.ConnectError as error:
             call.cancellation.check()
             if not exchange.aborted:
@@ -185,7 +185,10 @@
         exchange.close()
         try:
             with generation.call.cancellation.attached(exchange.abort):
-                exchange.connect(recently_used=True)
+                exchange.connect(
+                    recently_used=True,
+                    repeatable=generation.call.route.repeatable,
+                )
         except client.ConnectError as error:
             generation.call.cancellation.check()
             logger.info(
--- a/src/coltsfootarch/forwarding/upstream_exchange.py
+++ b/src/coltsfootarch/forwarding/upstream_exchange.py
@@ -88,15 +88,20 @@
         # Head of a response that was read before the exchange was handed over.
         self.accepted: calls.UpstreamResponse | None = None
 
-    def connect(self, recently_used: bool) -> None:
+    def connect(
+        self, recently_used: bool = False, repeatable: bool = True
+    ) -> None:
         """Takes an idle connection from the pool or opens one.
 
         A request without an id gets a connection of its own, since nothing else
-        shows which response belongs to it.
+        shows which response belongs to it. So does one that must run only once:
+        upstreams refuse requests without naming them, and a refusal that
+        belongs to an earlier request must not say that this one was not run.
 
         Args:
             recently_used: Whether to reuse only a connection that was used
                 recently; see `pool.ConnectionPool.acquire`.
+            repeatable: Whether the request may run more than once.
 
         Raises:
             client.ConnectError: No connection; nothing was sent.
@@ -104,7 +109,7 @@
         address = self.delivery.upstream.address
         timeout = min(CONNECT_TIMEOUT_S, self.delivery.time_left_s)
         try:
-            if self.request.id:
+            if self.request.id and repeatable:
                 self.connection = self.connections.acquire(
                     address, timeout, recently_used
                 )
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -63,6 +63,8 @@
             none.
         repeated_bytes: Number of bytes of the last response on a connection
             that it sends once more before the next one.
+        stray_refusals: Whether a refusal that belongs to no request precedes
+            each further response on a connection.
         partial_head: Start of a response's head, for the fault "cut head".
         retry_after: Value of `Retry-After` in refusals; empty for none.
         limit: Value of `Server-Limit` in its answers; empty for none.
@@ -112,6 +114,7 @@
         self.crashing_target = ""
         self.partial_head = b""
         self.repeated_bytes = 0
+        self.stray_refusals = False
         self.retry_after = ""
         self.leaving = False
         self.limit = ""
@@ -190,6 +193,8 @@
             connection.respond(202)
         else:
             self.repeat_response(connection)
+            if self.stray_refusals and connection.last_response:
+                connection.respond(503, self.refusal_fields())
             self.serve(request, fields, connection)
 
     def fall_silent(self, seconds: float) -> None:
--- a/tests/forwarding/test_calls.py
+++ b/tests/forwarding/test_calls.py
@@ -234,6 +234,20 @@
         assert now == accepted + number
 
 
+def test_stray_refusal_says_of_no_booking_that_it_was_not_run(edge_host):
+    """Guards against "not run" for a booking that its upstream runs."""
+    runner = edge_host.add_runner("i-1", "app")
+    edge_host.start()
+    caller = edge_host.caller()
+    for number in range(5):
+        caller.ask("/read/a", request_id=f"a{number}")
+        caller.ask("/book/a", "POST", request_id=f"b{number}")
+        runner.stray_refusals = True
+        answer = caller.ask("/book/a", "POST", request_id=f"c{number}")
+        runner.stray_refusals = False
+        assert answer.status == 200
+
+
 def test_failed_connection_is_not_an_attempt(app):
     app.runners["i-1"].close()
     app.daemon.context.loads.add("i-2", 1)
