Lack of memory on an open socket is this host's own fault

What callers saw: while the host lacked memory for a moment (ENOMEM, ENOBUFS), a connection was closed with its request unanswered, a request in progress was cancelled, and a sound upstream was given up as broken, so that calls that must not be repeated were answered 502.

Cause: any OSError of an open socket was taken for the peer's. Only errors of opening a connection were told apart.

Reads and writes go through http1/shortages.py, which also counts what was sent, since `sendall` doesn't tell. At last a request that is read in part is refused with 503, a request of which nothing was sent to an upstream is refused as not run after 0.3 s, and the rest fails without being recorded against the upstream.

The same cause elsewhere: reservations, prefills, streams, overdue calls and orders go through the same connection class. The clients in upstreams/ of the product's own interface are not changed.

Evidence: the tests inject the error numbers.

--- a/src/coltsfootarch/forwarding/call_attempts.py
+++ b/src/coltsfootarch/forwarding/call_attempts.py
@@ -108,7 +108,9 @@
             self.log_failure(error)
             return attempts.Failure.TIMED_OUT
         except client.BrokenConnectionError as error:
-            if not exchange.aborted:
+            if not exchange.aborted or isinstance(
+                error, client.LocalBrokenConnectionError
+            ):
                 self.log_failure(error)
             return attempts.Failure.BROKEN
         self.is_misdirected = response.is_from_other_upstream(self.upstream)
--- a/src/coltsfootarch/forwarding/call_pipeline.py
+++ b/src/coltsfootarch/forwarding/call_pipeline.py
@@ -318,6 +318,8 @@
             upstream=upstream.id,
             attempt=attempt.number,
         )
+        if attempt.exchange.lacks_memory:
+            return
         self.context.outcome_tracker.record(
             upstream.id, outcomes.Outcome.BROKEN
         )
--- a/src/coltsfootarch/forwarding/caller_connection.py
+++ b/src/coltsfootarch/forwarding/caller_connection.py
@@ -20,6 +20,7 @@
 from coltsfootarch.forwarding import responder as responders
 from coltsfootarch.http1 import client
 from coltsfootarch.http1 import readers
+from coltsfootarch.http1 import shortages
 
 if TYPE_CHECKING:
     from gevent import socket as gevent_socket
@@ -89,6 +90,7 @@
         self.idle = True
         self.idle_since = listener.clock.monotonic()
         self.cancellation: cancellations.Cancellation | None = None
+        self.watcher: Any = None
         self.responder: responders.ConnectionResponder | None = None
 
     def close(self, reason: close_reasons.CloseReason) -> None:
@@ -168,13 +170,15 @@
 
         Raises:
             calls.CallerConnectionError: The caller disconnected or doesn't
-                read, or the host has closed the connection.
+                read, or the host has closed the connection or lacks memory.
         """
         if self.closed:
             raise calls.CallerConnectionError("the connection is closed")
         try:
-            self.sock.settimeout(SEND_TIMEOUT_S)
-            self.sock.sendall(data)
+            shortages.send(self.sock, data, SEND_TIMEOUT_S, self.listener.clock)
+        except shortages.ShortageError as error:
+            self.close(close_reasons.CloseReason.NO_MEMORY)
+            raise calls.CallerConnectionError(str(error)) from error
         except OSError as error:
             timed_out = isinstance(error, TimeoutError) and error.errno is None
             self.close(
@@ -260,18 +264,28 @@
             remaining = since + limit - self.listener.clock.monotonic()
             try:
                 if remaining > 0:
-                    self.sock.settimeout(remaining)
-                    data: bytes | None = self.sock.recv(readers.READ_SIZE)
+                    data: bytes | None = shortages.receive(
+                        self.sock,
+                        readers.READ_SIZE,
+                        remaining,
+                        self.listener.clock,
+                    )
                 else:
                     data = client.read_arrived(self.sock)
+            except shortages.ShortageError:
+                self.refuse_unread(close_reasons.CloseReason.NO_MEMORY)
+                return b""
             except TimeoutError as error:
                 if error.errno is None:
                     # A newer policy may have raised the timeout meanwhile.
                     continue
                 self.close(close_reasons.CloseReason.SOCKET_ERROR)
                 return b""
-            except OSError:
-                self.close(close_reasons.CloseReason.SOCKET_ERROR)
+            except OSError as error:
+                if shortages.is_shortage(error):
+                    self.refuse_unread(close_reasons.CloseReason.NO_MEMORY)
+                else:
+                    self.close(close_reasons.CloseReason.SOCKET_ERROR)
                 return b""
             if data is None:
                 if self.reader.in_progress and not awaited:
@@ -287,6 +301,12 @@
                 self.close(close_reasons.CloseReason.CALLER_CLOSED)
             return data
 
+    def refuse_unread(self, reason: close_reasons.CloseReason) -> None:
+        """Refuses the request that is read in part; ends the connection."""
+        if self.reader.in_progress:
+            self.reject(results.OVERLOADED, reason)
+        self.close(reason)
+
     def close_unless_used(self, reason: close_reasons.CloseReason) -> bool:
         """Closes an idle connection unless a request has arrived.
 
@@ -333,10 +353,11 @@
             while (
                 left := deadline - self.listener.clock.monotonic()
             ) > 0 and not self.closed:
-                self.sock.settimeout(left)
-                if not self.sock.recv(readers.READ_SIZE):
+                if not shortages.receive(
+                    self.sock, readers.READ_SIZE, left, self.listener.clock
+                ):
                     return
-        except OSError:
+        except (OSError, shortages.ShortageError):
             # The caller has gone, or sends longer than the host waits.
             return
 
@@ -351,7 +372,7 @@
             self.set_surplus(False)
         responder.surplus = self.surplus
         self.served += 1
-        watcher = self.watch()
+        watcher = self.watcher = self.watch()
         try:
             self.listener.handler.handle(request, responder, cancellation)
         except (Exception, gevent.Timeout):
@@ -363,6 +384,7 @@
                     results.INTERNAL_ERROR, close_reasons.CloseReason.ERROR
                 )
         finally:
+            self.watcher = None
             if watcher is not None:
                 watcher.stop()
                 watcher.close()
@@ -391,7 +413,10 @@
             return
         try:
             data = client.read_arrived(self.sock)
-        except OSError:
+        except OSError as error:
+            if shortages.is_shortage(error):
+                self.pause_watch(watcher)
+                return
             data = b""
         if data is None:
             return
@@ -402,3 +427,13 @@
         watcher.stop()  # type: ignore[attr-defined]
         if not data and self.cancellation is not None:
             self.cancellation.cancel()
+
+    def pause_watch(self, watcher: Any) -> None:
+        """Stops a watcher for a moment, since the bytes stay readable."""
+        watcher.stop()
+
+        def resume() -> None:
+            if self.watcher is watcher:
+                watcher.start(self.on_readable, watcher)
+
+        gevent.spawn_later(shortages.RETRY_S, resume)
--- a/src/coltsfootarch/forwarding/close_reasons.py
+++ b/src/coltsfootarch/forwarding/close_reasons.py
@@ -10,6 +10,8 @@
 
     CALLER_CLOSED = "caller-closed"
     SOCKET_ERROR = "socket-error"
+    # This host lacked memory to read or write.
+    NO_MEMORY = "no-memory"
     SEND_TIMEOUT = "send-timeout"
     # The response had `Connection: close`: the caller wished it or was told.
     ANNOUNCED = "announced"
--- a/src/coltsfootarch/forwarding/engine_preparation.py
+++ b/src/coltsfootarch/forwarding/engine_preparation.py
@@ -411,7 +411,9 @@
             outcome = None
         except (client.ConnectError, client.BrokenConnectionError) as error:
             reason = str(error)
-            if exchange.sent and not exchange.aborted:
+            if exchange.aborted:
+                outcome = None
+            elif exchange.sent:
                 self.context.break_counts.record(
                     self.own.call.digest, engine.incarnation
                 )
--- a/src/coltsfootarch/forwarding/prefill_stage.py
+++ b/src/coltsfootarch/forwarding/prefill_stage.py
@@ -112,7 +112,7 @@
                 call.request.prompt_tokens,
                 generation.prefill_s,
             )
-        if not prefill.exchange.aborted:
+        if not (prefill.exchange.aborted or prefill.exchange.lacks_memory):
             self.context.outcome_tracker.record(engine.id, outcome, elapsed)
         logger.info(
             "prefill ended",
--- a/src/coltsfootarch/forwarding/reservation_calls.py
+++ b/src/coltsfootarch/forwarding/reservation_calls.py
@@ -98,6 +98,7 @@
                 self.refused = not name
                 self.reason = "no room" if self.refused else "done"
         except (
+            client.LocalConnectError,
             client.BrokenConnectionError,
             client.ResponseTimeoutError,
             OSError,
--- a/src/coltsfootarch/forwarding/upstream_exchange.py
+++ b/src/coltsfootarch/forwarding/upstream_exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import select
 from typing import TYPE_CHECKING
 from typing import Protocol
@@ -55,8 +56,8 @@
         memory: Bounds the memory of all responses.
 
     Attributes:
-        aborted: Whether this host ended the exchange, so that its failure tells
-            nothing about the upstream.
+        aborted: Whether this host ended the exchange or lacked a resource for
+            it, so that its failure tells nothing about the upstream.
     """
 
     def __init__(
@@ -103,16 +104,13 @@
         """
         address = self.delivery.upstream.address
         timeout = min(CONNECT_TIMEOUT_S, self.delivery.time_left_s)
-        try:
+        with self.local_errors():
             if self.request.id:
                 self.connection = self.connections.acquire(
                     address, timeout, recently_used
                 )
             else:
                 self.connection = self.connections.open(address, timeout)
-        except client.LocalConnectError:
-            self.aborted = True
-            raise
         if self.aborted:
             self.close()
             raise client.ConnectError("the caller disconnected")
@@ -121,7 +119,8 @@
         """Sends the request on the connection.
 
         Raises:
-            client.ConnectError: The connection was closed; nothing was sent.
+            client.ConnectError: The connection was closed, or this host lacks
+                memory; nothing was sent.
             client.BrokenConnectionError: Sending failed; the upstream may have
                 received the request.
         """
@@ -131,11 +130,29 @@
                 "connection closed before the request was sent"
             )
         self.sent = True
-        self.connection.send(
-            self.wire.encode(self.request, self.delivery),
-            self.request.body,
-            self.delivery.time_left_s,
-        )
+        try:
+            with self.local_errors():
+                self.connection.send(
+                    self.wire.encode(self.request, self.delivery),
+                    self.request.body,
+                    self.delivery.time_left_s,
+                )
+        except client.LocalConnectError:
+            self.sent = False
+            raise
+
+    @contextlib.contextmanager
+    def local_errors(self) -> Iterator[None]:
+        """Records that errors in the block come from this host."""
+        try:
+            yield
+        except (
+            client.LocalConnectError,
+            client.LocalBrokenConnectionError,
+            client.LocalTimeoutError,
+        ):
+            self.aborted = True
+            raise
 
     def start(self, recently_used: bool) -> None:
         """Connects and sends the request; see `connect` and `send`."""
@@ -161,6 +178,7 @@
             The name of the reservation; None if the upstream refused it.
 
         Raises:
+            client.LocalConnectError: This host lacks memory; nothing was sent.
             client.BrokenConnectionError: The connection broke. There may be a
                 reservation, which expires by itself.
             client.ResponseTimeoutError: No response in time. There may be a
@@ -174,7 +192,8 @@
         )
         self.notices.limits.take(self.delivery.upstream)
         deadline = self.clock.monotonic() + timeout_s
-        connection.send(call, b"", timeout_s)
+        with self.local_errors():
+            connection.send(call, b"", timeout_s)
         # The call has no request id, so that its response has none either.
         response = self.find_head(
             deadline, lambda response: not response.request_id
@@ -326,9 +345,15 @@
         """
         if self.connection is None:
             raise client.BrokenConnectionError("connection closed")
-        if self.part_reader is not None:
-            return self.part_reader.read(self.connection, deadline)
-        return self.connection.read_part(deadline - self.clock.monotonic())
+        with self.local_errors():
+            if self.part_reader is not None:
+                return self.part_reader.read(self.connection, deadline)
+            return self.connection.read_part(deadline - self.clock.monotonic())
+
+    @property
+    def lacks_memory(self) -> bool:
+        """Whether this host has lacked memory for the exchange."""
+        return self.connection is not None and self.connection.lacked_memory
 
     def is_ready(self) -> bool:
         """Returns whether a request can be sent on the connection."""
--- a/src/coltsfootarch/http1/client.py
+++ b/src/coltsfootarch/http1/client.py
@@ -17,6 +17,7 @@
 
 from coltsfootarch.http1 import messages
 from coltsfootarch.http1 import readers
+from coltsfootarch.http1 import shortages
 
 if TYPE_CHECKING:
     from coltsfootarch import clock as clocks
@@ -36,6 +37,9 @@
 # Bytes that are read although the time for them has passed. More than the
 # buffers of a connection hold weren't there in time.
 MAX_LATE_BYTES = 1024 * 1024
+# Longest wait for memory to send a request of which nothing was sent, in
+# seconds. Another host may take the request sooner.
+MAX_UNSENT_S = 0.3
 # Errors of opening a connection that don't come from the peer or the network.
 LOCAL_ERRNOS = frozenset(
     {
@@ -62,10 +66,18 @@
     """The connection failed, or the response is malformed or incomplete."""
 
 
+class LocalBrokenConnectionError(BrokenConnectionError):
+    """This host lacked memory, which tells nothing about the peer."""
+
+
 class ResponseTimeoutError(Exception):
     """The peer sent nothing within the timeout."""
 
 
+class LocalTimeoutError(ResponseTimeoutError):
+    """This host lacked memory, which tells nothing about the peer."""
+
+
 def set_socket_options(sock: gevent_socket.socket) -> None:
     """Disables Nagle's algorithm and enables the detection of dead peers."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -116,6 +128,8 @@
         idle_since: Time on the clock at which the last response was complete.
         announced_idle_s: Idle timeout in seconds that the server announced; 0
             if it announced none.
+        lacked_memory: Whether this host has lacked memory for the last request
+            or its response.
     """
 
     def __init__(self, address: str, clock: clocks.Clock) -> None:
@@ -129,6 +143,7 @@
         self.idle_since = 0.0
         self.announced_idle_s = 0.0
         self.late_bytes = 0
+        self.lacked_memory = False
         self.body_sender: gevent.Greenlet | None = None
 
     def start(self, timeout: float) -> None:
@@ -183,6 +198,7 @@
             timeout: Timeout for sending, in seconds.
 
         Raises:
+            LocalConnectError: This host lacks memory; nothing was sent.
             BrokenConnectionError: Sending failed; the peer may have received
                 the request.
         """
@@ -190,24 +206,47 @@
             raise BrokenConnectionError(f"{self.address}: closed")
         self.request_count += 1
         self.late_bytes = 0
-        self.sock.settimeout(max(timeout, 0.001))
+        self.lacked_memory = False
+        timeout = max(timeout, 0.001)
+        inline = len(body) <= INLINE_BODY_BYTES
         try:
-            if len(body) <= INLINE_BODY_BYTES:
-                self.sock.sendall(head + body)
-                return
-            self.sock.sendall(head)
+            shortages.send(
+                self.sock,
+                head + body if inline else head,
+                timeout,
+                self.clock,
+                MAX_UNSENT_S,
+            )
+        except shortages.ShortageError as error:
+            self.close()
+            if error.sent:
+                raise LocalBrokenConnectionError(
+                    f"{self.address}: {error}"
+                ) from error
+            raise LocalConnectError(f"{self.address}: {error}") from error
         except OSError as error:
             self.close()
             raise BrokenConnectionError(f"{self.address}: {error}") from error
-        self.body_sender = gevent.spawn(self.send_body, self.sock, body)
+        if not inline:
+            self.body_sender = gevent.spawn(
+                self.send_body, self.sock, body, timeout
+            )
 
-    def send_body(self, sock: gevent_socket.socket, body: bytes) -> None:
+    def send_body(
+        self, sock: gevent_socket.socket, body: bytes, timeout: float
+    ) -> None:
         """Sends a large body; a failure appears as a missing response."""
         try:
-            sock.sendall(body)
-        except OSError:
+            shortages.send(
+                sock, body, timeout, self.clock, record=self.record_shortage
+            )
+        except (OSError, shortages.ShortageError):
             self.reusable = False
 
+    def record_shortage(self) -> None:
+        """Records that this host lacks memory for the exchange."""
+        self.lacked_memory = True
+
     def read_part(self, timeout: float) -> messages.ResponseHead | bytes | None:
         """Returns the head or a body part of a response, or None at its end.
 
@@ -230,6 +269,7 @@
         `MAX_LATE_BYTES` in a row: the process may have paused.
 
         Raises:
+            LocalTimeoutError: This host lacked memory until the timeout.
             ResponseTimeoutError: Nothing arrived within the timeout.
             BrokenConnectionError: The response can't be completed.
         """
@@ -241,13 +281,20 @@
         try:
             if timeout > 0:
                 self.late_bytes = 0
-                self.sock.settimeout(timeout)
-                data = self.sock.recv(readers.READ_SIZE)
+                data = shortages.receive(
+                    self.sock,
+                    readers.READ_SIZE,
+                    timeout,
+                    self.clock,
+                    self.record_shortage,
+                )
             else:
                 data = self.read_late(self.sock)
+        except shortages.ShortageError as error:
+            raise LocalTimeoutError(f"{self.address}: {error}") from error
         except OSError as error:
             if isinstance(error, TimeoutError) and error.errno is None:
-                raise ResponseTimeoutError(self.address) from error
+                raise self.timeout_error() from error
             self.close()
             raise BrokenConnectionError(f"{self.address}: {error}") from error
         try:
@@ -272,19 +319,31 @@
             self.close()
             raise BrokenConnectionError(f"{self.address}: {error}") from error
 
+    def timeout_error(self) -> ResponseTimeoutError:
+        """Returns the error of a response that isn't in time."""
+        if self.lacked_memory:
+            return LocalTimeoutError(f"{self.address}: no memory")
+        return ResponseTimeoutError(self.address)
+
     def read_late(self, sock: gevent_socket.socket) -> bytes:
         """Returns bytes that have arrived before a timeout was noticed.
 
         Raises:
+            ShortageError: This host lacks memory.
             ResponseTimeoutError: Nothing has arrived, or more than
                 `MAX_LATE_BYTES` in a row.
             OSError: The connection failed.
         """
         data = None
         if self.late_bytes <= MAX_LATE_BYTES:
-            data = read_arrived(sock)
+            try:
+                data = read_arrived(sock)
+            except OSError as error:
+                if shortages.is_shortage(error):
+                    raise shortages.ShortageError(error) from error
+                raise
         if data is None:
-            raise ResponseTimeoutError(self.address)
+            raise self.timeout_error()
         self.late_bytes += len(data)
         return data
 
