An unexpected error while a request is read ends in a refusal

What callers saw: if reading a request raised an unexpected error (the parser, the wait for a newer policy, the reader of the request id), the connection was closed without an answer to that request and to whole requests before it.

Cause: only malformed messages were handled where requests are read; any other error ended the connection's greenlet, which closed the socket.

Now the reader keeps any error until the whole requests before it are answered. The request is then refused with 503 `request-not-read`, which states that it was not run. An error between reading and handling is answered 500, an id that can't be read doesn't end a request, and a close that can't be reported is logged and goes on. The line of a close has the socket's `error`. Reports of closes move to close_reports.py. Closes for `caller-closed`, `socket-error` and `announced` without a lost request are still only counted.

The same cause elsewhere: the constructor of a connection, whose error left the socket to the garbage collector without a line.

--- a/src/coltsfootarch/forwarding/caller_connection.py
+++ b/src/coltsfootarch/forwarding/caller_connection.py
@@ -16,6 +16,7 @@
 from coltsfootarch.forwarding import calls
 from coltsfootarch.forwarding import cancellation as cancellations
 from coltsfootarch.forwarding import close_reasons
+from coltsfootarch.forwarding import close_reports
 from coltsfootarch.forwarding import limited_reader
 from coltsfootarch.forwarding import responder as responders
 from coltsfootarch.http1 import client
@@ -72,6 +73,7 @@
         served: Number of requests that were passed to the handler.
         idle: Whether no byte of a next request has been read.
         idle_since: Instant since which it waits for bytes, in seconds.
+        socket_error: The last error of the socket; empty if there was none.
     """
 
     def __init__(
@@ -87,6 +89,7 @@
         self.surplus = False
         self.rejected = False
         self.served = 0
+        self.socket_error = ""
         self.idle = True
         self.idle_since = listener.clock.monotonic()
         self.cancellation: cancellations.Cancellation | None = None
@@ -99,11 +102,15 @@
             return
         self.closed = True
         try:
-            self.report_close(reason)
-        finally:
-            with contextlib.suppress(OSError):
-                self.sock.shutdown(socket.SHUT_RDWR)
-            self.sock.close()
+            close_reports.report_close(self, reason)
+        except Exception:
+            logger.exception(
+                "close of a caller's connection not reported",
+                reason=reason.value,
+            )
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RDWR)
+        self.sock.close()
 
     def set_surplus(self, surplus: bool) -> None:
         """Sets whether the listener has no room for the connection."""
@@ -118,52 +125,13 @@
         else:
             self.close(close_reasons.CloseReason.ABORTED)
 
-    def report_close(self, reason: close_reasons.CloseReason) -> None:
-        """Counts a close; logs it if it isn't regular or loses a request."""
-        self.listener.count_close(reason.value)
-        regular = reason in close_reasons.REGULAR_REASONS
-        unread = 0 if regular else self.read_rest()
-        reader = self.reader
-        responder = self.responder
-        request_ids = [
-            self.listener.request_id(request.fields)
-            for request in reader.complete
-        ]
-        if reader.in_progress and not self.rejected:
-            request_ids.append(self.listener.request_id(tuple(reader.fields)))
-        # The end of a request whose caller has left is logged anyway.
-        if not (
-            responder is None or responder.finished or self.rejected or regular
-        ):
-            request_ids.append(responder.request_id)
-        # A caller can tell that a request was not read after a response with
-        # `Connection: close`.
-        pipelined = len(self.pipelined)
-        lost = bool(request_ids or unread or pipelined)
-        if regular and not lost:
-            return
-        idle_s = self.listener.clock.monotonic() - self.idle_since
-        log = logger.warning if lost else logger.info
-        log(
-            "connection of caller closed with a request unanswered"
-            if lost
-            else "connection of caller closed",
-            reason=reason.value,
-            served=self.served,
-            idle_ms=round(idle_s * 1000) if self.idle else None,
-            unanswered=request_ids,
-            in_body=reader.in_body,
-            unread_bytes=unread,
-            pipelined_bytes=pipelined,
-        )
-
-    def read_rest(self) -> int:
-        """Returns the number of bytes that arrived, up to `READ_SIZE`."""
+    def request_id(self, fields: messages.Fields) -> str:
+        """Returns a request's id; empty if there is none."""
         try:
-            return len(client.read_arrived(self.sock) or b"")
-        except OSError:
-            # The caller has closed the connection.
-            return 0
+            return self.listener.request_id(fields)
+        except Exception:
+            logger.exception("request id not read")
+            return ""
 
     def send(self, data: bytes) -> None:
         """Sends bytes to the caller.
@@ -177,10 +145,12 @@
         try:
             shortages.send(self.sock, data, SEND_TIMEOUT_S, self.listener.clock)
         except shortages.ShortageError as error:
+            self.socket_error = str(error)
             self.close(close_reasons.CloseReason.NO_MEMORY)
             raise calls.CallerConnectionError(str(error)) from error
         except OSError as error:
             timed_out = isinstance(error, TimeoutError) and error.errno is None
+            self.socket_error = str(error)
             self.close(
                 close_reasons.CloseReason.SEND_TIMEOUT
                 if timed_out
@@ -203,6 +173,8 @@
             reason = close_reasons.CloseReason.SOCKET_ERROR
         except Exception:
             logger.exception("caller connection failed")
+            if self.responder is not None and not self.responder.started:
+                self.reject(results.INTERNAL_ERROR, reason)
         finally:
             self.close(reason)
 
@@ -234,11 +206,22 @@
             code, reason = refusal_of(error)
             logger.info(
                 "malformed request refused",
-                request_id=self.listener.request_id(tuple(self.reader.fields)),
+                request_id=self.request_id(tuple(reader.fields)),
                 reason=str(error),
             )
             self.reject(code, reason)
             return None
+        except calls.CallerConnectionError:
+            raise
+        except Exception:
+            logger.exception(
+                "request not read",
+                request_id=self.request_id(tuple(reader.fields)),
+            )
+            self.refuse_unread(
+                results.REQUEST_NOT_READ, close_reasons.CloseReason.ERROR
+            )
+            return None
         self.idle = False
         return reader.complete.popleft()
 
@@ -272,18 +255,25 @@
                     )
                 else:
                     data = client.read_arrived(self.sock)
-            except shortages.ShortageError:
-                self.refuse_unread(close_reasons.CloseReason.NO_MEMORY)
+            except shortages.ShortageError as error:
+                self.socket_error = str(error)
+                self.refuse_unread(
+                    results.OVERLOADED, close_reasons.CloseReason.NO_MEMORY
+                )
                 return b""
             except TimeoutError as error:
                 if error.errno is None:
                     # A newer policy may have raised the timeout meanwhile.
                     continue
+                self.socket_error = str(error)
                 self.close(close_reasons.CloseReason.SOCKET_ERROR)
                 return b""
             except OSError as error:
+                self.socket_error = str(error)
                 if shortages.is_shortage(error):
-                    self.refuse_unread(close_reasons.CloseReason.NO_MEMORY)
+                    self.refuse_unread(
+                        results.OVERLOADED, close_reasons.CloseReason.NO_MEMORY
+                    )
                 else:
                     self.close(close_reasons.CloseReason.SOCKET_ERROR)
                 return b""
@@ -301,10 +291,12 @@
                 self.close(close_reasons.CloseReason.CALLER_CLOSED)
             return data
 
-    def refuse_unread(self, reason: close_reasons.CloseReason) -> None:
-        """Refuses the request that is read in part; ends the connection."""
-        if self.reader.in_progress:
-            self.reject(results.OVERLOADED, reason)
+    def refuse_unread(
+        self, code: results.ResultCode, reason: close_reasons.CloseReason
+    ) -> None:
+        """Ends the connection; refuses the request that is read, if any."""
+        if self.reader.in_progress or self.reader.error is not None:
+            self.reject(code, reason)
         self.close(reason)
 
     def close_unless_used(self, reason: close_reasons.CloseReason) -> bool:
@@ -366,8 +358,8 @@
         cancellation = cancellations.Cancellation()
         self.cancellation = cancellation
         responder = responders.ConnectionResponder(self, request.keep_alive)
-        responder.request_id = self.listener.request_id(request.fields)
         self.responder = responder
+        responder.request_id = self.request_id(request.fields)
         if self.surplus and self.listener.has_room():
             self.set_surplus(False)
         responder.surplus = self.surplus
--- a/src/coltsfootarch/forwarding/limited_reader.py
+++ b/src/coltsfootarch/forwarding/limited_reader.py
@@ -41,7 +41,7 @@
         self.limits = limits
         self.await_policy = await_policy
         self.clock = clock
-        self.error: readers.MalformedMessageError | None = None
+        self.error: Exception | None = None
         # All bytes of a request whose head is incomplete; None if the request
         # began within bytes of the one before.
         self.head: bytearray | None = bytearray()
@@ -59,6 +59,18 @@
         """
         if received_at is None:
             received_at = self.clock.monotonic()
+        try:
+            self.parse(data, received_at)
+        except Exception as error:
+            # It is logged when the complete requests are answered.
+            self.error = error
+
+    def parse(self, data: bytes, received_at: float) -> None:
+        """Parses bytes; see `read`.
+
+        Raises:
+            readers.MalformedMessageError: A request can't be read.
+        """
         limits = self.limits()
         self.apply(limits)
         in_head = not self.in_body
@@ -70,20 +82,15 @@
         except (
             readers.HeaderTooLargeError,
             readers.BodyTooLargeError,
-        ) as error:
+        ):
             head, self.head = self.head, None
             if not in_head or head is None or len(self.complete) > complete:
-                self.error = error
-                return
+                raise
             self.await_policy()
             if self.limits() == limits:
-                self.error = error
-                return
+                raise
             self.restart()
-            self.read(bytes(head), self.started_at)
-            return
-        except readers.MalformedMessageError as error:
-            self.error = error
+            self.parse(bytes(head), self.started_at)
             return
         if not self.in_progress:
             self.head = bytearray()
--- a/src/coltsfootarch/forwarding/listener.py
+++ b/src/coltsfootarch/forwarding/listener.py
@@ -204,7 +204,12 @@
 
     def serve(self, sock: gevent_socket.socket) -> None:
         """Serves one connection until it ends."""
-        connection = caller_connection.CallerConnection(sock, self)
+        try:
+            connection = caller_connection.CallerConnection(sock, self)
+        except Exception:
+            logger.exception("caller connection failed")
+            sock.close()
+            return
         self.connections.add(connection)
         try:
             self.make_room(connection)
--- a/src/coltsfootarch/results.py
+++ b/src/coltsfootarch/results.py
@@ -382,6 +382,13 @@
 INTERNAL_ERROR = ResultCode(
     9002, "internal-error", 500, _MAY_HAVE_RUN, "Unexpected error; see the log."
 )
+REQUEST_NOT_READ = ResultCode(
+    9003,
+    "request-not-read",
+    503,
+    _NOT_RUN,
+    "Unexpected error while the request was read; see the log.",
+)
 
 
 def all_codes() -> list[ResultCode]:
