A chunked body waits for a raised limit, as a declared one does

Cause: the parser was stopped at the limit. To wait for the policy the reader parsed the request anew from its head, so that it had to keep all bytes of the head, and could do so neither within a body nor within pipelined bytes.

Now the reader only records the sizes. The request is parsed on to the end of the bytes at hand (one read, or what is buffered of pipelined requests), held back with those that follow it, and decided on when the requests before it are taken: it waits for the policy, then passes on what the limits allow and refuses the first request that they don't. Nothing is parsed twice.

Found beside it: `100 Continue` was sent before the answers to requests that were read in the same bytes, and never for a request that was pipelined.

--- a/src/coltsfootarch/forwarding/caller_connection.py
+++ b/src/coltsfootarch/forwarding/caller_connection.py
@@ -187,11 +187,17 @@
                 data = bytes(self.pipelined)
                 self.pipelined.clear()
                 reader.read(data)
-            self.idle = not reader.in_progress
+            self.idle = not reader.has_requests
             since = self.idle_since = clock.monotonic()
             while not reader.complete:
+                reader.settle()
                 if reader.error is not None:
                     raise reader.error
+                if reader.complete:
+                    break
+                if reader.expects_continue:
+                    reader.expects_continue = False
+                    self.send(b"HTTP/1.1 100 Continue\r\n\r\n")
                 data = self.receive(since)
                 if not data:
                     return None
@@ -199,14 +205,11 @@
                     since = clock.monotonic()
                 self.idle = False
                 reader.read(data)
-                if reader.expects_continue:
-                    reader.expects_continue = False
-                    self.send(b"HTTP/1.1 100 Continue\r\n\r\n")
         except readers.MalformedMessageError as error:
             code, reason = refusal_of(error)
             logger.info(
                 "malformed request refused",
-                request_id=self.request_id(tuple(reader.fields)),
+                request_id=self.request_id(reader.next_fields()),
                 reason=str(error),
             )
             self.reject(code, reason)
@@ -216,7 +219,7 @@
         except Exception:
             logger.exception(
                 "request not read",
-                request_id=self.request_id(tuple(reader.fields)),
+                request_id=self.request_id(reader.next_fields()),
             )
             self.refuse_unread(
                 results.REQUEST_NOT_READ, close_reasons.CloseReason.ERROR
--- a/src/coltsfootarch/forwarding/close_reports.py
+++ b/src/coltsfootarch/forwarding/close_reports.py
@@ -65,8 +65,11 @@
     """
     reader = connection.reader
     responder = connection.responder
+    # The first of the held requests is the one that was refused, if any.
+    held = [each.request for each in reader.held][connection.rejected :]
     request_ids = [
-        connection.request_id(request.fields) for request in reader.complete
+        connection.request_id(request.fields)
+        for request in (*reader.complete, *held)
     ]
     if reader.in_progress and not connection.rejected:
         request_ids.append(connection.request_id(tuple(reader.fields)))
--- a/src/coltsfootarch/forwarding/limited_reader.py
+++ b/src/coltsfootarch/forwarding/limited_reader.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
+import collections
 from typing import TYPE_CHECKING
-from typing import Any
-
-import httptools
+from typing import NamedTuple
 
 from coltsfootarch.http1 import readers
 
@@ -14,11 +13,29 @@
 
     from coltsfootarch import clock as clocks
     from coltsfootarch.fleet import policy
+    from coltsfootarch.http1 import messages
+
+
+class HeldRequest(NamedTuple):
+    """A complete request that exceeds a limit, or follows one that does.
+
+    Attributes:
+        request: The request.
+        head_bytes: Size of its head.
+        body_bytes: Size of its body.
+    """
+
+    request: messages.Request
+    head_bytes: int
+    body_bytes: int
 
 
 class LimitedReader(readers.RequestReader):
     """Parses requests under the limits of the active policy.
 
+    A request beyond a limit is parsed on, so that nothing is lost if a newer
+    policy allows it.
+
     Args:
         limits: Returns the limits in force.
         await_policy: Waits for a newer policy or the confirmation that there is
@@ -28,6 +45,7 @@
     Attributes:
         error: Error of the first request that can't be read, to be reported
             after the complete requests before it; None if there is none.
+        held: Complete requests from the first one that exceeds a limit.
     """
 
     def __init__(
@@ -42,74 +60,109 @@
         self.await_policy = await_policy
         self.clock = clock
         self.error: Exception | None = None
-        # All bytes of a request whose head is incomplete; None if the request
-        # began within bytes of the one before.
-        self.head: bytearray | None = bytearray()
-
-    def read(self, data: bytes, received_at: float | None = None) -> None:
-        """Parses bytes; appends to `complete` or sets `error`.
-
-        It waits for a newer policy if a head exceeds a limit or declares a body
-        that does.
+        self.held: collections.deque[HeldRequest] = collections.deque()
+        # Error of the parser, which can't go on; the requests before it can.
+        self.parse_error: Exception | None = None
+        # Sizes of the request that is read at present.
+        self.needed_head_bytes = 0
+        self.needed_body_bytes = 0
+
+    @property
+    def has_requests(self) -> bool:
+        """Whether a request that isn't taken was read, at least in part."""
+        return self.in_progress or bool(self.complete or self.held)
+
+    def next_fields(self) -> messages.Fields:
+        """Returns the header fields of the first held or unfinished request."""
+        if self.held:
+            return self.held[0].request.fields
+        return tuple(self.fields)
+
+    def read(self, data: bytes) -> None:
+        """Parses bytes; appends to `complete` or sets `error`; see `settle`.
 
         Args:
             data: Received bytes.
-            received_at: Instant at which they arrived, in seconds; now if not
-                given.
         """
-        if received_at is None:
-            received_at = self.clock.monotonic()
+        if self.parse_error is None:
+            try:
+                self.apply(self.limits())
+                self.feed(data, self.clock.monotonic())
+            except Exception as error:
+                # It is logged when the complete requests are answered.
+                self.parse_error = error
+        self.settle()
+
+    def settle(self) -> None:
+        """Decides on requests beyond a limit once those before are taken.
+
+        It waits for a newer policy and appends to `complete` or sets `error`.
+        """
         try:
-            self.parse(data, received_at)
+            while not self.complete and self.error is None:
+                limits = self.limits()
+                self.apply(limits)
+                self.release()
+                if self.complete:
+                    return
+                error: Exception | None = self.excess()
+                if error is None:
+                    self.error = self.parse_error
+                    return
+                self.await_policy()
+                if self.limits() == limits:
+                    self.error = error
         except Exception as error:
-            # It is logged when the complete requests are answered.
             self.error = error
 
-    def parse(self, data: bytes, received_at: float) -> None:
-        """Parses bytes; see `read`.
-
-        Raises:
-            readers.MalformedMessageError: A request can't be read.
-        """
-        limits = self.limits()
-        self.apply(limits)
-        in_head = not self.in_body
-        complete = len(self.complete)
-        if in_head and self.head is not None:
-            self.head += data
-        try:
-            self.feed(data, received_at)
-        except (
-            readers.HeaderTooLargeError,
-            readers.BodyTooLargeError,
-        ):
-            head, self.head = self.head, None
-            if not in_head or head is None or len(self.complete) > complete:
-                raise
-            self.await_policy()
-            if self.limits() == limits:
-                raise
-            self.restart()
-            self.parse(bytes(head), self.started_at)
-            return
-        if not self.in_progress:
-            self.head = bytearray()
-        elif len(self.complete) > complete or self.in_body:
-            self.head = None
+    def release(self) -> None:
+        """Moves the held requests to `complete` up to one that is too long."""
+        while self.held and self.excess() is None:
+            self.complete.append(self.held.popleft().request)
+
+    def excess(self) -> readers.MalformedMessageError | None:
+        """Returns how the next request exceeds a limit; None if it doesn't."""
+        head_bytes, body_bytes = self.needed_head_bytes, self.needed_body_bytes
+        if self.held:
+            _, head_bytes, body_bytes = self.held[0]
+        if head_bytes > self.max_header_bytes:
+            return readers.HeaderTooLargeError("the head is too long")
+        if body_bytes > self.max_body_bytes:
+            return readers.BodyTooLargeError("the body is too long")
+        return None
+
+    def check_head(self, size: int) -> None:
+        """Records the size of a head; `settle` decides on it."""
+        self.needed_head_bytes = size
+
+    def check_body(self, size: int) -> None:
+        """Records the size of a body; `settle` decides on it."""
+        self.needed_body_bytes = max(self.needed_body_bytes, size)
+
+    def on_message_begin(self) -> None:
+        """Starts a request."""
+        super().on_message_begin()
+        self.needed_head_bytes = self.needed_body_bytes = 0
+
+    def on_message_complete(self) -> None:
+        """Appends the finished request to `complete` or `held`."""
+        is_held = bool(self.held) or self.excess() is not None
+        super().on_message_complete()
+        if is_held:
+            self.held.append(
+                HeldRequest(
+                    self.complete.pop(),
+                    self.needed_head_bytes,
+                    self.needed_body_bytes,
+                )
+            )
+        self.needed_head_bytes = self.needed_body_bytes = 0
 
     def apply(self, limits: policy.CallerLimits) -> None:
         """Applies limits; one that is lowered within a request doesn't hold."""
         header_bytes, body_bytes = limits.header_bytes, limits.body_bytes
-        if self.in_progress:
+        if self.in_progress or self.held:
             header_bytes = max(header_bytes, self.max_header_bytes)
             body_bytes = max(body_bytes, self.max_body_bytes)
         self.max_header_bytes = header_bytes
         self.max_body_bytes = body_bytes
-
-    def restart(self) -> None:
-        """Forgets the request that is read in part."""
-        self.parser: Any = httptools.HttpRequestParser(self)
-        self.head = bytearray()
-        self.head_bytes = 0
-        self.in_progress = self.in_body = False
-        self.expects_continue = False
--- a/src/coltsfootarch/forwarding/listener.py
+++ b/src/coltsfootarch/forwarding/listener.py
@@ -159,9 +159,9 @@
 
     @property
     def receiving(self) -> bool:
-        """Whether a request has been read in part."""
+        """Whether a request has been read that isn't handled yet."""
         return any(
-            each.reader.in_progress and not each.closed
+            each.reader.has_requests and not each.closed
             for each in self.connections
         )
 
--- a/src/coltsfootarch/http1/readers.py
+++ b/src/coltsfootarch/http1/readers.py
@@ -112,8 +112,26 @@
         except httptools.HttpParserError as error:
             raise MalformedMessageError(str(error)) from error
         if not self.in_body and self.head_bytes > self.max_header_bytes:
+            self.check_head(self.head_bytes)
+
+    def check_head(self, size: int) -> None:
+        """Checks the size of a head in bytes.
+
+        Raises:
+            HeaderTooLargeError: It exceeds the limit.
+        """
+        if size > self.max_header_bytes:
             raise HeaderTooLargeError("the head is too long")
 
+    def check_body(self, size: int) -> None:
+        """Checks the size of a body in bytes, as declared or received.
+
+        Raises:
+            BodyTooLargeError: It exceeds the limit.
+        """
+        if size > self.max_body_bytes:
+            raise BodyTooLargeError("the body is too long")
+
     def on_message_begin(self) -> None:
         """Starts a request."""
         self.in_progress = True
@@ -136,22 +154,20 @@
             len(name) + len(value) + FIELD_OVERHEAD
             for name, value in self.fields
         )
-        if size > self.max_header_bytes:
-            raise HeaderTooLargeError("the head is too long")
+        self.check_head(size)
         self.in_body = True
         self.head_bytes = 0
         fields = tuple(self.fields)
         length = messages.field_value(fields, "content-length")
-        if length.isdecimal() and int(length) > self.max_body_bytes:
-            raise BodyTooLargeError("the body is too long")
+        if length.isdecimal():
+            self.check_body(int(length))
         expected = messages.field_value(fields, "expect").lower()
         self.expects_continue = expected == "100-continue"
 
     def on_body(self, data: bytes) -> None:
         """Appends to the body and checks its size."""
         self.body += data
-        if len(self.body) > self.max_body_bytes:
-            raise BodyTooLargeError("the body is too long")
+        self.check_body(len(self.body))
 
     def on_message_complete(self) -> None:
         """Appends the finished request to `complete`."""
