A stopping host refuses requests well before 3 s after the SIGTERM

What is accepted later has to get its true answer, so that the host must not take it.

Cause: the host counted 3 s from its own notice of the signal, which comes after the signal, and set the refusal at the next of its polls, up to 50 ms later.

Now requests are refused from the instant 2.8 s after the notice, which the forwarder checks for each request. A host that notices the signal more than 0.2 s late may still accept a request that was sent after the 3 s.

--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -67,8 +67,10 @@
 # already be on the way; it closes after its next response instead.
 MIN_IDLE_S = 0.3
 # Time from the start of the shutdown after which new requests are refused,
-# since a long one could not finish before the process has to exit.
-REFUSE_AFTER_S = 3.0
+# since a long one could not finish before the process has to exit. One that is
+# sent up to 3 s after the signal may be cut; the process notices the signal
+# some time after it was sent.
+REFUSE_AFTER_S = 2.8
 # Part of the grace period that is kept to write the last responses before the
 # process is killed.
 EXIT_MARGIN_S = 0.4
@@ -477,6 +479,7 @@
         grace = self.settings.limits.grace.total_seconds()
         logger.info("host stopping", in_progress=self.forwarder.in_progress)
         self.forwarder.limit_calls(started + grace - EXIT_MARGIN_S)
+        self.forwarder.refuse_from = started + REFUSE_AFTER_S
         self.clock.sleep(datetime.timedelta(seconds=DRAIN_S))
         self.caller_listener.drain()
         self.clock.sleep(
@@ -485,12 +488,10 @@
         while True:
             elapsed = self.clock.monotonic() - started
             self.caller_listener.close_idle(MIN_IDLE_S)
-            if elapsed >= REFUSE_AFTER_S:
-                self.forwarder.stopping = True
-                if not (
-                    self.forwarder.in_progress or self.caller_listener.receiving
-                ):
-                    break
+            if elapsed >= REFUSE_AFTER_S and not (
+                self.forwarder.in_progress or self.caller_listener.receiving
+            ):
+                break
             if elapsed >= grace - EXIT_MARGIN_S:
                 break
             self.clock.sleep(datetime.timedelta(seconds=POLL_S))
--- a/src/coltsfootarch/forwarding/forwarder.py
+++ b/src/coltsfootarch/forwarding/forwarder.py
@@ -73,7 +73,7 @@
             withdrawn key still works; None to accept them always.
 
     Attributes:
-        stopping: Whether new requests are refused.
+        refuse_from: Instant from which new requests are refused, in seconds.
         in_progress: Number of requests in progress.
         calls: Admitted requests in progress.
         ends_by: Instant by which calls must end, in seconds.
@@ -94,7 +94,7 @@
         self.buckets = buckets
         self.generator = generator
         self.confirmation_s = confirmation_s
-        self.stopping = False
+        self.refuse_from = math.inf
         self.in_progress = 0
         self.calls: set[calls.Call] = set()
         self.ends_by = math.inf
@@ -108,6 +108,11 @@
         """Source of time."""
         return self.context.clock
 
+    @property
+    def stopping(self) -> bool:
+        """Whether new requests are refused."""
+        return self.clock.monotonic() >= self.refuse_from
+
     def handle(
         self,
         raw: messages.Request,
--- a/tests/forwarding/test_shutdown.py
+++ b/tests/forwarding/test_shutdown.py
@@ -8,7 +8,10 @@
 import pytest
 
 from coltsfootarch.forwarding import daemon
+from soak import checks
 
+# Longest time from the signal until a host notices it.
+LATEST_NOTICE_S = 0.2
 SIZES = {"X_Token_Count": "1000,500"}
 
 
@@ -82,6 +85,24 @@
     assert "r2" not in str(stopping.runs())
 
 
+def test_late_request_is_refused_between_two_polls(stopping, monkeypatch):
+    """Guards against a request that is accepted too late to be answered."""
+    monkeypatch.setattr(daemon, "POLL_S", 0.5)
+    start_shutdown(stopping)
+    gevent.sleep(0.65)
+
+    response = stopping.ask("/read/a", request_id="r2")
+
+    assert (response.status, response.code) == (503, "stopping")
+    assert "r2" not in str(stopping.runs())
+
+
+def test_requests_are_refused_before_they_must_be_answered():
+    """Guards against a host that notices the signal late."""
+    latest = checks.GRACE_START_S - LATEST_NOTICE_S
+    assert daemon.BALANCER_REMOVAL_S < daemon.REFUSE_AFTER_S <= latest
+
+
 def test_request_that_is_arriving_is_refused_as_not_run(stopping):
     """Guards against requests that are cut while a host reads them."""
     caller = stopping.caller()
