--- a/src/coltsfootarch/forwarding/caller_connection.py
+++ b/src/coltsfootarch/forwarding/caller_connection.py
@@ -16,10 +16,12 @@
 from coltsfootarch.forwarding import calls
 from coltsfootarch.forwarding import cancellation as cancellations
 from coltsfootarch.forwarding import close_reasons
+from coltsfootarch.forwarding import close_reports
 from coltsfootarch.forwarding import limited_reader
 from coltsfootarch.forwarding import responder as responders
 from coltsfootarch.http1 import client
 from coltsfootarch.http1 import readers
+from coltsfootarch.http1 import shortages
 
 if TYPE_CHECKING:
     from gevent import socket as gevent_socket
@@ -71,6 +73,7 @@
         served: Number of requests that were passed to the handler.
         idle: Whether no byte of a next request has been read.
         idle_since: Instant since which it waits for bytes, in seconds.
+        socket_error: The last error of the socket; empty if there was none.
     """
 
     def __init__(
@@ -86,9 +89,11 @@
         self.surplus = False
         self.rejected = False
         self.served = 0
+        self.socket_error = ""
         self.idle = True
         self.idle_since = listener.clock.monotonic()
         self.cancellation: cancellations.Cancellation | None = None
+        self.watcher: Any = None
         self.responder: responders.ConnectionResponder | None = None
 
     def close(self, reason: close_reasons.CloseReason) -> None:
@@ -97,11 +102,15 @@
             return
         self.closed = True
         try:
-            self.report_close(reason)
-        finally:
-            with contextlib.suppress(OSError):
-                self.sock.shutdown(socket.SHUT_RDWR)
-            self.sock.close()
+            close_reports.report_close(self, reason)
+        except Exception:
+            logger.exception(
+                "close of a caller's connection not reported",
+                reason=reason.value,
+            )
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RDWR)
+        self.sock.close()
 
     def set_surplus(self, surplus: bool) -> None:
         """Sets whether the listener has no room for the connection."""
@@ -116,67 +125,32 @@
         else:
             self.close(close_reasons.CloseReason.ABORTED)
 
-    def report_close(self, reason: close_reasons.CloseReason) -> None:
-        """Counts a close; logs it if it isn't regular or loses a request."""
-        self.listener.count_close(reason.value)
-        regular = reason in close_reasons.REGULAR_REASONS
-        unread = 0 if regular else self.read_rest()
-        reader = self.reader
-        responder = self.responder
-        request_ids = [
-            self.listener.request_id(request.fields)
-            for request in reader.complete
-        ]
-        if reader.in_progress and not self.rejected:
-            request_ids.append(self.listener.request_id(tuple(reader.fields)))
-        # The end of a request whose caller has left is logged anyway.
-        if not (
-            responder is None or responder.finished or self.rejected or regular
-        ):
-            request_ids.append(responder.request_id)
-        # A caller can tell that a request was not read after a response with
-        # `Connection: close`.
-        pipelined = len(self.pipelined)
-        lost = bool(request_ids or unread or pipelined)
-        if regular and not lost:
-            return
-        idle_s = self.listener.clock.monotonic() - self.idle_since
-        log = logger.warning if lost else logger.info
-        log(
-            "connection of caller closed with a request unanswered"
-            if lost
-            else "connection of caller closed",
-            reason=reason.value,
-            served=self.served,
-            idle_ms=round(idle_s * 1000) if self.idle else None,
-            unanswered=request_ids,
-            in_body=reader.in_body,
-            unread_bytes=unread,
-            pipelined_bytes=pipelined,
-        )
-
-    def read_rest(self) -> int:
-        """Returns the number of bytes that arrived, up to `READ_SIZE`."""
+    def request_id(self, fields: messages.Fields) -> str:
+        """Returns a request's id; empty if there is none."""
         try:
-            return len(client.read_arrived(self.sock) or b"")
-        except OSError:
-            # The caller has closed the connection.
-            return 0
+            return self.listener.request_id(fields)
+        except Exception:
+            logger.exception("request id not read")
+            return ""
 
     def send(self, data: bytes) -> None:
         """Sends bytes to the caller.
 
         Raises:
             calls.CallerConnectionError: The caller disconnected or doesn't
-                read, or the host has closed the connection.
+                read, or the host has closed the connection or lacks memory.
         """
         if self.closed:
             raise calls.CallerConnectionError("the connection is closed")
         try:
-            self.sock.settimeout(SEND_TIMEOUT_S)
-            self.sock.sendall(data)
+            shortages.send(self.sock, data, SEND_TIMEOUT_S, self.listener.clock)
+        except shortages.ShortageError as error:
+            self.socket_error = str(error)
+            self.close(close_reasons.CloseReason.NO_MEMORY)
+            raise calls.CallerConnectionError(str(error)) from error
         except OSError as error:
             timed_out = isinstance(error, TimeoutError) and error.errno is None
+            self.socket_error = str(error)
             self.close(
                 close_reasons.CloseReason.SEND_TIMEOUT
                 if timed_out
@@ -199,6 +173,8 @@
             reason = close_reasons.CloseReason.SOCKET_ERROR
         except Exception:
             logger.exception("caller connection failed")
+            if self.responder is not None and not self.responder.started:
+                self.reject(results.INTERNAL_ERROR, reason)
         finally:
             self.close(reason)
 
@@ -211,11 +187,17 @@
                 data = bytes(self.pipelined)
                 self.pipelined.clear()
                 reader.read(data)
-            self.idle = not reader.in_progress
+            self.idle = not reader.has_requests
             since = self.idle_since = clock.monotonic()
             while not reader.complete:
+                reader.settle()
                 if reader.error is not None:
                     raise reader.error
+                if reader.complete:
+                    break
+                if reader.expects_continue:
+                    reader.expects_continue = False
+                    self.send(b"HTTP/1.1 100 Continue\r\n\r\n")
                 data = self.receive(since)
                 if not data:
                     return None
@@ -223,18 +205,26 @@
                     since = clock.monotonic()
                 self.idle = False
                 reader.read(data)
-                if reader.expects_continue:
-                    reader.expects_continue = False
-                    self.send(b"HTTP/1.1 100 Continue\r\n\r\n")
         except readers.MalformedMessageError as error:
             code, reason = refusal_of(error)
             logger.info(
                 "malformed request refused",
-                request_id=self.listener.request_id(tuple(self.reader.fields)),
+                request_id=self.request_id(reader.next_fields()),
                 reason=str(error),
             )
             self.reject(code, reason)
             return None
+        except calls.CallerConnectionError:
+            raise
+        except Exception:
+            logger.exception(
+                "request not read",
+                request_id=self.request_id(reader.next_fields()),
+            )
+            self.refuse_unread(
+                results.REQUEST_NOT_READ, close_reasons.CloseReason.ERROR
+            )
+            return None
         self.idle = False
         return reader.complete.popleft()
 
@@ -260,18 +250,35 @@
             remaining = since + limit - self.listener.clock.monotonic()
             try:
                 if remaining > 0:
-                    self.sock.settimeout(remaining)
-                    data: bytes | None = self.sock.recv(readers.READ_SIZE)
+                    data: bytes | None = shortages.receive(
+                        self.sock,
+                        readers.READ_SIZE,
+                        remaining,
+                        self.listener.clock,
+                    )
                 else:
                     data = client.read_arrived(self.sock)
+            except shortages.ShortageError as error:
+                self.socket_error = str(error)
+                self.refuse_unread(
+                    results.OVERLOADED, close_reasons.CloseReason.NO_MEMORY
+                )
+                return b""
             except TimeoutError as error:
                 if error.errno is None:
                     # A newer policy may have raised the timeout meanwhile.
                     continue
+                self.socket_error = str(error)
                 self.close(close_reasons.CloseReason.SOCKET_ERROR)
                 return b""
-            except OSError:
-                self.close(close_reasons.CloseReason.SOCKET_ERROR)
+            except OSError as error:
+                self.socket_error = str(error)
+                if shortages.is_shortage(error):
+                    self.refuse_unread(
+                        results.OVERLOADED, close_reasons.CloseReason.NO_MEMORY
+                    )
+                else:
+                    self.close(close_reasons.CloseReason.SOCKET_ERROR)
                 return b""
             if data is None:
                 if self.reader.in_progress and not awaited:
@@ -287,6 +294,14 @@
                 self.close(close_reasons.CloseReason.CALLER_CLOSED)
             return data
 
+    def refuse_unread(
+        self, code: results.ResultCode, reason: close_reasons.CloseReason
+    ) -> None:
+        """Ends the connection; refuses the request that is read, if any."""
+        if self.reader.in_progress or self.reader.error is not None:
+            self.reject(code, reason)
+        self.close(reason)
+
     def close_unless_used(self, reason: close_reasons.CloseReason) -> bool:
         """Closes an idle connection unless a request has arrived.
 
@@ -333,10 +348,11 @@
             while (
                 left := deadline - self.listener.clock.monotonic()
             ) > 0 and not self.closed:
-                self.sock.settimeout(left)
-                if not self.sock.recv(readers.READ_SIZE):
+                if not shortages.receive(
+                    self.sock, readers.READ_SIZE, left, self.listener.clock
+                ):
                     return
-        except OSError:
+        except (OSError, shortages.ShortageError):
             # The caller has gone, or sends longer than the host waits.
             return
 
@@ -345,13 +361,13 @@
         cancellation = cancellations.Cancellation()
         self.cancellation = cancellation
         responder = responders.ConnectionResponder(self, request.keep_alive)
-        responder.request_id = self.listener.request_id(request.fields)
         self.responder = responder
+        responder.request_id = self.request_id(request.fields)
         if self.surplus and self.listener.has_room():
             self.set_surplus(False)
         responder.surplus = self.surplus
         self.served += 1
-        watcher = self.watch()
+        watcher = self.watcher = self.watch()
         try:
             self.listener.handler.handle(request, responder, cancellation)
         except (Exception, gevent.Timeout):
@@ -363,6 +379,7 @@
                     results.INTERNAL_ERROR, close_reasons.CloseReason.ERROR
                 )
         finally:
+            self.watcher = None
             if watcher is not None:
                 watcher.stop()
                 watcher.close()
@@ -391,7 +408,10 @@
             return
         try:
             data = client.read_arrived(self.sock)
-        except OSError:
+        except OSError as error:
+            if shortages.is_shortage(error):
+                self.pause_watch(watcher)
+                return
             data = b""
         if data is None:
             return
@@ -402,3 +422,13 @@
         watcher.stop()  # type: ignore[attr-defined]
         if not data and self.cancellation is not None:
             self.cancellation.cancel()
+
+    def pause_watch(self, watcher: Any) -> None:
+        """Stops a watcher for a moment, since the bytes stay readable."""
+        watcher.stop()
+
+        def resume() -> None:
+            if self.watcher is watcher:
+                watcher.start(self.on_readable, watcher)
+
+        gevent.spawn_later(shortages.RETRY_S, resume)
--- a/src/coltsfootarch/forwarding/listener.py
+++ b/src/coltsfootarch/forwarding/listener.py
@@ -159,9 +159,9 @@
 
     @property
     def receiving(self) -> bool:
-        """Whether a request has been read in part."""
+        """Whether a request has been read that isn't handled yet."""
         return any(
-            each.reader.in_progress and not each.closed
+            each.reader.has_requests and not each.closed
             for each in self.connections
         )
 
@@ -204,7 +204,12 @@
 
     def serve(self, sock: gevent_socket.socket) -> None:
         """Serves one connection until it ends."""
-        connection = caller_connection.CallerConnection(sock, self)
+        try:
+            connection = caller_connection.CallerConnection(sock, self)
+        except Exception:
+            logger.exception("caller connection failed")
+            sock.close()
+            return
         self.connections.add(connection)
         try:
             self.make_room(connection)
