Leave a silent engine once another one runs its stream

Callers saw nothing; the users' rule TWICE could be broken. Where engines reserve no memory, the other engine is asked while the silent one is read on. If the silent engine sent something meanwhile, the stream stayed with it, and the other engine had run the request for up to 0.3 s beside it. "A request goes on at another runner while the runner before still works on it 400 ms later" can be read to count that run.

Cause: the reader of the silent engine ended the question by itself, though the request had been sent. It now waits for the other engine's answer and drops what it has read if the stream has moved; the new run goes on after the last event that was relayed.

Evidence: test_stream_does_not_stay_at_an_engine_while_another_one_runs_it failed before: 0.4 s after the other engine began, the first one still ran. The question has a module of its own, engine_acceptance.py.

--- a/src/coltsfootarch/forwarding/engine_preparation.py
+++ b/src/coltsfootarch/forwarding/engine_preparation.py
@@ -16,11 +16,10 @@
 import structlog
 
 from coltsfootarch.forwarding import cancellation
+from coltsfootarch.forwarding import engine_acceptance
 from coltsfootarch.forwarding import reservations
 from coltsfootarch.forwarding import silence_watch
-from coltsfootarch.http1 import client
 from coltsfootarch.scheduling import dispatch_queue
-from coltsfootarch.scheduling import outcomes
 
 if TYPE_CHECKING:
     from coltsfootarch import clock as clocks
@@ -42,9 +41,6 @@
 USUAL_FRACTION = 0.5
 # Time for the reader to take bytes that have arrived, in seconds.
 READER_S = 0.01
-# Longest time for which both engines have the request, in seconds. An engine
-# that has no room refuses within milliseconds.
-ACCEPTANCE_S = 0.3
 # Interval at which the other streams of an engine are looked at, in seconds.
 SIGN_S = 0.02
 
@@ -111,7 +107,7 @@
         self.ready: silence_watch.Replacement | None = None
         self.taken = False
         self.tries = 0
-        self.accepting = False
+        self.acceptance: engine_acceptance.EngineAcceptance | None = None
         self.greenlet: gevent.Greenlet[[], None] | None = None
 
     @property
@@ -138,10 +134,22 @@
         """Ends the preparation; see `silence_watch.Preparation`."""
         self.cancellation.cancel()
 
+    @property
+    def is_asking(self) -> bool:
+        """Whether an engine has the request and hasn't answered yet."""
+        return self.acceptance is not None and self.acceptance.pending
+
+    def settle(self) -> bool:
+        """Waits for an engine's answer; see `silence_watch.Preparation`."""
+        if self.acceptance is not None and self.acceptance.pending:
+            with self.generation.call.cancellation.attached(self.stop):
+                self.acceptance.decided.wait()
+        return self.moved
+
     def take(self) -> silence_watch.Replacement | None:
         """Returns what is ready; see `silence_watch.Preparation`."""
         self.taken = self.ready is not None
-        if self.accepting and self.greenlet is not None:
+        if self.is_asking and self.greenlet is not None:
             # The engine has the request; its response is read by the taker.
             self.moved = True
             self.greenlet.kill()
@@ -270,9 +278,11 @@
             )
             if not self.may_move(self.ready):
                 return False
-            if not self.reserves_memory and not self.is_accepted(self.ready):
-                return False
-            return self.move(self.ready)
+            if not self.reserves_memory:
+                return self.ask(self.ready)
+            self.wait_for_reader()
+            self.move(self.ready)
+            return True
         finally:
             if not self.taken:
                 self.ready = None
@@ -376,76 +386,36 @@
             self.pause(READER_S)
         self.cancellation.check()
 
-    def is_accepted(self, replacement: silence_watch.Replacement) -> bool:
-        """Sends the request; returns whether the engine takes it.
+    def ask(self, replacement: silence_watch.Replacement) -> bool:
+        """Sends the request to an engine and moves the stream if it accepts.
 
-        Without a reservation only the engine knows whether it has room. One
-        that has not refused within `ACCEPTANCE_S` has taken the request if it
-        isn't silent itself.
+        Until the answer, the reader of the silent engine waits in `settle` with
+        what it gets, so that no event of that engine is relayed after the move.
+
+        Returns:
+            Whether the stream has moved.
 
         Raises:
             cancellation.CallerDisconnectedError: The preparation was stopped.
         """
-        engine = replacement.placement.decode
-        exchange = replacement.exchange
-        exchange.delivery = self.stage.build_delivery(
-            self.own, replacement.placement
+        self.acceptance = engine_acceptance.EngineAcceptance(
+            self.context, self.stage, self.own, replacement
         )
-        outcome: outcomes.Outcome | None = outcomes.Outcome.BROKEN
-        sent_at = self.clock.monotonic()
+        call = self.generation.call
         try:
-            with self.cancellation.attached(exchange.abort):
-                exchange.send()
-                self.accepting = True
-                exchange.accepted = exchange.read_head(sent_at + ACCEPTANCE_S)
-            status = exchange.accepted.status
-            if 200 <= status < 300:
-                return True
-            reason = f"status {status}"
-            if exchange.accepted.not_run:
-                outcome = outcomes.Outcome.REFUSED
-        except client.ResponseTimeoutError:
-            if self.is_heard(engine.id, sent_at):
-                return True
-            reason = "no response"
-            outcome = None
-        except (client.ConnectError, client.BrokenConnectionError) as error:
-            reason = str(error)
-            if exchange.sent and not exchange.aborted:
-                self.context.break_counts.record(
-                    self.own.call.digest, engine.incarnation
-                )
+            accepted = self.acceptance.ask()
+            if accepted:
+                self.move(replacement)
         finally:
-            self.accepting = False
-            if exchange.sent:
-                self.generation.call.attempts += 1
-                self.generation.call.tried.append(engine.id)
+            if replacement.exchange.sent:
+                call.attempts += 1
+                call.tried.append(replacement.placement.decode.id)
+            self.acceptance.close()
         self.cancellation.check()
-        if outcome is not None:
-            self.context.outcome_tracker.record(engine.id, outcome)
-        logger.info(
-            "silent stream not accepted by another engine",
-            request_id=self.own.call.request.id,
-            upstream=engine.id,
-            reason=reason,
-        )
-        return False
-
-    def is_heard(self, engine: str, since: float) -> bool:
-        """Returns whether a stream of an engine was heard since an instant."""
-        activity = self.context.outcome_tracker.activity
-        return activity.heard_at.get(engine, float("-inf")) >= since
-
-    def move(self, replacement: silence_watch.Replacement) -> bool:
-        """Ends the exchange with the silent engine; returns True.
+        return accepted
 
-        Nothing may come between the last look at the silent engine and the end
-        of the exchange, so that no event of it is relayed after the move.
-
-        Raises:
-            cancellation.CallerDisconnectedError: The preparation was stopped.
-        """
-        self.wait_for_reader()
+    def move(self, replacement: silence_watch.Replacement) -> None:
+        """Ends the exchange with the silent engine."""
         self.moved = self.taken = True
         logger.info(
             "silent stream moved to another engine",
@@ -456,4 +426,3 @@
             tries=self.tries + 1,
         )
         self.exchange.close()
-        return True
--- a/src/coltsfootarch/forwarding/silence_watch.py
+++ b/src/coltsfootarch/forwarding/silence_watch.py
@@ -54,6 +54,16 @@
     def stop(self) -> None:
         """Ends the search and releases what it has prepared."""
 
+    def settle(self) -> bool:
+        """Waits until no engine has the request without having answered.
+
+        Returns:
+            Whether the stream has moved.
+
+        Raises:
+            cancellation.CallerDisconnectedError: The caller disconnected.
+        """
+
     def take(self) -> Replacement | None:
         """Returns what is ready, if anything, and stops; the taker frees it."""
 
@@ -144,6 +154,10 @@
         self.preparation.start()
         try:
             part = connection.read_part(deadline - self.clock.monotonic())
+            # Once another engine has the request, this one may go on only if
+            # the other one doesn't run it.
+            if part is not None and self.preparation.settle():
+                raise client.BrokenConnectionError("the stream has moved")
         except (client.BrokenConnectionError, client.ResponseTimeoutError):
             self.replacement = self.preparation.take()
             self.moved = self.preparation.moved
--- a/tests/forwarding/test_moves_of_silent_streams.py
+++ b/tests/forwarding/test_moves_of_silent_streams.py
@@ -65,6 +65,51 @@
     test_silent_streams.check_released(engines)
 
 
+def test_stream_does_not_stay_at_an_engine_while_another_one_runs_it(
+    without_reservations, monkeypatch
+):
+    """Guards against a run that goes on 0.4 s after another one began."""
+    engines = without_reservations
+    first, other = engines.runners["d-1"], engines.runners["d-2"]
+    first.events = other.events = 12
+    generate = other.generate
+
+    def generate_late(*arguments):
+        gevent.sleep(0.15)
+        generate(*arguments)
+
+    monkeypatch.setattr(other, "generate", generate_late)
+    stream = test_silent_streams.start_on(engines, "d-1")
+    first.fall_silent(math.inf)
+    wait_for_acceptance(engines)
+    first.fall_silent(0.0)
+    gevent.sleep(0.4)
+
+    assert other.runs
+    assert first.ended_executions
+    stream.check(12)
+    test_silent_streams.check_released(engines)
+
+
+def test_caller_that_leaves_while_another_engine_is_asked(
+    without_reservations,
+):
+    """Guards against work for a caller that has left."""
+    engines = without_reservations
+    engines.runners["d-2"].fault = "mute"
+    stream = test_silent_streams.start_on(engines, "d-1")
+    engines.runners["d-1"].fall_silent(math.inf)
+    wait_for_acceptance(engines)
+    engines.runners["d-1"].fall_silent(0.0)
+    gevent.sleep(0.02)
+    stream.caller.close()
+
+    engines.wait(
+        lambda: engines.runners["d-1"].ended_executions == [("r1", "closed")]
+    )
+    test_silent_streams.check_released(engines)
+
+
 def test_stream_stays_if_the_other_engine_is_silent_too(without_reservations):
     """Guards against taking the silence of another engine for acceptance."""
     engines = without_reservations
