Keep a silent stream until its replacement has taken the request

Callers found a stream cut, or got 502, after a silence of its engine. Where engines reserve memory, the exchange with the silent engine was closed before the request was sent to the other one. A refusal all the same, or a connection that broke before its head, then left no attempt on a route with two (or three, since a second prefill counts as one).

Cause and class: what may be sound was given up before its replacement was certain; a reservation was taken for certainty. Now the engine is asked as it already was without reservations, and the old exchange ends once it has accepted, or hasn't refused within 0.2 s, as it has just answered the reservation. A prompt is read again by a prefill engine only if an attempt is left after it for a refusal; otherwise the decode engine reads it. The search ends, with its log line, when no attempt is left. max_attempts itself stays the number of engines to which a request is sent, refusals included.

--- a/src/coltsfootarch/forwarding/engine_acceptance.py
+++ b/src/coltsfootarch/forwarding/engine_acceptance.py
@@ -59,7 +59,8 @@
         """Sends the request; returns whether the engine takes it.
 
         One that has not refused within `ACCEPTANCE_S` has taken the request if
-        it isn't silent itself.
+        it isn't silent itself: it has just reserved memory, or another stream
+        of it is heard.
 
         Raises:
             cancellation.CallerDisconnectedError: The preparation was stopped.
@@ -84,7 +85,9 @@
             if exchange.accepted.not_run:
                 outcome = outcomes.Outcome.REFUSED
         except client.ResponseTimeoutError:
-            if self.is_heard(engine.id, sent_at):
+            if self.replacement.reservation or self.is_heard(
+                engine.id, sent_at
+            ):
                 return True
             reason = "no response"
             outcome = None
--- a/src/coltsfootarch/forwarding/engine_preparation.py
+++ b/src/coltsfootarch/forwarding/engine_preparation.py
@@ -2,8 +2,9 @@
 
 A sound engine may be silent for a second or so. The exchange with it is closed
 only when nothing can keep the stream from going on elsewhere: another engine
-has room, is connected and, where engines reserve memory, has reserved it; at
-last the retry budget allows the move.
+has room, is connected and, where engines reserve memory, has reserved it; the
+retry budget allows the move; at last the engine has taken the request. Only if
+a prefill engine reads the prompt again, the request follows the move.
 """
 
 from __future__ import annotations
@@ -121,10 +122,18 @@
         return self.exchange.delivery.upstream
 
     @property
-    def reserves_memory(self) -> bool:
-        """Whether engines of the service reserve memory."""
+    def may_prefill(self) -> bool:
+        """Whether a prefill engine may read the prompt again after the move.
+
+        The decode engine can't be asked before. It needs memory that is
+        reserved for it, and an attempt must be left if it refuses.
+        """
         engine = self.own.service.engine
-        return engine is not None and engine.reservation_s > 0
+        if engine is None or engine.reservation_s <= 0:
+            return False
+        call = self.generation.call
+        # The prefill, the request and another one after a refusal.
+        return call.attempts + 3 <= call.route.max_attempts
 
     def start(self) -> None:
         """Starts the preparation; see `silence_watch.Preparation`."""
@@ -177,6 +186,7 @@
             upstream=self.engine.id,
             needed_ms=round(self.needed_s() * 1000),
             time_left_ms=round(self.time_left_s() * 1000),
+            attempts=call.attempts,
             refused=self.attempts.is_refused(call),
         )
 
@@ -185,6 +195,7 @@
         call = self.generation.call
         return (
             not call.is_trial
+            and call.attempts < call.route.max_attempts
             and not self.attempts.is_refused(call)
             and self.time_left_s() > self.needed_s()
         )
@@ -244,10 +255,7 @@
         call = self.generation.call
         waiter = dispatch_queue.RunningWaiter(
             self.own.service,
-            self.own.demand._replace(
-                may_use_prefill_engine=self.own.may_prefill
-                and self.reserves_memory
-            ),
+            self.own.demand._replace(may_use_prefill_engine=self.may_prefill),
             self.excluded,
             call.route.priority,
             call.request.received_at,
@@ -278,7 +286,7 @@
             )
             if not self.may_move(self.ready):
                 return False
-            if not self.reserves_memory:
+            if placement.prefill is None:
                 return self.ask(self.ready)
             self.wait_for_reader()
             self.move(self.ready)
--- a/tests/forwarding/test_moves_of_silent_streams.py
+++ b/tests/forwarding/test_moves_of_silent_streams.py
@@ -36,6 +36,30 @@
     return engines
 
 
+@pytest.mark.parametrize("max_attempts", [2, 3])
+@pytest.mark.parametrize("refusal", ["slots", "cut head"])
+def test_refusal_in_spite_of_a_reservation_costs_no_stream(
+    engines, refusal, max_attempts
+):
+    """Guards against a stream that is cut with no attempt left."""
+    test_silent_streams.configure(engines, 2, max_attempts=max_attempts)
+    other = engines.runners["d-2"]
+    if refusal == "slots":
+        other.slots = 0
+    else:
+        other.fault = refusal
+    stream = test_silent_streams.start_on(engines, "d-1")
+    engines.runners["d-1"].fall_silent(math.inf)
+    # The first arrival is the reservation.
+    engines.wait(lambda: other.arrivals >= 2)
+    gevent.sleep(0.1)
+    engines.runners["d-1"].fall_silent(0.0)
+
+    stream.check()
+    assert engines.runs()["d-1"] == ["r1"]
+    test_silent_streams.check_released(engines)
+
+
 def wait_for_acceptance(edge_host):
     """Waits until the other engine has the request."""
     edge_host.wait(lambda: edge_host.runners["d-2"].arrivals)
