Drop reservations that are granted after their search has ended

Engines kept memory and a slot reserved for up to 2 s for requests that no longer needed them, so that others were refused or read in later.

Cause: when the search for another engine ended, because the silent engine went on or the caller left, the connection of an unanswered reservation was closed. An engine that has read the call grants it all the same, and nothing dropped it. The call now goes on for up to 3 s without the request, as it already did for reservations that other requests had given up, and drops what is granted; a caller that leaves still ends the wait at once.

--- a/src/coltsfootarch/forwarding/reservation_calls.py
+++ b/src/coltsfootarch/forwarding/reservation_calls.py
@@ -5,9 +5,9 @@
 from typing import TYPE_CHECKING
 
 import gevent
+import gevent.event
 import structlog
 
-from coltsfootarch.forwarding import cancellation
 from coltsfootarch.forwarding import upstream_exchange
 from coltsfootarch.http1 import client
 
@@ -70,7 +70,9 @@
         self.refused = False
         self.reason = "silent"
         self.abandoned = False
+        self.wake_event = gevent.event.Event()
         self.reader: gevent.Greenlet[[], None] = gevent.Greenlet(self.run)
+        self.reader.rawlink(lambda _: self.wake_event.set())
 
     @property
     def ended(self) -> bool:
@@ -82,21 +84,29 @@
         self.reader.start()
 
     def wait(self, timeout_s: float) -> bool:
-        """Waits for the end of the call; returns whether it has ended."""
-        self.reader.join(max(timeout_s, 0.0))
+        """Waits for the end of the call; returns whether it has ended.
+
+        `interrupt` ends the wait; the call goes on.
+        """
+        self.wake_event.wait(max(timeout_s, 0.0))
         return self.ended
 
+    def interrupt(self) -> None:
+        """Ends a wait for the call."""
+        self.wake_event.set()
+
     def run(self) -> None:
-        """Makes the call and reads its response."""
+        """Makes the call and reads its response.
+
+        It goes on after the request has ended, since the engine grants what it
+        has read also if the connection is closed.
+        """
         timeout_s = self.call.ends_at - self.context.clock.monotonic()
         try:
-            with self.call.cancellation.attached(self.exchange.abort):
-                name = self.exchange.reserve(
-                    self.tokens, self.seconds, timeout_s
-                )
-                self.name = name or ""
-                self.refused = not name
-                self.reason = "no room" if self.refused else "done"
+            name = self.exchange.reserve(self.tokens, self.seconds, timeout_s)
+            self.name = name or ""
+            self.refused = not name
+            self.reason = "no room" if self.refused else "done"
         except (
             client.BrokenConnectionError,
             client.ResponseTimeoutError,
@@ -104,9 +114,6 @@
         ) as error:
             self.reason = str(error) or type(error).__name__
             self.exchange.close()
-        except cancellation.CallerDisconnectedError:
-            self.reason = "the caller disconnected"
-            self.exchange.close()
         if self.abandoned:
             self.drop()
 
--- a/src/coltsfootarch/forwarding/reservations.py
+++ b/src/coltsfootarch/forwarding/reservations.py
@@ -7,6 +7,7 @@
 
 import structlog
 
+from coltsfootarch.forwarding import cancellation
 from coltsfootarch.forwarding import reservation_calls
 from coltsfootarch.scheduling import outcomes
 
@@ -124,10 +125,15 @@
                 seconds,
             )
             reservation.start()
-        ended = reservation.wait(RESERVATION_TIMEOUT_S)
-        if call.cancellation.cancelled:
-            reservation.abandon()
+        try:
+            with call.cancellation.attached(
+                reservation.interrupt, reservation.exchange.abort
+            ):
+                ended = reservation.wait(RESERVATION_TIMEOUT_S)
             call.cancellation.check()
+        except cancellation.CallerDisconnectedError:
+            reservation.abandon()
+            raise
         if reservation.name or reservation.refused:
             self.silent.reservations.end(upstream.id)
         if reservation.name:
--- a/tests/forwarding/test_moves_of_silent_streams.py
+++ b/tests/forwarding/test_moves_of_silent_streams.py
@@ -236,3 +236,29 @@
 
     assert time.monotonic() - asked_at < prefill_stage.PREFILL_TIMEOUT_S
     stream.check()
+
+
+@pytest.mark.parametrize("end", ["event", "caller"])
+def test_reservation_granted_after_the_search_is_dropped(engines, end):
+    """Guards against memory that stays reserved for a stream that isn't moved.
+
+    The engine has read the call and grants it after the search has ended.
+    """
+    first, other = engines.runners["d-1"], engines.runners["d-2"]
+    stream = test_silent_streams.start_on(engines, "d-1")
+    other.fall_silent(math.inf)
+    first.fall_silent(math.inf)
+    engines.wait(lambda: engines.daemon.context.loads.load("d-2").requests > 1)
+    gevent.sleep(0.1)
+    if end == "event":
+        first.fall_silent(0.0)
+        stream.check()
+    else:
+        stream.caller.close()
+        gevent.sleep(0.1)
+    other.fall_silent(0.0)
+
+    engines.wait(lambda: other.reservations)
+    engines.wait(lambda: other.dropped)
+    assert other.dropped == ["k1"]
+    test_silent_streams.check_released(engines)
