An idle connection is not closed while its caller may know a longer timeout

Cause: three ways in which a host closes by a timeout that its callers don't know. It is behind and has not read a raised timeout: requests in part waited for the policy, idle connections didn't. A timeout was raised and lowered again while nobody asked for the limits, so that the one between was never recorded: limits were compared when they were used, not when they changed. Or the host never read the version between, since the store gives out the newest.

Now an idle connection whose time is over waits for the policy, while it is read on; the limits are recorded at each change; and no idle connection is closed by its timer within 5 s of a change, the time for which callers may know an earlier version. Connections without room (1 s) are closed as before.

--- a/src/coltsfootarch/forwarding/caller_connection.py
+++ b/src/coltsfootarch/forwarding/caller_connection.py
@@ -41,6 +41,8 @@
 # Time for which a connection that there is no room for is kept to refuse a
 # request on it, in seconds.
 SURPLUS_IDLE_S = 1.0
+# Pause between two looks whether a newer policy has been awaited, in seconds.
+POLICY_POLL_S = 0.1
 # Longest time for which a caller may go on to send after its last response, in
 # seconds.
 LINGER_S = 1.0
@@ -235,64 +237,81 @@
             since: Instant from which the timeout counts, in seconds.
         """
         awaited = False
+        waiter: gevent.Greenlet | None = None
         while True:
-            limits = self.listener.limits()
-            limit = limits.idle_timeout_s * IDLE_TIMEOUT_FACTOR
-            if self.surplus:
-                limit = min(limit, SURPLUS_IDLE_S)
-            reason = close_reasons.CloseReason.IDLE_TIMEOUT
-            if self.reader.in_body:
-                limit = limits.idle_timeout_s
-                reason = close_reasons.CloseReason.BODY_TIMEOUT
-            elif self.reader.in_progress:
-                limit = limits.header_timeout_s
-                reason = close_reasons.CloseReason.HEADER_TIMEOUT
+            limit, reason = self.time_limit()
             remaining = since + limit - self.listener.clock.monotonic()
-            try:
-                if remaining > 0:
-                    data: bytes | None = shortages.receive(
-                        self.sock,
-                        readers.READ_SIZE,
-                        remaining,
-                        self.listener.clock,
-                    )
+            is_kept = not (self.reader.in_progress or self.surplus)
+            if remaining <= 0 and is_kept:
+                remaining = self.listener.keep_idle_s()
+                if not remaining and waiter is not None and not waiter.ready():
+                    remaining = POLICY_POLL_S
+            data = self.read_socket(remaining)
+            if data == b"":
+                self.close(close_reasons.CloseReason.CALLER_CLOSED)
+            if data is not None:
+                return data
+            if remaining > 0:
+                # A newer policy may have raised the timeout meanwhile.
+                continue
+            if not (awaited or self.surplus):
+                # Callers may know a raised limit before this host does.
+                awaited = True
+                if is_kept:
+                    # A request that arrives meanwhile must not wait for it.
+                    waiter = gevent.spawn(self.listener.await_policy)
                 else:
-                    data = client.read_arrived(self.sock)
-            except shortages.ShortageError as error:
-                self.socket_error = str(error)
+                    self.listener.await_policy()
+                continue
+            if self.reader.in_progress:
+                self.reject(results.HEADER_TIMEOUT, reason)
+            self.close(reason)
+            return b""
+
+    def time_limit(self) -> tuple[float, close_reasons.CloseReason]:
+        """Returns the longest wait for bytes, in seconds, and its name."""
+        limits = self.listener.limits()
+        if self.reader.in_body:
+            return limits.idle_timeout_s, close_reasons.CloseReason.BODY_TIMEOUT
+        if self.reader.in_progress:
+            return (
+                limits.header_timeout_s,
+                close_reasons.CloseReason.HEADER_TIMEOUT,
+            )
+        limit = limits.idle_timeout_s * IDLE_TIMEOUT_FACTOR
+        if self.surplus:
+            limit = min(limit, SURPLUS_IDLE_S)
+        return limit, close_reasons.CloseReason.IDLE_TIMEOUT
+
+    def read_socket(self, timeout: float) -> bytes | None:
+        """Reads from the socket; ends the connection if it failed.
+
+        Args:
+            timeout: Longest wait in seconds; without one, only what has
+                arrived is read.
+
+        Returns:
+            The bytes; none at the end of the connection. None after the
+            timeout.
+        """
+        try:
+            if timeout <= 0:
+                return client.read_arrived(self.sock)
+            return shortages.receive(
+                self.sock, readers.READ_SIZE, timeout, self.listener.clock
+            )
+        except (shortages.ShortageError, OSError) as error:
+            timed_out = isinstance(error, TimeoutError) and error.errno is None
+            if timed_out:
+                return None
+            self.socket_error = str(error)
+            if isinstance(error, OSError) and not shortages.is_shortage(error):
+                self.close(close_reasons.CloseReason.SOCKET_ERROR)
+            else:
                 self.refuse_unread(
                     results.OVERLOADED, close_reasons.CloseReason.NO_MEMORY
                 )
-                return b""
-            except TimeoutError as error:
-                if error.errno is None:
-                    # A newer policy may have raised the timeout meanwhile.
-                    continue
-                self.socket_error = str(error)
-                self.close(close_reasons.CloseReason.SOCKET_ERROR)
-                return b""
-            except OSError as error:
-                self.socket_error = str(error)
-                if shortages.is_shortage(error):
-                    self.refuse_unread(
-                        results.OVERLOADED, close_reasons.CloseReason.NO_MEMORY
-                    )
-                else:
-                    self.close(close_reasons.CloseReason.SOCKET_ERROR)
-                return b""
-            if data is None:
-                if self.reader.in_progress and not awaited:
-                    # Callers may know a raised limit before this host does.
-                    awaited = True
-                    self.listener.await_policy()
-                    continue
-                if self.reader.in_progress:
-                    self.reject(results.HEADER_TIMEOUT, reason)
-                self.close(reason)
-                return b""
-            if not data:
-                self.close(close_reasons.CloseReason.CALLER_CLOSED)
-            return data
+            return b""
 
     def refuse_unread(
         self, code: results.ResultCode, reason: close_reasons.CloseReason
--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -219,6 +219,9 @@
         self.recent_limits = recent_limits.RecentLimits(
             self.caller_limits, clock
         )
+        self.policy_tracker.on_change.append(
+            lambda _: self.recent_limits.record_change()
+        )
         self.caller_listener = listener.CallerListener(
             settings.listen,
             self.forwarder,
@@ -230,6 +233,7 @@
             ).inc(),
             self.await_policy,
             descriptors.DescriptorBudget(clock),
+            self.recent_limits.keep_idle_s,
         )
         self.internal_listeners = self.build_listeners()
         self.housekeeper = periodic.PeriodicTask(
--- a/src/coltsfootarch/forwarding/listener.py
+++ b/src/coltsfootarch/forwarding/listener.py
@@ -57,6 +57,11 @@
     """Doesn't count a closed connection."""
 
 
+def keep_nothing() -> float:
+    """Keeps no idle connection, for listeners whose limits never change."""
+    return 0.0
+
+
 def await_nothing() -> None:
     """Doesn't wait, for listeners whose limits never change."""
 
@@ -75,6 +80,8 @@
         await_policy: Waits for a newer policy or the confirmation that there is
             none; see `limited_reader.LimitedReader`.
         budget: Bounds the number of connections; None for no bound.
+        keep_idle_s: Returns for how long idle connections must be kept beyond
+            their timeout, in seconds.
 
     Attributes:
         draining: Whether each connection closes after its next response.
@@ -92,6 +99,7 @@
         count_close: Callable[[str], object] = ignore_close,
         await_policy: Callable[[], object] = await_nothing,
         budget: descriptors.DescriptorBudget | None = None,
+        keep_idle_s: Callable[[], float] = keep_nothing,
     ) -> None:
         self.address = address
         self.handler = handler
@@ -101,6 +109,7 @@
         self.count_close = count_close
         self.await_policy = await_policy
         self.budget = budget
+        self.keep_idle_s = keep_idle_s
         self.draining = False
         self.surplus = 0
         self.connections: set[caller_connection.CallerConnection] = set()
--- a/src/coltsfootarch/forwarding/recent_limits.py
+++ b/src/coltsfootarch/forwarding/recent_limits.py
@@ -1,12 +1,15 @@
 """Limits for callers while hosts and callers learn of a change.
 
 A caller may keep to the limits of the version before for as long as a version
-takes to reach everybody. In that time the larger of both limits holds.
+takes to reach everybody. In that time the larger of both limits holds. A
+version between them may have reached callers only, so that idle connections
+aren't closed in that time at all.
 """
 
 from __future__ import annotations
 
 import collections
+import math
 from typing import TYPE_CHECKING
 
 from coltsfootarch.fleet import policy
@@ -36,10 +39,21 @@
         self.read = read
         self.clock = clock
         self.latest: policy.CallerLimits | None = None
+        self.changed_at = -math.inf
         self.replaced: collections.deque[tuple[float, policy.CallerLimits]] = (
             collections.deque()
         )
 
+    def record_change(self) -> None:
+        """Records that a newer policy has replaced another one."""
+        if self.latest is not None:
+            self.changed_at = self.clock.monotonic()
+        self.current()
+
+    def keep_idle_s(self) -> float:
+        """Returns for how long idle connections must be kept, in seconds."""
+        return max(self.changed_at + OVERLAP_S - self.clock.monotonic(), 0.0)
+
     def current(self) -> policy.CallerLimits:
         """Returns the largest value of each limit that may still be used."""
         latest = self.read()
