Callers: pipelined requests stay unread until it is their turn

What callers saw: 100 callers that pipeline 80 requests of 12 KB each and read no response take the process of a host to 140 MB. On a machine of 128 MB it is killed, and all requests on it are lost.

Cause: before each request the host parsed everything that had arrived while the one before was handled, though parsed requests were still waiting. The bound of 256 KB applied to the bytes that were not parsed yet and was free again each time, so that all that a caller sent ended up parsed in memory.

Change: bytes are parsed only when no parsed request waits, 4 KiB at a time, since a request of a few bytes takes many times its size once it is parsed. Of the rest 64 KiB are buffered for each connection, so that 100 callers take less than half of the bound; what is beyond stays in the socket and makes the caller wait. A disconnect behind it is noticed with the next request, as it was beyond 256 KB.

--- a/src/coltsfootarch/forwarding/caller_connection.py
+++ b/src/coltsfootarch/forwarding/caller_connection.py
@@ -30,8 +30,13 @@
 # Timeout of writing to a caller that doesn't read, in seconds. Its connection
 # is then closed.
 SEND_TIMEOUT_S = 10.0
-# Bytes of pipelined requests that are buffered while one is handled.
-MAX_PIPELINED_BYTES = 262144
+# Bytes of pipelined requests that are buffered while one is handled. The rest
+# stays in the socket, so that the caller has to wait. A disconnect behind it
+# is noticed with the next request.
+MAX_PIPELINED_BYTES = 65536
+# Bytes that are parsed at a time. A request of a few bytes takes many times its
+# size once it is parsed.
+PARSED_BYTES = 4096
 # Callers reuse idle connections for up to four fifths of the idle timeout. The
 # host keeps them longer than the timeout, so that it doesn't close one to which
 # a caller is sending a request.
@@ -81,6 +86,7 @@
         self.reader = limited_reader.LimitedReader(
             listener.limits, listener.await_policy, listener.clock
         )
+        # Received and not parsed yet.
         self.pipelined = bytearray()
         self.closed = False
         self.surplus = False
@@ -207,23 +213,24 @@
         reader = self.reader
         clock = self.listener.clock
         try:
-            if self.pipelined:
-                data = bytes(self.pipelined)
-                self.pipelined.clear()
-                reader.read(data)
-            self.idle = not reader.in_progress
             since = self.idle_since = clock.monotonic()
             while not reader.complete:
                 if reader.error is not None:
+                    self.pipelined.clear()
                     raise reader.error
-                data = self.receive(since)
-                if not data:
-                    return None
-                if not reader.in_progress:
-                    since = clock.monotonic()
+                if not self.pipelined:
+                    self.idle = not reader.in_progress
+                    data = self.receive(since)
+                    if not data:
+                        return None
+                    if not reader.in_progress:
+                        since = clock.monotonic()
+                    self.pipelined += data
                 self.idle = False
+                data = bytes(self.pipelined[:PARSED_BYTES])
+                del self.pipelined[:PARSED_BYTES]
                 reader.read(data)
-                if reader.expects_continue:
+                if reader.expects_continue and not self.pipelined:
                     reader.expects_continue = False
                     self.send(b"HTTP/1.1 100 Continue\r\n\r\n")
         except readers.MalformedMessageError as error:
@@ -376,6 +383,8 @@
 
     def watch(self) -> Any:
         """Watches for a disconnect; returns None if that isn't possible."""
+        if len(self.pipelined) >= MAX_PIPELINED_BYTES:
+            return None
         try:
             watcher = gevent.get_hub().loop.io(self.sock.fileno(), 1)
             watcher.start(self.on_readable, watcher)
@@ -389,15 +398,16 @@
         """Detects a disconnected caller; buffers pipelined requests."""
         if self.closed:
             return
+        room = MAX_PIPELINED_BYTES - len(self.pipelined)
         try:
-            data = client.read_arrived(self.sock)
+            data = client.read_arrived(self.sock, room)
         except OSError:
             data = b""
         if data is None:
             return
         if data:
             self.pipelined += data
-            if len(self.pipelined) <= MAX_PIPELINED_BYTES:
+            if len(self.pipelined) < MAX_PIPELINED_BYTES:
                 return
         watcher.stop()  # type: ignore[attr-defined]
         if not data and self.cancellation is not None:
--- a/src/coltsfootarch/http1/client.py
+++ b/src/coltsfootarch/http1/client.py
@@ -77,12 +77,19 @@
     sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
-def read_arrived(sock: gevent_socket.socket) -> bytes | None:
+def read_arrived(
+    sock: gevent_socket.socket, max_bytes: int = readers.READ_SIZE
+) -> bytes | None:
     """Returns bytes that have arrived without waiting for any.
 
     After a pause of the process its timers run before its sockets are read, so
     that a timeout doesn't show that nothing arrived.
 
+    Args:
+        sock: The socket.
+        max_bytes: Largest number of bytes to read; at least 1, since none mean
+            the end of the connection.
+
     Returns:
         The bytes, none of them at the end of the connection, or None if nothing
         has arrived.
@@ -92,7 +99,7 @@
     """
     try:
         # The standard socket inside gevent's is non-blocking.
-        data: bytes = sock._sock.recv(readers.READ_SIZE)
+        data: bytes = sock._sock.recv(max_bytes)
     except BlockingIOError:
         return None
     return data
--- a/tests/forwarding/test_caller_connections.py
+++ b/tests/forwarding/test_caller_connections.py
@@ -157,3 +157,49 @@
     caller.close()
     app.wait(lambda: closes(logs))
     assert "too-large" in closes(logs)[0]["reason"]
+
+
+@pytest.mark.parametrize("size", [0, 12_000])
+def test_pipelined_requests_are_parsed_when_it_is_their_turn(app, size):
+    """Guards against callers that fill the host with requests sent ahead."""
+    for runner in app.runners.values():
+        runner.work_s = 0.005
+    request = (
+        b"POST /read/a HTTP/1.1\r\nHost: api.example\r\nX-Request-Id: r\r\n"
+        b"Authorization: Bearer %b\r\nContent-Length: %d\r\n\r\n%b"
+    ) % (documents.KEY.encode(), size, b"a" * size)
+    caller = app.caller()
+    requests = request * (2_000_000 // len(request))
+    sender = gevent.spawn(caller.send_raw, requests)
+    listener = app.daemon.caller_listener
+    app.wait(lambda: listener.connections)
+    (connection,) = listener.connections
+    largest = 0
+    for _ in range(100):
+        gevent.sleep(0.005)
+        parsed = len(connection.reader.complete) * len(request)
+        largest = max(largest, parsed + len(connection.pipelined))
+
+    sender.kill()
+    assert connection.served > 1
+    assert largest <= (
+        caller_connection.MAX_PIPELINED_BYTES
+        + caller_connection.PARSED_BYTES
+        + len(request)
+    )
+
+
+def test_pipelined_requests_beyond_the_buffer_are_read_whole(app, limits):
+    """Guards against bytes that are lost where the host stops to read."""
+    limits()
+    for runner in app.runners.values():
+        runner.work_s = 0.1
+    caller = app.caller()
+    sender = gevent.spawn(caller.send_raw, REQUEST * 5)
+
+    responses = [caller.read() for _ in range(5)]
+
+    sender.join()
+    assert [response.status for response in responses] == [200] * 5
+    runs = [run for runner in app.runners.values() for run in runner.runs]
+    assert [len(run["body"]) for run in runs] == [BODY_BYTES] * 5
--- /dev/null
+++ b/tests/forwarding/test_caller_memory.py
@@ -0,0 +1,73 @@
+"""Measures the memory of a host's process while callers are faulty."""
+
+from __future__ import annotations
+
+import contextlib
+
+import gevent
+from gevent import socket as gevent_socket
+
+from coltsfootarch.http1 import client
+from coltsfootarch.http1 import messages
+from soak import processes
+from soak import run
+from tests.forwarding import test_process_memory
+
+# Three quarters of the memory of the smallest users' machine.
+MAX_BYTES = 96 * 1024 * 1024
+CALLERS = 100
+PIPELINED = 80
+BODY_BYTES = 12 * 1024
+
+
+def request(request_id):
+    """Returns an encoded request with a body."""
+    fields = (
+        ("Host", run.ROUTE_HOST),
+        ("X-Request-Id", request_id),
+        ("X-Deadline-Ms", "4000"),
+        ("Authorization", f"Bearer {test_process_memory.KEY}"),
+        ("Content-Length", str(BODY_BYTES)),
+    )
+    head = messages.render_head("POST /read/x HTTP/1.1", fields)
+    return head + b"a" * BODY_BYTES
+
+
+def send_all(sock, host, name):
+    """Sends requests without reading their responses."""
+    sock.connect(client.split_address(host.listen))
+    with contextlib.suppress(OSError):
+        for number in range(PIPELINED):
+            sock.sendall(request(f"{name}-{number}"))
+
+
+def test_pipelined_requests_do_not_fill_a_host(tmp_path, monkeypatch):
+    """Guards against requests that are read long before their turn."""
+    monkeypatch.setattr(
+        processes,
+        "KEY_CONFIRMATION_S",
+        test_process_memory.KEY_CONFIRMATION_S,
+    )
+    fleet = processes.Fleet(tmp_path, 1)
+    (host,) = fleet.hosts
+    sockets = [gevent_socket.socket() for _ in range(CALLERS)]
+    try:
+        fleet.start(run.configuration(1, [test_process_memory.KEY]))
+        for runner in fleet.runners:
+            fleet.set_runner(runner, slots=CALLERS)
+        callers = [
+            gevent.spawn(send_all, sock, host, f"p{number}")
+            for number, sock in enumerate(sockets)
+        ]
+        gevent.joinall(callers, timeout=test_process_memory.SECONDS)
+        gevent.sleep(2.0)
+
+        peak = test_process_memory.peak_bytes(host)
+        print(f"peak {peak / 2**20:.0f} MB, ended {len(host.ended_requests())}")
+        assert host.process.poll() is None
+        assert peak < MAX_BYTES
+        assert host.ended_requests()
+    finally:
+        for sock in sockets:
+            sock.close()
+        fleet.close()
