Requests read behind a draining response are answered, too

What callers saw: a pipelined request that the host had read whole got neither an answer nor a refusal, as the response before it announced a close because the host was stopping.

Cause: the announcement looked at the host's state only, not at what had been read on the connection.

Change: while bytes behind the request in progress have been read, a stopping or overfull host doesn't announce the close yet.

--- a/src/coltsfootarch/forwarding/caller_connection.py
+++ b/src/coltsfootarch/forwarding/caller_connection.py
@@ -104,6 +104,11 @@
         self.watcher: Any = None
         self.responder: responders.ConnectionResponder | None = None
 
+    @property
+    def has_next_request(self) -> bool:
+        """Whether bytes behind the request in progress have been read."""
+        return self.reader.has_requests or bool(self.pipelined)
+
     def close(self, reason: close_reasons.CloseReason) -> None:
         """Closes the connection; only the first reason is reported."""
         if self.closed:
--- a/src/coltsfootarch/forwarding/responder.py
+++ b/src/coltsfootarch/forwarding/responder.py
@@ -45,7 +45,9 @@
     def connection_fields(self) -> list[tuple[str, str]]:
         """Returns the header fields that announce a close of the connection."""
         listener = self.connection.listener
-        if listener.draining or listener.overfull or self.surplus:
+        closing = listener.draining or listener.overfull
+        # What has been read behind this request gets a response, too.
+        if self.surplus or (closing and not self.connection.has_next_request):
             self.keep_alive = False
         return [] if self.keep_alive else [("Connection", "close")]
 
