An error in one attempt of a call doesn't end the others

What callers saw: 500 although another attempt of the call was sound.

Cause: AttemptGroup.take_ended raised the error of any attempt, and left the responses of others that had ended unfreed.

Change: the error is raised only if nothing else runs or has ended; it is logged otherwise, and the attempt is freed.

--- a/src/coltsfootarch/forwarding/call_attempts.py
+++ b/src/coltsfootarch/forwarding/call_attempts.py
@@ -218,14 +218,28 @@
     def take_ended(self) -> list[CallAttempt]:
         """Returns the attempts that have ended since the last call.
 
+        One that an unexpected error ended is left out while others may still
+        bring a response.
+
         Raises:
-            Exception: An attempt ended by this unexpected error.
+            Exception: The last attempt ended by this unexpected error.
         """
         ended, self.ended = self.ended, []
+        sound = [attempt for attempt in ended if attempt.error is None]
         for attempt in ended:
-            if attempt.error is not None:
+            if attempt.error is None:
+                continue
+            attempt.close()
+            if not sound and not self.running:
                 raise attempt.error
-        return ended
+            logger.error(
+                "attempt failed unexpectedly",
+                request_id=attempt.call.request.id,
+                upstream=attempt.upstream.id,
+                attempt=attempt.number,
+                exc_info=attempt.error,
+            )
+        return sound
 
     def take_overdue(self) -> list[CallAttempt]:
         """Returns the attempts that have become overdue."""
