Exchange: a full link of a relay no longer cuts the same members off

Cause: a relay sends all messages of a tick in one burst, relays first and then its members in a fixed order. Messages are largest after crashes (2 kB in place of 0.8 kB). The link of a small host is then full and drops the last datagrams of each burst, which are always those to the same members. After 0.8 s these take the relay for down, join others or relay themselves, and their view of loads is up to 2 s old, so that they send to full engines and services. A relay now begins each tick at another receiver.

--- a/src/coltsfootarch/fleet/relayed.py
+++ b/src/coltsfootarch/fleet/relayed.py
@@ -38,6 +38,10 @@
 RANDOM_TARGETS = 2
 # Sum of the hosts behind this host's relay, as the sender of its report.
 FLEET = "fleet"
+# Part of its messages by which a relay moves the first one on at each tick. A
+# full link drops the last datagrams of a tick; without this the same members
+# would lose all messages and take the relay for down.
+TURN_FRACTION = 0.618
 # A sender is logged as unreadable at most once in this time, in seconds.
 LOG_INTERVAL_S = 60.0
 
@@ -124,6 +128,7 @@
         self.group_usage = merging.UsageTotals(clock.monotonic)
         self.counts = sources.ExchangeCounts()
         self.sequence = 0
+        self.turn = 0
         self.choice = relay_choice.RelayChoice(
             directory.own.name, self.topology, clock, self.heard_relay
         )
@@ -225,16 +230,25 @@
             self.group_usage.usage(),
         )
         data = reports.encode(group)
-        for name in self.relay_targets():
-            self.send(name, Kind.GROUP, data, included)
-            self.note_unanswered(name, now)
         others = merging.Received(
             merging.merge(
                 source.with_age(now) for source in self.groups.values()
             )
         )
-        for name in list(self.members):
-            self.send_fleet(name, own, others, of_members)
+        relays = list(self.relay_targets())
+        targets = [(name, False) for name in relays]
+        targets += [(name, True) for name in self.members]
+        if not targets:
+            return
+        self.turn += 1
+        first = int(self.turn * TURN_FRACTION * len(targets)) % len(targets)
+        for name, is_member in targets[first:] + targets[:first]:
+            if is_member:
+                self.send_fleet(name, own, others, of_members)
+            else:
+                self.send(name, Kind.GROUP, data, included)
+        for name in relays:
+            self.note_unanswered(name, now)
 
     def send_fleet(
         self,
--- a/tests/fleet/test_relayed_fleet.py
+++ b/tests/fleet/test_relayed_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import logging
 
 import pytest
@@ -129,6 +130,30 @@
     assert {host.directory.share() for host in fleet.hosts} == {1.0}
 
 
+def test_full_link_of_a_relay_takes_it_from_no_member():
+    """A link takes the first 14 datagrams that a host sends in a step."""
+    fleet = settled(73, zones=("a", "b", "c", "d"))
+    add_loads(fleet)
+    relays = {
+        host.name: host.exchange.relayed.choice.relay for host in fleet.hosts
+    }
+    sent = collections.Counter()
+
+    def is_delivered(sender, receiver):
+        key = (fleet.elapsed, sender.name)
+        sent[key] += 1
+        return sent[key] <= 14
+
+    fleet.delivered = is_delivered
+    for _ in range(20):
+        fleet.run(0.5)
+        assert relays == {
+            host.name: host.exchange.relayed.choice.relay
+            for host in fleet.hosts
+        }
+    assert max(sent.values()) > 14
+
+
 @pytest.mark.parametrize("count", [7, 62])
 def test_breaks_of_a_request_are_known_to_all_hosts_and_after_restarts(count):
     """Guards against hosts that send a request which others refuse already."""
