Ejections: failures at other hosts don't eject an upstream that answers

Callers got 503, and answers beyond their objective, from a plain service with little spare capacity though all its runners were sound.

Cause: a host hears of the failures of all hosts but counts only its own answers. Hosts now report that an upstream with failures has just answered; then failures of peers lower its success rate only. The mark is an entry of the failures, which hosts of earlier builds take for an unknown upstream; a new field would make them drop the report.

--- a/src/coltsfootarch/fleet/reports.py
+++ b/src/coltsfootarch/fleet/reports.py
@@ -25,7 +25,9 @@
             few seconds, tokens admitted since the start.
         breaks: Request digest, number of connections that broke while it ran;
             empty in this build, whose hosts send `broken_requests`.
-        failures: Upstream id, number of failed requests since the start.
+        failures: Upstream id, number of failed requests since the start; also
+            ids with `outcomes.ANSWERED_SUFFIX`, of upstreams that have just
+            answered.
         refusing: Ids of upstreams that refuse requests at present.
         waiting: Service, number of requests that wait for its engines.
         directory: Digest of the registered upstreams.
--- a/src/coltsfootarch/scheduling/outcomes.py
+++ b/src/coltsfootarch/scheduling/outcomes.py
@@ -1,6 +1,11 @@
 """Recent outcomes of requests by upstream, and ejection of failing upstreams.
 
 Upstreams are rated by the outcomes of real requests, not by health checks.
+
+A host of a large fleet hears of all failures, but sees a small part of the
+answers. A sound upstream with a few slow calls would be ejected by all hosts at
+once, so that the others get more calls than they have slots for. Hosts
+therefore also report that an upstream with failures has just answered.
 """
 
 from __future__ import annotations
@@ -39,6 +44,14 @@
 PEER_BACKOFF_S = 0.3
 # Time for which failures are reported to peers; it covers several lost reports.
 FAILURE_REPORT_S = 3.0
+# After an answer to any host, failures at other hosts eject an upstream only
+# when this time has passed, in seconds. It spans two reports.
+ANSWER_VALIDITY_S = 0.3
+# Time after a failure for which answers of an upstream are reported to peers.
+ANSWER_REPORT_S = 4.0
+# End of the id under which an answer is reported beside the failures. Hosts of
+# earlier builds take it for an unknown upstream.
+ANSWERED_SUFFIX = "+"
 
 logger = structlog.get_logger(__name__)
 
@@ -68,6 +81,9 @@
         refusals: Consecutive refusals.
         backoff_until: Instant before which this host sends no requests.
         peer_backoff_until: The same, because of refusals that peers reported.
+        answered_at: Instant of the latest success on this host.
+        peer_answered_at: Instant of the latest report that a peer had one.
+        failed_at: Instant of the latest failure on any host.
         health: Ejection of the upstream.
     """
 
@@ -79,6 +95,9 @@
         self.refusals = 0
         self.backoff_until = float("-inf")
         self.peer_backoff_until = float("-inf")
+        self.answered_at = float("-inf")
+        self.peer_answered_at = float("-inf")
+        self.failed_at = float("-inf")
         self.health = upstream_health.Health(
             max_ejection_seconds=MAX_EJECTION_S
         )
@@ -130,6 +149,7 @@
         entry.decay(now)
         if outcome is Outcome.SUCCESS:
             entry.successes += 1
+            entry.answered_at = now
             entry.refusals = 0
             entry.health.record_success(now)
             weight = 0.2 if entry.latency else 1.0
@@ -146,7 +166,7 @@
         if outcome is Outcome.ERROR:
             return
         self.failure_counts[upstream] = self.failure_counts.get(upstream, 0) + 1
-        self.last_failure_at[upstream] = now
+        self.last_failure_at[upstream] = entry.failed_at = now
         self.record_failure(
             upstream, entry, eject_immediately=outcome is Outcome.UNREACHABLE
         )
@@ -173,7 +193,8 @@
         """Records that a long answer has started, which completes a probe."""
         entry = self.records.get(upstream)
         if entry is not None:
-            entry.health.record_success(self.clock.monotonic())
+            entry.answered_at = self.clock.monotonic()
+            entry.health.record_success(entry.answered_at)
 
     def back_off(self, upstream: str, seconds: float) -> None:
         """Starts a backoff during which an upstream gets no requests."""
@@ -203,28 +224,59 @@
             for upstream, count in self.failure_counts.items()
             if self.last_failure_at[upstream] >= oldest
         )
+        report.failures.extend(
+            (upstream + ANSWERED_SUFFIX, 1)
+            for upstream, entry in self.records.items()
+            if entry.failed_at >= now - ANSWER_REPORT_S
+            and self.own_answer_at(upstream, entry) >= now - ANSWER_VALIDITY_S
+        )
         return report
 
+    def own_answer_at(self, upstream: str, entry: UpstreamRecord) -> float:
+        """Returns the instant at which this host last heard of an upstream."""
+        heard_at = self.activity.heard_at.get(upstream, float("-inf"))
+        return max(entry.answered_at, heard_at)
+
+    def is_answering(self, upstream: str, entry: UpstreamRecord) -> bool:
+        """Returns whether any host has just had an answer."""
+        answered_at = max(
+            self.own_answer_at(upstream, entry), entry.peer_answered_at
+        )
+        return self.clock.monotonic() - answered_at <= ANSWER_VALIDITY_S
+
     def apply_report(self, report: reports.Report, continuous: bool) -> None:
         """Applies a peer's failures and refusals; see `reports.Participant`."""
         now = self.clock.monotonic()
         for upstream in report.refusing:
             entry = self.records.setdefault(upstream, UpstreamRecord())
             entry.peer_backoff_until = now + PEER_BACKOFF_S
+        current = {}
+        for key, count in report.failures:
+            upstream = key.removesuffix(ANSWERED_SUFFIX)
+            if upstream == key:
+                current[upstream] = count
+            elif upstream in self.records:
+                self.records[upstream].peer_answered_at = now
         previous = self.peer_failure_counts.get(report.host, {})
-        current = dict(report.failures)
         self.peer_failure_counts[report.host] = current
         if not continuous:
             return
-        for upstream, count in report.failures:
-            if count <= previous.get(upstream, 0):
-                continue
-            entry = self.records.setdefault(upstream, UpstreamRecord())
-            entry.decay(self.clock.monotonic())
-            entry.failures += PEER_FAILURE_WEIGHT
-            # A failure from before an ejection must not extend the ejection.
-            if entry.health.usable(self.clock.monotonic()):
-                self.record_failure(upstream, entry, eject_immediately=False)
+        for upstream, count in current.items():
+            if count > previous.get(upstream, 0):
+                self.record_peer_failure(upstream)
+
+    def record_peer_failure(self, upstream: str) -> None:
+        """Records a failure that a peer has reported."""
+        now = self.clock.monotonic()
+        entry = self.records.setdefault(upstream, UpstreamRecord())
+        entry.decay(now)
+        entry.failures += PEER_FAILURE_WEIGHT
+        entry.failed_at = now
+        if self.is_answering(upstream, entry):
+            return
+        # A failure from before an ejection must not extend the ejection.
+        if entry.health.usable(now):
+            self.record_failure(upstream, entry, eject_immediately=False)
 
     def record_dispatch(self, upstream: str) -> float:
         """Records that a request is sent; after an ejection it is the probe.
