A host that ends answers what has arrived before it closes its sockets

It ended its acceptor, waited 50 ms, and closed the listening socket and all connections, whatever had arrived on them meanwhile.

Now a host first accepts what waits in the listening socket and closes it, so that later callers are refused by the system and have sent nothing. Then it goes on to answer (503, not run) and to close idle connections until none is left, for 1.5 s at most and until 0.15 s before the end of the grace period. That also leaves callers the time to read a last refusal.

--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -74,6 +74,10 @@
 # Part of the grace period that is kept to write the last responses before the
 # process is killed.
 EXIT_MARGIN_S = 0.4
+# Part of the grace period that is kept to end the process, and the longest time
+# in which the last connections end by themselves.
+KILL_MARGIN_S = 0.15
+MAX_END_S = 1.5
 HOUSEKEEPING_S = 1.0
 # Longest time for which a request beyond a limit waits for a newer policy, in
 # seconds. Most hosts have a new version within a second.
@@ -505,7 +509,7 @@
             took_s=round(self.clock.monotonic() - started, 3),
         )
         self.forwarder.interrupt_calls()
-        self.clock.sleep(datetime.timedelta(seconds=POLL_S))
+        self.end_connections(started + grace - KILL_MARGIN_S)
         self.caller_listener.close()
         for each in self.internal_listeners:
             each.close()
@@ -519,6 +523,23 @@
         self.platform.close()
         self.writer.close()
 
+    def end_connections(self, latest: float) -> None:
+        """Answers what has arrived from callers and closes idle connections.
+
+        Args:
+            latest: Instant until which it may last, in seconds.
+        """
+        self.caller_listener.stop_accepting()
+        latest = min(latest, self.clock.monotonic() + MAX_END_S)
+        while True:
+            self.clock.sleep(datetime.timedelta(seconds=POLL_S))
+            self.caller_listener.close_idle(MIN_IDLE_S)
+            if (
+                not self.caller_listener.connections
+                or self.clock.monotonic() >= latest
+            ):
+                return
+
     def run(self) -> None:
         """Runs until SIGTERM or SIGINT and then shuts down gracefully."""
         requested = gevent.event.Event()
--- a/src/coltsfootarch/forwarding/listener.py
+++ b/src/coltsfootarch/forwarding/listener.py
@@ -255,11 +255,29 @@
                     close_reasons.CloseReason.DRAINED_IDLE
                 )
 
-    def close(self) -> None:
-        """Stops accepting and closes all connections."""
+    def stop_accepting(self) -> None:
+        """Accepts the connections that have been made, and no more."""
         if self.acceptor is not None:
             self.acceptor.kill()
-        if self.sock is not None:
-            self.sock.close()
+            self.acceptor = None
+        sock, self.sock = self.sock, None
+        if sock is None:
+            return
+        sock.settimeout(0.0)
+        try:
+            while True:
+                accepted, _ = sock.accept()
+                gevent.spawn(self.serve, accepted)
+        except BlockingIOError:
+            # There are no more.
+            pass
+        except Exception as error:
+            self.handle_accept_error(error)
+        finally:
+            sock.close()
+
+    def close(self) -> None:
+        """Stops accepting and closes all connections."""
+        self.stop_accepting()
         for connection in tuple(self.connections):
             connection.close(close_reasons.CloseReason.SHUTDOWN)
--- a/tests/forwarding/test_shutdown.py
+++ b/tests/forwarding/test_shutdown.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import datetime
+import types
 
 import gevent
+import gevent.monkey
 import pytest
 
 from coltsfootarch.forwarding import daemon
+from coltsfootarch.http1 import client
 from soak import checks
 
 # Longest time from the signal until a host notices it.
@@ -203,3 +206,38 @@
 
     (runs,) = [each.runs for each in stopping.runners.values() if each.runs]
     assert int(runs[0]["fields"]["x-deadline-ms"]) <= 2000
+
+
+def test_request_that_arrives_as_the_host_ends_is_refused(stopping):
+    """Guards against connections that nobody accepts or reads any more."""
+    listener = stopping.daemon.caller_listener
+    listen = client.split_address(stopping.daemon.settings.listen)
+    callers = []
+
+    def connect():
+        # The event loop stands still meanwhile.
+        caller = gevent.monkey.get_original("socket", "socket")()
+        caller.connect(listen)
+        callers.append(caller)
+
+    def kill(acceptor=listener.acceptor):
+        acceptor.kill()
+        connect()
+        for caller in callers:
+            caller.send(
+                b"GET /read/a HTTP/1.1\r\nHost: api.example\r\n"
+                b"X-Request-Id: r1\r\n\r\n"
+            )
+
+    shutdown = start_shutdown(stopping)
+    gevent.sleep(0.45)
+    connect()
+    listener.acceptor = types.SimpleNamespace(kill=kill)
+
+    shutdown.get(timeout=5)
+
+    assert len(callers) == 2
+    for caller in callers:
+        caller.settimeout(1.0)
+        assert caller.recv(100).startswith(b"HTTP/1.1 503")
+        caller.close()
