--- a/src/coltsfootarch/forwarding/caller_connection.py
+++ b/src/coltsfootarch/forwarding/caller_connection.py
@@ -3,21 +3,21 @@
 from __future__ import annotations
 
 import contextlib
-import select
 import socket
 from typing import TYPE_CHECKING
 from typing import Any
 
 import gevent
-import msgspec
 import structlog
 
 from coltsfootarch import results
+from coltsfootarch.forwarding import caller_socket
 from coltsfootarch.forwarding import calls
 from coltsfootarch.forwarding import cancellation as cancellations
 from coltsfootarch.forwarding import close_reasons
 from coltsfootarch.forwarding import close_reports
 from coltsfootarch.forwarding import limited_reader
+from coltsfootarch.forwarding import read_refusals
 from coltsfootarch.forwarding import responder as responders
 from coltsfootarch.http1 import client
 from coltsfootarch.http1 import readers
@@ -29,9 +29,6 @@
     from coltsfootarch.forwarding import listener as listeners
     from coltsfootarch.http1 import messages
 
-# Timeout of writing to a caller that doesn't read, in seconds. Its connection
-# is then closed.
-SEND_TIMEOUT_S = 10.0
 # Bytes of pipelined requests that are buffered while one is handled.
 MAX_PIPELINED_BYTES = 262144
 # Callers reuse idle connections for up to four fifths of the idle timeout. The
@@ -43,25 +40,10 @@
 SURPLUS_IDLE_S = 1.0
 # Pause between two looks whether a newer policy has been awaited, in seconds.
 POLICY_POLL_S = 0.1
-# Longest time for which a caller may go on to send after its last response, in
-# seconds.
-LINGER_S = 1.0
 
 logger = structlog.get_logger(__name__)
 
 
-def refusal_of(
-    error: readers.MalformedMessageError,
-) -> tuple[results.ResultCode, close_reasons.CloseReason]:
-    """Returns how a request that can't be read is refused."""
-    reasons = close_reasons.CloseReason
-    if isinstance(error, readers.BodyTooLargeError):
-        return results.BODY_TOO_LARGE, reasons.BODY_TOO_LARGE
-    if isinstance(error, readers.HeaderTooLargeError):
-        return results.HEADER_TOO_LARGE, reasons.HEADER_TOO_LARGE
-    return results.MALFORMED_REQUEST, reasons.MALFORMED
-
-
 class CallerConnection:
     """One connection of a caller.
 
@@ -145,19 +127,10 @@
         if self.closed:
             raise calls.CallerConnectionError("the connection is closed")
         try:
-            shortages.send(self.sock, data, SEND_TIMEOUT_S, self.listener.clock)
-        except shortages.ShortageError as error:
+            caller_socket.send(self.sock, data, self.listener.clock)
+        except caller_socket.CallerSocketError as error:
             self.socket_error = str(error)
-            self.close(close_reasons.CloseReason.NO_MEMORY)
-            raise calls.CallerConnectionError(str(error)) from error
-        except OSError as error:
-            timed_out = isinstance(error, TimeoutError) and error.errno is None
-            self.socket_error = str(error)
-            self.close(
-                close_reasons.CloseReason.SEND_TIMEOUT
-                if timed_out
-                else close_reasons.CloseReason.SOCKET_ERROR
-            )
+            self.close(error.reason)
             raise calls.CallerConnectionError(str(error)) from error
 
     def run(self) -> None:
@@ -208,7 +181,7 @@
                 self.idle = False
                 reader.read(data)
         except readers.MalformedMessageError as error:
-            code, reason = refusal_of(error)
+            code, reason = read_refusals.refusal_of(error)
             logger.info(
                 "malformed request refused",
                 request_id=self.request_id(reader.next_fields()),
@@ -254,7 +227,7 @@
             if remaining > 0:
                 # A newer policy may have raised the timeout meanwhile.
                 continue
-            if not (awaited or self.surplus):
+            if not awaited and (is_kept or self.reader.in_progress):
                 # Callers may know a raised limit before this host does.
                 awaited = True
                 if is_kept:
@@ -295,22 +268,12 @@
             timeout.
         """
         try:
-            if timeout <= 0:
-                return client.read_arrived(self.sock)
-            return shortages.receive(
-                self.sock, readers.READ_SIZE, timeout, self.listener.clock
-            )
-        except (shortages.ShortageError, OSError) as error:
-            timed_out = isinstance(error, TimeoutError) and error.errno is None
-            if timed_out:
-                return None
+            return caller_socket.read(self.sock, timeout, self.listener.clock)
+        except caller_socket.CallerSocketError as error:
             self.socket_error = str(error)
-            if isinstance(error, OSError) and not shortages.is_shortage(error):
-                self.close(close_reasons.CloseReason.SOCKET_ERROR)
-            else:
-                self.refuse_unread(
-                    results.OVERLOADED, close_reasons.CloseReason.NO_MEMORY
-                )
+            if error.reason is close_reasons.CloseReason.NO_MEMORY:
+                self.refuse_unread(results.OVERLOADED, error.reason)
+            self.close(error.reason)
             return b""
 
     def refuse_unread(
@@ -327,9 +290,7 @@
         Returns:
             Whether the connection is closed.
         """
-        poller = select.poll()
-        poller.register(self.sock.fileno(), select.POLLIN)
-        if poller.poll(0):
+        if caller_socket.has_arrived(self.sock):
             return False
         self.close(reason)
         return True
@@ -338,42 +299,22 @@
         self, code: results.ResultCode, reason: close_reasons.CloseReason
     ) -> None:
         """Refuses a request that can't be read; ends the connection."""
-        document = {
-            "code": code.number,
-            "name": code.name,
-            "message": code.summary,
-            "execution": code.execution.value,
-        }
         responder = responders.ConnectionResponder(self, keep_alive=False)
         with contextlib.suppress(calls.CallerConnectionError):
             responder.respond(
                 code.http_status,
                 (("Content-Type", "application/json"),),
-                msgspec.json.encode(document),
+                read_refusals.body(code),
             )
             self.rejected = True
             self.linger()
         self.close(reason)
 
     def linger(self) -> None:
-        """Waits until the caller has closed; drops what it still sends.
-
-        A close with bytes unread resets the connection, and the caller, which
-        may still be sending, then doesn't get the response.
-        """
-        deadline = self.listener.clock.monotonic() + LINGER_S
-        try:
-            self.sock.shutdown(socket.SHUT_WR)
-            while (
-                left := deadline - self.listener.clock.monotonic()
-            ) > 0 and not self.closed:
-                if not shortages.receive(
-                    self.sock, readers.READ_SIZE, left, self.listener.clock
-                ):
-                    return
-        except (OSError, shortages.ShortageError):
-            # The caller has gone, or sends longer than the host waits.
-            return
+        """Waits until the caller has closed; see `caller_socket.linger`."""
+        caller_socket.linger(
+            self.sock, self.listener.clock, lambda: self.closed
+        )
 
     def serve(self, request: messages.Request) -> bool:
         """Handles a request; returns whether the connection stays open."""
