Streams: an ended exchange frees what it read at once

What callers saw: 40 streams whose decode engines send an event without end take the process of a host to 107 to 133 MB, although all responses together are bounded by 16 MiB. On a machine of 128 MB it is killed, and all requests on it are lost.

Cause: the exchange of a stream refers to its silence watch, whose function that prepares another engine refers to the exchange. The cycle holds the splitter with up to 1 MiB of an incomplete event and the request with its body, of each ended stream, sound ones too, until the garbage collector runs. `ResponseMemory` no longer counts them then.

Change: the end of an exchange drops what was read, as giving it up already did, and no longer refers to the reader of its parts. The end of a connection drops the parts that were not taken; its reader and the parser refer to each other.

--- a/src/coltsfootarch/forwarding/upstream_exchange.py
+++ b/src/coltsfootarch/forwarding/upstream_exchange.py
@@ -196,9 +196,14 @@
     def close(self) -> None:
         """Closes the connection unless it was returned to the pool.
 
-        It also frees the memory of a response that `take_holding` didn't take.
+        It also frees what was read of the response, and its memory if
+        `take_holding` didn't take it. Readers of the parts may refer to the
+        exchange, so that the rest would be freed by the garbage collector only.
         """
         self.disconnect()
+        self.discard()
+        self.discard = ignore_discard
+        self.part_reader = None
         self.free_memory()
 
     def disconnect(self) -> None:
--- a/src/coltsfootarch/http1/client.py
+++ b/src/coltsfootarch/http1/client.py
@@ -161,9 +161,14 @@
             raise ConnectError(f"{self.address}: {error}") from error
 
     def close(self) -> None:
-        """Closes the connection and unblocks greenlets that read or write."""
+        """Closes the connection and unblocks greenlets that read or write.
+
+        What was read and not taken is dropped: the parser and its reader refer
+        to each other, so that only the garbage collector would free it.
+        """
         sock, self.sock = self.sock, None
         self.reusable = False
+        self.reader.parts.clear()
         if self.body_sender is not None:
             self.body_sender.kill(block=False)
             self.body_sender = None
--- /dev/null
+++ b/tests/forwarding/test_freed_requests.py
@@ -0,0 +1,60 @@
+"""Tests that ended requests are freed without the garbage collector."""
+
+from __future__ import annotations
+
+import gc
+
+import pytest
+
+from coltsfootarch.forwarding import calls
+from coltsfootarch.forwarding import events
+from coltsfootarch.forwarding import upstream_exchange
+
+# What holds the bytes of requests and responses.
+HOLDERS = (
+    calls.CallerRequest,
+    events.EventSplitter,
+    upstream_exchange.UpstreamExchange,
+)
+GENERATION = {"X_Token_Count": "100,20", "X_Model": "m"}
+
+
+def holders():
+    """Returns the names of the classes of all objects that hold bytes."""
+    return [
+        type(each).__name__
+        for each in gc.get_objects()
+        if type(each) in HOLDERS
+    ]
+
+
+@pytest.fixture
+def without_collector():
+    """Disables the garbage collector during a test."""
+    gc.collect()
+    gc.disable()
+    yield
+    gc.enable()
+
+
+@pytest.mark.parametrize(
+    "fault", ["", "crash", "reset", "stall", "hang", "full", "endless body"]
+)
+@pytest.mark.parametrize("faulty", [("d-1", "i-1"), ("d-1", "d-2", "i-1")])
+@pytest.mark.parametrize("target", ["/read/a", "/write/a"])
+def test_ended_request_is_freed_at_once(
+    engines, without_collector, target, faulty, fault
+):
+    """Guards against reference cycles that keep bytes until a collection."""
+    engines.add_runner("i-1", "app")
+    for name in faulty:
+        engines.runners[name].fault = fault
+    known = len(holders())
+    generation = GENERATION if target.startswith("/write") else {}
+
+    caller = engines.caller()
+    caller.ask(target, "POST", b"a" * 1000, X_Deadline_Ms="2500", **generation)
+
+    caller.close()
+    engines.wait(lambda: not engines.daemon.caller_listener.connections)
+    assert holders()[known:] == []
--- a/tests/forwarding/test_process_memory.py
+++ b/tests/forwarding/test_process_memory.py
@@ -13,10 +13,14 @@
 from coltsfootarch.http1 import messages
 from soak import processes
 from soak import run
+from standins import runner as standin
 
 # Smallest memory of a users' machine.
 MACHINE_BYTES = 128 * 1024 * 1024
 CALLERS = 100
+STREAMS = 40
+# Three quarters of the memory of that machine.
+MAX_STREAMS_BYTES = 96 * 1024 * 1024
 SECONDS = 6.0
 # The users' `revoke_ms`. The shorter time of the soak test refuses requests
 # when a busy machine delays the confirmation of the keys.
@@ -131,3 +135,49 @@
         assert 200 in faulty_statuses
     finally:
         fleet.close()
+
+
+def test_streams_that_never_end_an_event_do_not_fill_a_host(
+    tmp_path, monkeypatch
+):
+    """Guards against ended streams whose bytes are freed much later."""
+    monkeypatch.setattr(processes, "KEY_CONFIRMATION_S", KEY_CONFIRMATION_S)
+    fleet = processes.Fleet(tmp_path, 1)
+    (host,) = fleet.hosts
+    configuration = run.configuration(1, [KEY])
+    for service in configuration["services"]:
+        if "engine" in service:
+            service["engine"]["slots"] = STREAMS
+            service["engine"]["kv_capacity_tokens"] = STREAMS * 1000
+    try:
+        fleet.start(configuration)
+        for runner in fleet.runners:
+            fault = "endless body" if runner.stage == "decode" else ""
+            fleet.set_runner(runner, slots=STREAMS, fault=fault)
+        gevent.sleep(2 * standin.HEARTBEAT_INTERVAL_S)
+        stop = gevent.event.Event()
+        statuses = []
+        callers = [
+            gevent.spawn(
+                ask_until,
+                stop,
+                statuses,
+                host,
+                f"s{number}",
+                "GET",
+                f"/write/{number}",
+                X_Token_Count="100,20",
+                X_Model="m",
+            )
+            for number in range(STREAMS)
+        ]
+        gevent.sleep(SECONDS)
+        stop.set()
+        gevent.joinall(callers, timeout=10.0)
+
+        print(f"peak {peak_bytes(host) / 2**20:.0f} MB, ended {len(statuses)}")
+        assert host.process.poll() is None
+        assert peak_bytes(host) < MAX_STREAMS_BYTES
+        assert statuses.count(502) >= STREAMS / 2
+    finally:
+        fleet.close()
