Callers: a closed connection frees what it read at once

What callers saw: 20 callers that send 1 MB of a body and disconnect, again and again, take the process of a host to 100 to 140 MB. On a machine of 128 MB it is killed, and all requests on it are lost.

Cause: the reader of requests and its parser refer to each other. The part of the body stays in memory until the garbage collector runs, though no connection has it any more.

Change: the end of a connection drops what it has read and not handed over, after the close was reported.

--- a/src/coltsfootarch/forwarding/caller_connection.py
+++ b/src/coltsfootarch/forwarding/caller_connection.py
@@ -98,13 +98,19 @@
         self.responder: responders.ConnectionResponder | None = None
 
     def close(self, reason: close_reasons.CloseReason) -> None:
-        """Closes the connection; only the first reason is reported."""
+        """Closes the connection; only the first reason is reported.
+
+        What was read is dropped: the parser and the reader of requests refer to
+        each other, so that only the garbage collector would free it.
+        """
         if self.closed:
             return
         self.closed = True
         try:
             self.report_close(reason)
         finally:
+            self.pipelined.clear()
+            self.reader.clear()
             with contextlib.suppress(OSError):
                 self.sock.shutdown(socket.SHUT_RDWR)
             self.sock.close()
--- a/src/coltsfootarch/forwarding/limited_reader.py
+++ b/src/coltsfootarch/forwarding/limited_reader.py
@@ -99,6 +99,11 @@
         self.max_header_bytes = header_bytes
         self.max_body_bytes = body_bytes
 
+    def clear(self) -> None:
+        """Drops all bytes; see `RequestReader.clear`."""
+        super().clear()
+        self.head = None
+
     def restart(self) -> None:
         """Forgets the request that is read in part."""
         self.parser: Any = httptools.HttpRequestParser(self)
--- a/src/coltsfootarch/http1/readers.py
+++ b/src/coltsfootarch/http1/readers.py
@@ -114,6 +114,12 @@
         if not self.in_body and self.head_bytes > self.max_header_bytes:
             raise HeaderTooLargeError("the head is too long")
 
+    def clear(self) -> None:
+        """Drops the bytes of all requests that were not taken."""
+        self.complete.clear()
+        self.fields = []
+        self.body = bytearray()
+
     def on_message_begin(self) -> None:
         """Starts a request."""
         self.in_progress = True
--- a/tests/forwarding/test_caller_memory.py
+++ b/tests/forwarding/test_caller_memory.py
@@ -18,19 +18,21 @@
 CALLERS = 100
 PIPELINED = 80
 BODY_BYTES = 12 * 1024
+LEAVING_CALLERS = 20
+PART_BYTES = 1_000_000
+MAX_BODY_BYTES = 4 * 1024 * 1024
 
 
-def request(request_id):
-    """Returns an encoded request with a body."""
+def request_head(request_id, body_bytes):
+    """Returns the encoded head of a request with a body."""
     fields = (
         ("Host", run.ROUTE_HOST),
         ("X-Request-Id", request_id),
         ("X-Deadline-Ms", "4000"),
         ("Authorization", f"Bearer {test_process_memory.KEY}"),
-        ("Content-Length", str(BODY_BYTES)),
+        ("Content-Length", str(body_bytes)),
     )
-    head = messages.render_head("POST /read/x HTTP/1.1", fields)
-    return head + b"a" * BODY_BYTES
+    return messages.render_head("POST /read/x HTTP/1.1", fields)
 
 
 def send_all(sock, host, name):
@@ -38,7 +40,8 @@
     sock.connect(client.split_address(host.listen))
     with contextlib.suppress(OSError):
         for number in range(PIPELINED):
-            sock.sendall(request(f"{name}-{number}"))
+            head = request_head(f"{name}-{number}", BODY_BYTES)
+            sock.sendall(head + b"a" * BODY_BYTES)
 
 
 def test_pipelined_requests_do_not_fill_a_host(tmp_path, monkeypatch):
@@ -71,3 +74,50 @@
         for sock in sockets:
             sock.close()
         fleet.close()
+
+
+def leave_until(stop, left, host, name):
+    """Sends parts of bodies and disconnects each time."""
+    while not stop.is_set():
+        sock = gevent_socket.socket()
+        with contextlib.suppress(OSError):
+            sock.connect(client.split_address(host.listen))
+            head = request_head(f"{name}-{len(left)}", MAX_BODY_BYTES)
+            sock.sendall(head + b"a" * PART_BYTES)
+            left.append(name)
+        sock.close()
+        gevent.sleep(0.01)
+
+
+def test_callers_that_leave_within_a_body_do_not_fill_a_host(
+    tmp_path, monkeypatch
+):
+    """Guards against bodies of closed connections that are freed much later."""
+    monkeypatch.setattr(
+        processes,
+        "KEY_CONFIRMATION_S",
+        test_process_memory.KEY_CONFIRMATION_S,
+    )
+    fleet = processes.Fleet(tmp_path, 1)
+    (host,) = fleet.hosts
+    configuration = run.configuration(1, [test_process_memory.KEY])
+    configuration["limits"]["max_body_bytes"] = MAX_BODY_BYTES
+    try:
+        fleet.start(configuration)
+        stop = gevent.event.Event()
+        left = []
+        callers = [
+            gevent.spawn(leave_until, stop, left, host, f"l{number}")
+            for number in range(LEAVING_CALLERS)
+        ]
+        gevent.sleep(test_process_memory.SECONDS)
+        stop.set()
+        gevent.joinall(callers, timeout=10.0)
+
+        peak = test_process_memory.peak_bytes(host)
+        print(f"peak {peak / 2**20:.0f} MB, left {len(left)}")
+        assert host.process.poll() is None
+        assert peak < MAX_BYTES
+        assert len(left) > LEAVING_CALLERS
+    finally:
+        fleet.close()
--- a/tests/forwarding/test_freed_requests.py
+++ b/tests/forwarding/test_freed_requests.py
@@ -8,6 +8,7 @@
 
 from coltsfootarch.forwarding import calls
 from coltsfootarch.forwarding import events
+from coltsfootarch.forwarding import limited_reader
 from coltsfootarch.forwarding import upstream_exchange
 
 # What holds the bytes of requests and responses.
@@ -58,3 +59,30 @@
     caller.close()
     engines.wait(lambda: not engines.daemon.caller_listener.connections)
     assert holders()[known:] == []
+
+
+@pytest.mark.parametrize("body", [b"", b"a" * 1000])
+def test_request_of_a_caller_that_left_is_freed_at_once(
+    engines, without_collector, body
+):
+    """Guards against bodies of closed connections that are kept."""
+    listener = engines.daemon.caller_listener
+    caller = engines.caller()
+    caller.send_raw(
+        b"POST /read/a HTTP/1.1\r\nHost: api.example\r\n"
+        b"Content-Length: 2000\r\n" + (b"\r\n" + body if body else b"X-A")
+    )
+    engines.wait(
+        lambda: any(each.reader.in_progress for each in listener.connections)
+    )
+
+    caller.close()
+    engines.wait(lambda: not listener.connections)
+
+    closed = [
+        each
+        for each in gc.get_objects()
+        if type(each) is limited_reader.LimitedReader and each.in_progress
+    ]
+    kept = [(each.head, bytes(each.body), each.fields) for each in closed]
+    assert kept == [(None, b"", [])] * len(closed)
