--- a/src/coltsfootarch/forwarding/caller_connection.py
+++ b/src/coltsfootarch/forwarding/caller_connection.py
@@ -92,7 +92,11 @@
         return self.reader.has_requests or bool(self.pipelined)
 
     def close(self, reason: close_reasons.CloseReason) -> None:
-        """Closes the connection; only the first reason is reported."""
+        """Closes the connection; only the first reason is reported.
+
+        What was read is dropped: the parser and the reader of requests refer to
+        each other, so that only the garbage collector would free it.
+        """
         if self.closed:
             return
         self.closed = True
@@ -103,6 +107,8 @@
                 "close of a caller's connection not reported",
                 reason=reason.value,
             )
+        self.pipelined.clear()
+        self.reader.clear()
         with contextlib.suppress(OSError):
             self.sock.shutdown(socket.SHUT_RDWR)
         self.sock.close()
--- a/src/coltsfootarch/forwarding/limited_reader.py
+++ b/src/coltsfootarch/forwarding/limited_reader.py
@@ -166,3 +166,8 @@
             body_bytes = max(body_bytes, self.max_body_bytes)
         self.max_header_bytes = header_bytes
         self.max_body_bytes = body_bytes
+
+    def clear(self) -> None:
+        """Drops all bytes; see `RequestReader.clear`."""
+        super().clear()
+        self.held.clear()
--- a/src/coltsfootarch/http1/readers.py
+++ b/src/coltsfootarch/http1/readers.py
@@ -132,6 +132,12 @@
         if size > self.max_body_bytes:
             raise BodyTooLargeError("the body is too long")
 
+    def clear(self) -> None:
+        """Drops the bytes of all requests that were not taken."""
+        self.complete.clear()
+        self.fields = []
+        self.body = bytearray()
+
     def on_message_begin(self) -> None:
         """Starts a request."""
         self.in_progress = True
