No other greenlet runs between the look at a connection and its close

An idle connection is closed only if nothing has arrived on it. The look used select.poll, which switches to other greenlets where gevent has replaced it. The greenlet of the connection could then read a request, and the connection was closed with it. Entry hosts don't replace select (a run of their start shows the built-in poll), so that only the tests were affected; nothing kept a host from it.

Now the look reads ahead (MSG_PEEK) on the socket itself.

--- a/src/coltsfootarch/forwarding/caller_socket.py
+++ b/src/coltsfootarch/forwarding/caller_socket.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import select
 import socket
 from typing import TYPE_CHECKING
 
@@ -92,10 +91,19 @@
 
 
 def has_arrived(sock: gevent_socket.socket) -> bool:
-    """Returns whether bytes, or the end, of the connection can be read."""
-    poller = select.poll()
-    poller.register(sock.fileno(), select.POLLIN)
-    return bool(poller.poll(0))
+    """Returns whether bytes, or the end, of the connection can be read.
+
+    It doesn't switch to another greenlet, which might read a request just then;
+    `select.poll` does where gevent has replaced it.
+    """
+    try:
+        sock._sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        # The greenlet that reads finds the error.
+        return True
+    return True
 
 
 def linger(
