An idle connection waits for a policy for 1 s at most

The wait for the policy before an idle connection is closed could take the 2 s of a request beyond a limit, on a host that nothing confirms meanwhile: test_idle_connection_is_closed_after_the_timeout failed by it.

--- a/src/coltsfootarch/forwarding/caller_connection.py
+++ b/src/coltsfootarch/forwarding/caller_connection.py
@@ -38,7 +38,10 @@
 # Time for which a connection that there is no room for is kept to refuse a
 # request on it, in seconds.
 SURPLUS_IDLE_S = 1.0
-# Pause between two looks whether a newer policy has been awaited, in seconds.
+# Longest wait for a newer policy before an idle connection is closed, and the
+# pause between two looks for one, in seconds. Most hosts have a new version
+# within a second.
+POLICY_WAIT_S = 1.0
 POLICY_POLL_S = 0.1
 
 logger = structlog.get_logger(__name__)
@@ -232,7 +235,7 @@
                 awaited = True
                 if is_kept:
                     # A request that arrives meanwhile must not wait for it.
-                    waiter = gevent.spawn(self.listener.await_policy)
+                    waiter = gevent.spawn(self.await_policy)
                 else:
                     self.listener.await_policy()
                 continue
@@ -241,6 +244,11 @@
             self.close(reason)
             return b""
 
+    def await_policy(self) -> None:
+        """Waits for a newer policy before an idle connection is closed."""
+        with gevent.Timeout(POLICY_WAIT_S, False):
+            self.listener.await_policy()
+
     def time_limit(self) -> tuple[float, close_reasons.CloseReason]:
         """Returns the longest wait for bytes, in seconds, and its name."""
         limits = self.listener.limits()
