--- a/tests/scheduling/test_dispatch_queue.py
+++ b/tests/scheduling/test_dispatch_queue.py
@@ -217,3 +217,45 @@
     assert not retry.ready()
     loads.remove("d-1", 5000)
     assert retry.get(timeout=1).decode.id == "d-1"
+
+
+def test_many_waiting_requests_share_one_search(
+    queue, loads, manual_clock, monkeypatch
+):
+    """Guards against a search for each silent stream at each change of load."""
+    for _ in range(8):
+        loads.add("d-1", 1000)
+    searches = []
+    place = queue.placer.place
+
+    def count(service, demand, excluded):
+        searches.append(demand.memory_tokens)
+        return place(service, demand, excluded)
+
+    monkeypatch.setattr(queue.placer, "place", count)
+    queue.waiters.extend(
+        make_waiter(manual_clock, tokens=tokens, age_s=age_s)
+        for tokens, age_s in ((3000, 0.3), (4000, 0.2), (2000, 0.1), (3500, 0))
+    )
+
+    queue.place_waiting()
+
+    # A smaller request may still fit.
+    assert searches == [3000, 2000]
+
+
+def test_search_that_failed_holds_back_no_smaller_request(
+    queue, loads, manual_clock
+):
+    """Guards against a request that waits though there is room for it."""
+    loads.add("d-1", 6000)
+    excluded = make_waiter(manual_clock, tokens=500, age_s=0.3)
+    excluded.excluded = frozenset({"d-1"})
+    large = make_waiter(manual_clock, tokens=9000, age_s=0.2)
+    small = make_waiter(manual_clock, tokens=500, age_s=0.1)
+    queue.waiters.extend((excluded, large, small))
+
+    queue.place_waiting()
+
+    assert small.placement is not None
+    assert queue.waiters == [excluded, large]
