Another decode engine takes over a prompt if the chosen one can't

Callers got a 503 at their deadline, or nothing until then, although a decode engine was idle.

Cause: while a prefill engine is silent, only the chosen decode engine was asked to take over. If it was draining, refused connections or prefilled another prompt itself, the request waited for the silent engine until its end.

Now, once the chosen engine has failed four times to take over (0.7 s after the first failure), the request asks for a decode engine that has room for the prompt at that moment and connects it. The next attempt runs there under the usual rules for attempts; the chosen engine and its reservation are released, since nothing was sent to it. The request stays with the silent engine until the other one is connected.

Evidence: three of the four cases of test_prefill_replacement.py failed before with 503 for 200 (draining, down, busy d-1); all four pass now. tests/forwarding/test_silent_prefills.py and test_silent_reservations.py pass unchanged. A trial that asked others at the first failure made two tests of test_silent_prefills.py fail, which expect the result of the silent engine to be used after 0.6 s.

--- a/src/coltsfootarch/forwarding/generation_pipeline.py
+++ b/src/coltsfootarch/forwarding/generation_pipeline.py
@@ -10,6 +10,7 @@
 from coltsfootarch import errors
 from coltsfootarch import results
 from coltsfootarch.forwarding import decode_readiness
+from coltsfootarch.forwarding import decode_replacement
 from coltsfootarch.forwarding import decode_stage
 from coltsfootarch.forwarding import engine_preparation
 from coltsfootarch.forwarding import generations
@@ -62,7 +63,11 @@
             context, self.silent_engines, self.reservations
         )
         self.prefill_stage = prefill_stage.PrefillStage(
-            context, self.decode_readiness
+            context,
+            self.decode_readiness,
+            decode_replacement.DecodeReplacement(
+                context, self.decode_readiness, self
+            ),
         )
         self.decode_stage = decode_stage.DecodeStage(context)
         self.generator = random.Random()
@@ -382,6 +387,8 @@
                 return False
             self.prefill_stage.run(generation, placement.prefill, exchange)
         call.cancellation.check()
+        if generation.replacement is not None:
+            return False
         if not self.decode_readiness.restore(generation, exchange):
             return False
         if self.is_refused(call):
--- a/src/coltsfootarch/forwarding/prefill_stage.py
+++ b/src/coltsfootarch/forwarding/prefill_stage.py
@@ -18,6 +18,7 @@
     from coltsfootarch.fleet import upstreams
     from coltsfootarch.forwarding import context
     from coltsfootarch.forwarding import decode_readiness
+    from coltsfootarch.forwarding import decode_replacement
     from coltsfootarch.forwarding import upstream_exchange
 
 # The longest prompts take 0.2 s to prefill; from several times as long on, the
@@ -29,6 +30,9 @@
 # interval is twice as long as the one before.
 MIN_TAKE_OVER_INTERVAL_S = 0.1
 MAX_TAKE_OVER_INTERVAL_S = 0.8
+# Failures of the chosen engine to take over from which on others are asked too,
+# 0.7 s after the first one. A short silence costs no second prefill by then.
+MAX_TAKE_OVER_FAILURES = 4
 
 logger = structlog.get_logger(__name__)
 
@@ -39,15 +43,18 @@
     Args:
         context: Components that all pipelines of the host share.
         readiness: Lets decode engines take over.
+        replacement: Finds another decode engine if the chosen one can't.
     """
 
     def __init__(
         self,
         context: context.Context,
         readiness: decode_readiness.DecodeReadiness,
+        replacement: decode_replacement.DecodeReplacement,
     ) -> None:
         self.context = context
         self.decode_readiness = readiness
+        self.decode_replacement = replacement
 
     @property
     def clock(self) -> clocks.Clock:
@@ -63,8 +70,9 @@
         """Prefills the prompt and stores the result in the generation.
 
         If this fails, the decode engine prefills the prompt itself. An engine
-        that is silent may still respond; it is awaited until the decode engine
-        is certain to take over.
+        that is silent may still respond; it is awaited until a decode engine is
+        certain to take over. If that isn't the chosen one, it becomes the
+        generation's replacement.
 
         Args:
             generation: The request.
@@ -131,7 +139,7 @@
         prefill: prefill_calls.PrefillCall,
         decode_exchange: upstream_exchange.UpstreamExchange,
     ) -> None:
-        """Waits until the prefill has ended or the decode engine takes over.
+        """Waits until the prefill has ended or a decode engine takes over.
 
         Raises:
             cancellation.CallerDisconnectedError: The caller disconnected.
@@ -141,11 +149,20 @@
         if generation.has_moved:
             wait_s = MOVED_PREFILL_TIMEOUT_S
         next_wait_s = MIN_TAKE_OVER_INTERVAL_S
+        failures = 0
         while not prefill.wait(min(wait_s, ends_at - self.clock.monotonic())):
             if self.clock.monotonic() >= ends_at:
                 return
             if self.decode_readiness.take_over(generation, decode_exchange):
                 return
+            if prefill.ended:
+                return
+            failures += 1
+            if (
+                failures >= MAX_TAKE_OVER_FAILURES
+                and self.decode_replacement.find(generation, decode_exchange)
+            ):
+                return
             wait_s = next_wait_s
             next_wait_s = min(2 * next_wait_s, MAX_TAKE_OVER_INTERVAL_S)
 
