A local error of one connection doesn't spoil the exchange's next ones

Callers got a 503 at their deadline after a single shortage of descriptors on the host, although their decode engine took connections again.

Cause: LocalConnectError set `aborted`, which also means that the caller has left, and nothing reset it. While a prefill is silent the exchange is connected again, and each later connection was closed at once with "the caller disconnected".

The two meanings are now two attributes: `was_ended` stays, and `lacked_resource` holds from an error until the next connection. `aborted` is true for both, so that neither is blamed on the upstream; only `was_ended` closes a new connection.

--- a/src/coltsfootarch/forwarding/upstream_exchange.py
+++ b/src/coltsfootarch/forwarding/upstream_exchange.py
@@ -56,8 +56,9 @@
         memory: Bounds the memory of all responses.
 
     Attributes:
-        aborted: Whether this host ended the exchange or lacked a resource for
-            it, so that its failure tells nothing about the upstream.
+        was_ended: Whether this host ended the exchange.
+        lacked_resource: Whether this host lacked a resource for it since the
+            last connection.
     """
 
     def __init__(
@@ -84,11 +85,17 @@
         self.delivery = delivery
         self.connection: client.Connection | None = None
         self.head: messages.ResponseHead | None = None
-        self.aborted = False
+        self.was_ended = False
+        self.lacked_resource = False
         self.sent = False
         # Head of a response that was read before the exchange was handed over.
         self.accepted: calls.UpstreamResponse | None = None
 
+    @property
+    def aborted(self) -> bool:
+        """Whether its failure comes from this host, not the upstream."""
+        return self.was_ended or self.lacked_resource
+
     def connect(
         self, recently_used: bool = False, repeatable: bool = True
     ) -> None:
@@ -107,6 +114,7 @@
         Raises:
             client.ConnectError: No connection; nothing was sent.
         """
+        self.lacked_resource = False
         address = self.delivery.upstream.address
         timeout = min(CONNECT_TIMEOUT_S, self.delivery.time_left_s)
         with self.local_errors():
@@ -116,7 +124,7 @@
                 )
             else:
                 self.connection = self.connections.open(address, timeout)
-        if self.aborted:
+        if self.was_ended:
             self.close()
             raise client.ConnectError("the caller disconnected")
 
@@ -156,7 +164,7 @@
             client.LocalBrokenConnectionError,
             client.LocalTimeoutError,
         ):
-            self.aborted = True
+            self.lacked_resource = True
             raise
 
     def start(self, recently_used: bool) -> None:
@@ -216,7 +224,7 @@
 
     def abort(self) -> None:
         """Closes the connection, which stops the upstream and wakes readers."""
-        self.aborted = True
+        self.was_ended = True
         self.close()
 
     def close(self) -> None:
