Tests: responses that must arrive are awaited for 5 s

test_response_that_is_given_up_is_freed_before_its_reader_runs failed once (Timeout: 5 seconds) and the fuzzer once in a run of 2,000 examples (a sound first answer was None, which did not repeat), both at a load of 28 to 30. Cause: the request ended after 0.15 s, which a busy machine needs to answer; with 0.001 s both fail in the same way on an idle one. The short wait now holds only for responses that stray bytes may have made unreadable, and the request after a repeated refusal must be answered, not only end.

--- a/tests/forwarding/test_byte_streams.py
+++ b/tests/forwarding/test_byte_streams.py
@@ -32,7 +32,10 @@
 from standins import http
 
 EXAMPLES = int(os.environ.get("BYTE_STREAM_EXAMPLES", "100"))
-DEADLINE_S = 0.15
+# Wait for a response that stray bytes may have made unreadable, and for one
+# that must arrive.
+UNREADABLE_S = 0.15
+DEADLINE_S = 5.0
 
 
 class Stray(NamedTuple):
@@ -178,7 +181,7 @@
         )
         self.memory = response_memory.ResponseMemory()
 
-    def ask(self, request_id):
+    def ask(self, request_id, timeout_s=DEADLINE_S):
         """Returns status and body; None if there was no usable response."""
         raw = messages.Request(
             "GET", "/a", (("X-Request-Id", request_id),), b"", True, 0.0
@@ -188,11 +191,11 @@
             wire.RunnerWire(),
             self.clock,
             wire.decode_caller(raw),
-            calls.Delivery(self.upstream, "", 1.0),
+            calls.Delivery(self.upstream, "", DEADLINE_S),
             self.notices,
             self.memory,
         )
-        deadline = self.clock.monotonic() + DEADLINE_S
+        deadline = self.clock.monotonic() + timeout_s
         try:
             exchange.start(recently_used=False)
             response = exchange.read_head(deadline)
@@ -218,10 +221,11 @@
     try:
         sound = True
         for number, answer in enumerate(script):
-            given = requester.ask(f"r{number}")
+            sound = sound and answer.before is None
+            timeout_s = DEADLINE_S if sound else UNREADABLE_S
+            given = requester.ask(f"r{number}", timeout_s)
             expected = (answer.status, f"r{number} ".encode() + answer.body)
             assert given in (None, expected)
-            sound = sound and answer.before is None
             assert not sound or given == expected
             sound = sound and answer.behind is None
     finally:
@@ -241,7 +245,7 @@
     requester = Requester(server.address)
     try:
         assert requester.ask("r0") == (status, b"r0 ")
-        assert requester.ask("r1") in (None, (200, b"r1 "))
+        assert requester.ask("r1") == (200, b"r1 ")
     finally:
         requester.connections.close()
         server.close()
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -60,20 +60,14 @@
         (make_observation(kind="write", body=STREAM_EVENTS[:20]), ["d-1"], {}),
         (
             make_observation(
-                kind="write",
-                body=STREAM_EVENTS[20:],
-                complete=False,
-                timed_out=True,
+                kind="write", body=STREAM_EVENTS[20:], complete=False
             ),
             ["d-1"],
             {},
         ),
         (
             make_observation(
-                kind="write",
-                body=STREAM_EVENTS * 2,
-                complete=False,
-                timed_out=True,
+                kind="write", body=STREAM_EVENTS * 2, complete=False
             ),
             ["d-1"],
             {},
