--- a/src/coltsfootarch/scheduling/stage_balance.py
+++ b/src/coltsfootarch/scheduling/stage_balance.py
@@ -5,14 +5,10 @@
 rate of a service is limited by the slower stage. It is estimated from the mean
 demand of recent requests, and engines change their stage if that raises it
 enough.
-
-The host that decides sees a small part of the requests of a large fleet. A few
-requests that happen to be long must not take engines out of a balanced service.
 """
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
@@ -29,11 +25,6 @@
 NEW_SAMPLE_WEIGHT = 0.05
 # Requests that must have been recorded before engines change their stage.
 MIN_SAMPLES = 3
-# Standard deviation of the logarithm of the ratio between the two stages' time
-# for a single request. Prompts and answers differ by half of their mean.
-RATIO_DEVIATION = 0.7
-# Standard errors by which the ratio may be off, for 90% on one side.
-ERRORS = 1.28
 # Minimum factor by which a change must raise the sustainable rate, since an
 # engine that changes its stage is unavailable for several seconds. The factor
 # is smaller than the gain from one engine in six.
@@ -94,13 +85,6 @@
         self.decode_s = 0.0
         self.memory_tokens = 0.0
 
-    def error_factor(self) -> float:
-        """Returns the factor by which the ratio of the stages may be off."""
-        # An exponential mean is as exact as a plain one of so many samples.
-        most = 2 / NEW_SAMPLE_WEIGHT - 1
-        samples = min(self.samples, most)
-        return math.exp(ERRORS * RATIO_DEVIATION / math.sqrt(samples))
-
     def record(
         self, prefill_s: float, decode_s: float, memory_tokens: int
     ) -> None:
@@ -137,11 +121,7 @@
         demand.record(prefill_s, decode_s, memory_tokens)
 
     def sustainable_rate(
-        self,
-        service: policy.Service,
-        prefills: int,
-        decodes: int,
-        prefill_factor: float = 1.0,
+        self, service: policy.Service, prefills: int, decodes: int
     ) -> float:
         """Returns the sustainable rate of a service in requests per second.
 
@@ -149,7 +129,6 @@
             service: The service.
             prefills: Number of prefill engines.
             decodes: Number of decode engines.
-            prefill_factor: Factor on the mean time on a prefill engine.
         """
         demand = self.mean_demands[service.name]
         engine = service.engine
@@ -161,7 +140,7 @@
             / max(demand.memory_tokens, 1.0),
             float(engine.slots),
         )
-        prefill_s = max(demand.prefill_s * prefill_factor, 0.001)
+        prefill_s = max(demand.prefill_s, 0.001)
         engine_rate = concurrent_requests / max(demand.decode_s, 0.001)
         decode_rate = decodes * engine_rate
         prefill_rate = prefills * MAX_PREFILL_UTILIZATION / prefill_s
@@ -177,32 +156,6 @@
             + decodes * MAX_LOCAL_PREFILL_FRACTION / local_prefill_s,
         )
 
-    def best_division(
-        self,
-        service: policy.Service,
-        prefills: int,
-        decodes: int,
-        prefill_factor: float = 1.0,
-    ) -> tuple[int, float]:
-        """Returns the best number of prefill engines and the gain by it.
-
-        Args:
-            service: The service.
-            prefills: Present number of prefill engines.
-            decodes: Present number of decode engines.
-            prefill_factor: See `sustainable_rate`.
-        """
-
-        def rate(count: int) -> float:
-            return self.sustainable_rate(
-                service, count, prefills + decodes - count, prefill_factor
-            )
-
-        best = max(range(1, prefills + decodes), key=rate)
-        current_rate = rate(prefills)
-        gain = rate(best) / current_rate if current_rate > 0 else float("inf")
-        return best, gain
-
     def decide(
         self,
         service: policy.Service,
@@ -248,25 +201,26 @@
         if total < 2 or not decodes:
             return None
         current_rate = self.sustainable_rate(service, prefills, decodes)
-        offered_rate = requests_in_progress / max(demand.decode_s, 0.001)
-        if offered_rate < MIN_UTILIZATION * current_rate:
-            return None
-        best_prefills, gain = self.best_division(service, prefills, decodes)
-        # The gain has to remain if the means are off by their error.
-        factor = demand.error_factor()
-        if best_prefills > prefills:
-            factor = 1 / factor
-        best_prefills, least_gain = self.best_division(
-            service, prefills, decodes, factor
+        best_prefills = max(
+            range(1, total),
+            key=lambda count: self.sustainable_rate(
+                service, count, total - count
+            ),
         )
-        if least_gain < MIN_GAIN or best_prefills == prefills:
+        best_rate = self.sustainable_rate(
+            service, best_prefills, total - best_prefills
+        )
+        offered_rate = requests_in_progress / max(demand.decode_s, 0.001)
+        gain = best_rate / current_rate if current_rate > 0 else float("inf")
+        if (
+            gain < MIN_GAIN
+            or offered_rate < MIN_UTILIZATION * current_rate
+            or best_prefills == prefills
+        ):
             return None
         source, target = upstreams.Stage.PREFILL, upstreams.Stage.DECODE
         if best_prefills > prefills:
-            if (
-                least_gain < MIN_GAIN_TO_PREFILL
-                or total < MIN_ENGINES_TO_PREFILL
-            ):
+            if gain < MIN_GAIN_TO_PREFILL or total < MIN_ENGINES_TO_PREFILL:
                 return None
             source, target = target, source
         count = min(abs(best_prefills - prefills), max(total // 8, 1))
