A caller that reads late gets its whole response

Callers that read nothing of a long response for more than 3 s were sent a reset in the middle of it (logged as caller-lost, "Broken pipe"), although the host waits 10 s for a caller to read.

Cause: callers' connections got the TCP_USER_TIMEOUT of 3 s that is meant for upstreams. It also counts while the peer's receive window is closed.

Connections of callers now get SEND_TIMEOUT_S (10 s) as that timeout, so that both limits are the same. A caller that vanishes without closing its connection is noticed after 10 s in place of 3 s, which follows from the kernel's rules and wasn't measured.

--- a/src/coltsfootarch/forwarding/listener.py
+++ b/src/coltsfootarch/forwarding/listener.py
@@ -224,7 +224,9 @@
             self.make_room(connection)
             with contextlib.suppress(OSError):
                 # The caller may have closed the connection already.
-                client.set_socket_options(sock)
+                client.set_socket_options(
+                    sock, round(caller_connection.SEND_TIMEOUT_S * 1000)
+                )
             connection.run()
         finally:
             connection.close(close_reasons.CloseReason.ERROR)
--- a/src/coltsfootarch/http1/client.py
+++ b/src/coltsfootarch/http1/client.py
@@ -78,15 +78,23 @@
     """This host lacked memory, which tells nothing about the peer."""
 
 
-def set_socket_options(sock: gevent_socket.socket) -> None:
-    """Disables Nagle's algorithm and enables the detection of dead peers."""
+def set_socket_options(
+    sock: gevent_socket.socket, user_timeout_ms: int = USER_TIMEOUT_MS
+) -> None:
+    """Disables Nagle's algorithm and enables the detection of dead peers.
+
+    Args:
+        sock: The socket.
+        user_timeout_ms: Time in milliseconds after which a connection fails
+            while sent data is unacknowledged or the peer reads nothing.
+    """
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     tcp = socket.IPPROTO_TCP
     sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
     sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
     sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, user_timeout_ms)
 
 
 def read_arrived(
