An engine that didn't reply to a connection attempt has not crashed

Engines that were silent for a second were quarantined with the content of all requests on them, and those contents counted towards a refusal.

Cause: UpstreamSilentError (no reply to a connection attempt for 0.5 s) is no timeout, so that the engine was asked whether it holds the request. It never got it, so that the answer was always no, which means a crash.

Such an error now counts as a failure of the attempt: the next one avoids the engine, and no content is blamed. A refused connection is still followed by the question.

--- a/src/coltsfootarch/gateway/failures.py
+++ b/src/coltsfootarch/gateway/failures.py
@@ -56,7 +56,8 @@
     After a broken connection the engine must still hold the request, because an
     engine that crashed and restarted at once answers again without it. After a
     timeout it only has to answer, because it may have ended the request in the
-    meantime.
+    meantime. An engine that didn't reply to a connection attempt never got the
+    call and may only be silent for a moment.
 
     Args:
         upstream: Name of the engine.
@@ -71,6 +72,8 @@
         return AttemptFailedError(upstream, CRASHED if lost else FAILED)
     if isinstance(error, errors.LocalConnectError):
         return AttemptFailedError(upstream, CANCELLED)
+    if isinstance(error, errors.UpstreamSilentError):
+        return AttemptFailedError(upstream, FAILED)
     timed_out = isinstance(error, errors.UpstreamTimeoutError)
     try:
         alive = is_responding() if timed_out else holds_request()
