--- a/src/coltsfootarch/forwarding/listener.py
+++ b/src/coltsfootarch/forwarding/listener.py
@@ -13,6 +13,7 @@
 from gevent import socket as gevent_socket
 
 from coltsfootarch.forwarding import caller_connection
+from coltsfootarch.forwarding import caller_socket
 from coltsfootarch.forwarding import close_reasons
 from coltsfootarch.http1 import client
 
@@ -224,7 +225,9 @@
             self.make_room(connection)
             with contextlib.suppress(OSError):
                 # The caller may have closed the connection already.
-                client.set_socket_options(sock)
+                client.set_socket_options(
+                    sock, round(caller_socket.SEND_TIMEOUT_S * 1000)
+                )
             connection.run()
         finally:
             connection.close(close_reasons.CloseReason.ERROR)
