An attempt that may have run makes no refusal say "not run"

Cause: neither path set may_have_run. Of several attempts that ended by errors at once only the first one was freed.

Change: both set it unless the engine stated that it had not run the request; all failed attempts are freed and logged.

--- a/src/coltsfootarch/forwarding/call_attempts.py
+++ b/src/coltsfootarch/forwarding/call_attempts.py
@@ -226,12 +226,10 @@
         """
         ended, self.ended = self.ended, []
         sound = [attempt for attempt in ended if attempt.error is None]
-        for attempt in ended:
-            if attempt.error is None:
-                continue
+        failed = [attempt for attempt in ended if attempt.error is not None]
+        for attempt in failed:
             attempt.close()
-            if not sound and not self.running:
-                raise attempt.error
+            attempt.call.may_have_run |= attempt.exchange.sent
             logger.error(
                 "attempt failed unexpectedly",
                 request_id=attempt.call.request.id,
@@ -239,6 +237,9 @@
                 attempt=attempt.number,
                 exc_info=attempt.error,
             )
+        if failed and not sound and not self.running:
+            assert failed[0].error is not None
+            raise failed[0].error
         return sound
 
     def take_overdue(self) -> list[CallAttempt]:
--- a/src/coltsfootarch/forwarding/engine_preparation.py
+++ b/src/coltsfootarch/forwarding/engine_preparation.py
@@ -415,9 +415,12 @@
             if accepted:
                 self.move(replacement)
         finally:
-            if replacement.exchange.sent:
+            exchange = replacement.exchange
+            if exchange.sent:
                 call.attempts += 1
                 call.tried.append(replacement.placement.decode.id)
+                answer = exchange.accepted
+                call.may_have_run |= answer is None or not answer.not_run
             self.acceptance.close()
         self.cancellation.check()
         return accepted
