--- a/src/coltsfootarch/forwarding/limited_reader.py
+++ b/src/coltsfootarch/forwarding/limited_reader.py
@@ -78,16 +78,20 @@
             return self.held[0].request.fields
         return tuple(self.fields)
 
-    def read(self, data: bytes) -> None:
+    def read(self, data: bytes, received_at: float | None = None) -> None:
         """Parses bytes; appends to `complete` or sets `error`; see `settle`.
 
         Args:
             data: Received bytes.
+            received_at: Instant at which they arrived, in seconds; now if not
+                given.
         """
+        if received_at is None:
+            received_at = self.clock.monotonic()
         if self.parse_error is None:
             try:
                 self.apply(self.limits())
-                self.feed(data, self.clock.monotonic())
+                self.feed(data, received_at)
             except Exception as error:
                 # It is logged when the complete requests are answered.
                 self.parse_error = error
--- a/src/coltsfootarch/forwarding/listener.py
+++ b/src/coltsfootarch/forwarding/listener.py
@@ -30,6 +30,8 @@
 BACKLOG = 1024
 # Pause after a failure to accept a connection, in seconds.
 ACCEPT_RETRY_S = 0.05
+# Failures to accept after which a host that ends gives up the rest.
+MAX_LAST_FAILURES = 20
 # Idle time from which a connection may be closed for a new one, in seconds.
 MIN_REPLACED_IDLE_S = 1.0
 
@@ -267,17 +269,19 @@
         if sock is None:
             return
         sock.settimeout(0.0)
-        try:
-            while True:
+        failures = 0
+        while failures < MAX_LAST_FAILURES:
+            try:
                 accepted, _ = sock.accept()
+            except BlockingIOError:
+                # There are no more.
+                break
+            except Exception as error:
+                failures += 1
+                self.handle_accept_error(error)
+            else:
                 gevent.spawn(self.serve, accepted)
-        except BlockingIOError:
-            # There are no more.
-            pass
-        except Exception as error:
-            self.handle_accept_error(error)
-        finally:
-            sock.close()
+        sock.close()
 
     def close(self) -> None:
         """Stops accepting and closes all connections."""
