--- a/src/coltsfootarch/forwarding/caller_connection.py
+++ b/src/coltsfootarch/forwarding/caller_connection.py
@@ -17,6 +17,7 @@
 from coltsfootarch.forwarding import close_reasons
 from coltsfootarch.forwarding import close_reports
 from coltsfootarch.forwarding import limited_reader
+from coltsfootarch.forwarding import pipelined_bytes
 from coltsfootarch.forwarding import read_refusals
 from coltsfootarch.forwarding import responder as responders
 from coltsfootarch.http1 import client
@@ -30,9 +31,10 @@
     from coltsfootarch.http1 import messages
 
 # Bytes of pipelined requests that are buffered while one is handled. The rest
-# stays in the socket, so that the caller has to wait. A disconnect behind it
-# is noticed with the next request.
+# stays in the socket, so that the caller has to wait.
 MAX_PIPELINED_BYTES = 65536
+# Interval at which a disconnect behind that is looked for, in seconds.
+END_POLL_S = 0.1
 # Bytes that are parsed at a time. A request of a few bytes takes many times its
 # size once it is parsed.
 PARSED_BYTES = 4096
@@ -77,7 +79,7 @@
             listener.limits, listener.await_policy, listener.clock
         )
         # Received and not parsed yet.
-        self.pipelined = bytearray()
+        self.pipelined = pipelined_bytes.PipelinedBytes()
         self.closed = False
         self.surplus = False
         self.rejected = False
@@ -92,7 +94,7 @@
     @property
     def has_next_request(self) -> bool:
         """Whether bytes behind the request in progress have been read."""
-        return self.reader.has_requests or bool(self.pipelined)
+        return self.reader.has_requests or len(self.pipelined) > 0
 
     def close(self, reason: close_reasons.CloseReason) -> None:
         """Closes the connection; only the first reason is reported.
@@ -196,11 +198,9 @@
                         return None
                     if not reader.in_progress:
                         since = clock.monotonic()
-                    self.pipelined += data
+                    self.pipelined.append(data, clock.monotonic())
                 self.idle = False
-                data = bytes(self.pipelined[:PARSED_BYTES])
-                del self.pipelined[:PARSED_BYTES]
-                reader.read(data)
+                reader.read(*self.pipelined.take(PARSED_BYTES))
         except readers.MalformedMessageError as error:
             code, reason = read_refusals.refusal_of(error)
             logger.info(
@@ -238,7 +238,9 @@
             is_kept = not (self.reader.in_progress or self.surplus)
             if remaining <= 0 and is_kept:
                 remaining = self.listener.keep_idle_s()
-                if not remaining and waiter is not None and not waiter.ready():
+                if remaining:
+                    awaited = False
+                elif waiter is not None and not waiter.ready():
                     remaining = POLICY_POLL_S
             data = self.read_socket(remaining)
             if data == b"":
@@ -380,6 +382,7 @@
     def watch(self) -> Any:
         """Watches for a disconnect; returns None if that isn't possible."""
         if len(self.pipelined) >= MAX_PIPELINED_BYTES:
+            gevent.spawn(self.watch_for_end)
             return None
         try:
             watcher = gevent.get_hub().loop.io(self.sock.fileno(), 1)
@@ -405,13 +408,25 @@
         if data is None:
             return
         if data:
-            self.pipelined += data
+            self.pipelined.append(data, self.listener.clock.monotonic())
             if len(self.pipelined) < MAX_PIPELINED_BYTES:
                 return
+            gevent.spawn(self.watch_for_end)
         watcher.stop()  # type: ignore[attr-defined]
         if not data and self.cancellation is not None:
             self.cancellation.cancel()
 
+    def watch_for_end(self) -> None:
+        """Looks for a disconnect behind bytes that stay in the socket."""
+        cancellation = self.cancellation
+        while cancellation is not None and cancellation is self.cancellation:
+            if self.closed:
+                return
+            if caller_socket.has_hung_up(self.sock):
+                cancellation.cancel()
+                return
+            gevent.sleep(END_POLL_S)
+
     def pause_watch(self, watcher: Any) -> None:
         """Stops a watcher for a moment, since the bytes stay readable."""
         watcher.stop()
--- a/src/coltsfootarch/forwarding/caller_socket.py
+++ b/src/coltsfootarch/forwarding/caller_socket.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import select
 import socket
 from typing import TYPE_CHECKING
 
+from gevent import monkey
+
 from coltsfootarch.forwarding import close_reasons
 from coltsfootarch.http1 import client
 from coltsfootarch.http1 import readers
@@ -46,6 +49,14 @@
             self.reason = close_reasons.CloseReason.SEND_TIMEOUT
 
 
+def has_hung_up(sock: gevent_socket.socket) -> bool:
+    """Returns whether the caller has closed, also behind unread bytes."""
+    # That of gevent doesn't know POLLRDHUP.
+    poller = monkey.get_original("select", "poll")()
+    poller.register(sock.fileno(), select.POLLRDHUP)
+    return bool(poller.poll(0))
+
+
 def is_timeout(error: Exception) -> bool:
     """Returns whether an error is the timeout of a call, not the system's."""
     return isinstance(error, TimeoutError) and error.errno is None
