--- a/src/coltsfootarch/scheduling/dispatch_queue.py
+++ b/src/coltsfootarch/scheduling/dispatch_queue.py
@@ -123,45 +123,6 @@
         return self.find_exclusions()
 
 
-class PlacementFailures:
-    """Demands for which one search found no engine, so that others are skipped.
-
-    Loads only grow during a search. A larger demand with the same exclusions
-    fails as well.
-    """
-
-    def __init__(self) -> None:
-        self.demands: dict[
-            tuple[str, bool, frozenset[str]], list[engine_placement.Demand]
-        ] = {}
-
-    def add(self, waiter: Waiter, excluded: frozenset[str]) -> None:
-        """Records that a request could not be placed."""
-        self.demands.setdefault(self.key(waiter, excluded), []).append(
-            waiter.demand
-        )
-
-    def include(self, waiter: Waiter, excluded: frozenset[str]) -> bool:
-        """Returns whether a request is certain not to be placed."""
-        demand = waiter.demand
-        return any(
-            failed.prompt_tokens <= demand.prompt_tokens
-            and failed.memory_tokens <= demand.memory_tokens
-            and failed.event_gap_s >= demand.event_gap_s
-            for failed in self.demands.get(self.key(waiter, excluded), ())
-        )
-
-    def key(
-        self, waiter: Waiter, excluded: frozenset[str]
-    ) -> tuple[str, bool, frozenset[str]]:
-        """Returns what requests must have in common."""
-        return (
-            waiter.service.name,
-            waiter.demand.may_use_prefill_engine,
-            excluded,
-        )
-
-
 class DispatchQueue:
     """Places requests on engines and queues them while there is no capacity.
 
@@ -288,18 +249,13 @@
             return
         now = self.clock.monotonic()
         self.waiters.sort(key=lambda waiter: waiter.rank(now))
-        failures = PlacementFailures()
         for waiter in tuple(self.waiters):
             if waiter.is_retry and self.backlog.total(waiter.service.name):
                 continue
-            excluded = frozenset(waiter.exclusions())
-            if failures.include(waiter, excluded):
-                continue
             placement = self.placer.place(
-                waiter.service, waiter.demand, excluded
+                waiter.service, waiter.demand, waiter.exclusions()
             )
             if placement is None:
-                failures.add(waiter, excluded)
                 continue
             self.reserve(placement)
             waiter.placement = placement
