Log and count restorations of the store

Change: the store's client reads Store-Era and tells one object for the host; log lines 'store epoch', 'store restored', 'store holds an older policy than the one in force', and two metrics. No decision depends on them.

--- a/src/coltsfootarch/fleet/followers.py
+++ b/src/coltsfootarch/fleet/followers.py
@@ -85,6 +85,7 @@
         transfer: Size and duration of the answer.
         rows: Number of rows in the answer.
         decode_s: Time that decoding took, in seconds.
+        epoch: Epoch of the store in which the revision was given out.
     """
 
     policy: policy.Policy | None
@@ -94,6 +95,7 @@
     transfer: transfers.Transfer = transfers.Transfer()
     rows: int = 0
     decode_s: float = 0.0
+    epoch: int = 0
 
 
 class UpstreamReadResult(NamedTuple):
@@ -104,12 +106,14 @@
         removed: Ids whose registration was removed or can't be decoded.
         revision: Revision of the store as of which it is current.
         sent_at: Instant at which the read was sent, in seconds.
+        epoch: Epoch of the store in which the revision was given out.
     """
 
     found: dict[str, upstreams.Upstream]
     removed: tuple[str, ...]
     revision: int
     sent_at: float
+    epoch: int = 0
 
 
 class PolicySource(Protocol):
@@ -189,6 +193,7 @@
                 version=newer.version,
                 previous=previous,
                 revision=result.revision,
+                epoch=result.epoch,
                 age_s=round(self.clock.monotonic() - result.sent_at, 3),
                 rows=result.rows,
                 bytes=result.transfer.size_bytes,
@@ -199,6 +204,14 @@
             self.last_transfer = result.transfer
             for notify in self.on_change:
                 notify(newer)
+        elif newer is not None and newer.version < self.version():
+            logger.warning(
+                "store holds an older policy than the one in force",
+                version=newer.version,
+                in_force=self.version(),
+                revision=result.revision,
+                epoch=result.epoch,
+            )
         if result.readable and self.policy is not None:
             self.confirmed_at = max(self.confirmed_at, result.sent_at)
             self.confirmed.set()
--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -426,6 +426,8 @@
             metrics.policy_version.set(tracker.policy.version)
             metrics.policy_bytes.set(tracker.last_transfer.size_bytes)
             metrics.policy_transfer.set(tracker.last_transfer.received_s)
+        metrics.store_epoch.set(self.platform.epochs.epoch)
+        metrics.store_restorations.set(self.platform.epochs.restorations)
         for follower in self.followers:
             metrics.read_failures.labels(follower.name).set(follower.failures)
         metrics.response_bytes.set(self.context.response_memory.used)
--- a/src/coltsfootarch/forwarding/platform_interface.py
+++ b/src/coltsfootarch/forwarding/platform_interface.py
@@ -11,6 +11,7 @@
     from coltsfootarch.fleet import followers
     from coltsfootarch.fleet import hosts
     from coltsfootarch.fleet import stage_orders
+    from coltsfootarch.fleet import store_epochs
     from coltsfootarch.forwarding import calls
 
 
@@ -27,6 +28,7 @@
         wire: Wire format of upstreams.
         ready_path: Path of the load balancer's readiness checks.
         close: Closes the connections to the platform.
+        epochs: Epochs of the store, as its answers state them.
     """
 
     policies: followers.PolicySource
@@ -38,3 +40,4 @@
     wire: calls.UpstreamProtocol
     ready_path: str
     close: Callable[[], object]
+    epochs: store_epochs.StoreEpochs
--- a/src/coltsfootarch/observability/registry.py
+++ b/src/coltsfootarch/observability/registry.py
@@ -48,6 +48,12 @@
         self.policy_version = self.gauge(
             "policy_version", "version of the policy in force"
         )
+        self.store_epoch = self.gauge(
+            "store_epoch", "newest epoch of the store that is known"
+        )
+        self.store_restorations = self.gauge(
+            "store_restorations", "changes of the store's epoch since the start"
+        )
         self.policy_bytes = self.gauge(
             "policy_read_bytes", "size of the answer that brought the policy"
         )
--- a/src/coltsfootarch/platform/attachment.py
+++ b/src/coltsfootarch/platform/attachment.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from coltsfootarch.fleet import store_epochs
 from coltsfootarch.forwarding import platform_interface
 from coltsfootarch.platform import feeds
 from coltsfootarch.platform import orders
@@ -29,7 +30,8 @@
         address: Address ("ip:port") of the platform's store.
         clock: Source of time.
     """
-    clients = [store.StoreClient(address, clock) for _ in range(4)]
+    epochs = store_epochs.StoreEpochs(clock)
+    clients = [store.StoreClient(address, clock, epochs) for _ in range(4)]
 
     def close() -> None:
         for client in clients:
@@ -45,4 +47,5 @@
         wire.RunnerWire(),
         READY_PATH,
         close,
+        epochs,
     )
--- a/src/coltsfootarch/platform/feeds.py
+++ b/src/coltsfootarch/platform/feeds.py
@@ -118,6 +118,7 @@
             rows.transfer,
             len(rows.rows),
             self.client.clock.monotonic() - started,
+            rows.epoch,
         )
 
 
@@ -171,7 +172,7 @@
                     reason=str(error),
                 )
         return followers.UpstreamReadResult(
-            found, tuple(removed), rows.revision, rows.sent_at
+            found, tuple(removed), rows.revision, rows.sent_at, rows.epoch
         )
 
 
--- a/src/coltsfootarch/platform/store.py
+++ b/src/coltsfootarch/platform/store.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from coltsfootarch import errors
+from coltsfootarch.fleet import store_epochs
 from coltsfootarch.http1 import client
 from coltsfootarch.http1 import messages
 from coltsfootarch.http1 import transfers
@@ -31,6 +32,10 @@
 # answer beyond the wait, in seconds.
 FEED_TIMEOUT_MARGIN_S = 0.5
 ROWS_PER_CALL = 500
+# Header field of all answers. It rises by one when the store is restored from a
+# copy, after which it gives out revisions again.
+STORE_ERA = "store-era"
+MAX_EPOCH_DIGITS = 6
 
 
 class Row(NamedTuple):
@@ -55,12 +60,14 @@
         revision: Newest revision of the store when it answered.
         sent_at: Monotonic instant at which the call was sent, in seconds.
         transfer: Size and duration of the answer.
+        epoch: Epoch of the store when it answered.
     """
 
     rows: tuple[Row, ...]
     revision: int
     sent_at: float
     transfer: transfers.Transfer
+    epoch: int = 0
 
 
 class StoreClient:
@@ -71,19 +78,29 @@
     Args:
         address: Address ("ip:port") of the store.
         clock: Source of time.
+        epochs: Epochs of the store, which all clients of a host share.
 
     Attributes:
         connection: The open connection, if there is one.
         calls: Number of calls made.
+        answer_epoch: Epoch of the last answer; the newest known one if the
+            answer stated none.
         transfer: Size and duration of the last answer, also of one that was
             not complete.
     """
 
-    def __init__(self, address: str, clock: clocks.Clock) -> None:
+    def __init__(
+        self,
+        address: str,
+        clock: clocks.Clock,
+        epochs: store_epochs.StoreEpochs | None = None,
+    ) -> None:
         self.address = address
         self.clock = clock
+        self.epochs = epochs or store_epochs.StoreEpochs(clock)
         self.connection: client.Connection | None = None
         self.calls = 0
+        self.answer_epoch = 0
         self.transfer = transfers.Transfer()
         self.progress: transfers.Progress | None = None
 
@@ -125,7 +142,9 @@
             transfer = transfer.plus(page.transfer)
             rows += page.rows
             if not document.get("truncated") or not page.rows:
-                return Rows(tuple(rows), page.revision, sent_at, transfer)
+                return page._replace(
+                    rows=tuple(rows), sent_at=sent_at, transfer=transfer
+                )
             start = page.rows[-1].key + "\0"
 
     def read_changes(
@@ -282,7 +301,9 @@
             document = msgspec.json.decode(body)
             rows = tuple(map(decode_row, document["rows"]))
             revision = int(document["ver"])
-            return Rows(rows, revision, sent_at, transfer), document
+            return Rows(
+                rows, revision, sent_at, transfer, self.answer_epoch
+            ), document
         except (
             msgspec.DecodeError,
             KeyError,
@@ -388,8 +409,17 @@
             self.transfer = progress.transfer()
         if not connection.finish(answer):
             self.connection = None
+        self.observe_epoch(answer)
         return answer, data
 
+    def observe_epoch(self, head: messages.ResponseHead) -> None:
+        """Notes the epoch that an answer states, if it states one."""
+        value = messages.field_value(head.fields, STORE_ERA)
+        self.answer_epoch = self.epochs.epoch
+        if value.isdecimal() and len(value) <= MAX_EPOCH_DIGITS:
+            self.answer_epoch = int(value)
+            self.epochs.observe(self.answer_epoch, "store")
+
     def connect(self) -> client.Connection:
         """Returns the open connection, or opens one.
 
