Failing tests: reads go on in a history that a restoration has replaced

Cause: a read of changes names a revision only. Once the restored store has given that revision out again, it answers 200 without the rows that were written below it; a table read in pages mixes two histories; a late answer of the earlier history is applied. Change: the stand-in store can be restored from a copy, states its era, and answers a feed that waits meanwhile from the new history.

--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -2,9 +2,11 @@
 
     python -m standins.metadata_store --listen 127.0.0.1:7000
 
-It can simulate being unavailable or slow, losing responses and losing its
-history. A test sets the attributes for this; another process sends them as a
-JSON object to `POST /standin/set`, where the key "forget" drops the history.
+It can simulate being unavailable or slow, losing responses, losing its history
+and being restored from a copy. A test sets the attributes for this; another
+process sends them as a JSON object to `POST /standin/set`, where the key
+"forget" drops the history and "restore" restores the copy that is so many
+seconds old.
 """
 
 from __future__ import annotations
@@ -69,6 +71,9 @@
         bytes_per_s: Rate at which responses are sent; 0 for no limit.
         stall_after_bytes: Bytes of a body after which a response at a limited
             rate stops for good; 0 for none.
+        era: Number that rises with each restoration, sent in `Store-Era`; None
+            to send none.
+        writes: All writes of this history with their instants, in seconds.
     """
 
     def __init__(self, address: str = "127.0.0.1:0") -> None:
@@ -85,6 +90,8 @@
         self.lose_answers = False
         self.bytes_per_s = 0.0
         self.stall_after_bytes = 0
+        self.era: int | None = 1
+        self.writes: list[tuple[float, StoredRow]] = []
 
     @property
     def address(self) -> str:
@@ -106,14 +113,48 @@
         """
         self.revision += 1
         row = StoredRow(table, part, key, value, self.revision)
-        if value is None:
-            self.rows.pop((table, part, key), None)
+        self.apply(row)
+        self.writes.append((time.monotonic(), row))
+        self.changed.set()
+        self.changed.clear()
+        return self.revision
+
+    def apply(self, row: StoredRow) -> None:
+        """Applies a write to the rows and the history."""
+        if row.value is None:
+            self.rows.pop((row.table, row.part, row.key), None)
         else:
-            self.rows[table, part, key] = row
+            self.rows[row.table, row.part, row.key] = row
         self.history.append(row)
+        self.revision = row.revision
+
+    def restore(self, revision: int) -> None:
+        """Comes back from a copy that was made at a revision.
+
+        What was written since is lost, and its revisions are given out again.
+        """
+        self.writes = [
+            (at, row) for at, row in self.writes if row.revision <= revision
+        ]
+        self.rows = {}
+        self.history = []
+        self.revision = 0
+        for _, row in self.writes:
+            self.apply(row)
+        self.oldest = min(self.oldest, self.revision)
+        self.era = (self.era or 0) + 1
         self.changed.set()
         self.changed.clear()
-        return self.revision
+
+    def restore_copy(self, age_s: float) -> None:
+        """Comes back from a copy that is so many seconds old."""
+        made_at = time.monotonic() - age_s
+        self.restore(
+            max(
+                (row.revision for at, row in self.writes if at <= made_at),
+                default=0,
+            )
+        )
 
     def drop_history(self) -> None:
         """Drops the history; feeds from earlier revisions get status 410."""
@@ -129,6 +170,8 @@
             for name, value in msgspec.json.decode(request.body).items():
                 if name == "forget":
                     self.drop_history()
+                elif name == "restore":
+                    self.restore_copy(float(value))
                 else:
                     setattr(self, name, value)
             connection.respond(200)
@@ -150,7 +193,7 @@
             connection.reset()
             return
         if self.mode == "busy":
-            connection.respond(503)
+            connection.respond(503, self.era_fields())
             return
         if self.delay_s:
             gevent.sleep(self.delay_s)
@@ -163,18 +206,24 @@
             return
         document["now_ms"] = int((time.monotonic() - self.started) * 1000)
         body = msgspec.json.encode(document)
-        content_type = ("Content-Type", "application/json")
+        fields = (("Content-Type", "application/json"), *self.era_fields())
         if not self.bytes_per_s:
-            connection.respond(status, (content_type,), body)
+            connection.respond(status, fields, body)
             return
         length = ("Content-Length", str(len(body)))
         connection.send(
             messages.render_head(
-                messages.status_line(status), [content_type, length]
+                messages.status_line(status), [*fields, length]
             )
         )
         self.send_slowly(connection, body)
 
+    def era_fields(self) -> messages.Fields:
+        """Returns the header field that states the era, if one is stated."""
+        if self.era is None:
+            return ()
+        return (("Store-Era", str(self.era)),)
+
     def send_slowly(self, connection: http.Connection, body: bytes) -> None:
         """Sends a body at `bytes_per_s`, as over a slow link."""
         piece = max(int(self.bytes_per_s * SLOW_PIECE_S), 1)
@@ -218,10 +267,11 @@
     def feed(self, arguments: dict[str, str]) -> tuple[int, dict[str, Any]]:
         """Returns status and document of `rows-feed`, waiting for a write."""
         after = int(arguments["after"])
-        if after < self.oldest:
+        if after < self.oldest or after > self.revision:
             return 410, {}
         wait = min(float(arguments.get("wait_ms", "0")) / 1000, MAX_FEED_WAIT_S)
         deadline = time.monotonic() + wait
+        era = self.era
         while True:
             rows = [
                 row
@@ -229,7 +279,7 @@
                 if row.table == arguments["table"] and row.revision > after
             ]
             remaining_s = deadline - time.monotonic()
-            if rows or remaining_s <= 0:
+            if rows or remaining_s <= 0 or self.era != era:
                 break
             self.changed.wait(remaining_s)
         documents = [row.document() for row in rows]
--- /dev/null
+++ b/tests/platform/test_restored_store.py
@@ -0,0 +1,183 @@
+"""Tests that nothing is missed when the store comes back from an older copy."""
+
+from __future__ import annotations
+
+import gevent
+import pytest
+
+from coltsfootarch import clock as clocks
+from coltsfootarch import errors
+from coltsfootarch.fleet import followers
+from coltsfootarch.fleet import upstreams
+from coltsfootarch.platform import feeds
+from coltsfootarch.platform import store
+from standins import metadata_store
+from tests.platform import documents
+
+
+@pytest.fixture
+def server():
+    server = metadata_store.MetadataStore()
+    server.start()
+    yield server
+    server.close()
+
+
+@pytest.fixture
+def client(server):
+    client = store.StoreClient(server.address, clocks.SystemClock())
+    yield client
+    client.close()
+
+
+@pytest.fixture
+def follower(client):
+    """A follower of the policy whose reads don't wait."""
+    tracker = followers.PolicyTracker(client.clock)
+    return followers.PolicyFollower(
+        feeds.PolicyFeed(client), tracker, client.clock, wait_s=0.0
+    )
+
+
+@pytest.fixture
+def upstream_follower(client):
+    return followers.UpstreamFollower(
+        feeds.UpstreamFeed(client),
+        upstreams.UpstreamDirectory(client.clock),
+        client.clock,
+    )
+
+
+def configure(server, version):
+    document = documents.configuration(version=version)
+    return server.put("op", "config", documents.encoded(document))
+
+
+def register(server, name, **changes):
+    entry = documents.registration(**changes)
+    return server.put("servers", name, documents.encoded(entry))
+
+
+def write_others(server, until):
+    while server.revision < until:
+        server.put("other", "row", b"")
+
+
+def read_registrations(follower):
+    """Reads the registrations now, though they were read a moment ago."""
+    follower.directory.outdated = True
+    follower.try_step()
+
+
+def test_policy_at_a_revision_that_was_given_out_before_is_read(
+    server, follower
+):
+    configure(server, 1)
+    copied = server.revision
+    write_others(server, 9)
+    follower.step()
+
+    server.restore(copied)
+    configure(server, 2)
+    write_others(server, 9)
+    for _ in range(3):
+        follower.try_step()
+
+    assert follower.tracker.version() == 2
+
+
+def test_registration_at_a_revision_that_was_given_out_before_is_read(
+    server, upstream_follower
+):
+    register(server, "i-1")
+    copied = server.revision
+    write_others(server, 9)
+    upstream_follower.step()
+
+    server.restore(copied)
+    register(server, "i-1", state="draining")
+    write_others(server, 9)
+    for _ in range(3):
+        read_registrations(upstream_follower)
+
+    assert not upstream_follower.directory.is_serving("i-1")
+
+
+def test_wait_for_a_change_that_spans_a_restoration_is_not_trusted(
+    server, client
+):
+    configure(server, 1)
+    copied = server.revision
+    write_others(server, 9)
+    tracker = followers.PolicyTracker(client.clock)
+    follower = followers.PolicyFollower(
+        feeds.PolicyFeed(client), tracker, client.clock, wait_s=5.0
+    )
+    follower.start()
+    try:
+        with gevent.Timeout(2.0):
+            while follower.waiting_since is None:
+                gevent.sleep(0.01)
+        server.restore(copied)
+        configure(server, 2)
+        write_others(server, 9)
+        with gevent.Timeout(2.0):
+            while tracker.version() != 2:
+                gevent.sleep(0.01)
+    finally:
+        follower.close()
+
+
+def test_table_whose_pages_span_a_restoration_is_not_used(
+    server, client, monkeypatch
+):
+    monkeypatch.setattr(store, "ROWS_PER_CALL", 2)
+    for number in range(4):
+        register(server, f"i-{number}")
+    fetch = client.fetch
+
+    def restore_after_the_first_page(*arguments):
+        page = fetch(*arguments)
+        if server.era == 1:
+            server.restore(3)
+        return page
+
+    monkeypatch.setattr(client, "fetch", restore_after_the_first_page)
+
+    with pytest.raises(errors.TableUnavailableError):
+        client.read_table("servers")
+
+
+def test_answer_of_an_earlier_epoch_is_not_used(server, client):
+    """Guards against a late answer of the store as it was before."""
+    configure(server, 1)
+    server.era = 3
+    client.read_table("op")
+    server.era = 2
+
+    with pytest.raises(errors.TableUnavailableError):
+        client.read_table("op")
+
+
+@pytest.mark.parametrize("era", [None, "", "x", "-1", "9" * 40])
+def test_store_without_a_usable_epoch_is_followed(server, follower, era):
+    server.era = era
+    configure(server, 1)
+    follower.step()
+    configure(server, 2)
+    follower.step()
+
+    assert follower.tracker.version() == 2
+
+
+def test_epoch_that_is_missing_from_one_answer_does_not_change_it(
+    server, client, follower
+):
+    configure(server, 1)
+    follower.step()
+    server.era = None
+    configure(server, 2)
+    follower.step()
+
+    assert follower.tracker.version() == 2
+    assert client.epochs.restorations == 0
