Reads go on only in the history that they began in

Callers could be served by an old policy or by an upstream that had left: a read of changes behind a revision that the restored store had given out again got 200 without the rows below it, a table read in pages mixed two histories, and a late answer of the earlier history was applied.

Cause: a place in the store's history was a revision alone. Change: it is an epoch and a revision (store_epochs.Position) wherever it is kept, compared or passed on; the store's client states the epoch of each answer, takes changes only from the epoch of the last read, reads a table anew if its pages differ, and drops answers of earlier epochs. Hosts tell each other the epoch after a restoration (not in the first epoch, so that earlier builds can read reports), which also ends a wait for changes.

--- a/src/coltsfootarch/fleet/followers.py
+++ b/src/coltsfootarch/fleet/followers.py
@@ -11,6 +11,7 @@
 import structlog
 
 from coltsfootarch import errors
+from coltsfootarch.fleet import store_epochs
 from coltsfootarch.http1 import transfers
 
 if TYPE_CHECKING:
@@ -97,6 +98,11 @@
     decode_s: float = 0.0
     epoch: int = 0
 
+    @property
+    def position(self) -> store_epochs.Position:
+        """Place in the store's history as of which it is current."""
+        return store_epochs.Position(self.epoch, self.revision)
+
 
 class UpstreamReadResult(NamedTuple):
     """Result of reading registered upstreams from the store.
@@ -115,6 +121,11 @@
     sent_at: float
     epoch: int = 0
 
+    @property
+    def position(self) -> store_epochs.Position:
+        """Place in the store's history as of which it is current."""
+        return store_epochs.Position(self.epoch, self.revision)
+
 
 class PolicySource(Protocol):
     """Source of policies."""
@@ -122,12 +133,17 @@
     def read(self) -> PolicyReadResult:
         """Returns the newest policy."""
 
-    def read_changes(self, revision: int, wait_s: float) -> PolicyReadResult:
-        """Waits for a policy change after a revision.
+    def read_changes(
+        self, position: store_epochs.Position, wait_s: float
+    ) -> PolicyReadResult:
+        """Waits for a policy change after a position.
 
         Args:
-            revision: Revision of the last read.
+            position: Position of the last read.
             wait_s: Longest time to wait for a change, in seconds.
+
+        Raises:
+            errors.HistoryLostError: The store no longer has the changes since.
         """
 
     def abandon_silent_read(self) -> bool:
@@ -144,12 +160,17 @@
     def read(self) -> UpstreamReadResult:
         """Returns all registrations."""
 
-    def read_changes(self, revision: int, wait_s: float) -> UpstreamReadResult:
-        """Returns the registrations that changed after a revision.
+    def read_changes(
+        self, position: store_epochs.Position, wait_s: float
+    ) -> UpstreamReadResult:
+        """Returns the registrations that changed after a position.
 
         Args:
-            revision: Revision of the last read.
+            position: Position of the last read.
             wait_s: Longest time to wait for a change, in seconds.
+
+        Raises:
+            errors.HistoryLostError: The store no longer has the changes since.
         """
 
 
@@ -321,7 +342,7 @@
     def __init__(self, name: str, clock: clocks.Clock) -> None:
         self.name = name
         self.clock = clock
-        self.revision: int | None = None
+        self.position: store_epochs.Position | None = None
         self.failing_since: float | None = None
         self.failures = 0
         self.greenlet: gevent.Greenlet | None = None
@@ -354,7 +375,9 @@
         except errors.PlatformError as error:
             self.failures += 1
             if isinstance(error, errors.HistoryLostError):
-                self.revision = None
+                # The store answers, so that the pause needn't grow.
+                self.position = None
+                self.retry_pause_s = RETRY_MIN_S
             else:
                 self.record_failure(started_at)
             self.log_outage(error)
@@ -365,7 +388,7 @@
         except Exception:
             self.failures += 1
             logger.exception("read failed unexpectedly", source=self.name)
-            self.revision = None
+            self.position = None
             wait = RETRY_MAX_S
         return wait
 
@@ -468,17 +491,17 @@
     def step(self) -> float:
         """Reads once, unless another host passes on what it reads."""
         announced = self.tracker.announced
-        if self.revision is not None and self.is_passed_on():
+        if self.position is not None and self.is_passed_on():
             if not self.must_read():
                 return PASSED_CHECK_S
             if not self.tracker.is_behind():
                 self.fallback_reads += 1
         now = self.clock.monotonic()
-        if self.revision is None or now - self.read_at > HISTORY_S:
+        if self.position is None or now - self.read_at > HISTORY_S:
             result = self.source.read()
         else:
             wait = self.next_wait_s()
-            result, wait = self.read_changes(self.revision, wait)
+            result, wait = self.read_changes(self.position, wait)
             if result.policy is None and wait > FEED_GAP_S:
                 # Without a change the store responds after the full wait.
                 waited = self.clock.monotonic() - result.sent_at
@@ -486,7 +509,7 @@
                 result = result._replace(
                     sent_at=result.sent_at + max(confirmed_s, 0.0)
                 )
-        self.revision = result.revision
+        self.position = result.position
         self.read_at = self.clock.monotonic()
         self.tracker.apply(result)
         if self.tracker.version() < announced == self.tracker.announced:
@@ -498,12 +521,12 @@
         return 0.0 if self.tracker.policy is not None else RETRY_MIN_S
 
     def read_changes(
-        self, revision: int, wait_s: float
+        self, position: store_epochs.Position, wait_s: float
     ) -> tuple[PolicyReadResult, float]:
         """Waits for a change; repeats a read that was abandoned.
 
         Args:
-            revision: Revision of the last read.
+            position: Position of the last read.
             wait_s: Longest time to wait for a change, in seconds.
 
         Returns:
@@ -512,13 +535,13 @@
         self.abandoned = False
         self.waiting_since = self.clock.monotonic() if wait_s else None
         try:
-            return self.source.read_changes(revision, wait_s), wait_s
+            return self.source.read_changes(position, wait_s), wait_s
         except errors.PlatformError:
             if not self.abandoned:
                 raise
         finally:
             self.waiting_since = None
-        return self.source.read_changes(revision, 0.0), 0.0
+        return self.source.read_changes(position, 0.0), 0.0
 
     def expect_change(self) -> None:
         """Expects the end of a waiting read, since there is a newer policy."""
@@ -598,14 +621,14 @@
     def step(self) -> float:
         """Reads unless a peer reported a recent read; see `Follower`."""
         directory = self.directory
-        if self.revision is None or directory.revision is None:
+        if self.position is None or directory.position is None:
             result = self.source.read()
-            directory.replace(result.found, result.revision)
-            self.revision = result.revision
+            directory.replace(result.found, result.position)
+            self.position = result.position
         elif directory.outdated or directory.age() >= self.max_age_s():
-            result = self.source.read_changes(directory.revision, 0.0)
+            result = self.source.read_changes(directory.position, 0.0)
             directory.update(
-                result.found.values(), result.removed, result.revision
+                result.found.values(), result.removed, result.position
             )
             self.on_read()
         directory.expire()
--- a/src/coltsfootarch/fleet/relayed.py
+++ b/src/coltsfootarch/fleet/relayed.py
@@ -292,6 +292,7 @@
             directory_base=own.directory_base,
             directory_changed=own.directory_changed,
             directory_removed=own.directory_removed,
+            store_epoch=own.store_epoch,
         )
 
     def relay_targets(self) -> Iterable[str]:
--- a/src/coltsfootarch/fleet/reports.py
+++ b/src/coltsfootarch/fleet/reports.py
@@ -53,6 +53,8 @@
             `usage`.
         policy_version: Version of the policy, while it is new to this host;
             otherwise 0.
+        store_epoch: Epoch of the table service that the host knows and to which
+            `directory_revision` belongs; 0 in the first one.
     """
 
     version: int
@@ -80,6 +82,7 @@
     completed_requests: tuple[tuple[str, int], ...] = ()
     upstream_limits: tuple[tuple[str, int, int, int], ...] = ()
     policy_version: int = 0
+    store_epoch: int = 0
 
 
 # Fields that reports leave out if they and all later ones are empty. Hosts of
@@ -91,6 +94,7 @@
     "completed_requests",
     "upstream_limits",
     "policy_version",
+    "store_epoch",
 )
 
 
--- a/src/coltsfootarch/fleet/store_epochs.py
+++ b/src/coltsfootarch/fleet/store_epochs.py
@@ -11,6 +11,11 @@
     from collections.abc import Callable
 
     from coltsfootarch import clock as clocks
+    from coltsfootarch.fleet import reports
+
+# Epoch of a store that was never restored. Reports state later ones only, so
+# that hosts of earlier builds can decode them until the first restoration.
+FIRST_EPOCH = 1
 
 logger = structlog.get_logger(__name__)
 
@@ -74,6 +79,17 @@
         for notify in self.on_restored:
             notify()
 
+    def add_to_report(self, report: reports.Report) -> reports.Report:
+        """Adds the epoch after a restoration; see `reports.Participant`."""
+        if self.epoch <= FIRST_EPOCH:
+            return report
+        return report._replace(store_epoch=self.epoch)
+
+    def apply_report(self, report: reports.Report, continuous: bool) -> None:
+        """Notes the epoch that a peer knows; see `reports.Participant`."""
+        if report.store_epoch:
+            self.observe(report.store_epoch, report.host)
+
     def since_restoration_s(self) -> float:
         """Returns the seconds since the last restoration, if there was one.
 
--- a/src/coltsfootarch/fleet/upstreams.py
+++ b/src/coltsfootarch/fleet/upstreams.py
@@ -9,6 +9,8 @@
 import structlog
 import xxhash
 
+from coltsfootarch.fleet import store_epochs
+
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
@@ -36,6 +38,7 @@
 # A read that follows the previous one after a longer time counts as the first
 # after an outage.
 OUTAGE_S = 2.5
+START = store_epochs.Position(0, 0)
 
 logger = structlog.get_logger(__name__)
 
@@ -118,20 +121,24 @@
         self.grace_until = float("-inf")
         self.digest = 0
         self.outdated = False
-        self.revision: int | None = None
+        self.position: store_epochs.Position | None = None
         self.change: Change | None = None
         self.on_change: list[Callable[[], object]] = []
 
-    def replace(self, entries: dict[str, Upstream], revision: int = 0) -> None:
+    def replace(
+        self,
+        entries: dict[str, Upstream],
+        position: store_epochs.Position = START,
+    ) -> None:
         """Applies a complete list; entries missing from it are removed."""
         removed = [key for key in self.upstreams if key not in entries]
-        self.update(entries.values(), removed, revision)
+        self.update(entries.values(), removed, position)
 
     def update(
         self,
         entries: Iterable[Upstream],
         removed: Iterable[str],
-        revision: int = 0,
+        position: store_epochs.Position = START,
     ) -> None:
         """Applies the changes since the previous read.
 
@@ -139,10 +146,10 @@
             entries: Entries that may be new or changed.
             removed: Ids of removed entries. After an outage they are kept until
                 upstreams had time to register again.
-            revision: Revision of the table service as of this read.
+            position: Place in the store's history as of this read.
         """
         self.record_read()
-        self.revision = revision
+        self.position = position
         now = self.clock.monotonic()
         for key in removed:
             if key in self.upstreams:
@@ -247,10 +254,14 @@
         age = self.age()
         if not self.upstreams or age > MAX_REPORTED_AGE_S:
             return report
+        position = self.position or START
+        if position.epoch < report.store_epoch:
+            # Read before the restoration that this host knows of.
+            return report
         report = report._replace(
             directory=self.digest,
             directory_age_ms=int(age * 1000),
-            directory_revision=self.revision or 0,
+            directory_revision=position.revision,
         )
         change = self.change
         if (
@@ -277,7 +288,13 @@
             return
         age = report.directory_age_ms / 1000 + DELIVERY_S
         read_at = self.clock.monotonic() - age
-        if read_at <= self.read_at or self.revision is None:
+        if read_at <= self.read_at or self.position is None:
+            return
+        # A report that states no epoch is of the first one.
+        epoch = report.store_epoch or min(
+            self.position.epoch, store_epochs.FIRST_EPOCH
+        )
+        if epoch < self.position.epoch:
             return
         if report.directory_base == self.digest != report.directory:
             self.apply(report.directory_changed, report.directory_removed)
@@ -285,7 +302,10 @@
             self.outdated = True
             return
         self.read_at = read_at
-        self.revision = max(self.revision, report.directory_revision)
+        self.position = max(
+            self.position,
+            store_epochs.Position(epoch, report.directory_revision),
+        )
 
     def candidates(self, service: str) -> list[Upstream]:
         """Returns the upstreams of a service that accept new requests."""
--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -163,6 +163,7 @@
         self.report_exchange = report_exchange.ReportExchange(
             self.hosts,
             [
+                platform.epochs,
                 self.buckets,
                 self.context.notices.limits,
                 self.context.loads,
@@ -206,6 +207,11 @@
                 ),
             ),
         ]
+        platform.epochs.on_restored.append(
+            lambda: policy_follower.abandon_wait(
+                self.clock.monotonic(), "the store was restored"
+            )
+        )
         self.renewer = hosts.HostRenewer(
             platform.hosts, self.hosts, clock, self.generator
         )
--- a/src/coltsfootarch/platform/feeds.py
+++ b/src/coltsfootarch/platform/feeds.py
@@ -16,6 +16,7 @@
 
 if TYPE_CHECKING:
     from coltsfootarch.fleet import policy
+    from coltsfootarch.fleet import store_epochs
     from coltsfootarch.fleet import upstreams
     from coltsfootarch.platform import store
 
@@ -54,12 +55,12 @@
         return self.decode(self.client.read_table(OPERATOR_TABLE))
 
     def read_changes(
-        self, revision: int, wait_s: float
+        self, position: store_epochs.Position, wait_s: float
     ) -> followers.PolicyReadResult:
-        """Waits for a policy newer than a revision and returns it.
+        """Waits for a policy that was written after a position.
 
         Args:
-            revision: Revision of the last read.
+            position: Position of the last read.
             wait_s: Longest wait for a change, in seconds.
 
         Returns:
@@ -71,12 +72,12 @@
         )
         try:
             rows = self.client.read_changes(
-                OPERATOR_TABLE, revision, wait_s, max_bytes
+                OPERATOR_TABLE, position, wait_s, max_bytes
             )
         except errors.TableAnswerTooLargeError as error:
             logger.info(
                 "several configurations were written; reading the newest",
-                revision=revision,
+                revision=position.revision,
                 reason=error.message,
             )
             return self.read()
@@ -137,16 +138,16 @@
         return self.decode(self.client.read_table(RUNNER_TABLE))
 
     def read_changes(
-        self, revision: int, wait_s: float
+        self, position: store_epochs.Position, wait_s: float
     ) -> followers.UpstreamReadResult:
-        """Waits for changes after a revision and returns them.
+        """Waits for changes after a position and returns them.
 
         Args:
-            revision: Revision of the last read.
+            position: Position of the last read.
             wait_s: Longest wait for a change, in seconds.
         """
         return self.decode(
-            self.client.read_changes(RUNNER_TABLE, revision, wait_s)
+            self.client.read_changes(RUNNER_TABLE, position, wait_s)
         )
 
     def decode(self, rows: store.Rows) -> followers.UpstreamReadResult:
--- a/src/coltsfootarch/platform/store.py
+++ b/src/coltsfootarch/platform/store.py
@@ -69,6 +69,11 @@
     transfer: transfers.Transfer
     epoch: int = 0
 
+    @property
+    def position(self) -> store_epochs.Position:
+        """Place in the store's history as of which the rows are current."""
+        return store_epochs.Position(self.epoch, self.revision)
+
 
 class StoreClient:
     """Calls the store over one connection, which is kept between calls.
@@ -132,12 +137,18 @@
         rows: list[Row] = []
         start = ""
         sent_at = None
+        epoch = None
         transfer = transfers.Transfer()
         while True:
             query = {"table": table, "part": "", "limit": ROWS_PER_CALL}
             if start:
                 query["from"] = start
             page, document = self.fetch("rows-get", query, CALL_TIMEOUT_S)
+            if epoch not in (None, page.epoch):
+                raise errors.TableUnavailableError(
+                    f"the store was restored while {table} was read"
+                )
+            epoch = page.epoch
             sent_at = page.sent_at if sent_at is None else sent_at
             transfer = transfer.plus(page.transfer)
             rows += page.rows
@@ -150,15 +161,15 @@
     def read_changes(
         self,
         table: str,
-        revision: int,
+        position: store_epochs.Position,
         wait_s: float,
         max_bytes: int | None = None,
     ) -> Rows:
-        """Returns the rows that changed after a revision, each version of them.
+        """Returns the rows that changed after a position, each version of them.
 
         Args:
             table: Name of the table.
-            revision: Revision after which changes are wanted.
+            position: Position after which changes are wanted.
             wait_s: Time that the store waits for a change, in seconds.
             max_bytes: Largest size of the answer that is transferred;
                 `MAX_ANSWER_BYTES` if not given.
@@ -166,16 +177,22 @@
         Raises:
             errors.TableAnswerTooLargeError: The answer is larger.
             errors.HistoryLostError: The store no longer has the changes since
-                that revision; read the whole table instead.
+                that position; read the whole table instead.
             errors.TableUnavailableError: The store did not answer usably.
         """
         query = {
             "table": table,
-            "after": revision,
+            "after": position.revision,
             "wait_ms": int(wait_s * 1000),
         }
         timeout = wait_s + max(FEED_TIMEOUT_MARGIN_S, CALL_TIMEOUT_S)
-        return self.fetch("rows-feed", query, timeout, max_bytes)[0]
+        rows = self.fetch("rows-feed", query, timeout, max_bytes)[0]
+        if rows.epoch != position.epoch:
+            raise errors.HistoryLostError(
+                f"the store was restored since the last read: epoch "
+                f"{rows.epoch} instead of {position.epoch}"
+            )
+        return rows
 
     def read_row(self, table: str, key: str) -> tuple[Row | None, int]:
         """Returns a row, None if there is none, and the store's clock in ms.
@@ -413,12 +430,21 @@
         return answer, data
 
     def observe_epoch(self, head: messages.ResponseHead) -> None:
-        """Notes the epoch that an answer states, if it states one."""
+        """Notes the epoch that an answer states, if it states one.
+
+        Raises:
+            errors.TableUnavailableError: The answer comes from the history
+                before a restoration.
+        """
         value = messages.field_value(head.fields, STORE_ERA)
-        self.answer_epoch = self.epochs.epoch
         if value.isdecimal() and len(value) <= MAX_EPOCH_DIGITS:
-            self.answer_epoch = int(value)
-            self.epochs.observe(self.answer_epoch, "store")
+            self.epochs.observe(int(value), "store")
+            if int(value) < self.epochs.epoch:
+                raise errors.TableUnavailableError(
+                    f"the store answered from epoch {value}, before its "
+                    f"restoration (epoch {self.epochs.epoch})"
+                )
+        self.answer_epoch = self.epochs.epoch
 
     def connect(self) -> client.Connection:
         """Returns the open connection, or opens one.
--- a/tests/fleet/test_followers.py
+++ b/tests/fleet/test_followers.py
@@ -10,10 +10,13 @@
 from coltsfootarch import errors
 from coltsfootarch.fleet import followers
 from coltsfootarch.fleet import reports
+from coltsfootarch.fleet import store_epochs
 from coltsfootarch.fleet import upstreams
 from coltsfootarch.http1 import transfers
 from tests.fleet import builders
 
+AT_1 = store_epochs.Position(0, 1)
+
 
 class Source:
     """Returns or raises queued results in order; records the calls."""
@@ -33,8 +36,8 @@
         self.calls.append("read")
         return self.next()
 
-    def read_changes(self, revision, wait_s):
-        self.calls.append(revision)
+    def read_changes(self, position, wait_s):
+        self.calls.append(position.revision)
         self.waits.append(wait_s)
         return self.next()
 
@@ -285,10 +288,10 @@
         started_at = manual_clock.monotonic()
         ends_at = started_at + phase / 10
         directory = builders.directory(manual_clock, builders.plain("i-1"))
-        directory.revision = 1
+        directory.position = AT_1
         source = OutageSource(manual_clock, ends_at, read_s, ends_at + left_s)
         follower = followers.UpstreamFollower(source, directory, manual_clock)
-        follower.revision = 1
+        follower.position = AT_1
         while manual_clock.monotonic() < ends_at + 3.0:
             wait = datetime.timedelta(seconds=follower.try_step())
             manual_clock.advance(wait)
@@ -301,11 +304,11 @@
 def test_entries_missing_after_an_outage_of_the_store_are_kept(manual_clock):
     """Guards against a host without upstreams while they register again."""
     directory = builders.directory(manual_clock, builders.plain("i-1"))
-    directory.revision = 1
+    directory.position = AT_1
     now = manual_clock.monotonic()
     source = OutageSource(manual_clock, now + 5.0, 0.0, now)
     follower = followers.UpstreamFollower(source, directory, manual_clock)
-    follower.revision = 1
+    follower.position = AT_1
 
     while manual_clock.monotonic() < now + 5.0 + 1.5:
         assert directory.candidates("app")
@@ -383,7 +386,9 @@
     directories = []
     for _ in range(2):
         directory = upstreams.UpstreamDirectory(clock)
-        directory.replace({entry.id: entry for entry in entries}, 5)
+        directory.replace(
+            {entry.id: entry for entry in entries}, store_epochs.Position(0, 5)
+        )
         directories.append(directory)
     return directories
 
@@ -392,12 +397,14 @@
     one, two = builders.plain("i-1"), builders.plain("i-2")
     reader, other = read_twice(manual_clock, one, two)
     manual_clock.advance(datetime.timedelta(seconds=0.5))
-    reader.update([one._replace(ready=False)], ["i-2"], 9)
+    reader.update(
+        [one._replace(ready=False)], ["i-2"], store_epochs.Position(0, 9)
+    )
 
     other.apply_report(reader.add_to_report(peer_report()), True)
 
     assert other.upstreams == reader.upstreams
-    assert other.revision == 9
+    assert other.position == store_epochs.Position(0, 9)
     assert not other.outdated
 
 
@@ -405,23 +412,23 @@
     one, two = builders.plain("i-1"), builders.plain("i-2")
     reader, other = read_twice(manual_clock, one, two)
     manual_clock.advance(datetime.timedelta(seconds=0.5))
-    reader.update([one._replace(ready=False)], [], 8)
-    reader.update([], ["i-2"], 9)
+    reader.update([one._replace(ready=False)], [], store_epochs.Position(0, 8))
+    reader.update([], ["i-2"], store_epochs.Position(0, 9))
 
     other.apply_report(reader.add_to_report(peer_report()), True)
 
     assert other.outdated
-    assert other.revision == 5
+    assert other.position == store_epochs.Position(0, 5)
 
 
 def test_old_change_is_not_reported(manual_clock):
     one = builders.plain("i-1")
     reader, _ = read_twice(manual_clock, one)
-    reader.update([one._replace(ready=False)], [], 8)
+    reader.update([one._replace(ready=False)], [], store_epochs.Position(0, 8))
     manual_clock.advance(
         datetime.timedelta(seconds=upstreams.CHANGE_REPORTED_S + 0.1)
     )
-    reader.update([], [], 9)
+    reader.update([], [], store_epochs.Position(0, 9))
 
     assert reader.add_to_report(peer_report()).directory_changed == ()
 
@@ -429,7 +436,7 @@
 def test_peer_s_older_read_changes_nothing(manual_clock):
     one = builders.plain("i-1")
     directory = builders.directory(manual_clock, one)
-    directory.revision = 1
+    directory.position = AT_1
 
     directory.apply_report(peer_report(directory=5, directory_age_ms=10), True)
 
--- a/tests/fleet/test_silent_policy_reads.py
+++ b/tests/fleet/test_silent_policy_reads.py
@@ -160,15 +160,15 @@
                 raise self.results.pop()
             return followers.UpstreamReadResult({}, (), 1, 0.0)
 
-        def read_changes(self, revision, wait_s):
+        def read_changes(self, position, wait_s):
             return self.read()
 
     class Directory:
-        revision = None
+        position = None
         outdated = False
 
-        def replace(self, found, revision):
-            self.revision = revision
+        def replace(self, found, position):
+            self.position = position
 
         def age(self):
             return 0.0
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -10,6 +10,7 @@
 from coltsfootarch import clock as clocks
 from coltsfootarch import errors
 from coltsfootarch.fleet import hosts
+from coltsfootarch.fleet import store_epochs
 from coltsfootarch.platform import feeds
 from coltsfootarch.platform import orders
 from coltsfootarch.platform import store
@@ -17,6 +18,11 @@
 from tests.platform import documents
 
 
+def at(revision):
+    """Returns a position in the epoch that the stand-in states at first."""
+    return store_epochs.Position(1, revision)
+
+
 @pytest.fixture
 def server():
     server = metadata_store.MetadataStore()
@@ -45,7 +51,7 @@
 
 def test_waiting_call_returns_with_the_change(server, client):
     revision = server.put("op", "config", b"1")
-    waiting = gevent.spawn(client.read_changes, "op", revision, 5.0)
+    waiting = gevent.spawn(client.read_changes, "op", at(revision), 5.0)
     gevent.sleep(0.05)
     server.put("op", "config", b"2")
 
@@ -58,7 +64,9 @@
     server.put("servers", "i-1", b"")
     server.put("servers", "i-1", None)
 
-    values = [row.value for row in client.read_changes("servers", 0, 0).rows]
+    values = [
+        row.value for row in client.read_changes("servers", at(0), 0).rows
+    ]
 
     assert values == [b"", None]
 
@@ -69,7 +77,7 @@
     server.drop_history()
 
     with pytest.raises(errors.HistoryLostError):
-        client.read_changes("op", 1, 0)
+        client.read_changes("op", at(1), 0)
 
 
 @pytest.mark.parametrize("mode", ["silent", "busy", "reset"])
@@ -122,7 +130,7 @@
     value = bytes(30000)
     revision = server.put("op", "config", b"1")
     server.bytes_per_s = 100_000.0
-    waiting = gevent.spawn(client.read_changes, "op", revision, 0.3)
+    waiting = gevent.spawn(client.read_changes, "op", at(revision), 0.3)
     gevent.sleep(0.25)
     server.put("op", "config", value)
 
@@ -212,12 +220,12 @@
     for version in (4, 5, 6):
         put_large_configuration(server, version)
 
-    result = feed.read_changes(first.revision, 0)
+    result = feed.read_changes(first.position, 0)
 
     assert result.policy.version == 6
     assert result.transfer.size_bytes < 1.5 * first.transfer.size_bytes
     assert server.calls == ["rows-get", "rows-feed", "rows-get"]
-    assert feed.read_changes(result.revision, 0).policy is None
+    assert feed.read_changes(result.position, 0).policy is None
 
 
 def test_configuration_that_grew_is_read(server, client):
@@ -226,7 +234,7 @@
     first = feed.read()
     put_large_configuration(server, 4)
 
-    result = feed.read_changes(first.revision, 0)
+    result = feed.read_changes(first.position, 0)
 
     assert result.policy.version == 4
 
@@ -237,7 +245,7 @@
     first = feed.read()
     server.put("op", "config", b"\xff")
 
-    second = feed.read_changes(first.revision, 0)
+    second = feed.read_changes(first.position, 0)
 
     assert first.policy.version == 3
     assert second.policy is None
