An older policy of a restored store is neither confirmed nor begun with

Callers could use a withdrawn key for longer than the limit, or a dropped route, after the store had come back from a copy: any readable answer confirmed the policy in force, also one with an older version; a host that started then took the old version as its first one, and one that had missed the newest version went on with its own, though others had a newer one.

Cause: versions were compared by number alone, and a confirmation didn't look at what the store held. Change: a policy is known by version, epoch and digest of its content (active_policy.Edition). A read confirms only what it shows; a confirmation that another host passes on must be of the same content; the same version with other content in a later epoch is used. Hosts name their version to hosts that they hear for the first time and after a restoration. A started host waits up to 0.5 s for that if the store was ever restored, and uses no older policy; a host whose store lacks what others have refuses as not run until the operator has written it again.

--- a/src/coltsfootarch/fleet/followers.py
+++ b/src/coltsfootarch/fleet/followers.py
@@ -7,19 +7,16 @@
 from typing import Protocol
 
 import gevent
-import gevent.event
 import structlog
 
 from coltsfootarch import errors
 from coltsfootarch.fleet import store_epochs
-from coltsfootarch.http1 import transfers
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from coltsfootarch import clock as clocks
-    from coltsfootarch.fleet import policy
-    from coltsfootarch.fleet import reports
+    from coltsfootarch.fleet import active_policy
     from coltsfootarch.fleet import upstreams
 
 # Longest time that a read of policy changes blocks in the store. Each read also
@@ -40,6 +37,9 @@
 # read has about a second before the limit for withdrawn keys.
 MAX_PASSED_AGE_S = 3.0
 PASSED_CHECK_S = 0.2
+# Interval at which a host reads that has an older policy than others, while the
+# restored store doesn't hold theirs.
+SUPERSEDED_READ_S = 0.5
 # Time after which a read of the changes since the last one may fail, as the
 # store keeps its history for 20 s only.
 HISTORY_S = 10.0
@@ -58,8 +58,10 @@
 # a newer policy, is repeated on a new connection. The store answers all waiting
 # reads within some tens of milliseconds of a change.
 ANNOUNCED_WAIT_S = 0.3
-# Time for which reports name a new version; it covers several lost reports.
-ANNOUNCEMENT_S = 3.0
+# Time for which a started host waits to hear which version others have before
+# it begins with the policy of a store that was restored. Hosts answer the first
+# report of a host within about 0.2 s.
+PEER_ANSWER_S = 0.5
 # Interval at which a follower checks whether it has to read upstreams itself or
 # a peer has reported a recent read.
 CHECK_INTERVAL_S = 0.1
@@ -74,36 +76,6 @@
 logger = structlog.get_logger(__name__)
 
 
-class PolicyReadResult(NamedTuple):
-    """Result of reading the policy from the store.
-
-    Attributes:
-        policy: Newest valid policy in the result; None if there is none.
-        revision: Revision of the store as of which it is current.
-        sent_at: Instant at which the read was sent, in seconds. After a long
-            wait without a change `PolicyFollower` replaces it by a later one.
-        readable: Whether the newest policy could be decoded.
-        transfer: Size and duration of the answer.
-        rows: Number of rows in the answer.
-        decode_s: Time that decoding took, in seconds.
-        epoch: Epoch of the store in which the revision was given out.
-    """
-
-    policy: policy.Policy | None
-    revision: int
-    sent_at: float
-    readable: bool
-    transfer: transfers.Transfer = transfers.Transfer()
-    rows: int = 0
-    decode_s: float = 0.0
-    epoch: int = 0
-
-    @property
-    def position(self) -> store_epochs.Position:
-        """Place in the store's history as of which it is current."""
-        return store_epochs.Position(self.epoch, self.revision)
-
-
 class UpstreamReadResult(NamedTuple):
     """Result of reading registered upstreams from the store.
 
@@ -130,12 +102,12 @@
 class PolicySource(Protocol):
     """Source of policies."""
 
-    def read(self) -> PolicyReadResult:
+    def read(self) -> active_policy.PolicyReadResult:
         """Returns the newest policy."""
 
     def read_changes(
         self, position: store_epochs.Position, wait_s: float
-    ) -> PolicyReadResult:
+    ) -> active_policy.PolicyReadResult:
         """Waits for a policy change after a position.
 
         Args:
@@ -174,160 +146,6 @@
         """
 
 
-class PolicyTracker:
-    """Holds the active policy of this host.
-
-    It is never replaced by an older version. `confirmed_at` is the instant, in
-    seconds, as of which a read last confirmed this version to be the newest;
-    see `PolicyReadResult.sent_at`. `announced` is the newest version that other
-    hosts have, `unobtainable` the newest one that a read did not bring.
-    `last_transfer` is the size and duration of the answer that brought the
-    policy.
-
-    Args:
-        clock: Source of time.
-    """
-
-    def __init__(self, clock: clocks.Clock) -> None:
-        self.clock = clock
-        self.policy: policy.Policy | None = None
-        self.last_transfer = transfers.Transfer()
-        self.confirmed_at = float("-inf")
-        self.confirmed = gevent.event.Event()
-        self.announced = -1
-        self.unobtainable = -1
-        self.on_change: list[Callable[[policy.Policy], object]] = []
-        self.on_announced: list[Callable[[], object]] = []
-        self.activated_at = float("-inf")
-
-    def apply(self, result: PolicyReadResult) -> None:
-        """Applies the result of a read."""
-        newer = result.policy
-        if newer is not None and (
-            self.policy is None or newer.version > self.policy.version
-        ):
-            previous = self.policy.version if self.policy else None
-            self.policy = newer
-            self.activated_at = self.clock.monotonic()
-            logger.info(
-                "policy activated",
-                version=newer.version,
-                previous=previous,
-                revision=result.revision,
-                epoch=result.epoch,
-                age_s=round(self.clock.monotonic() - result.sent_at, 3),
-                rows=result.rows,
-                bytes=result.transfer.size_bytes,
-                first_byte_ms=round(result.transfer.first_byte_s * 1000),
-                transfer_ms=round(result.transfer.received_s * 1000),
-                decode_ms=round(result.decode_s * 1000),
-            )
-            self.last_transfer = result.transfer
-            for notify in self.on_change:
-                notify(newer)
-        elif newer is not None and newer.version < self.version():
-            logger.warning(
-                "store holds an older policy than the one in force",
-                version=newer.version,
-                in_force=self.version(),
-                revision=result.revision,
-                epoch=result.epoch,
-            )
-        if result.readable and self.policy is not None:
-            self.confirmed_at = max(self.confirmed_at, result.sent_at)
-            self.confirmed.set()
-            self.confirmed.clear()
-
-    def version(self) -> int:
-        """Returns the version of the policy; -1 if there is none."""
-        return self.policy.version if self.policy else -1
-
-    def is_behind(self) -> bool:
-        """Returns whether another host has a newer version to read."""
-        return self.announced > max(self.version(), self.unobtainable)
-
-    def give_up_announced(self) -> None:
-        """Records that a read did not bring the announced version.
-
-        This host can't decode it, or the announcement was false. Reading again
-        at once would bring the same.
-        """
-        self.unobtainable = self.announced
-
-    def confirm_passed(self, version: int, at: float) -> None:
-        """Records a confirmation by another host.
-
-        Args:
-            version: Version that was confirmed, or that the other host has.
-            at: Instant, in seconds, not later than the confirmation; minus
-                infinity if the version was not confirmed.
-        """
-        self.announce(version)
-        if version != self.version() or at > self.clock.monotonic():
-            return
-        self.confirmed_at = max(self.confirmed_at, at)
-        self.confirmed.set()
-        self.confirmed.clear()
-
-    def announce(self, version: int) -> None:
-        """Records that another host has a version of the policy."""
-        if version <= self.announced:
-            return
-        self.announced = version
-        if self.is_behind():
-            for notify in self.on_announced:
-                notify()
-
-    def add_to_report(self, report: reports.Report) -> reports.Report:
-        """Adds the version for a while; see `reports.Participant`."""
-        age = self.clock.monotonic() - self.activated_at
-        if self.policy is None or age > ANNOUNCEMENT_S:
-            return report
-        return report._replace(policy_version=self.policy.version)
-
-    def apply_report(self, report: reports.Report, continuous: bool) -> None:
-        """Notes a peer's version; see `reports.Participant`."""
-        if report.policy_version:
-            self.announce(report.policy_version)
-
-    def age(self) -> float:
-        """Returns the seconds since the policy was last confirmed."""
-        return self.clock.monotonic() - self.confirmed_at
-
-    def wait_newer(self, timeout: float) -> None:
-        """Waits for a newer policy, or the confirmation that there is none.
-
-        Args:
-            timeout: Longest wait in seconds.
-        """
-        now = self.clock.monotonic()
-        version = self.version()
-        deadline = now + timeout
-        while self.version() == version and self.confirmed_at < now:
-            remaining = deadline - self.clock.monotonic()
-            if remaining <= 0:
-                return
-            self.confirmed.wait(remaining)
-
-    def wait_confirmed(self, since: float, timeout: float) -> bool:
-        """Waits for a confirmation by a read sent at or after an instant.
-
-        Args:
-            since: The instant, in seconds.
-            timeout: Longest wait in seconds.
-
-        Returns:
-            Whether the policy was confirmed.
-        """
-        deadline = self.clock.monotonic() + timeout
-        while self.confirmed_at < since:
-            remaining = deadline - self.clock.monotonic()
-            if remaining <= 0:
-                return False
-            self.confirmed.wait(remaining)
-        return True
-
-
 class Follower:
     """Reads from a source in a loop; logs the start and end of an outage.
 
@@ -452,7 +270,7 @@
     def __init__(
         self,
         source: PolicySource,
-        tracker: PolicyTracker,
+        tracker: active_policy.PolicyTracker,
         clock: clocks.Clock,
         wait_s: float = POLICY_WAIT_S,
         is_passed_on: Callable[[], bool] = lambda: False,
@@ -511,18 +329,32 @@
                 )
         self.position = result.position
         self.read_at = self.clock.monotonic()
+        self.hear_others(result)
         self.tracker.apply(result)
-        if self.tracker.version() < announced == self.tracker.announced:
-            self.tracker.give_up_announced()
+        tracker = self.tracker
+        if announced == tracker.announced and tracker.is_behind():
+            tracker.give_up_announced()
         self.confirm_now = (
             result.policy is not None
             and self.tracker.age() > MAX_CONFIRMATION_AGE_S
         )
         return 0.0 if self.tracker.policy is not None else RETRY_MIN_S
 
+    def hear_others(self, result: active_policy.PolicyReadResult) -> None:
+        """Waits before the first policy of a store that was restored.
+
+        Others may know a newer one, which the operator writes again.
+        """
+        if (
+            self.tracker.policy is None
+            and result.policy is not None
+            and result.epoch > store_epochs.FIRST_EPOCH
+        ):
+            self.tracker.wait_announced(PEER_ANSWER_S)
+
     def read_changes(
         self, position: store_epochs.Position, wait_s: float
-    ) -> tuple[PolicyReadResult, float]:
+    ) -> tuple[active_policy.PolicyReadResult, float]:
         """Waits for a change; repeats a read that was abandoned.
 
         Args:
@@ -582,6 +414,9 @@
     def must_read(self) -> bool:
         """Returns whether what others pass on isn't enough."""
         tracker = self.tracker
+        if tracker.is_superseded():
+            age = self.clock.monotonic() - self.read_at
+            return age > SUPERSEDED_READ_S
         return tracker.is_behind() or tracker.age() > MAX_PASSED_AGE_S
 
 
--- a/src/coltsfootarch/fleet/relayed.py
+++ b/src/coltsfootarch/fleet/relayed.py
@@ -64,13 +64,18 @@
     def age(self) -> float:
         """Returns the seconds since it was last confirmed."""
 
-    def confirm_passed(self, version: int, at: float) -> None:
+    def confirm_passed(
+        self, version: int, at: float, epoch: int = 0, digest: int = 0
+    ) -> None:
         """Records that another host confirmed a version.
 
         Args:
             version: The version.
             at: Instant, in seconds of this host's clock, not later than the
                 confirmation.
+            epoch: Epoch of the store in which the version was last seen; 0 if
+                the store was never restored.
+            digest: Digest of the stored policy; 0 if unknown.
         """
 
 
@@ -293,6 +298,8 @@
             directory_changed=own.directory_changed,
             directory_removed=own.directory_removed,
             store_epoch=own.store_epoch,
+            policy_epoch=own.policy_epoch,
+            policy_digest=own.policy_digest,
         )
 
     def relay_targets(self) -> Iterable[str]:
@@ -457,7 +464,7 @@
             envelope.availability_zone,
         )
         self.directory.tell_size(envelope.expected)
-        self.note_confirmation(envelope)
+        self.note_confirmation(envelope, report)
         self.handle(source)
 
     def handle(self, source: sources.Source) -> None:
@@ -555,7 +562,9 @@
         )
         self.apply_report(source.report._replace(host=FLEET), continuous)
 
-    def note_confirmation(self, envelope: envelopes.Envelope) -> None:
+    def note_confirmation(
+        self, envelope: envelopes.Envelope, report: reports.Report
+    ) -> None:
         """Passes on a confirmation of the policy.
 
         The age alone proves nothing, since datagrams may be delivered late. The
@@ -569,7 +578,12 @@
         if envelope.echo_incarnation == own and envelope.policy_age_ms >= 0:
             at_ms = envelope.echo_ms + envelope.held_ms - envelope.policy_age_ms
             at = at_ms / 1000
-        self.confirmations.confirm_passed(envelope.policy_version, at)
+        self.confirmations.confirm_passed(
+            envelope.policy_version,
+            at,
+            report.policy_epoch,
+            report.policy_digest,
+        )
 
     def expire(self) -> None:
         """Drops members and relays that have fallen silent."""
--- a/src/coltsfootarch/fleet/report_exchange.py
+++ b/src/coltsfootarch/fleet/report_exchange.py
@@ -50,7 +50,9 @@
         """Returns an unlimited age."""
         return float("inf")
 
-    def confirm_passed(self, version: int, at: float) -> None:
+    def confirm_passed(
+        self, version: int, at: float, epoch: int = 0, digest: int = 0
+    ) -> None:
         """Ignores a confirmation."""
 
 
--- a/src/coltsfootarch/fleet/reports.py
+++ b/src/coltsfootarch/fleet/reports.py
@@ -55,6 +55,9 @@
             otherwise 0.
         store_epoch: Epoch of the table service that the host knows and to which
             `directory_revision` belongs; 0 in the first one.
+        policy_epoch: Epoch in which the host's policy was last seen in the
+            table service; 0 in the first one.
+        policy_digest: Digest of the stored policy; 0 in the first epoch.
     """
 
     version: int
@@ -83,6 +86,8 @@
     upstream_limits: tuple[tuple[str, int, int, int], ...] = ()
     policy_version: int = 0
     store_epoch: int = 0
+    policy_epoch: int = 0
+    policy_digest: int = 0
 
 
 # Fields that reports leave out if they and all later ones are empty. Hosts of
@@ -95,6 +100,8 @@
     "upstream_limits",
     "policy_version",
     "store_epoch",
+    "policy_epoch",
+    "policy_digest",
 )
 
 
--- a/src/coltsfootarch/fleet/stage_orders.py
+++ b/src/coltsfootarch/fleet/stage_orders.py
@@ -14,7 +14,7 @@
 
 if TYPE_CHECKING:
     from coltsfootarch import clock as clocks
-    from coltsfootarch.fleet import followers
+    from coltsfootarch.fleet import active_policy
     from coltsfootarch.fleet import hosts
     from coltsfootarch.fleet import upstreams
     from coltsfootarch.scheduling import dispatch_queue
@@ -121,7 +121,7 @@
 
     def __init__(
         self,
-        policy_tracker: followers.PolicyTracker,
+        policy_tracker: active_policy.PolicyTracker,
         directory: upstreams.UpstreamDirectory,
         balancer: stage_balance.StageBalancer,
         queue: dispatch_queue.DispatchQueue,
--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -15,6 +15,7 @@
 
 from coltsfootarch import periodic
 from coltsfootarch.config import edge_settings
+from coltsfootarch.fleet import active_policy
 from coltsfootarch.fleet import followers
 from coltsfootarch.fleet import hosts
 from coltsfootarch.fleet import policy
@@ -138,7 +139,9 @@
         self.hosts = hosts.HostDirectory(own, clock)
         self.sampler = sampling.Sampler(self.hosts.count, random.Random())
         self.upstreams = upstreams.UpstreamDirectory(clock)
-        self.policy_tracker = followers.PolicyTracker(clock)
+        self.policy_tracker = active_policy.PolicyTracker(
+            clock, platform.epochs
+        )
         self.buckets = shared_bucket.SharedBuckets(
             clock,
             self.hosts.share,
@@ -412,7 +415,7 @@
 
     def is_ready(self) -> bool:
         """Returns whether the host is ready for new callers."""
-        current = self.policy_tracker.policy
+        current = self.policy_tracker.usable_policy()
         if self.stopping.is_set() or current is None:
             return False
         if not self.upstreams.upstreams:
--- a/src/coltsfootarch/forwarding/forwarder.py
+++ b/src/coltsfootarch/forwarding/forwarder.py
@@ -23,7 +23,7 @@
     import random
 
     from coltsfootarch import clock as clocks
-    from coltsfootarch.fleet import followers
+    from coltsfootarch.fleet import active_policy
     from coltsfootarch.forwarding import context
     from coltsfootarch.http1 import messages
     from coltsfootarch.limits import shared_bucket
@@ -83,7 +83,7 @@
         self,
         context: context.Context,
         protocol: calls.CallerProtocol,
-        policy_tracker: followers.PolicyTracker,
+        policy_tracker: active_policy.PolicyTracker,
         buckets: shared_bucket.SharedBuckets,
         generator: random.Random,
         confirmation_s: float | None,
@@ -195,7 +195,7 @@
             raise errors.RefusedError(
                 results.STOPPING, retry_after=endings.MIN_RETRY_AFTER_S
             )
-        current = self.policy_tracker.policy
+        current = self.policy_tracker.usable_policy()
         if current is None:
             raise errors.RefusedError(
                 results.NO_CONFIGURATION,
--- a/src/coltsfootarch/forwarding/host_status.py
+++ b/src/coltsfootarch/forwarding/host_status.py
@@ -178,7 +178,9 @@
             registrations_age_s=rounded_age(self.context.directory.age()),
             policy=PolicyStatus(
                 version=tracker.version(),
-                newest_version=max(tracker.announced, tracker.version()),
+                newest_version=max(
+                    tracker.announced.version, tracker.version()
+                ),
                 confirmed_age_s=rounded_age(tracker.age()),
                 fallback_reads=self.policy_follower.fallback_reads,
             ),
--- a/src/coltsfootarch/platform/feeds.py
+++ b/src/coltsfootarch/platform/feeds.py
@@ -6,8 +6,10 @@
 
 import msgspec
 import structlog
+import xxhash
 
 from coltsfootarch import errors
+from coltsfootarch.fleet import active_policy
 from coltsfootarch.fleet import followers
 from coltsfootarch.fleet import hosts
 from coltsfootarch.platform import configuration
@@ -50,13 +52,14 @@
         self.client = client
         self.policy_bytes = 0
 
-    def read(self) -> followers.PolicyReadResult:
+    def read(self) -> active_policy.PolicyReadResult:
         """Returns the newest policy."""
-        return self.decode(self.client.read_table(OPERATOR_TABLE))
+        result = self.decode(self.client.read_table(OPERATOR_TABLE))
+        return result._replace(complete=True)
 
     def read_changes(
         self, position: store_epochs.Position, wait_s: float
-    ) -> followers.PolicyReadResult:
+    ) -> active_policy.PolicyReadResult:
         """Waits for a policy that was written after a position.
 
         Args:
@@ -87,13 +90,14 @@
         """Ends a read whose answer has not begun; see `PolicySource`."""
         return self.client.abandon_silent_call()
 
-    def decode(self, rows: store.Rows) -> followers.PolicyReadResult:
+    def decode(self, rows: store.Rows) -> active_policy.PolicyReadResult:
         """Returns the last valid policy among rows in order of change.
 
         An invalid one is logged. If the last one is invalid, the result is
         marked as not readable.
         """
         newest: policy.Policy | None = None
+        digest = 0
         readable = True
         started = self.client.clock.monotonic()
         for row in rows.rows:
@@ -101,6 +105,7 @@
                 continue
             try:
                 newest = configuration.decode(row.value)
+                digest = xxhash.xxh64_intdigest(row.value)
                 readable = True
             except decoding.UnreadableDocumentError as error:
                 readable = False
@@ -111,7 +116,7 @@
                 )
         if newest is not None:
             self.policy_bytes = rows.transfer.size_bytes
-        return followers.PolicyReadResult(
+        return active_policy.PolicyReadResult(
             newest,
             rows.revision,
             rows.sent_at,
@@ -120,6 +125,7 @@
             len(rows.rows),
             self.client.clock.monotonic() - started,
             rows.epoch,
+            digest,
         )
 
 
--- a/tests/fakes/stepped_fleet.py
+++ b/tests/fakes/stepped_fleet.py
@@ -6,6 +6,7 @@
 import random
 
 from coltsfootarch import clock as clocks
+from coltsfootarch.fleet import active_policy
 from coltsfootarch.fleet import followers
 from coltsfootarch.fleet import hosts
 from coltsfootarch.fleet import relayed
@@ -78,7 +79,7 @@
         self.break_counts = break_counts.BreakCounts(
             self.clock, f"{number}@{incarnation}", self.report_soon
         )
-        self.tracker = followers.PolicyTracker(self.clock)
+        self.tracker = active_policy.PolicyTracker(self.clock)
         self.exchange = report_exchange.ReportExchange(
             self.directory,
             [
@@ -146,7 +147,7 @@
         fraction = self.fleet.generator.uniform(0.5, 1.0)
         self.next_read = elapsed + followers.POLICY_WAIT_S * fraction
         self.tracker.apply(
-            followers.PolicyReadResult(
+            active_policy.PolicyReadResult(
                 self.fleet.policy, 1, self.clock.monotonic(), True
             )
         )
--- a/tests/fleet/test_followers.py
+++ b/tests/fleet/test_followers.py
@@ -8,6 +8,7 @@
 import pytest
 
 from coltsfootarch import errors
+from coltsfootarch.fleet import active_policy
 from coltsfootarch.fleet import followers
 from coltsfootarch.fleet import reports
 from coltsfootarch.fleet import store_epochs
@@ -44,12 +45,12 @@
 
 def read_result(version, revision=1, sent_at=0.0, readable=True):
     built = builders.make_policy(version) if version else None
-    return followers.PolicyReadResult(built, revision, sent_at, readable)
+    return active_policy.PolicyReadResult(built, revision, sent_at, readable)
 
 
 @pytest.fixture
 def tracker(manual_clock):
-    return followers.PolicyTracker(manual_clock)
+    return active_policy.PolicyTracker(manual_clock)
 
 
 def test_older_version_never_replaces_a_newer_one(tracker):
--- a/tests/fleet/test_relayed.py
+++ b/tests/fleet/test_relayed.py
@@ -6,8 +6,8 @@
 
 import pytest
 
+from coltsfootarch.fleet import active_policy
 from coltsfootarch.fleet import envelopes
-from coltsfootarch.fleet import followers
 from coltsfootarch.fleet import hosts
 from coltsfootarch.fleet import report_exchange
 from coltsfootarch.fleet import reports
@@ -26,9 +26,9 @@
         self.own = hosts.HostRecord("north-1", "10.0.0.1:7500", "north", 77, 1)
         self.directory = hosts.HostDirectory(self.own, clock)
         self.loads = load_view.LoadView(clock)
-        self.tracker = followers.PolicyTracker(clock)
+        self.tracker = active_policy.PolicyTracker(clock)
         self.tracker.apply(
-            followers.PolicyReadResult(
+            active_policy.PolicyReadResult(
                 builders.make_policy(5), 1, clock.monotonic() - 4.0, True
             )
         )
--- a/tests/fleet/test_silent_policy_reads.py
+++ b/tests/fleet/test_silent_policy_reads.py
@@ -9,6 +9,7 @@
 
 from coltsfootarch import clock as clocks
 from coltsfootarch import errors
+from coltsfootarch.fleet import active_policy
 from coltsfootarch.fleet import followers
 from coltsfootarch.fleet import reports
 from coltsfootarch.platform import feeds
@@ -43,7 +44,7 @@
     write(server, 1)
     clock = clocks.SystemClock()
     client = store.StoreClient(link.address, clock)
-    tracker = followers.PolicyTracker(clock)
+    tracker = active_policy.PolicyTracker(clock)
     follower = followers.PolicyFollower(
         feeds.PolicyFeed(client), tracker, clock, WAIT_S
     )
@@ -133,14 +134,14 @@
 
 
 def test_version_is_reported_only_while_it_is_new(manual_clock):
-    tracker = followers.PolicyTracker(manual_clock)
+    tracker = active_policy.PolicyTracker(manual_clock)
     built = builders.make_policy(7)
-    tracker.apply(followers.PolicyReadResult(built, 1, 0.0, True))
+    tracker.apply(active_policy.PolicyReadResult(built, 1, 0.0, True))
     empty = reports.empty_report("host-1", 1, 1)
 
     new = tracker.add_to_report(empty)
     manual_clock.advance(
-        datetime.timedelta(seconds=followers.ANNOUNCEMENT_S + 0.1)
+        datetime.timedelta(seconds=active_policy.ANNOUNCEMENT_S + 0.1)
     )
     old = tracker.add_to_report(empty)
 
--- a/tests/fleet/test_stage_orders.py
+++ b/tests/fleet/test_stage_orders.py
@@ -7,7 +7,7 @@
 import pytest
 
 from coltsfootarch import errors
-from coltsfootarch.fleet import followers
+from coltsfootarch.fleet import active_policy
 from coltsfootarch.fleet import hosts
 from coltsfootarch.fleet import stage_orders
 from coltsfootarch.fleet import upstreams
@@ -66,7 +66,7 @@
         directory = builders.directory(
             manual_clock, builders.decode("d-1"), builders.decode("d-2")
         )
-        tracker = followers.PolicyTracker(manual_clock)
+        tracker = active_policy.PolicyTracker(manual_clock)
         tracker.policy = builders.make_policy()
         loads = load_view.LoadView(manual_clock)
         outcome_tracker = outcomes.OutcomeTracker(manual_clock)
--- a/tests/forwarding/test_host_status.py
+++ b/tests/forwarding/test_host_status.py
@@ -12,7 +12,7 @@
 
 from coltsfootarch.console import application
 from coltsfootarch.console.commands import status
-from coltsfootarch.fleet import followers
+from coltsfootarch.fleet import active_policy
 from coltsfootarch.fleet import hosts
 
 
@@ -86,7 +86,7 @@
 
 def test_confirmation_from_the_future_is_ignored(manual_clock):
     """A host whose clock began anew would trust a key for too long."""
-    tracker = followers.PolicyTracker(manual_clock)
+    tracker = active_policy.PolicyTracker(manual_clock)
     tracker.confirm_passed(-1, manual_clock.monotonic() + 10.0)
 
     assert tracker.confirmed_at == float("-inf")
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -7,6 +7,7 @@
 
 from coltsfootarch import clock as clocks
 from coltsfootarch import errors
+from coltsfootarch.fleet import active_policy
 from coltsfootarch.fleet import followers
 from coltsfootarch.fleet import upstreams
 from coltsfootarch.platform import feeds
@@ -33,7 +34,7 @@
 @pytest.fixture
 def follower(client):
     """A follower of the policy whose reads don't wait."""
-    tracker = followers.PolicyTracker(client.clock)
+    tracker = active_policy.PolicyTracker(client.clock)
     return followers.PolicyFollower(
         feeds.PolicyFeed(client), tracker, client.clock, wait_s=0.0
     )
@@ -109,7 +110,7 @@
     configure(server, 1)
     copied = server.revision
     write_others(server, 9)
-    tracker = followers.PolicyTracker(client.clock)
+    tracker = active_policy.PolicyTracker(client.clock)
     follower = followers.PolicyFollower(
         feeds.PolicyFeed(client), tracker, client.clock, wait_s=5.0
     )
