A restored store doesn't bring back upstreams that drain or have left

Callers' requests could be sent to an upstream that drains or is gone, since the copy lists it as ready, or find a service without upstreams, since those that registered after the copy was made were dropped at once.

Rows of theirs in the first read after a restoration don't count until they are written again, which an upstream that lives does with its next heartbeat.

--- a/src/coltsfootarch/fleet/followers.py
+++ b/src/coltsfootarch/fleet/followers.py
@@ -11,13 +11,14 @@
 
 from coltsfootarch import errors
 from coltsfootarch.fleet import store_epochs
+from coltsfootarch.fleet import upstreams
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Mapping
 
     from coltsfootarch import clock as clocks
     from coltsfootarch.fleet import active_policy
-    from coltsfootarch.fleet import upstreams
 
 # Longest time that a read of policy changes blocks in the store. Each read also
 # confirms the policy, whose age must stay below the limit for withdrawn keys
@@ -85,6 +86,7 @@
         revision: Revision of the store as of which it is current.
         sent_at: Instant at which the read was sent, in seconds.
         epoch: Epoch of the store in which the revision was given out.
+        revisions: Revision of each upstream's row by its id.
     """
 
     found: dict[str, upstreams.Upstream]
@@ -92,6 +94,7 @@
     revision: int
     sent_at: float
     epoch: int = 0
+    revisions: Mapping[str, int] = upstreams.NO_REVISIONS
 
     @property
     def position(self) -> store_epochs.Position:
@@ -458,12 +461,15 @@
         directory = self.directory
         if self.position is None or directory.position is None:
             result = self.source.read()
-            directory.replace(result.found, result.position)
+            directory.replace(result.found, result.position, result.revisions)
             self.position = result.position
         elif directory.outdated or directory.age() >= self.max_age_s():
             result = self.source.read_changes(directory.position, 0.0)
             directory.update(
-                result.found.values(), result.removed, result.position
+                result.found.values(),
+                result.removed,
+                result.position,
+                result.revisions,
             )
             self.on_read()
         directory.expire()
--- a/src/coltsfootarch/fleet/merging.py
+++ b/src/coltsfootarch/fleet/merging.py
@@ -48,6 +48,7 @@
     waiting: dict[str, int] = {}
     refusing: set[str] = set()
     refused: set[str] = set()
+    departed: set[str] = set()
     crashed: dict[tuple[str, frozenset[str], frozenset[str]], int] = {}
     sound: dict[tuple[str, str], int] = {}
     broken: dict[str, tuple[frozenset[str], int]] = {}
@@ -62,6 +63,7 @@
         add_counts(waiting, report.waiting)
         refusing.update(report.refusing)
         refused.update(report.refused)
+        departed.update(report.departed)
         for service, parts, engines, since_ms in report.crashed_parts:
             crash = (service, frozenset(parts), frozenset(engines))
             keep_smallest(crashed, crash, since_ms + age_ms)
@@ -106,6 +108,7 @@
             for digest, (causes, since_ms) in most_causes[:MAX_BREAKS]
         ),
         completed_requests=tuple(recent_completed[:MAX_BREAKS]),
+        departed=tuple(sorted(departed)[:MAX_REFUSED]),
         upstream_limits=tuple(
             (upstream, -negative_start, limit, since_ms)
             for upstream, (negative_start, since_ms, limit) in sorted(
--- a/src/coltsfootarch/fleet/reports.py
+++ b/src/coltsfootarch/fleet/reports.py
@@ -58,6 +58,8 @@
         policy_epoch: Epoch in which the host's policy was last seen in the
             table service; 0 in the first one.
         policy_digest: Digest of the stored policy; 0 in the first epoch.
+        departed: Incarnations of upstreams that drain or have left, for a while
+            after a restoration of the table service.
     """
 
     version: int
@@ -88,6 +90,7 @@
     store_epoch: int = 0
     policy_epoch: int = 0
     policy_digest: int = 0
+    departed: tuple[str, ...] = ()
 
 
 # Fields that reports leave out if they and all later ones are empty. Hosts of
@@ -102,6 +105,7 @@
     "store_epoch",
     "policy_epoch",
     "policy_digest",
+    "departed",
 )
 
 
--- a/src/coltsfootarch/fleet/upstreams.py
+++ b/src/coltsfootarch/fleet/upstreams.py
@@ -3,17 +3,20 @@
 from __future__ import annotations
 
 import enum
+import types
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
 import structlog
 import xxhash
 
+from coltsfootarch.fleet import departures
 from coltsfootarch.fleet import store_epochs
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Mapping
 
     from coltsfootarch import clock as clocks
     from coltsfootarch.fleet import reports
@@ -39,6 +42,7 @@
 # after an outage.
 OUTAGE_S = 2.5
 START = store_epochs.Position(0, 0)
+NO_REVISIONS: Mapping[str, int] = types.MappingProxyType({})
 
 logger = structlog.get_logger(__name__)
 
@@ -100,16 +104,24 @@
 
     Args:
         clock: Source of time.
+        epochs: Epochs of the table service.
 
     Attributes:
         accepts: Returns whether an upstream may get requests from this host at
             present, by what it has stated itself.
         is_open: The same for a request that is prepared for an upstream.
         failed_at: Instant at which the last failed read began, in seconds.
+        departures: Upstreams that drain or have left.
     """
 
-    def __init__(self, clock: clocks.Clock) -> None:
+    def __init__(
+        self,
+        clock: clocks.Clock,
+        epochs: store_epochs.StoreEpochs | None = None,
+    ) -> None:
         self.clock = clock
+        self.epochs = epochs or store_epochs.StoreEpochs(clock)
+        self.departures = departures.Departures(clock)
         self.accepts: Callable[[Upstream], bool] = lambda _: True
         self.is_open: Callable[[Upstream], bool] = lambda _: True
         self.upstreams: dict[str, Upstream] = {}
@@ -129,16 +141,33 @@
         self,
         entries: dict[str, Upstream],
         position: store_epochs.Position = START,
+        revisions: Mapping[str, int] = NO_REVISIONS,
     ) -> None:
-        """Applies a complete list; entries missing from it are removed."""
+        """Applies a complete list; entries missing from it are removed.
+
+        After a restoration of the table service, entries of upstreams that are
+        known to drain or to have left don't count, and missing ones have time
+        to register again.
+        """
+        is_restored = (
+            self.position is not None and position.epoch > self.position.epoch
+        )
+        if is_restored or self.position is None:
+            for entry in entries.values():
+                if self.departures.has_left(entry):
+                    self.departures.mark_outdated(
+                        entry.id, revisions.get(entry.id, position.revision)
+                    )
         removed = [key for key in self.upstreams if key not in entries]
-        self.update(entries.values(), removed, position)
+        self.update(entries.values(), removed, position, revisions, is_restored)
 
     def update(
         self,
         entries: Iterable[Upstream],
         removed: Iterable[str],
         position: store_epochs.Position = START,
+        revisions: Mapping[str, int] = NO_REVISIONS,
+        is_restored: bool = False,
     ) -> None:
         """Applies the changes since the previous read.
 
@@ -147,10 +176,22 @@
             removed: Ids of removed entries. After an outage they are kept until
                 upstreams had time to register again.
             position: Place in the store's history as of this read.
+            revisions: Revision of each entry's row by its id.
+            is_restored: Whether the table service was restored from a copy
+                since the previous read.
         """
         self.record_read()
         self.position = position
         now = self.clock.monotonic()
+        if is_restored:
+            self.grace_until = max(self.grace_until, now + REREGISTRATION_S)
+        entries = [
+            upstream
+            for upstream in entries
+            if not self.departures.is_outdated(
+                upstream.id, revisions.get(upstream.id, position.revision)
+            )
+        ]
         for key in removed:
             if key in self.upstreams:
                 self.absent_since.setdefault(key, now)
@@ -174,7 +215,7 @@
         }
         dropped = [key for key in removed if key in self.upstreams]
         for key in dropped:
-            del self.upstreams[key]
+            self.departures.record(self.upstreams.pop(key))
             self.absent_since.pop(key, None)
             self.rejected.discard(key)
             logger.info("upstream removed", upstream=key)
@@ -205,6 +246,10 @@
     def put(self, upstream: Upstream) -> None:
         """Adds or replaces an entry."""
         self.upstreams[upstream.id] = upstream
+        if upstream.ready:
+            self.departures.forget(upstream)
+        else:
+            self.departures.record(upstream)
         self.rejected.discard(upstream.id)
         logger.info(
             "upstream registered",
@@ -251,6 +296,8 @@
 
     def add_to_report(self, report: reports.Report) -> reports.Report:
         """Adds the digest and last change; see `reports.Participant`."""
+        if self.epochs.since_restoration_s() <= departures.TOLD_S:
+            report = report._replace(departed=self.departures.told())
         age = self.age()
         if not self.upstreams or age > MAX_REPORTED_AGE_S:
             return report
@@ -284,6 +331,8 @@
         peer reports. If it differs otherwise, the entries are marked as
         outdated, so that this host reads them at once.
         """
+        if report.departed:
+            self.learn_departures(report.departed)
         if report.directory_age_ms < 0 or not continuous:
             return
         age = report.directory_age_ms / 1000 + DELIVERY_S
@@ -307,6 +356,23 @@
             store_epochs.Position(epoch, report.directory_revision),
         )
 
+    def learn_departures(self, names: tuple[str, ...]) -> None:
+        """Drops entries whose upstreams have left, as another host knows.
+
+        A host that started after a restoration has read them from the copy.
+        """
+        learned = self.departures.learn(names)
+        left = [
+            upstream
+            for upstream in self.upstreams.values()
+            if upstream.ready and departures.incarnation(upstream) in learned
+        ]
+        position = self.position or START
+        for upstream in left:
+            self.departures.mark_outdated(upstream.id, position.revision)
+        if left:
+            self.apply((), [upstream.id for upstream in left])
+
     def candidates(self, service: str) -> list[Upstream]:
         """Returns the upstreams of a service that accept new requests."""
         return list(filter(self.accepts, self.members(service)))
--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -138,7 +138,7 @@
         )
         self.hosts = hosts.HostDirectory(own, clock)
         self.sampler = sampling.Sampler(self.hosts.count, random.Random())
-        self.upstreams = upstreams.UpstreamDirectory(clock)
+        self.upstreams = upstreams.UpstreamDirectory(clock, platform.epochs)
         self.policy_tracker = active_policy.PolicyTracker(
             clock, platform.epochs
         )
--- a/src/coltsfootarch/platform/feeds.py
+++ b/src/coltsfootarch/platform/feeds.py
@@ -179,7 +179,12 @@
                     reason=str(error),
                 )
         return followers.UpstreamReadResult(
-            found, tuple(removed), rows.revision, rows.sent_at, rows.epoch
+            found,
+            tuple(removed),
+            rows.revision,
+            rows.sent_at,
+            rows.epoch,
+            {row.key: row.revision for row in rows.rows if row.key in found},
         )
 
 
--- a/tests/fleet/test_silent_policy_reads.py
+++ b/tests/fleet/test_silent_policy_reads.py
@@ -168,7 +168,7 @@
         position = None
         outdated = False
 
-        def replace(self, found, position):
+        def replace(self, found, position, revisions):
             self.position = position
 
         def age(self):
