Fencing tokens aren't given out again by a restored store

Two hosts could send stage orders with one fencing token, or take turns within the time of a lease: the copy lacks the last claims, so that the next one got the same number at once; and an expected revision could hold for a row of the lost history.

Cause: claims rest on rows and revisions that a restoration takes back. Change: the epoch is the high part of a fence, so that those of an epoch exceed all earlier ones without any memory; the first claim of an epoch after the first one grants nothing and only records the time from which the gap counts; a conditional write names the epoch of its expected revision, and a claim whose answer comes from another epoch isn't used.

Measured: before, a claim lost with fence 2 was followed by one with fence 2, and a claim was granted at once after a restoration. The five new tests pass, and those of platform and stage orders.

--- a/src/coltsfootarch/fleet/departures.py
+++ b/src/coltsfootarch/fleet/departures.py
@@ -10,8 +10,8 @@
     from coltsfootarch import clock as clocks
     from coltsfootarch.fleet import upstreams
 
-# Time for which a departure is remembered, in seconds. Copies from which a store
-# is restored are younger.
+# Time for which a departure is remembered, in seconds. It exceeds the age of
+# the copies from which a store is restored.
 MEMORY_S = 60.0
 # Time after a restoration in which departures are told to other hosts, which
 # may have started and read the copy, and the largest number that is told.
--- a/src/coltsfootarch/platform/orders.py
+++ b/src/coltsfootarch/platform/orders.py
@@ -5,8 +5,10 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+import structlog
 
 from coltsfootarch.fleet import stage_orders
+from coltsfootarch.fleet import store_epochs
 from coltsfootarch.http1 import client
 from coltsfootarch.http1 import messages
 from coltsfootarch.platform import decoding
@@ -19,6 +21,10 @@
 
 CLAIM_TABLE = "coltsfootarch-claims"
 ORDER_TIMEOUT_S = 0.8
+# Fences that can be given out in one epoch of the store.
+FENCES_PER_EPOCH = 2**32
+
+logger = structlog.get_logger(__name__)
 
 
 class StoredClaim(msgspec.Struct):
@@ -29,11 +35,13 @@
         fence: Number of the claim; later claims have higher numbers.
         at_ms: Time at which the claim was requested, by the store's clock, in
             milliseconds.
+        epoch: Epoch of the store in which it was made; 0 if unknown.
     """
 
     holder: str
     fence: int
     at_ms: int
+    epoch: int = 0
 
 
 class ClaimTable:
@@ -55,22 +63,28 @@
     ) -> stage_orders.Claim | None:
         """Makes a claim unless the last one is too recent.
 
+        A store that was restored may have lost the last claims. The first one
+        in its new epoch only records the time from which the gap counts, and
+        the fences of an epoch are higher than those of all earlier ones.
+
         Args:
             service: Service to claim.
             holder: Name of this host.
             gap_s: Minimum time after the last claim, in seconds.
 
         Returns:
-            The claim; None if the last one is too recent or another host made
-            one at the same time.
+            The claim; None if the last one is, or may be, too recent or if
+            another host made one at the same time.
 
         Raises:
             errors.TableUnavailableError: The claim may have been written, but
                 must not be used.
         """
-        row, now_ms = self.client.read_row(CLAIM_TABLE, service)
+        row, now_ms, epoch = self.client.read_row(CLAIM_TABLE, service)
+        lowest = max(epoch - store_epochs.FIRST_EPOCH, 0) * FENCES_PER_EPOCH
         fence = 0
         revision = 0
+        is_known = epoch <= store_epochs.FIRST_EPOCH
         if row is not None:
             revision = row.revision
             try:
@@ -79,18 +93,31 @@
                 # The age and the number of the last claim are unknown. The
                 # row's revision serves as its number: it is at least as high
                 # as any number given out so far.
-                fence = row.revision
+                fence = lowest + row.revision
             else:
-                if now_ms - last.at_ms < gap_s * decoding.MS_PER_S:
+                is_known = is_known or last.epoch == epoch
+                age_ms = now_ms - last.at_ms
+                if is_known and age_ms < gap_s * decoding.MS_PER_S:
                     return None
                 fence = last.fence
         asked_at = self.clock.monotonic()
-        stored = StoredClaim(holder, fence + 1, now_ms)
+        stored = StoredClaim(holder, max(fence, lowest) + 1, now_ms, epoch)
         if not self.client.replace_row(
-            CLAIM_TABLE, service, msgspec.json.encode(stored), revision
+            CLAIM_TABLE,
+            service,
+            msgspec.json.encode(stored),
+            store_epochs.Position(epoch, revision),
         ):
             return None
-        return stage_orders.Claim(holder, fence + 1, asked_at)
+        if not is_known:
+            logger.info(
+                "claims may have been lost in a restoration",
+                service=service,
+                epoch=epoch,
+                wait_s=gap_s,
+            )
+            return None
+        return stage_orders.Claim(holder, stored.fence, asked_at)
 
 
 class RunnerOrders:
--- a/src/coltsfootarch/platform/store.py
+++ b/src/coltsfootarch/platform/store.py
@@ -75,6 +75,20 @@
         return store_epochs.Position(self.epoch, self.revision)
 
 
+class StoredRow(NamedTuple):
+    """Answer to the read of one row.
+
+    Attributes:
+        row: The row; None if there is none.
+        now_ms: The store's clock, in milliseconds.
+        epoch: Epoch of the store when it answered.
+    """
+
+    row: Row | None
+    now_ms: int
+    epoch: int
+
+
 class StoreClient:
     """Calls the store over one connection, which is kept between calls.
 
@@ -194,8 +208,8 @@
             )
         return rows
 
-    def read_row(self, table: str, key: str) -> tuple[Row | None, int]:
-        """Returns a row, None if there is none, and the store's clock in ms.
+    def read_row(self, table: str, key: str) -> StoredRow:
+        """Returns one row.
 
         Raises:
             errors.TableUnavailableError: The store did not answer usably.
@@ -213,10 +227,15 @@
             raise errors.TableUnavailableError(
                 "the store's answer to rows-get has no integer now_ms"
             )
-        return (page.rows[0] if page.rows else None), now_ms
+        row = page.rows[0] if page.rows else None
+        return StoredRow(row, now_ms, page.epoch)
 
     def replace_row(
-        self, table: str, key: str, value: bytes, revision: int
+        self,
+        table: str,
+        key: str,
+        value: bytes,
+        expected: store_epochs.Position,
     ) -> bool:
         """Writes a row if it still has a revision.
 
@@ -224,19 +243,21 @@
             table: Name of the table.
             key: Key of the row.
             value: New bytes.
-            revision: Revision that the row must have; 0 for no row.
+            expected: Epoch of the store and revision that the row must have;
+                revision 0 for no row.
 
         Returns:
             Whether the row had the revision and was written.
 
         Raises:
             errors.TableUnavailableError: The row may or may not have been
-                written.
+                written. The revision was of another row if the store was
+                restored meanwhile.
         """
         row_key = {"table": table, "part": "", "key": key}
         encoded = base64.b64encode(value).decode("ascii")
         document = {
-            "expected": [{**row_key, "ver": revision}],
+            "expected": [{**row_key, "ver": expected.revision}],
             "writes": [{**row_key, "value": encoded}],
             "remove": [],
         }
@@ -244,6 +265,10 @@
             self.transact(document)
         except errors.TransactionConflictError:
             return False
+        if self.answer_epoch != expected.epoch:
+            raise errors.TableUnavailableError(
+                f"the store was restored before {table}/{key} was written"
+            )
         return True
 
     def write_row(self, table: str, key: str, value: bytes) -> None:
--- a/tests/platform/test_restored_store.py
+++ b/tests/platform/test_restored_store.py
@@ -9,8 +9,10 @@
 from coltsfootarch import errors
 from coltsfootarch.fleet import active_policy
 from coltsfootarch.fleet import followers
+from coltsfootarch.fleet import store_epochs
 from coltsfootarch.fleet import upstreams
 from coltsfootarch.platform import feeds
+from coltsfootarch.platform import orders
 from coltsfootarch.platform import store
 from standins import metadata_store
 from tests.platform import documents
@@ -182,3 +184,62 @@
 
     assert follower.tracker.version() == 2
     assert client.epochs.restorations == 0
+
+
+@pytest.fixture
+def claims(client):
+    return orders.ClaimTable(client, client.clock)
+
+
+def test_fence_is_not_given_out_twice(server, claims):
+    """Guards against orders of two hosts with one fencing token."""
+    claims.claim("llm", "h1", gap_s=0)
+    copied = server.revision
+    lost = claims.claim("llm", "h1", gap_s=0)
+
+    server.restore(copied)
+    given_out = [claims.claim("llm", "h2", gap_s=0) for _ in range(2)]
+
+    assert given_out[0] is None
+    assert given_out[1].fence > lost.fence
+
+
+@pytest.mark.parametrize("is_older_claim_kept", [True, False])
+def test_claim_that_may_have_been_lost_keeps_its_gap(
+    server, claims, is_older_claim_kept
+):
+    """Guards against holders that take turns within the time of a lease."""
+    if is_older_claim_kept:
+        claims.claim("llm", "h1", gap_s=0)
+    copied = server.revision
+    claims.claim("llm", "h1", gap_s=0)
+
+    server.restore(copied)
+
+    assert claims.claim("llm", "h2", gap_s=0.2) is None
+    assert claims.claim("llm", "h3", gap_s=0.2) is None
+    gevent.sleep(0.25)
+    assert claims.claim("llm", "h3", gap_s=0.2).holder == "h3"
+
+
+def test_claim_on_a_row_of_the_lost_history_is_not_used(server, client):
+    """Guards against an expected revision that another row has by now."""
+    server.put(orders.CLAIM_TABLE, "llm", b"{}")
+    row, _, epoch = client.read_row(orders.CLAIM_TABLE, "llm")
+    server.restore(0)
+    server.put(orders.CLAIM_TABLE, "llm", b"{}")
+
+    with pytest.raises(errors.TableUnavailableError):
+        client.replace_row(
+            orders.CLAIM_TABLE,
+            "llm",
+            b"{}",
+            store_epochs.Position(epoch, row.revision),
+        )
+
+
+def test_claims_of_a_store_without_an_epoch_are_granted(server, claims):
+    server.era = None
+
+    assert claims.claim("llm", "h1", gap_s=60).fence == 1
+    assert claims.claim("llm", "h2", gap_s=60) is None
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -189,16 +189,16 @@
 def test_conditional_write_fails_if_the_row_changed(server, client):
     revision = server.put("t", "row", b"1")
 
-    assert client.replace_row("t", "row", b"2", revision)
-    assert not client.replace_row("t", "row", b"3", revision)
-    assert client.read_row("t", "row")[0].value == b"2"
+    assert client.replace_row("t", "row", b"2", at(revision))
+    assert not client.replace_row("t", "row", b"3", at(revision))
+    assert client.read_row("t", "row").row.value == b"2"
 
 
 def test_write_whose_answer_is_lost_raises(server, client):
     server.lose_answers = True
 
     with pytest.raises(errors.TableUnavailableError):
-        client.replace_row("t", "row", b"1", 0)
+        client.replace_row("t", "row", b"1", at(0))
 
 
 def put_large_configuration(server, version):
