--- a/soak/faults.py
+++ b/soak/faults.py
@@ -28,6 +28,7 @@
     "cut_runner",
     "reset_runner",
     "store_mode",
+    "restore_store",
     "cut_store",
     "misbehave",
 )
@@ -46,7 +47,15 @@
     {"lose_answers": True},
     {"forget": True},
 )
-HEALTHY_STORE = {"mode": "serve", "delay_s": 0.0, "lose_answers": False}
+# Largest age of the copy from which the store comes back, and longest time
+# until the operator has written the configuration again, in seconds.
+MAX_COPY_AGE_S = 6.0
+MAX_REWRITE_S = 0.8
+HEALTHY_STORE: dict[str, Any] = {
+    "mode": "serve",
+    "delay_s": 0.0,
+    "lose_answers": False,
+}
 
 
 class Faults:
@@ -261,6 +270,26 @@
         self.fleet.set_store(**HEALTHY_STORE)
         self.reserved.discard("store")
 
+    def restore_store(self) -> None:
+        """Lets the store come back from a copy that is some seconds old.
+
+        The operator writes the newest configuration again a little later;
+        runners register again with their next heartbeat.
+        """
+        if "store" in self.reserved:
+            return
+        self.reserved.add("store")
+        self.fleet.set_store(mode="reset")
+        self.sleep_random()
+        with self.writing:
+            self.fleet.set_store(
+                restore=self.generator.uniform(0.1, MAX_COPY_AGE_S),
+                **HEALTHY_STORE,
+            )
+            gevent.sleep(self.generator.uniform(0.0, MAX_REWRITE_S))
+            self.put_configuration()
+        self.reserved.discard("store")
+
     def cut_store(self) -> None:
         """Disturbs a host's connections to the store for a while."""
         host = self.generator.choice(self.fleet.hosts)
@@ -298,14 +327,16 @@
     def write_configuration(self) -> None:
         # Versions reach the store in order, also of concurrent changes.
         with self.writing:
-            keys = ["key-a"]
-            if "key-b" not in self.withdrawn:
-                keys.append("key-b")
-            document = self.configuration(self.version, keys)
-            self.time_limits.append(
-                (time.monotonic(), route_timeout_s(document))
-            )
-            self.fleet.put("config", document)
+            self.put_configuration()
+
+    def put_configuration(self) -> None:
+        """Writes the configuration of the newest version."""
+        keys = ["key-a"]
+        if "key-b" not in self.withdrawn:
+            keys.append("key-b")
+        document = self.configuration(self.version, keys)
+        self.time_limits.append((time.monotonic(), route_timeout_s(document)))
+        self.fleet.put("config", document)
 
 
 def route_timeout_s(document: Any) -> float:
