Log versions of upstreams and streams that are taken up

Change: the registration's version and the field Resumes are decoded (several different or overlong values name nothing) and logged; no decision depends on them.

--- a/src/coltsfootarch/fleet/upstreams.py
+++ b/src/coltsfootarch/fleet/upstreams.py
@@ -66,6 +66,7 @@
         slots: Number of requests that it runs at once.
         stage: Stage of a model engine; None for a plain service.
         started_ms: Unix time of its start in milliseconds, 0 if unknown.
+        version: Version of its software; empty if unknown.
     """
 
     id: str
@@ -76,6 +77,7 @@
     slots: int
     stage: Stage | None = None
     started_ms: int = 0
+    version: str = ""
 
     @property
     def incarnation(self) -> str:
@@ -258,6 +260,7 @@
             address=upstream.address,
             ready=upstream.ready,
             stage=upstream.stage.value if upstream.stage else None,
+            version=upstream.version,
         )
 
     def reject(self, upstream_id: str) -> None:
--- a/src/coltsfootarch/forwarding/calls.py
+++ b/src/coltsfootarch/forwarding/calls.py
@@ -32,6 +32,8 @@
             given.
         resume_after: Id of the last event that the caller received; empty for
             a new stream.
+        resumed_id: Request id of the attempt that brought the stream's first
+            event, if it takes one up; empty if it names none, or several.
         shared_parts: Ids of the parts of the prompt that other requests may
             share, in order.
         fields: Header fields to forward.
@@ -53,6 +55,12 @@
     fields: messages.Fields
     body: bytes
     received_at: float
+    resumed_id: str = ""
+
+    @property
+    def takes_up(self) -> bool:
+        """Whether it continues a stream of an earlier attempt."""
+        return bool(self.resume_after or self.resumed_id)
 
     @property
     def path(self) -> str:
--- a/src/coltsfootarch/forwarding/decode_stage.py
+++ b/src/coltsfootarch/forwarding/decode_stage.py
@@ -185,6 +185,8 @@
             "decode ended",
             request_id=call.request.id,
             upstream=engine.id,
+            version=engine.version,
+            resumes=call.request.resumed_id or None,
             attempt=call.attempts,
             digest=call.digest,
             breaks=self.context.break_counts.count(call.digest),
--- a/src/coltsfootarch/forwarding/forwarder.py
+++ b/src/coltsfootarch/forwarding/forwarder.py
@@ -364,6 +364,8 @@
             policy_age_ms=round(age * 1000) if math.isfinite(age) else None,
             attempts=call.attempts if call else 0,
             upstreams=call.tried if call else [],
+            resumes=request.resumed_id or None,
+            resume_after=request.resume_after or None,
             deadline_ms=round(request.deadline_s * 1000)
             if request.deadline_s is not None
             else None,
--- a/src/coltsfootarch/platform/registrations.py
+++ b/src/coltsfootarch/platform/registrations.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 from coltsfootarch.fleet import upstreams
 from coltsfootarch.platform import decoding
 
@@ -10,6 +12,7 @@
     "decode": upstreams.Stage.DECODE,
 }
 # `state` says whether the runner accepts new work, not whether it is healthy.
+MAX_VERSION_LENGTH = 100
 READY_BY_STATE = {"ready": True, "draining": False}
 
 
@@ -50,4 +53,21 @@
         slots=decoding.count(entry, "slots"),
         stage=STAGE_BY_NAME.get(stage) if stage else None,
         started_ms=decoding.count(entry, "born", 0),
+        version=decode_version(entry),
     )
+
+
+def decode_version(entry: dict[str, Any]) -> str:
+    """Returns the version of a runner's software; empty if it names none.
+
+    Raises:
+        decoding.UnreadableDocumentError: No string, or too long a one.
+    """
+    if entry.get("version") is None:
+        return ""
+    version = decoding.string(entry, "version")
+    if len(version) > MAX_VERSION_LENGTH:
+        raise decoding.UnreadableDocumentError(
+            f"version is longer than {MAX_VERSION_LENGTH} characters"
+        )
+    return version
--- a/src/coltsfootarch/platform/wire.py
+++ b/src/coltsfootarch/platform/wire.py
@@ -24,6 +24,9 @@
 # the request or its session.
 PREFIX_HASH = "X-Prefix-Hash"
 LAST_EVENT_ID = "Last-Event-Id"
+# Names the caller's attempt that brought the first event of the stream.
+RESUMES = "Resumes"
+MAX_REQUEST_ID_LENGTH = 200
 EXPECT_INSTANCE = "X-Expect-Instance"
 TENANT = "X-Tenant"
 STAGE = "X-Stage"
@@ -87,9 +90,24 @@
         ),
         body=request.body,
         received_at=request.received_at,
+        resumed_id=decode_resumed_id(request.fields),
     )
 
 
+def decode_resumed_id(fields: messages.Fields) -> str:
+    """Returns the request id that `Resumes` names.
+
+    Returns:
+        An empty string if it is absent, too long, or names several ids.
+    """
+    field = RESUMES.lower()
+    named = {value.strip() for name, value in fields if name.lower() == field}
+    if len(named) != 1:
+        return ""
+    (request_id,) = named
+    return request_id if len(request_id) <= MAX_REQUEST_ID_LENGTH else ""
+
+
 def decode_key(value: str) -> str:
     """Returns the key of an `Authorization` field; empty if there is none."""
     scheme, _, key = value.partition(" ")
--- a/tests/platform/test_registrations.py
+++ b/tests/platform/test_registrations.py
@@ -27,9 +27,14 @@
         8,
         upstreams.Stage.DECODE,
         17,
+        "v1",
     )
 
 
+def test_registration_without_a_version_is_accepted():
+    assert decode(version=None).version == ""
+
+
 @pytest.mark.parametrize("key", ["i-1\r\nX-Tenant: other", "i-\u00e9"])
 def test_ids_that_fit_into_no_header_field_are_refused(key):
     """Guards against header fields that an id adds to requests."""
@@ -62,6 +67,8 @@
         {"born": 10**400},
         {"born": -1},
         {"stage": ["decode"]},
+        {"version": 2},
+        {"version": "v" * 101},
         {"stage": {"name": "decode"}},
     ],
 )
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -201,3 +201,19 @@
 def test_state_of_a_runner_is_decoded(name, value, attribute, expected):
     """Guards against a response that ends in an error for an odd value."""
     assert getattr(answer(503, (name, value)), attribute) == expected
+
+
+@pytest.mark.parametrize(
+    ("fields", "resumed_id"),
+    [
+        ((), ""),
+        ((("Resumes", "r-1"),), "r-1"),
+        ((("resumes", " r-1 "), ("Resumes", "r-1")), "r-1"),
+        ((("Resumes", "r-1"), ("Resumes", "r-2")), ""),
+        ((("Resumes", "r" * 201),), ""),
+        ((("Resumes", ""),), ""),
+    ],
+)
+def test_stream_that_is_taken_up_is_named_once(fields, resumed_id):
+    """Guards against a stream that is chosen among several named ones."""
+    assert wire.decode_caller(request(*fields)).resumed_id == resumed_id
