Failing tests: streams go on at another version of the software

Cause: a host places a stream that breaks, or that a caller takes up, at any engine of the service. Change: tests with engines of two versions, a host that loses its memory, and a version that has left; the stand-in engines name a version.

--- a/standins/runner.py
+++ b/standins/runner.py
@@ -99,6 +99,7 @@
         self.stage = stage
         self.zone = zone
         self.state = "ready"
+        self.version = "v1"
         self.slots = 8
         self.running = 0
         self.runs: list[dict[str, Any]] = []
@@ -146,7 +147,7 @@
             "service": self.service,
             "address": self.advertised or self.address,
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slots": self.slots,
             "state": self.state,
             "cold_remaining_ms": 0,
--- a/tests/forwarding/edge_host.py
+++ b/tests/forwarding/edge_host.py
@@ -141,6 +141,16 @@
         document = document or documents.configuration()
         self.store.put("op", "config", documents.encoded(document))
 
+    def restart(self, **limits):
+        """Starts the host again; it has lost its memory."""
+        self.daemon.close()
+        return self.start(**limits)
+
+    def remove(self, name):
+        """Removes a runner and its registration."""
+        self.store.put("servers", name, None)
+        self.runners.pop(name).close()
+
     def start(self, **limits):
         listen, ready, metrics = free_addresses(3)
         (reports,) = free_addresses(1, socket.SOCK_DGRAM)
