A stream that breaks goes on at its software version only

Callers got text of two versions in one answer: a stream whose engine broke or fell silent after its first event went on at any engine of the service.

Cause: the version of an engine wasn't known to the placement. Change: the first event binds a stream to its engine's version. Further attempts, engines that are prepared for a silent stream and the last check before a move accept that version only; if no engine has it, the answer ends, and its caller can take it up. Before the first event an attempt may still change its version.

--- a/src/coltsfootarch/forwarding/decode_stage.py
+++ b/src/coltsfootarch/forwarding/decode_stage.py
@@ -241,6 +241,8 @@
                     "another response began before the stream ended"
                 )
             for event in splitter.feed(part):
+                if generation.version is None:
+                    generation.version = exchange.delivery.upstream.version
                 self.send_event(generation, response, event)
             exchange.hold(len(splitter.incomplete))
         exchange.finish()
--- a/src/coltsfootarch/forwarding/engine_preparation.py
+++ b/src/coltsfootarch/forwarding/engine_preparation.py
@@ -255,7 +255,10 @@
         call = self.generation.call
         waiter = dispatch_queue.RunningWaiter(
             self.own.service,
-            self.own.demand._replace(may_use_prefill_engine=self.may_prefill),
+            self.own.demand._replace(
+                may_use_prefill_engine=self.may_prefill,
+                version=self.generation.version,
+            ),
             self.excluded,
             call.route.priority,
             call.request.received_at,
@@ -312,7 +315,9 @@
     def excluded(self) -> set[str]:
         """Returns the ids of the engines that can't take the stream now."""
         call = self.generation.call
-        engines = self.context.engine_placer.decode_engines(call.service)
+        engines = self.context.engine_placer.decode_engines(
+            call.service, (), self.generation.version
+        )
         excluded = set(call.tried)
         if all(each.id in excluded for each in engines):
             # Engines that failed may have recovered.
@@ -377,6 +382,8 @@
         engine = replacement.placement.decode
         return (
             self.context.directory.is_serving(engine.id)
+            # The stream may have begun since the engine was chosen.
+            and self.generation.version in (None, engine.version)
             and not self.is_mute(engine.id)
             and replacement.exchange.is_ready()
             and self.is_movable()
--- a/src/coltsfootarch/forwarding/generation_pipeline.py
+++ b/src/coltsfootarch/forwarding/generation_pipeline.py
@@ -243,13 +243,17 @@
             generation.is_retry,
         )
         if not self.context.engine_placer.decode_engines(
-            call.service, waiter.excluded
+            call.service, waiter.excluded, generation.version
         ):
             if generation.connect_failures or not call.tried:
                 return None
             # Attempts failed on all engines, but all could be connected, so
             # that one may have recovered.
             waiter.excluded = frozenset()
+            if not self.context.engine_placer.decode_engines(
+                call.service, (), generation.version
+            ):
+                return None
         return self.acquire(generation, waiter, self.max_wait_s(generation))
 
     def acquire(
--- a/src/coltsfootarch/forwarding/generations.py
+++ b/src/coltsfootarch/forwarding/generations.py
@@ -115,6 +115,15 @@
         fork.call.cancellation = cancellation
         return fork
 
+    @property
+    def version(self) -> str | None:
+        """Software version that began its stream; None before its begin."""
+        return self.demand.version
+
+    @version.setter
+    def version(self, version: str) -> None:
+        self.demand = self.demand._replace(version=version)
+
     @property
     def may_prefill(self) -> bool:
         """Whether the prompt may be sent to a prefill engine.
--- a/src/coltsfootarch/scheduling/engine_placement.py
+++ b/src/coltsfootarch/scheduling/engine_placement.py
@@ -56,12 +56,15 @@
         event_gap_s: Maximum pause between events that callers of the service
             accept, in seconds.
         may_use_prefill_engine: Whether a prefill engine may process the prompt.
+        version: Software version that the decode engine must have; None for a
+            stream that hasn't begun.
     """
 
     prompt_tokens: int
     memory_tokens: int
     event_gap_s: float = float("inf")
     may_use_prefill_engine: bool = True
+    version: str | None = None
 
 
 class Placement(NamedTuple):
@@ -217,9 +220,14 @@
         memory = float("inf")
         if service.engine is not None:
             memory = service.engine.memory_tokens * MAX_MEMORY_FRACTION
+        fitting = [
+            engine
+            for engine in engines
+            if demand.version in (None, engine.version)
+        ]
         candidates = []
         for engine in self.usable_engines(
-            engines, upstreams.Stage.DECODE, excluded
+            fitting, upstreams.Stage.DECODE, excluded
         ):
             load = self.loads.load(engine.id)
             planned_tokens = load.tokens + demand.memory_tokens
@@ -308,12 +316,22 @@
         return REMOTE_ZONE_TOKENS
 
     def decode_engines(
-        self, service: str, excluded: Collection[str] = ()
+        self,
+        service: str,
+        excluded: Collection[str] = (),
+        version: str | None = None,
     ) -> list[upstreams.Upstream]:
-        """Returns the registered decode engines of a service."""
+        """Returns the registered decode engines of a service.
+
+        Args:
+            service: Name of the service.
+            excluded: Ids of engines to leave out.
+            version: Software version that they must have; None for any.
+        """
         return [
             engine
             for engine in self.directory.candidates(service)
             if stage_of(engine) is upstreams.Stage.DECODE
             and engine.id not in excluded
+            and version in (None, engine.version)
         ]
