Streams are taken up at the software version that began them

Callers whose connection broke got 200 and a text joined of two versions when they took their stream up, at worst from all hosts after all were killed.

Cause: hosts placed a take-up on any engine; nothing told which version had begun the stream that Resumes names. Change: one row of the store for each service names its base version and the others (fleet/service_versions.py). Streams that begin at another version than the base are recorded in the store before their first event while the base has engines, many in a transaction (fleet/stream_records.py); what isn't recorded is of the base version. While there is one version, nothing is recorded or looked up. A version takes streams 0.8 s after its addition, 5 s while hosts are unreachable; the base changes when its engines have been gone for 30 s. A take-up whose version has no engine is refused at once (4012), one whose version can't be found out too (4013): the store is away, or was restored while there were several versions. While records can't be written, streams begin at the base version. After a restoration hosts write the streams that they remember again.

--- /dev/null
+++ b/src/coltsfootarch/fleet/service_versions.py
@@ -0,0 +1,511 @@
+"""Software versions of a service's engines, as all hosts agree on them.
+
+Streams can't go on at another version than the one that began them. One row of
+the store for each service names its base version and the others. Streams that
+begin at another version than the base are recorded (`stream_records`), so that
+any host knows the version of a stream: the recorded one, else the base. While
+a service has one version only, nothing is recorded or looked up.
+
+A version is added to the row before a stream begins at it, and streams begin at
+it only after all hosts have seen it. The base changes when its engines have
+been gone for longer than a stream can last.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+from typing import Protocol
+
+import gevent
+import gevent.event
+import structlog
+
+from coltsfootarch import errors
+from coltsfootarch.fleet import policy
+from coltsfootarch.fleet import store_epochs
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+
+    from coltsfootarch import clock as clocks
+    from coltsfootarch.fleet import active_policy
+    from coltsfootarch.fleet import hosts
+    from coltsfootarch.fleet import upstreams
+
+CHECK_INTERVAL_S = 0.25
+# Time after the addition of a version until streams begin at it. By then each
+# host that others hear knows its registrations, which take 0.6 s at most.
+OPEN_DELAY_S = 0.8
+# Time after which hosts that add nothing themselves read a row that lacks a
+# version, plus up to as much again at random.
+READ_DELAY_S = 0.3
+# Interval at which a row with several versions is read again, as another host
+# may have changed it.
+READ_INTERVAL_S = 10.0
+RETRY_S = 0.5
+# Callers take a stream up within their deadline, which can exceed the timeout
+# of the route a little. A stream lasts for at most so many timeouts.
+LIFETIME_TIMEOUTS = 2.0
+MIN_LIFETIME_S = 30.0
+MS_PER_S = 1000.0
+
+logger = structlog.get_logger(__name__)
+
+
+class VersionState(NamedTuple):
+    """Row of a service.
+
+    Attributes:
+        base: Version of streams that aren't recorded.
+        others: Other versions, with the instant at which each was added, by the
+            store's clock in milliseconds.
+        epoch: Epoch of the store in which the row was written.
+        uncertain_until_ms: Instant until which unrecorded streams may be of any
+            version, since a restoration of the store may have lost records; by
+            the store's clock.
+    """
+
+    base: str
+    others: dict[str, int]
+    epoch: int = 0
+    uncertain_until_ms: int = 0
+
+
+class StoredVersions(NamedTuple):
+    """Answer to the read of a service's row.
+
+    Attributes:
+        state: The row; None if there is none or it can't be decoded.
+        position: Position of the row in the store's history; revision 0 if
+            there is none.
+        now_ms: The store's clock, in milliseconds.
+    """
+
+    state: VersionState | None
+    position: store_epochs.Position
+    now_ms: int
+
+
+class VersionTable(Protocol):
+    """Durable rows of the services' versions."""
+
+    def read(self, service: str) -> StoredVersions:
+        """Returns the row of a service.
+
+        Raises:
+            errors.PlatformError: The store did not answer usably.
+        """
+
+    def replace(
+        self, service: str, state: VersionState, position: store_epochs.Position
+    ) -> bool:
+        """Writes the row of a service if it is still at a position.
+
+        Returns:
+            Whether it was written.
+
+        Raises:
+            errors.PlatformError: It may or may not have been written.
+        """
+
+
+class KnownVersions:
+    """What this host knows of a service's row.
+
+    Args:
+        state: The row.
+        clock_offset_ms: The store's clock less this host's monotonic one, in
+            milliseconds.
+        read_at: Instant of the read, in seconds.
+
+    Attributes:
+        absent_since: Instant since which no engine of a version has been
+            registered, in seconds, by version.
+    """
+
+    def __init__(
+        self, state: VersionState, clock_offset_ms: float, read_at: float
+    ) -> None:
+        self.state = state
+        self.clock_offset_ms = clock_offset_ms
+        self.read_at = read_at
+        self.absent_since: dict[str, float] = {}
+
+
+class ServiceVersions:
+    """Keeps the rows of the services and answers questions about versions.
+
+    Args:
+        table: Durable rows.
+        directory: Registered upstreams.
+        policy_tracker: Holds the active policy.
+        peers: Directory of the other hosts.
+        epochs: Epochs of the store.
+        clock: Source of time.
+        generator: Source of randomness.
+        unreachable_delay_s: Time after the addition of a version until streams
+            begin at it while hosts are unreachable. They can't confirm keys
+            any more by then.
+
+    Attributes:
+        services: What is known, by service.
+        on_change: Called after a change of what is known.
+        on_restored: Called with a service whose row was written again after a
+            restoration of the store.
+    """
+
+    def __init__(
+        self,
+        table: VersionTable,
+        directory: upstreams.UpstreamDirectory,
+        policy_tracker: active_policy.PolicyTracker,
+        peers: hosts.HostDirectory,
+        epochs: store_epochs.StoreEpochs,
+        clock: clocks.Clock,
+        generator: random.Random,
+        unreachable_delay_s: float,
+    ) -> None:
+        self.table = table
+        self.directory = directory
+        self.policy_tracker = policy_tracker
+        self.peers = peers
+        self.epochs = epochs
+        self.clock = clock
+        self.generator = generator
+        self.unreachable_delay_s = unreachable_delay_s
+        self.services: dict[str, KnownVersions] = {}
+        self.due_at: dict[str, float] = {}
+        self.on_change: list[Callable[[], object]] = []
+        self.on_restored: list[Callable[[str], object]] = []
+        self.wake_event = gevent.event.Event()
+        self.changed = gevent.event.Event()
+        self.greenlet: gevent.Greenlet | None = None
+        directory.on_change.append(self.wake_event.set)
+
+    def start(self) -> None:
+        """Starts to check the rows."""
+        self.greenlet = gevent.spawn(self.run)
+
+    def close(self) -> None:
+        """Stops checking."""
+        if self.greenlet is not None:
+            self.greenlet.kill()
+            self.greenlet = None
+
+    def run(self) -> None:
+        """Checks the rows after each change of the registrations."""
+        while True:
+            try:
+                self.check()
+            except Exception:
+                logger.exception("check of versions failed unexpectedly")
+            self.wake_event.wait(CHECK_INTERVAL_S)
+            self.wake_event.clear()
+
+    # Questions.
+
+    def wait_known(self, service: str, timeout: float) -> None:
+        """Waits until the row of a service is known, as after a start.
+
+        Args:
+            service: The service.
+            timeout: Longest wait in seconds.
+        """
+        deadline = self.clock.monotonic() + timeout
+        while service not in self.services:
+            remaining = deadline - self.clock.monotonic()
+            if remaining <= 0:
+                return
+            self.changed.wait(remaining)
+
+    def base(self, service: str) -> str | None:
+        """Returns the base version of a service; None if it isn't known."""
+        known = self.services.get(service)
+        return known.state.base if known else None
+
+    def is_single(self, service: str) -> bool:
+        """Returns whether all streams of a service are of its base version."""
+        known = self.services.get(service)
+        return (
+            known is not None
+            and not known.state.others
+            and not self.is_uncertain(service)
+            and known.state.epoch >= self.epochs.epoch
+            and self.registered(service) <= {known.state.base}
+        )
+
+    def is_uncertain(self, service: str) -> bool:
+        """Returns whether records of a service may have been lost."""
+        known = self.services.get(service)
+        return known is not None and (
+            self.store_now_ms(known) < known.state.uncertain_until_ms
+        )
+
+    def needs_record(self, service: str, version: str) -> bool:
+        """Returns whether streams that begin at a version are recorded."""
+        known = self.services.get(service)
+        return known is not None and (
+            version != known.state.base or self.is_uncertain(service)
+        )
+
+    def is_open(self, engine: upstreams.Upstream) -> bool:
+        """Returns whether streams may begin at an engine's version."""
+        known = self.services.get(engine.service)
+        if known is None:
+            return False
+        if engine.version == known.state.base:
+            return True
+        added_ms = known.state.others.get(engine.version)
+        if added_ms is None:
+            return False
+        delay_s = (
+            OPEN_DELAY_S
+            if self.peers.all_reachable()
+            else self.unreachable_delay_s
+        )
+        return self.store_now_ms(known) - added_ms >= delay_s * MS_PER_S
+
+    def registered(self, service: str) -> set[str]:
+        """Returns the versions of a service's registered engines."""
+        return {
+            upstream.version
+            for upstream in self.directory.upstreams.values()
+            if upstream.service == service
+        }
+
+    def lifetime_s(self) -> float:
+        """Returns for how long a stream can be taken up, in seconds."""
+        current = self.policy_tracker.policy
+        if current is None:
+            return MIN_LIFETIME_S
+        longest = max(
+            (route.timeout_s for route in current.routes if route.resumable),
+            default=0.0,
+        )
+        return max(LIFETIME_TIMEOUTS * longest, MIN_LIFETIME_S)
+
+    def store_now_ms(self, known: KnownVersions) -> float:
+        """Returns the store's clock, as far as this host knows it."""
+        return self.clock.monotonic() * MS_PER_S + known.clock_offset_ms
+
+    # Keeping the rows.
+
+    def check(self) -> None:
+        """Reads and changes the rows of all services as far as needed."""
+        current = self.policy_tracker.policy
+        if current is None:
+            return
+        streaming = {
+            target.service
+            for route in current.routes
+            if route.repeat is policy.Repeat.STREAM
+            for target in route.targets
+        }
+        for service in sorted(streaming):
+            try:
+                self.check_service(service)
+            except errors.PlatformError as error:
+                self.due_at[service] = self.clock.monotonic() + RETRY_S
+                logger.info(
+                    "versions of a service not read or written",
+                    service=service,
+                    reason=error.message,
+                )
+
+    def check_service(self, service: str) -> None:
+        """Reads or changes the row of one service if that is needed and due.
+
+        Raises:
+            errors.PlatformError: The store did not answer usably.
+        """
+        now = self.clock.monotonic()
+        registered = self.registered(service)
+        if not registered:
+            return
+        known = self.services.get(service)
+        if known is not None:
+            self.note_absent(known, registered, now)
+        if not self.needs_check(service, known, registered, now):
+            self.due_at.pop(service, None)
+            return
+        if known is not None and now < self.due_at.setdefault(
+            service, now + self.read_delay_s()
+        ):
+            return
+        stored = self.table.read(service)
+        wanted = self.wanted_state(service, known, stored, registered)
+        is_written = wanted != stored.state
+        if is_written and not self.table.replace(
+            service, wanted, stored.position
+        ):
+            self.due_at[service] = now + RETRY_S * self.generator.random()
+            return
+        self.due_at.pop(service, None)
+        self.adopt(service, wanted, stored.now_ms, is_written)
+
+    def read_delay_s(self) -> float:
+        """Returns how long this host leaves changes to the first one by name.
+
+        It is in seconds.
+        """
+        if self.peers.rank() == 0:
+            return 0.0
+        return READ_DELAY_S * (1.0 + self.generator.random())
+
+    def note_absent(
+        self, known: KnownVersions, registered: set[str], now: float
+    ) -> None:
+        """Records since when versions have had no registered engine."""
+        for version in (known.state.base, *known.state.others):
+            if version in registered:
+                known.absent_since.pop(version, None)
+            else:
+                known.absent_since.setdefault(version, now)
+
+    def needs_check(
+        self,
+        service: str,
+        known: KnownVersions | None,
+        registered: set[str],
+        now: float,
+    ) -> bool:
+        """Returns whether the row has to be read."""
+        if known is None or known.state.epoch < self.epochs.epoch:
+            return True
+        state = known.state
+        if registered - {state.base, *state.others}:
+            return True
+        if not state.others:
+            return False
+        if self.peers.rank() == 0 and self.expired(known):
+            return True
+        return now - known.read_at > READ_INTERVAL_S
+
+    def expired(self, known: KnownVersions) -> set[str]:
+        """Returns the versions whose streams can't be taken up any more."""
+        oldest = self.clock.monotonic() - self.lifetime_s()
+        return {
+            version
+            for version, since in known.absent_since.items()
+            if since < oldest
+        }
+
+    def wanted_state(
+        self,
+        service: str,
+        known: KnownVersions | None,
+        stored: StoredVersions,
+        registered: set[str],
+    ) -> VersionState:
+        """Returns what the row should hold.
+
+        Args:
+            service: The service.
+            known: What this host has known; None if it has just started.
+            stored: What the store holds.
+            registered: Versions of the registered engines.
+        """
+        epoch = stored.position.epoch
+        lifetime_ms = int(self.lifetime_s() * MS_PER_S)
+        state = stored.state
+        if state is None and known is not None:
+            state = known.state
+        if state is None:
+            # Of several versions the oldest engine has the one of before.
+            base = self.oldest_version(service)
+            is_new = epoch <= store_epochs.FIRST_EPOCH
+            return VersionState(
+                base,
+                dict.fromkeys(registered - {base}, stored.now_ms),
+                epoch,
+                0 if is_new else stored.now_ms + lifetime_ms,
+            )
+        others = dict(state.others)
+        uncertain_until_ms = state.uncertain_until_ms
+        if known is not None:
+            for version in {known.state.base, *known.state.others} - {
+                state.base
+            }:
+                if known.state.epoch < epoch:
+                    # A restoration has taken the row back.
+                    others.setdefault(version, stored.now_ms)
+        if state.epoch < epoch and (
+            known is None or others or known.state.others
+        ):
+            uncertain_until_ms = stored.now_ms + lifetime_ms
+        for version in registered - {state.base}:
+            others.setdefault(version, stored.now_ms)
+        base = state.base
+        if known is not None and self.peers.rank() == 0:
+            for version in self.expired(known) & others.keys():
+                del others[version]
+            if base in self.expired(known) and others:
+                base = self.most_common_version(service, others)
+                del others[base]
+        return VersionState(base, others, epoch, uncertain_until_ms)
+
+    def oldest_version(self, service: str) -> str:
+        """Returns the version of the engine that started first."""
+        first = min(
+            (
+                upstream
+                for upstream in self.directory.upstreams.values()
+                if upstream.service == service
+            ),
+            key=lambda upstream: (upstream.started_ms, upstream.id),
+        )
+        return first.version
+
+    def most_common_version(
+        self, service: str, versions: dict[str, int]
+    ) -> str:
+        """Returns the one of some versions that most engines have."""
+        counts = dict.fromkeys(versions, 0)
+        for upstream in self.directory.upstreams.values():
+            if upstream.service == service and upstream.version in counts:
+                counts[upstream.version] += 1
+        return max(counts, key=lambda version: (counts[version], version))
+
+    def adopt(
+        self, service: str, state: VersionState, now_ms: int, is_written: bool
+    ) -> None:
+        """Takes over a row that was read or written."""
+        now = self.clock.monotonic()
+        known = self.services.get(service)
+        previous = known.state if known else None
+        offset_ms = now_ms - now * MS_PER_S
+        if known is None:
+            known = self.services[service] = KnownVersions(
+                state, offset_ms, now
+            )
+        known.state = state
+        known.clock_offset_ms = offset_ms
+        known.read_at = now
+        versions = {state.base, *state.others}
+        known.absent_since = {
+            version: since
+            for version, since in known.absent_since.items()
+            if version in versions
+        }
+        if state == previous:
+            return
+        logger.info(
+            "versions of a service",
+            service=service,
+            base=state.base,
+            others=sorted(state.others),
+            epoch=state.epoch,
+            uncertain_s=round(
+                max(state.uncertain_until_ms - now_ms, 0) / MS_PER_S, 1
+            ),
+            written=is_written,
+        )
+        self.changed.set()
+        self.changed.clear()
+        for notify_change in self.on_change:
+            notify_change()
+        if previous is not None and previous.epoch < state.epoch:
+            for notify in self.on_restored:
+                notify(service)
--- /dev/null
+++ b/src/coltsfootarch/fleet/stream_records.py
@@ -0,0 +1,323 @@
+"""Records which software version began a stream, for take-ups at any host."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+from typing import NamedTuple
+from typing import Protocol
+
+import gevent
+import gevent.event
+import structlog
+import xxhash
+from gevent import lock
+
+from coltsfootarch import errors
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+    from coltsfootarch import clock as clocks
+
+# Streams whose version this host remembers at most.
+MAX_REMEMBERED = 20_000
+# Rows that one transaction writes and removes at most; the store takes 100.
+MAX_WRITES = 60
+MAX_REMOVALS = 40
+# Pause after a write that failed, in seconds. While it lasts, the store counts
+# as failing.
+RETRY_S = 0.5
+# Longest wait of a lookup for its turn, in seconds.
+LOOKUP_TURN_S = 1.0
+# Interval at which old records are removed while nothing is written, and of the
+# search for records of hosts that are gone, in seconds.
+REMOVAL_INTERVAL_S = 10.0
+SWEEP_INTERVAL_S = 30.0
+
+logger = structlog.get_logger(__name__)
+
+
+class RecordTable(Protocol):
+    """Durable records: a version by the key of a stream."""
+
+    def write(self, records: Mapping[str, str], removed: Iterable[str]) -> None:
+        """Writes records and removes others in one transaction.
+
+        Raises:
+            errors.PlatformError: That may or may not have been done.
+        """
+
+    def find(self, key: str) -> str | None:
+        """Returns the version of a stream; None if it isn't recorded.
+
+        Raises:
+            errors.PlatformError: The store did not answer usably.
+        """
+
+    def keys(self) -> list[str]:
+        """Returns the keys of all records.
+
+        Raises:
+            errors.PlatformError: The store did not answer usably.
+        """
+
+
+class Stream(NamedTuple):
+    """A stream that began, or went on, at this host.
+
+    Attributes:
+        service: Its service.
+        version: Version that began it.
+        at: Instant at which that was noted, in seconds.
+    """
+
+    service: str
+    version: str
+    at: float
+
+
+class Ticket:
+    """A write that is waited for.
+
+    Attributes:
+        version: Version that is written.
+        done: Set when the write has succeeded or failed.
+        succeeded: Whether it has succeeded.
+    """
+
+    def __init__(self, version: str) -> None:
+        self.version = version
+        self.done = gevent.event.Event()
+        self.succeeded = False
+
+    @property
+    def has_failed(self) -> bool:
+        """Whether the write has failed."""
+        return self.done.is_set() and not self.succeeded
+
+    def end(self, succeeded: bool) -> None:
+        """Records the outcome."""
+        self.succeeded = succeeded
+        self.done.set()
+
+
+def stream_key(account: str, service: str, request_id: str) -> str:
+    """Returns the key of a stream; callers of other accounts can't name it."""
+    name = f"{account}\0{service}\0{request_id}"
+    return xxhash.xxh3_128_hexdigest(name.encode())
+
+
+class StreamRecords:
+    """Remembers and records the versions of streams.
+
+    Writes of many streams share transactions: one is under way at a time, and
+    what comes meanwhile is in the next one.
+
+    Args:
+        table: Durable records.
+        clock: Source of time.
+        lifetime_s: Returns for how long a stream can be taken up, in seconds.
+        is_sweeper: Returns whether this host removes records of hosts that are
+            gone.
+
+    Attributes:
+        remembered: Streams by key, the oldest first.
+        failing_until: Instant until which the store counts as failing.
+    """
+
+    def __init__(
+        self,
+        table: RecordTable,
+        clock: clocks.Clock,
+        lifetime_s: Callable[[], float],
+        is_sweeper: Callable[[], bool],
+    ) -> None:
+        self.table = table
+        self.clock = clock
+        self.lifetime_s = lifetime_s
+        self.is_sweeper = is_sweeper
+        self.remembered: collections.OrderedDict[str, Stream] = (
+            collections.OrderedDict()
+        )
+        self.pending: dict[str, Ticket] = {}
+        self.written: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
+        self.work = gevent.event.Event()
+        self.failing_until = float("-inf")
+        self.swept: dict[str, float] = {}
+        self.swept_at = float("-inf")
+        # Hosts that are gone may have left some.
+        self.has_records = True
+        # Calls of the table must not run concurrently.
+        self.lookup_lock = lock.BoundedSemaphore()
+        self.greenlet: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Starts to write."""
+        self.greenlet = gevent.spawn(self.run)
+
+    def close(self) -> None:
+        """Stops writing."""
+        if self.greenlet is not None:
+            self.greenlet.kill()
+            self.greenlet = None
+
+    @property
+    def is_failing(self) -> bool:
+        """Whether a write failed a moment ago."""
+        return self.clock.monotonic() < self.failing_until
+
+    def remember(self, key: str, service: str, version: str) -> None:
+        """Notes in memory which version began a stream."""
+        now = self.clock.monotonic()
+        self.remembered.pop(key, None)
+        self.remembered[key] = Stream(service, version, now)
+        oldest = now - self.lifetime_s()
+        while self.remembered:
+            first = next(iter(self.remembered))
+            if (
+                len(self.remembered) <= MAX_REMEMBERED
+                and self.remembered[first].at >= oldest
+            ):
+                break
+            del self.remembered[first]
+
+    def write(self, key: str, version: str) -> Ticket:
+        """Begins to write a record; a write of the same record is shared."""
+        ticket = self.pending.get(key)
+        if ticket is not None and ticket.version == version:
+            return ticket
+        if ticket is not None:
+            ticket.end(succeeded=False)
+        ticket = self.pending[key] = Ticket(version)
+        self.work.set()
+        return ticket
+
+    def write_again(self, service: str) -> None:
+        """Writes all remembered streams of a service.
+
+        A restoration of the store may have lost their records, and what is
+        certain without a record may not be so afterwards.
+        """
+        for key, stream in self.remembered.items():
+            if stream.service == service:
+                self.write(key, stream.version)
+
+    def find(self, key: str) -> str | None:
+        """Returns the version of a stream; None if it isn't recorded.
+
+        Raises:
+            errors.PlatformError: The store did not answer usably.
+        """
+        stream = self.remembered.get(key)
+        if stream is not None:
+            return stream.version
+        if not self.lookup_lock.acquire(timeout=LOOKUP_TURN_S):
+            raise errors.TableUnavailableError("lookups of streams are waiting")
+        try:
+            return self.table.find(key)
+        finally:
+            self.lookup_lock.release()
+
+    def run(self) -> None:
+        """Writes and removes records until the greenlet is killed."""
+        while True:
+            self.work.wait(REMOVAL_INTERVAL_S)
+            self.work.clear()
+            try:
+                self.flush()
+                self.sweep()
+            except errors.PlatformError as error:
+                if not self.is_failing:
+                    logger.warning(
+                        "versions of streams not recorded",
+                        reason=error.message,
+                        waiting=len(self.pending),
+                    )
+                self.failing_until = self.clock.monotonic() + 2 * RETRY_S
+                gevent.sleep(RETRY_S)
+                self.work.set()
+            except Exception:
+                logger.exception("records of streams failed unexpectedly")
+                gevent.sleep(RETRY_S)
+
+    def flush(self) -> None:
+        """Writes what is pending and removes what has expired.
+
+        Raises:
+            errors.PlatformError: The store did not answer usably. What was to
+                be written stays pending; nobody waits for it any more.
+        """
+        while True:
+            batch = dict(list(self.pending.items())[:MAX_WRITES])
+            removed = self.expired()
+            if not batch and not removed:
+                return
+            versions = {key: each.version for key, each in batch.items()}
+            try:
+                self.table.write(versions, removed)
+            except errors.PlatformError:
+                for ticket in batch.values():
+                    ticket.end(succeeded=False)
+                self.forget_old()
+                raise
+            self.failing_until = float("-inf")
+            now = self.clock.monotonic()
+            self.has_records = self.has_records or bool(batch)
+            for key in removed:
+                self.written.pop(key, None)
+                self.swept.pop(key, None)
+            for key, ticket in batch.items():
+                self.written.pop(key, None)
+                self.written[key] = now
+                if self.pending.get(key) is ticket:
+                    del self.pending[key]
+                ticket.end(succeeded=True)
+
+    def forget_old(self) -> None:
+        """Gives up writes of streams that can't be taken up any more."""
+        for key in tuple(self.pending):
+            if key not in self.remembered:
+                del self.pending[key]
+
+    def expired(self) -> list[str]:
+        """Returns the keys of records that aren't needed any more."""
+        now = self.clock.monotonic()
+        oldest = now - self.lifetime_s()
+        own: list[str] = []
+        for key, at in self.written.items():
+            if at >= oldest or len(own) >= MAX_REMOVALS:
+                break
+            own.append(key)
+        foreign = [
+            key
+            for key, seen_at in self.swept.items()
+            if seen_at < oldest and key not in self.written
+        ]
+        return [key for key in own + foreign if key not in self.pending][
+            :MAX_REMOVALS
+        ]
+
+    def sweep(self) -> None:
+        """Looks for records of hosts that are gone, if it is time.
+
+        What is still there a stream's lifetime later is removed.
+
+        Raises:
+            errors.PlatformError: The store did not answer usably.
+        """
+        now = self.clock.monotonic()
+        if (
+            now - self.swept_at < SWEEP_INTERVAL_S
+            or not self.has_records
+            or not self.is_sweeper()
+        ):
+            return
+        self.swept_at = now
+        keys = self.table.keys()
+        self.has_records = bool(keys)
+        self.swept = {key: self.swept.get(key, now) for key in keys}
--- a/src/coltsfootarch/forwarding/calls.py
+++ b/src/coltsfootarch/forwarding/calls.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from coltsfootarch.fleet import policy
+    from coltsfootarch.fleet import stream_records
     from coltsfootarch.fleet import upstreams
     from coltsfootarch.forwarding import cancellation
     from coltsfootarch.forwarding import response_memory
@@ -281,6 +282,8 @@
         self.sent_upstream = False
         # Whether it is sent once in spite of a prompt part that is refused.
         self.is_trial = False
+        # Write of the software version at which its stream begins.
+        self.version_record: stream_records.Ticket | None = None
         limit = route.timeout_s
         if request.deadline_s is not None:
             limit = min(limit, request.deadline_s)
--- a/src/coltsfootarch/forwarding/context.py
+++ b/src/coltsfootarch/forwarding/context.py
@@ -11,6 +11,7 @@
     from coltsfootarch.forwarding import calls
     from coltsfootarch.forwarding import crash_checks
     from coltsfootarch.forwarding import response_memory
+    from coltsfootarch.forwarding import stream_versions
     from coltsfootarch.http1 import pool
     from coltsfootarch.observability import registry
     from coltsfootarch.retries import shared_budget
@@ -48,6 +49,7 @@
         engine_placer: Chooses prefill and decode engines.
         queue: Requests that wait for engine capacity.
         balancer: Cost of requests in each stage, to balance the stages.
+        stream_versions: Keeps streams at the version that began them.
         prefill_times: Prefill time of prompts by their length.
         metrics: Counters and histograms.
     """
@@ -69,5 +71,6 @@
     engine_placer: engine_placement.EnginePlacer
     queue: dispatch_queue.DispatchQueue
     balancer: stage_balance.StageBalancer
+    stream_versions: stream_versions.StreamVersions
     prefill_times: local_prefill.PrefillTimes
     metrics: registry.MetricRegistry
--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -20,7 +20,9 @@
 from coltsfootarch.fleet import hosts
 from coltsfootarch.fleet import policy
 from coltsfootarch.fleet import report_exchange
+from coltsfootarch.fleet import service_versions
 from coltsfootarch.fleet import stage_orders
+from coltsfootarch.fleet import stream_records
 from coltsfootarch.fleet import upstreams
 from coltsfootarch.forwarding import context
 from coltsfootarch.forwarding import crash_checks
@@ -31,6 +33,7 @@
 from coltsfootarch.forwarding import recent_limits
 from coltsfootarch.forwarding import response_memory
 from coltsfootarch.forwarding import status
+from coltsfootarch.forwarding import stream_versions
 from coltsfootarch.http1 import pool
 from coltsfootarch.limits import shared_bucket
 from coltsfootarch.limits import upstream_limits
@@ -93,6 +96,9 @@
 # Fraction of the key confirmation time within which the confirmation must have
 # been renewed.
 CONFIRMATION_FRACTION = 0.85
+# Time for which keys are taken to be valid without a confirmation if the
+# settings don't limit it.
+DEFAULT_KEY_CONFIRMATION = datetime.timedelta(seconds=5)
 # Smallest part of the longest wait for policy changes that a relay uses.
 MIN_WAIT_FRACTION = 0.5
 # Fraction of the key confirmation time after which a host that can't confirm
@@ -149,6 +155,25 @@
             self.overdraft,
             self.report_soon,
         )
+        self.versions = service_versions.ServiceVersions(
+            platform.versions,
+            self.upstreams,
+            self.policy_tracker,
+            self.hosts,
+            platform.epochs,
+            clock,
+            random.Random(),
+            (
+                limits.key_confirmation or DEFAULT_KEY_CONFIRMATION
+            ).total_seconds(),
+        )
+        self.records = stream_records.StreamRecords(
+            platform.streams,
+            clock,
+            self.versions.lifetime_s,
+            lambda: self.hosts.rank() == 0,
+        )
+        self.versions.on_restored.append(self.records.write_again)
         self.context = self.build_context(limits)
         self.confirmation_s = (
             limits.key_confirmation.total_seconds()
@@ -315,6 +340,9 @@
             placer, loads, backlog.Backlog(clock), clock
         )
         self.upstreams.on_change.append(queue.place_waiting)
+        self.versions.on_change.append(queue.place_waiting)
+        versions = stream_versions.StreamVersions(self.versions, self.records)
+        placer.may_begin = versions.may_begin
         notices = upstream_notices.UpstreamNotices(
             clock,
             upstream_limits.UpstreamLimits(
@@ -362,6 +390,7 @@
             engine_placer=placer,
             queue=queue,
             balancer=stage_balance.StageBalancer(),
+            stream_versions=versions,
             prefill_times=prefill_times,
             metrics=registry.MetricRegistry(),
         )
@@ -464,6 +493,8 @@
         for follower in self.followers:
             follower.start()
         self.renewer.start()
+        self.versions.start()
+        self.records.start()
         self.stage_controller.start()
         self.report_exchange.start()
         self.caller_listener.start()
@@ -526,6 +557,8 @@
         for each in self.internal_listeners:
             each.close()
         self.renewer.close()
+        self.versions.close()
+        self.records.close()
         self.stage_controller.close()
         self.report_exchange.close()
         for follower in self.followers:
--- a/src/coltsfootarch/forwarding/decode_stage.py
+++ b/src/coltsfootarch/forwarding/decode_stage.py
@@ -242,7 +242,7 @@
                 )
             for event in splitter.feed(part):
                 if generation.version is None:
-                    generation.version = exchange.delivery.upstream.version
+                    self.begin(generation, exchange)
                 self.send_event(generation, response, event)
             exchange.hold(len(splitter.incomplete))
         exchange.finish()
@@ -258,6 +258,23 @@
             call.responder.respond(response.status, response.fields, b"")
         return attempts.Response(response.status, (), b"")
 
+    def begin(
+        self,
+        generation: generations.Generation,
+        exchange: upstream_exchange.UpstreamExchange,
+    ) -> None:
+        """Binds a stream to the software version of its engine.
+
+        Raises:
+            client.BrokenConnectionError: It could not be recorded, so that the
+                stream must not begin there.
+        """
+        engine = exchange.delivery.upstream
+        if not self.context.stream_versions.confirm(generation.call, engine):
+            exchange.abort()
+            raise client.BrokenConnectionError("its version was not recorded")
+        generation.version = engine.version
+
     def send_event(
         self,
         generation: generations.Generation,
--- a/src/coltsfootarch/forwarding/forwarder.py
+++ b/src/coltsfootarch/forwarding/forwarder.py
@@ -51,12 +51,17 @@
         policy: Policy version used for the checks.
         tokens: Tokens taken from the account's rate limit; 0 without an
             account.
+        service: Service chosen for it.
+        version: Software version that began the stream that it takes up; None
+            if it takes up none.
     """
 
     route: policies.Route
     account: policies.ClientAccount | None
     policy: policies.Policy
     tokens: int
+    service: str
+    version: str | None = None
 
 
 class Forwarder:
@@ -208,6 +213,12 @@
             current = self.policy_tracker.policy or current
             route = self.find_route(current, request)
         account = self.authenticate(current, route, request)
+        service = route.choose_service(self.generator)
+        version = None
+        if request.takes_up and route.repeat is policies.Repeat.STREAM:
+            version = self.context.stream_versions.resolve(
+                request, account.name if account else "", service
+            )
         tokens = 0
         if account is not None:
             tokens = request.prompt_tokens + request.output_tokens
@@ -228,7 +239,9 @@
                 raise errors.RefusedError(
                     results.RATE_EXCEEDED, retry_after=wait
                 )
-        return AdmittedRequest(route, account, current, tokens)
+        return AdmittedRequest(
+            route, account, current, tokens, service, version
+        )
 
     def find_route(
         self, current: policies.Policy, request: calls.CallerRequest
@@ -297,7 +310,7 @@
         call = calls.Call(
             request,
             admitted.route,
-            admitted.route.choose_service(self.generator),
+            admitted.service,
             admitted.account.name if admitted.account else "",
             admitted.policy.version,
             cancellation,
@@ -323,7 +336,7 @@
             raise errors.RefusedError(
                 results.NO_UPSTREAM, retry_after=UNCONFIRMED_RETRY_AFTER_S
             )
-        self.generation_pipeline.run(call, service)
+        self.generation_pipeline.run(call, service, admitted.version)
 
     def refund_tokens(
         self,
--- a/src/coltsfootarch/forwarding/generation_pipeline.py
+++ b/src/coltsfootarch/forwarding/generation_pipeline.py
@@ -77,9 +77,19 @@
         """Source of time."""
         return self.context.clock
 
-    def run(self, call: calls.Call, service: policy.Service) -> None:
+    def run(
+        self,
+        call: calls.Call,
+        service: policy.Service,
+        version: str | None = None,
+    ) -> None:
         """Runs a generation request and sends its response.
 
+        Args:
+            call: The request.
+            service: Its service.
+            version: Software version that began the stream that it takes up.
+
         Raises:
             errors.RefusedError: There is no response to relay.
             cancellation.CallerDisconnectedError: The caller disconnected.
@@ -88,6 +98,8 @@
         generation = generations.Generation(
             call, service, self.context.refusals.was_refused(call.digest)
         )
+        if version is not None:
+            generation.version = version
         try:
             while not generation.finished and (
                 generation.moved or self.may_attempt(generation)
@@ -347,6 +359,8 @@
         call = generation.call
         if self.is_refused(call):
             return
+        if generation.version is None:
+            self.context.stream_versions.announce(call, placement.decode)
         if not exchange.sent:
             if not self.make_ready(generation, placement, exchange):
                 return
--- a/src/coltsfootarch/forwarding/platform_interface.py
+++ b/src/coltsfootarch/forwarding/platform_interface.py
@@ -10,8 +10,10 @@
 
     from coltsfootarch.fleet import followers
     from coltsfootarch.fleet import hosts
+    from coltsfootarch.fleet import service_versions
     from coltsfootarch.fleet import stage_orders
     from coltsfootarch.fleet import store_epochs
+    from coltsfootarch.fleet import stream_records
     from coltsfootarch.forwarding import calls
 
 
@@ -29,6 +31,8 @@
         ready_path: Path of the load balancer's readiness checks.
         close: Closes the connections to the platform.
         epochs: Epochs of the store, as its answers state them.
+        versions: Durable rows of the services' software versions.
+        streams: Durable records of the versions that began streams.
     """
 
     policies: followers.PolicySource
@@ -41,3 +45,5 @@
     ready_path: str
     close: Callable[[], object]
     epochs: store_epochs.StoreEpochs
+    versions: service_versions.VersionTable
+    streams: stream_records.RecordTable
--- /dev/null
+++ b/src/coltsfootarch/forwarding/stream_versions.py
@@ -0,0 +1,182 @@
+"""Keeps each stream at the software version that began it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import structlog
+
+from coltsfootarch import errors
+from coltsfootarch import results
+from coltsfootarch.fleet import stream_records
+
+if TYPE_CHECKING:
+    from coltsfootarch.fleet import service_versions
+    from coltsfootarch.fleet import upstreams
+    from coltsfootarch.forwarding import calls
+
+# Longest time for which the first event of a stream waits for its record, in
+# seconds. The write begins when the engine is chosen, before the prompt is
+# read, and normally ends first.
+MAX_RECORD_WAIT_S = 0.5
+# `Retry-After` of a take-up whose version can't be found out now, in seconds.
+UNKNOWN_RETRY_AFTER_S = 0.5
+# Longest wait of a take-up at a host that has just started and doesn't know the
+# versions yet, in seconds.
+MAX_START_WAIT_S = 0.3
+
+logger = structlog.get_logger(__name__)
+
+
+class StreamVersions:
+    """Finds the version of streams that are taken up; records new ones.
+
+    Args:
+        versions: Versions of the services.
+        records: Records of streams.
+    """
+
+    def __init__(
+        self,
+        versions: service_versions.ServiceVersions,
+        records: stream_records.StreamRecords,
+    ) -> None:
+        self.versions = versions
+        self.records = records
+
+    def may_begin(self, engine: upstreams.Upstream) -> bool:
+        """Returns whether a stream may begin at an engine now.
+
+        While the store fails, streams can't be recorded; they begin at the base
+        version as long as it has an engine.
+        """
+        if not self.versions.is_open(engine):
+            return False
+        if not self.records.is_failing or not self.versions.needs_record(
+            engine.service, engine.version
+        ):
+            return True
+        return not self.has_base_engine(engine.service)
+
+    def has_base_engine(self, service: str) -> bool:
+        """Returns whether an engine of the base version takes requests."""
+        base = self.versions.base(service)
+        return any(
+            engine.version == base
+            for engine in self.versions.directory.members(service)
+        )
+
+    def resolve(
+        self, request: calls.CallerRequest, account: str, service: str
+    ) -> str:
+        """Returns the version that began the stream that a request takes up.
+
+        Args:
+            request: The request.
+            account: Name of its client account; empty on public routes.
+            service: Name of its service.
+
+        Raises:
+            errors.RefusedError: It isn't known now, or no engine has it.
+        """
+        versions = self.versions
+        versions.wait_known(service, MAX_START_WAIT_S)
+        request_id = request.resumed_id
+        key = stream_records.stream_key(account, service, request_id)
+        found: str | None = None
+        reason = "not named"
+        base = versions.base(service)
+        if request_id and key in self.records.remembered:
+            found = self.records.remembered[key].version
+        elif base is not None and versions.is_single(service):
+            found = base
+        elif request_id:
+            try:
+                found = self.records.find(key)
+                reason = "records may have been lost"
+                # What was known before the lookup may have changed.
+                base = versions.base(service)
+                if found is None and not versions.is_uncertain(service):
+                    found = base
+            except errors.PlatformError as error:
+                reason = error.message
+        if found is None:
+            logger.info(
+                "version of a stream not known",
+                request_id=request.id,
+                resumes=request_id or None,
+                service=service,
+                reason=reason,
+            )
+            raise errors.RefusedError(
+                results.STREAM_VERSION_UNKNOWN,
+                retry_after=UNKNOWN_RETRY_AFTER_S,
+            )
+        if request_id:
+            self.records.remember(key, service, found)
+        if not any(
+            engine.version == found
+            for engine in versions.directory.members(service)
+        ):
+            raise errors.RefusedError(results.STREAM_VERSION_GONE)
+        return found
+
+    def announce(self, call: calls.Call, engine: upstreams.Upstream) -> None:
+        """Begins to record the version at which a stream is about to begin."""
+        if not self.is_recorded(call):
+            return
+        ticket = call.version_record
+        if ticket is None and not self.versions.needs_record(
+            call.service, engine.version
+        ):
+            return
+        if (
+            ticket is None
+            or ticket.version != engine.version
+            or ticket.has_failed
+        ):
+            call.version_record = self.records.write(
+                self.key(call), engine.version
+            )
+
+    def confirm(self, call: calls.Call, engine: upstreams.Upstream) -> bool:
+        """Returns whether the first event of a stream may be sent.
+
+        It waits for the record as long as the stream could be taken for one of
+        the base version without it.
+        """
+        if not self.is_recorded(call):
+            return True
+        key = self.key(call)
+        self.records.remember(key, call.service, engine.version)
+        previous = call.version_record
+        self.announce(call, engine)
+        ticket = call.version_record
+        if ticket is None or ticket.succeeded:
+            return True
+        base = self.versions.base(call.service)
+        has_other_record = previous is not None and previous is not ticket
+        if not has_other_record and (
+            engine.version == base
+            or base not in self.versions.registered(call.service)
+        ):
+            return True
+        ticket.done.wait(MAX_RECORD_WAIT_S)
+        if not ticket.succeeded:
+            logger.warning(
+                "stream not begun: its version could not be recorded",
+                request_id=call.request.id,
+                upstream=engine.id,
+                version=engine.version,
+            )
+        return ticket.succeeded
+
+    def is_recorded(self, call: calls.Call) -> bool:
+        """Returns whether a call begins a stream that can be taken up."""
+        return call.route.resumable and not call.request.takes_up
+
+    def key(self, call: calls.Call) -> str:
+        """Returns the key of the stream that a call begins."""
+        return stream_records.stream_key(
+            call.account, call.service, call.request.id
+        )
--- a/src/coltsfootarch/platform/attachment.py
+++ b/src/coltsfootarch/platform/attachment.py
@@ -9,6 +9,7 @@
 from coltsfootarch.platform import feeds
 from coltsfootarch.platform import orders
 from coltsfootarch.platform import store
+from coltsfootarch.platform import stream_records
 from coltsfootarch.platform import wire
 
 if TYPE_CHECKING:
@@ -23,15 +24,15 @@
     """Returns all adapters that connect an entry host to the platform.
 
     A call that waits for changes occupies the only connection of its client.
-    Therefore the policy, the upstreams, the hosts and the claims each have a
-    client of their own.
+    Therefore the policy, the upstreams, the hosts, the claims, and reads and
+    writes about the versions of streams each have a client of their own.
 
     Args:
         address: Address ("ip:port") of the platform's store.
         clock: Source of time.
     """
     epochs = store_epochs.StoreEpochs(clock)
-    clients = [store.StoreClient(address, clock, epochs) for _ in range(4)]
+    clients = [store.StoreClient(address, clock, epochs) for _ in range(7)]
 
     def close() -> None:
         for client in clients:
@@ -48,4 +49,6 @@
         READY_PATH,
         close,
         epochs,
+        stream_records.VersionTable(clients[4]),
+        stream_records.StreamTable(clients[5], clients[6]),
     )
--- a/src/coltsfootarch/platform/store.py
+++ b/src/coltsfootarch/platform/store.py
@@ -18,6 +18,9 @@
 from coltsfootarch.http1 import transfers
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
     from coltsfootarch import clock as clocks
 
 # Time limit for sending a call and for the first byte of the answer to one that
@@ -278,13 +281,27 @@
             errors.TableUnavailableError: The row may or may not have been
                 written.
         """
-        row = {
-            "table": table,
-            "part": "",
-            "key": key,
-            "value": base64.b64encode(value).decode("ascii"),
-        }
-        self.transact({"expected": [], "writes": [row], "remove": []})
+        self.change_rows(table, {key: value}, ())
+
+    def change_rows(
+        self, table: str, writes: Mapping[str, bytes], removed: Iterable[str]
+    ) -> None:
+        """Writes and removes rows of a table in one transaction.
+
+        Raises:
+            errors.TableUnavailableError: That may or may not have been done.
+        """
+        written = [
+            {
+                "table": table,
+                "part": "",
+                "key": key,
+                "value": base64.b64encode(value).decode("ascii"),
+            }
+            for key, value in writes.items()
+        ]
+        dropped = [{"table": table, "part": "", "key": key} for key in removed]
+        self.transact({"expected": [], "writes": written, "remove": dropped})
 
     def remove_row(self, table: str, key: str) -> None:
         """Removes a row.
@@ -293,8 +310,7 @@
             errors.TableUnavailableError: The row may or may not have been
                 removed.
         """
-        row = {"table": table, "part": "", "key": key}
-        self.transact({"expected": [], "writes": [], "remove": [row]})
+        self.change_rows(table, {}, (key,))
 
     def transact(self, document: dict[str, Any]) -> None:
         """Sends a transaction.
--- /dev/null
+++ b/src/coltsfootarch/platform/stream_records.py
@@ -0,0 +1,100 @@
+"""Rows of the store about software versions and the streams that they began."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+import structlog
+
+from coltsfootarch.fleet import service_versions
+from coltsfootarch.fleet import store_epochs
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+    from coltsfootarch.platform import store
+
+VERSION_TABLE = "coltsfootarch-versions"
+STREAM_TABLE = "coltsfootarch-streams"
+
+logger = structlog.get_logger(__name__)
+
+
+class VersionTable:
+    """Implements `service_versions.VersionTable`.
+
+    Args:
+        client: Client of the store.
+    """
+
+    def __init__(self, client: store.StoreClient) -> None:
+        self.client = client
+
+    def read(self, service: str) -> service_versions.StoredVersions:
+        """Returns the row of a service; an invalid one is only logged."""
+        row, now_ms, epoch = self.client.read_row(VERSION_TABLE, service)
+        if row is None:
+            position = store_epochs.Position(epoch, 0)
+            return service_versions.StoredVersions(None, position, now_ms)
+        position = store_epochs.Position(epoch, row.revision)
+        state = None
+        try:
+            state = msgspec.json.decode(
+                row.value or b"", type=service_versions.VersionState
+            )
+        except msgspec.DecodeError as error:
+            logger.warning(
+                "invalid row of versions ignored",
+                service=service,
+                reason=str(error),
+            )
+        return service_versions.StoredVersions(state, position, now_ms)
+
+    def replace(
+        self,
+        service: str,
+        state: service_versions.VersionState,
+        position: store_epochs.Position,
+    ) -> bool:
+        """Writes the row of a service if it is still at a position."""
+        return self.client.replace_row(
+            VERSION_TABLE, service, msgspec.json.encode(state), position
+        )
+
+
+class StreamTable:
+    """Implements `stream_records.RecordTable`.
+
+    Writes and lookups don't wait for each other.
+
+    Args:
+        writer: Client of the store for writes.
+        reader: Client of the store for lookups.
+    """
+
+    def __init__(
+        self, writer: store.StoreClient, reader: store.StoreClient
+    ) -> None:
+        self.writer = writer
+        self.reader = reader
+
+    def write(self, records: Mapping[str, str], removed: Iterable[str]) -> None:
+        """Writes records and removes others in one transaction."""
+        self.writer.change_rows(
+            STREAM_TABLE,
+            {key: version.encode() for key, version in records.items()},
+            removed,
+        )
+
+    def find(self, key: str) -> str | None:
+        """Returns the version of a stream; None if it isn't recorded."""
+        row = self.reader.read_row(STREAM_TABLE, key).row
+        if row is None or row.value is None:
+            return None
+        return row.value.decode(errors="replace")
+
+    def keys(self) -> list[str]:
+        """Returns the keys of all records."""
+        return [row.key for row in self.writer.read_table(STREAM_TABLE).rows]
--- a/src/coltsfootarch/results.py
+++ b/src/coltsfootarch/results.py
@@ -230,6 +230,21 @@
     "Engines crashed each time that they began on a part of the prompt.",
 )
 
+STREAM_VERSION_GONE = ResultCode(
+    4012,
+    "stream-version-gone",
+    503,
+    _NOT_RUN,
+    "No upstream has the software version that began this stream.",
+)
+STREAM_VERSION_UNKNOWN = ResultCode(
+    4013,
+    "stream-version-unknown",
+    503,
+    _NOT_RUN,
+    "The software version that began this stream can't be found out now.",
+)
+
 # 5000s: non-idempotent requests
 IDEMPOTENCY_KEY_REQUIRED = ResultCode(
     5001,
--- a/src/coltsfootarch/scheduling/engine_placement.py
+++ b/src/coltsfootarch/scheduling/engine_placement.py
@@ -14,6 +14,7 @@
 from coltsfootarch.fleet import upstreams
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Collection
     from collections.abc import Sequence
 
@@ -133,6 +134,9 @@
         availability_zone: Zone of this host.
         sampler: Selects the engines that are compared.
         prefill_times: Measured prefill times.
+
+    Attributes:
+        may_begin: Returns whether a stream may begin at an engine's version.
     """
 
     def __init__(
@@ -144,6 +148,7 @@
         sampler: sampling.Sampler,
         prefill_times: local_prefill.PrefillTimes,
     ) -> None:
+        self.may_begin: Callable[[upstreams.Upstream], bool] = lambda _: True
         self.sampler = sampler
         self.prefill_times = prefill_times
         self.directory = directory
@@ -221,9 +226,7 @@
         if service.engine is not None:
             memory = service.engine.memory_tokens * MAX_MEMORY_FRACTION
         fitting = [
-            engine
-            for engine in engines
-            if demand.version in (None, engine.version)
+            engine for engine in engines if self.has_version(engine, demand)
         ]
         candidates = []
         for engine in self.usable_engines(
@@ -236,6 +239,12 @@
                 candidates.append(engine)
         return self.lowest_cost(candidates, demand.memory_tokens)
 
+    def has_version(self, engine: upstreams.Upstream, demand: Demand) -> bool:
+        """Returns whether a stream may begin or go on at an engine."""
+        if demand.version is None:
+            return self.may_begin(engine)
+        return engine.version == demand.version
+
     def lowest_cost(
         self, engines: Sequence[upstreams.Upstream], tokens: int
     ) -> upstreams.Upstream | None:
--- a/tests/forwarding/test_stream_versions.py
+++ b/tests/forwarding/test_stream_versions.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-import gevent
 import pytest
 
+from coltsfootarch.platform import stream_records
 from tests.platform import documents
 
 SIZES = {"X_Token_Count": "1000,500", "X_Model": "m"}
+VERSIONS = {"d-1": "v1", "d-3": "v1", "d-2": "v2", "d-4": "v2", "": ""}
 
 
 def prefer(edge_host, name):
@@ -44,8 +45,13 @@
 
 def await_versions(edge_host):
     """Waits until new streams may begin at all registered engines."""
-    edge_host.wait(lambda: len(edge_host.daemon.upstreams.upstreams) >= 5)
-    gevent.sleep(2.0)
+    daemon = edge_host.daemon
+    edge_host.wait(lambda: len(daemon.upstreams.upstreams) >= 5)
+    edge_host.wait(
+        lambda: all(
+            map(daemon.versions.is_open, daemon.upstreams.upstreams.values())
+        )
+    )
 
 
 def begin(edge_host, request_id="r1", events=2, target="/write/a", **fields):
@@ -73,6 +79,11 @@
     return found[-1] if found else ""
 
 
+def version_of(edge_host, request_id):
+    """Returns the version that ran a request; empty if none did."""
+    return VERSIONS[engine_of(edge_host, request_id)]
+
+
 def take_up(edge_host, resumes="r1", request_id="r2", after="2", **fields):
     return edge_host.ask(
         "/write/a",
@@ -102,8 +113,7 @@
     response = take_up(two_versions)
 
     assert response.status == 200
-    versions = {"d-1": "v1", "d-3": "v1", "d-2": "v2", "d-4": "v2"}
-    assert versions[engine_of(two_versions, "r2")] == versions[engine]
+    assert version_of(two_versions, "r2") == VERSIONS[engine]
 
 
 @pytest.mark.parametrize("is_restarted", [False, True])
@@ -154,7 +164,7 @@
 
 
 def test_attempt_without_an_event_may_change_its_version(two_versions):
-    two_versions.runners["d-1"].fault = "reset"
+    two_versions.runners["d-1"].fault = "cut head"
     prefer(two_versions, "d-1")
     two_versions.remove("d-3")
     unload_other = two_versions.daemon.upstreams
@@ -179,3 +189,125 @@
     response = two_versions.ask("/once/a", "POST", b"prompt", **SIZES)
 
     assert response.complete
+
+
+def begin_at(edge_host, engine, request_id="r1"):
+    """Begins a stream at an engine; takes the load away again."""
+    prefer(edge_host, engine)
+    assert begin(edge_host, request_id) == engine
+    unload(edge_host)
+
+
+def test_stream_is_taken_up_again_at_the_version_that_began_it(two_versions):
+    """Callers go on to name the attempt that brought the first event."""
+    begin_at(two_versions, "d-2")
+    prefer(two_versions, "d-1")
+    begin(two_versions, "r2", Last_Event_Id="2", Resumes="r1")
+    two_versions.restart()
+    prefer(two_versions, "d-1")
+
+    response = take_up(two_versions, request_id="r3", after="4")
+
+    assert response.status == 200
+    assert version_of(two_versions, "r3") == "v2"
+
+
+@pytest.mark.parametrize("resumes", ["", "r" * 300])
+def test_stream_that_is_not_named_is_refused_with_two_versions(
+    two_versions, resumes
+):
+    begin_at(two_versions, "d-2")
+
+    response = take_up(two_versions, resumes)
+
+    assert response.status == 503
+    assert response.code == "stream-version-unknown"
+    assert not engine_of(two_versions, "r2")
+
+
+def test_stream_that_is_not_recorded_is_of_the_base_version(two_versions):
+    prefer(two_versions, "d-2")
+
+    response = take_up(two_versions, "begun-before")
+
+    assert response.status == 200
+    assert version_of(two_versions, "r2") == "v1"
+
+
+def test_stream_is_taken_up_without_a_name_while_there_is_one_version(engines):
+    response = take_up(engines, "")
+
+    assert response.status == 200
+
+
+def test_stream_begins_at_the_base_version_while_the_store_is_away(
+    two_versions,
+):
+    """Without a record any host would take it for one of the base version."""
+    two_versions.store.mode = "reset"
+    prefer(two_versions, "d-2")
+
+    response = two_versions.ask("/write/a", "POST", b"prompt", **SIZES)
+
+    assert response.complete
+    engine = response.fields["x-server-seal"].removeprefix("seal-")[:3]
+    assert VERSIONS[engine] == "v1"
+
+
+def test_take_up_is_refused_while_its_version_can_not_be_looked_up(
+    two_versions,
+):
+    begin_at(two_versions, "d-2")
+    two_versions.restart()
+    two_versions.store.mode = "reset"
+
+    response = take_up(two_versions)
+
+    assert response.code == "stream-version-unknown"
+    assert "retry-after" in response.fields
+    assert not engine_of(two_versions, "r2")
+
+
+def test_stream_whose_record_was_lost_is_not_taken_for_another_version(
+    two_versions,
+):
+    """Guards against joined streams after the store was restored."""
+    copied = two_versions.store.revision
+    begin_at(two_versions, "d-2")
+    two_versions.daemon.close()
+    two_versions.store.restore(copied)
+    two_versions.start()
+
+    response = take_up(two_versions)
+
+    assert response.code == "stream-version-unknown"
+    assert not engine_of(two_versions, "r2")
+
+
+def test_record_that_was_lost_is_written_again(two_versions):
+    store = two_versions.store
+    copied = store.revision
+    begin_at(two_versions, "d-2")
+    store.restore(copied)
+    two_versions.wait(
+        lambda: any(
+            table == stream_records.STREAM_TABLE for table, _, _ in store.rows
+        )
+    )
+    two_versions.restart()
+
+    response = take_up(two_versions)
+
+    assert response.status == 200
+    assert version_of(two_versions, "r2") == "v2"
+
+
+def test_nothing_is_recorded_while_there_is_one_version(engines):
+    """Guards against calls to the store for each stream."""
+    calls = len(engines.store.calls)
+    for number in range(3):
+        engines.ask(
+            "/write/a", "POST", b"prompt", request_id=f"r{number}", **SIZES
+        )
+
+    assert engines.store.calls[calls:].count("rows-tx") == 0
