Take-ups wait for tokens and engines instead of being refused

Callers lost streams that their version could have gone on with: after a kill of all hosts take-ups come together, find empty buckets and engines at their limit, and spend their few tries on refusals within a second.

Cause: a take-up was admitted and queued like a new request that can come back, and one whose first attempt had been refused gave way to all newer ones.

--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -93,6 +93,8 @@
 # hosts admit more in that time.
 OVERDRAFT_FRACTION = 0.6
 OVERDRAFT_FRACTION_MANY_HOSTS = 0.2
+# Further fraction for requests that take up a stream.
+TAKE_UP_FRACTION = 0.2
 # Fraction of the key confirmation time within which the confirmation must have
 # been renewed.
 CONFIRMATION_FRACTION = 0.85
@@ -154,6 +156,7 @@
             self.find_account,
             self.overdraft,
             self.report_soon,
+            lambda: self.settings.limits.rate_slack * TAKE_UP_FRACTION,
         )
         self.versions = service_versions.ServiceVersions(
             platform.versions,
--- a/src/coltsfootarch/forwarding/forwarder.py
+++ b/src/coltsfootarch/forwarding/forwarder.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 import gevent
+import gevent.event
 import structlog
 
 from coltsfootarch import errors
@@ -38,6 +39,10 @@
 UNCONFIRMED_RETRY_AFTER_S = 0.1
 # `Retry-After` of a request for whose connection there is no room, in seconds.
 SURPLUS_RETRY_AFTER_S = 0.2
+# Longest time for which a request that takes up a stream waits for tokens of
+# its account, and the interval at which it tries to get them, in seconds.
+MAX_TOKEN_WAIT_S = 3.0
+TOKEN_CHECK_S = 0.1
 
 logger = structlog.get_logger(__name__)
 
@@ -147,7 +152,7 @@
                 raise errors.RefusedError(
                     results.OVERLOADED, retry_after=SURPLUS_RETRY_AFTER_S
                 )
-            admitted = self.admit(request)
+            admitted = self.admit(request, cancellation)
             call = self.make_call(request, admitted, responder, cancellation)
             call.ends_at = min(call.ends_at, self.ends_by)
             self.calls.add(call)
@@ -190,11 +195,16 @@
             call.ends_at = self.clock.monotonic()
             call.cancellation.interrupt()
 
-    def admit(self, request: calls.CallerRequest) -> AdmittedRequest:
+    def admit(
+        self,
+        request: calls.CallerRequest,
+        cancellation: cancellations.Cancellation,
+    ) -> AdmittedRequest:
         """Checks route, key and rate limit.
 
         Raises:
             errors.RefusedError: A check failed; the request must not run.
+            cancellation.CallerDisconnectedError: The caller disconnected.
         """
         if self.stopping:
             raise errors.RefusedError(
@@ -223,7 +233,7 @@
         if account is not None:
             tokens = request.prompt_tokens + request.output_tokens
             tokens = tokens or account.default_tokens
-            wait = self.buckets.admit(account, tokens)
+            wait = self.take_tokens(request, account, tokens, cancellation)
             if wait > 0:
                 bucket = self.buckets.bucket(account.name)
                 logger.info(
@@ -243,6 +253,37 @@
             route, account, current, tokens, service, version
         )
 
+    def take_tokens(
+        self,
+        request: calls.CallerRequest,
+        account: policies.ClientAccount,
+        tokens: int,
+        cancellation: cancellations.Cancellation,
+    ) -> float:
+        """Takes the tokens of a request from its account's bucket.
+
+        A request that takes up a stream has missed its objective and waits for
+        them; a refusal would cost its caller one of few retries.
+
+        Returns:
+            0.0 if they were taken, else the seconds until there are enough.
+
+        Raises:
+            cancellation.CallerDisconnectedError: The caller disconnected.
+        """
+        takes_up = request.takes_up
+        wait = self.buckets.admit(account, tokens, takes_up)
+        if not takes_up or wait <= 0:
+            return wait
+        deadline = self.clock.monotonic() + MAX_TOKEN_WAIT_S
+        wake_event = gevent.event.Event()
+        with cancellation.attached(wake_event.set):
+            while wait > 0 and self.clock.monotonic() + wait < deadline:
+                wake_event.wait(min(wait, TOKEN_CHECK_S))
+                cancellation.check()
+                wait = self.buckets.admit(account, tokens, takes_up)
+        return wait
+
     def find_route(
         self, current: policies.Policy, request: calls.CallerRequest
     ) -> policies.Route:
--- a/src/coltsfootarch/forwarding/generation_pipeline.py
+++ b/src/coltsfootarch/forwarding/generation_pipeline.py
@@ -96,7 +96,10 @@
         """
         self.context.budget.record(call.service)
         generation = generations.Generation(
-            call, service, self.context.refusals.was_refused(call.digest)
+            call,
+            service,
+            not call.request.takes_up
+            and self.context.refusals.was_refused(call.digest),
         )
         if version is not None:
             generation.version = version
@@ -321,8 +324,8 @@
         A new request waits as long as it can meet its objective. One that can't
         is refused with a `Retry-After`, since newer requests would be placed
         first. A retry after such a refusal, a request that was sent to an
-        engine before, and one that needs an engine that is silent wait as long
-        as the caller does.
+        engine before or takes up a stream, and one that needs an engine that is
+        silent wait as long as the caller does.
         """
         call = generation.call
         now = self.clock.monotonic()
@@ -335,6 +338,7 @@
         )
         if (
             call.attempts
+            or call.request.takes_up
             or generation.is_retry
             or self.silent_engines.is_awaited(generation)
         ):
--- a/src/coltsfootarch/limits/shared_bucket.py
+++ b/src/coltsfootarch/limits/shared_bucket.py
@@ -64,6 +64,9 @@
             refusals. The platform's users allow a larger excess.
         on_admission: Called after an admission, which must be reported to the
             other hosts.
+        take_up_overdraft: Returns the further tokens by which requests that
+            take up a stream may overdraw a bucket. After a kill of all hosts
+            they come together, and buckets are empty.
 
     Attributes:
         buckets: Replicas by client account.
@@ -78,7 +81,9 @@
         find_account: Callable[[str], policy.ClientAccount | None],
         overdraft: Callable[[], float] = lambda: 0.0,
         on_admission: Callable[[], object] = lambda: None,
+        take_up_overdraft: Callable[[], float] = lambda: 0.0,
     ) -> None:
+        self.take_up_overdraft = take_up_overdraft
         self.find_account = find_account
         self.on_admission = on_admission
         self.clock = clock
@@ -88,7 +93,12 @@
         self.buckets: dict[str, Bucket] = {}
         self.peer_totals: dict[str, dict[str, int]] = {}
 
-    def admit(self, account: policy.ClientAccount, tokens: int) -> float:
+    def admit(
+        self,
+        account: policy.ClientAccount,
+        tokens: int,
+        takes_up: bool = False,
+    ) -> float:
         """Admits a request, or returns how long it would have to wait.
 
         The result is a time, not a truth value: 0.0 means admitted.
@@ -96,6 +106,8 @@
         Args:
             account: The client account.
             tokens: Size of the request.
+            takes_up: Whether it takes up a stream; such requests may overdraw
+                the bucket further.
 
         Returns:
             0.0 if the request was admitted and its tokens were subtracted, else
@@ -103,18 +115,26 @@
         """
         if account.rate <= 0:
             return 0.0
-        wait = self.wait_s(account, tokens)
+        wait = self.wait_s(account, tokens, takes_up)
         if wait <= 0:
             self.subtract(account, tokens)
         return wait
 
-    def wait_s(self, account: policy.ClientAccount, tokens: int) -> float:
+    def wait_s(
+        self,
+        account: policy.ClientAccount,
+        tokens: int,
+        takes_up: bool = False,
+    ) -> float:
         """Returns the seconds until so many tokens can be admitted, or 0.0."""
         fraction = self.reachable_fraction()
         bucket = self.refill(account, fraction)
         # Like the limit, the overdraft is divided among groups of hosts that
         # can't reach each other.
-        missing = tokens - bucket.level - self.overdraft() * fraction
+        allowed = self.overdraft()
+        if takes_up:
+            allowed += self.take_up_overdraft()
+        missing = tokens - bucket.level - allowed * fraction
         return max(missing, 0.0) / (account.rate * fraction)
 
     def subtract(self, account: policy.ClientAccount, tokens: int) -> None:
--- a/tests/limits/test_shared_bucket.py
+++ b/tests/limits/test_shared_bucket.py
@@ -216,3 +216,19 @@
         for at, tokens in admitted[first:]:
             total += tokens
             assert total <= 5000 + 1000 * (at - started) + 1e-6
+
+
+def test_streams_that_are_taken_up_overdraw_a_bucket_further(manual_clock):
+    """After a kill of all hosts they come together, and buckets are empty."""
+    buckets = shared_bucket.SharedBuckets(
+        manual_clock,
+        lambda: 0.5,
+        FIND,
+        overdraft=lambda: 1000.0,
+        take_up_overdraft=lambda: 400.0,
+    )
+
+    assert buckets.admit(ACCOUNT, 500) == 0.0
+    assert buckets.admit(ACCOUNT, 200) > 0
+    assert buckets.admit(ACCOUNT, 200, takes_up=True) == 0.0
+    assert buckets.admit(ACCOUNT, 1, takes_up=True) > 0
