Streams whose records were lost are found by the engines that hold them

Callers could not take up any stream after the store had come back from a copy while all hosts were killed: the records of the last seconds were gone, and what isn't recorded could be of any version, so that all were refused (LOST).

Cause: nothing of the streams survives in the store or in a host. Change: the engine that ran a stream still holds its prompt's own part. A host that can't know the version otherwise asks the decode engines for the parts that they hold, once in 5 s, and takes the version if the engines that hold the part all have the same one; else it refuses as before.

--- a/src/coltsfootarch/forwarding/calls.py
+++ b/src/coltsfootarch/forwarding/calls.py
@@ -35,6 +35,8 @@
             a new stream.
         resumed_id: Request id of the attempt that brought the stream's first
             event, if it takes one up; empty if it names none, or several.
+        own_part: Id of the part of the prompt that belongs to this request or
+            its session; empty if not given.
         shared_parts: Ids of the parts of the prompt that other requests may
             share, in order.
         fields: Header fields to forward.
@@ -57,6 +59,7 @@
     body: bytes
     received_at: float
     resumed_id: str = ""
+    own_part: str = ""
 
     @property
     def takes_up(self) -> bool:
@@ -192,6 +195,15 @@
     def decode_reservation(self, body: bytes) -> str:
         """Returns the name of the granted reservation; empty if refused."""
 
+    def encode_held_parts(self, upstream: upstreams.Upstream) -> bytes:
+        """Returns the request for the parts of prompts that an engine holds."""
+
+    def decode_held_parts(self, body: bytes) -> frozenset[str]:
+        """Returns the ids of the parts that an engine holds.
+
+        They are none if the response can't be decoded.
+        """
+
     def encode_drop(self, address: str, name: str) -> bytes:
         """Returns the request that drops a reservation.
 
--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -30,6 +30,7 @@
 from coltsfootarch.forwarding import forwarder
 from coltsfootarch.forwarding import host_status
 from coltsfootarch.forwarding import listener
+from coltsfootarch.forwarding import prompt_holders
 from coltsfootarch.forwarding import recent_limits
 from coltsfootarch.forwarding import response_memory
 from coltsfootarch.forwarding import status
@@ -344,7 +345,13 @@
         )
         self.upstreams.on_change.append(queue.place_waiting)
         self.versions.on_change.append(queue.place_waiting)
-        versions = stream_versions.StreamVersions(self.versions, self.records)
+        versions = stream_versions.StreamVersions(
+            self.versions,
+            self.records,
+            prompt_holders.PromptHolders(
+                self.upstreams, self.platform.wire, clock
+            ),
+        )
         placer.may_begin = versions.may_begin
         notices = upstream_notices.UpstreamNotices(
             clock,
--- a/src/coltsfootarch/forwarding/stream_versions.py
+++ b/src/coltsfootarch/forwarding/stream_versions.py
@@ -14,6 +14,7 @@
     from coltsfootarch.fleet import service_versions
     from coltsfootarch.fleet import upstreams
     from coltsfootarch.forwarding import calls
+    from coltsfootarch.forwarding import prompt_holders
 
 # Longest time for which the first event of a stream waits for its record, in
 # seconds. The write begins when the engine is chosen, before the prompt is
@@ -34,13 +35,16 @@
     Args:
         versions: Versions of the services.
         records: Records of streams.
+        holders: Finds the engines that hold a prompt.
     """
 
     def __init__(
         self,
         versions: service_versions.ServiceVersions,
         records: stream_records.StreamRecords,
+        holders: prompt_holders.PromptHolders,
     ) -> None:
+        self.holders = holders
         self.versions = versions
         self.records = records
 
@@ -96,8 +100,12 @@
                 reason = "records may have been lost"
                 # What was known before the lookup may have changed.
                 base = versions.base(service)
-                if found is None and not versions.is_uncertain(service):
-                    found = base
+                if found is None:
+                    found = (
+                        self.find_holder(service, request.own_part)
+                        if versions.is_uncertain(service)
+                        else base
+                    )
             except errors.PlatformError as error:
                 reason = error.message
         if found is None:
@@ -121,6 +129,17 @@
             raise errors.RefusedError(results.STREAM_VERSION_GONE)
         return found
 
+    def find_holder(self, service: str, part: str) -> str | None:
+        """Returns the version of the engines that hold a part of a prompt.
+
+        Returns:
+            None if there are none, or several versions.
+        """
+        holding = self.holders.versions(service, part) if part else set()
+        if len(holding) != 1:
+            return None
+        return holding.pop()
+
     def announce(self, call: calls.Call, engine: upstreams.Upstream) -> None:
         """Begins to record the version at which a stream is about to begin."""
         if not self.is_recorded(call):
--- a/src/coltsfootarch/platform/wire.py
+++ b/src/coltsfootarch/platform/wire.py
@@ -66,6 +66,16 @@
 )
 
 
+class HeldList(msgspec.Struct):
+    """Answer to `GET /api/kv-list`.
+
+    Attributes:
+        held: Empty text, id of a part, tokens that are kept, model.
+    """
+
+    held: list[tuple[str, str, int, str]]
+
+
 def decode_caller(request: messages.Request) -> calls.CallerRequest:
     """Returns a caller's request as `calls.CallerRequest`."""
     dropped = messages.unforwarded_fields(request.fields) | RESERVED_FIELDS
@@ -91,6 +101,7 @@
         body=request.body,
         received_at=request.received_at,
         resumed_id=decode_resumed_id(request.fields),
+        own_part=decode_own_part(values.get(PREFIX_HASH.lower(), "")),
     )
 
 
@@ -152,6 +163,12 @@
     return tuple(part for part in shared if 0 < len(part) <= MAX_PART_ID_LENGTH)
 
 
+def decode_own_part(value: str) -> str:
+    """Returns the id of the last part; empty if it is absent or too long."""
+    part = value.rpartition(",")[2].partition(":")[0].strip()
+    return part if len(part) <= MAX_PART_ID_LENGTH else ""
+
+
 class CallerWire:
     """The platform's format for callers: a `calls.CallerProtocol`."""
 
@@ -253,6 +270,24 @@
         """Returns the name of a reservation; empty if there is none."""
         return decode_string_field(body, "hold")
 
+    def encode_held_parts(self, upstream: upstreams.Upstream) -> bytes:
+        """Returns the request for the parts of prompts that a runner holds."""
+        return messages.render_head(
+            "GET /api/kv-list HTTP/1.1",
+            [("Host", upstream.address), (EXPECT_INSTANCE, upstream.id)],
+        )
+
+    def decode_held_parts(self, body: bytes) -> frozenset[str]:
+        """Returns the ids of the parts that a runner holds.
+
+        An entry of `held` is a list of an empty text, id, tokens and model.
+        """
+        try:
+            document = msgspec.json.decode(body, type=HeldList)
+        except msgspec.DecodeError:
+            return frozenset()
+        return frozenset(part for _, part, tokens, _ in document.held if tokens)
+
     def encode_drop(self, address: str, name: str) -> bytes:
         """Returns the request that drops a reservation."""
         return messages.render_head(
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -107,6 +107,7 @@
         self.ended_executions: list[tuple[str, str]] = []
         self.handles: dict[str, str] = {}
         self.freed: list[str] = []
+        self.held: set[str] = set()
         self.reservations: list[dict[str, Any]] = []
         self.dropped: list[str] = []
         self.orders: list[dict[str, Any]] = []
@@ -188,6 +189,10 @@
         elif request.target.startswith("/api/hold-drop/"):
             self.dropped.append(request.target.rpartition("/")[2])
             connection.respond(200)
+        elif request.target == "/api/kv-list":
+            entries = [["", part, 100, "m"] for part in sorted(self.held)]
+            body = {"epoch": 1, "next": 1, "held": entries}
+            connection.respond(200, (), msgspec.json.encode(body))
         elif request.target == "/api/order":
             self.orders.append(msgspec.json.decode(request.body))
             self.stage = self.orders[-1]["stage"]
@@ -388,6 +393,11 @@
     ) -> None:
         """Streams the events after the `Last-Event-Id`, with the fault set."""
         start = int(fields.get("last-event-id") or 0) + 1
+        self.held.update(
+            entry.partition(":")[0]
+            for entry in fields.get("x-prefix-hash", "").split(",")
+            if entry
+        )
         if self.fault == "hang":
             while connection.open:
                 gevent.sleep(0.01)
--- a/tests/forwarding/test_stream_versions.py
+++ b/tests/forwarding/test_stream_versions.py
@@ -284,6 +284,32 @@
     assert not engine_of(two_versions, "r2")
 
 
+@pytest.mark.parametrize(
+    ("also_held", "code"), [((), None), (("d-1",), "stream-version-unknown")]
+)
+def test_stream_whose_record_was_lost_goes_on_where_its_prompt_is_held(
+    two_versions, also_held, code
+):
+    """Guards against take-ups that are all refused after a restoration."""
+    copied = two_versions.store.revision
+    prefer(two_versions, "d-2")
+    assert begin(two_versions, X_Prefix_Hash="aa:900,bb:100") == "d-2"
+    two_versions.daemon.close()
+    two_versions.store.restore(copied)
+    two_versions.start()
+    for name in also_held:
+        two_versions.runners[name].held.add("bb")
+    prefer(two_versions, "d-1")
+
+    response = take_up(two_versions, X_Prefix_Hash="aa:900,bb:100")
+
+    if code:
+        assert response.code == code
+    else:
+        assert response.status == 200
+        assert version_of(two_versions, "r2") == "v2"
+
+
 def test_record_that_was_lost_is_written_again(two_versions):
     store = two_versions.store
     copied = store.revision
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -217,3 +217,23 @@
 def test_stream_that_is_taken_up_is_named_once(fields, resumed_id):
     """Guards against a stream that is chosen among several named ones."""
     assert wire.decode_caller(request(*fields)).resumed_id == resumed_id
+
+
+@pytest.mark.parametrize(
+    ("body", "parts"),
+    [
+        (b'{"held":[["","aa",5,"m"],["","bb",0,"m"]],"next":1}', {"aa"}),
+        (b'{"held":[["","aa"]]}', set()),
+        (b'{"held":3}', set()),
+        (b"not json", set()),
+    ],
+)
+def test_parts_that_a_runner_holds_are_decoded(body, parts):
+    """Guards against an unreadable list that is taken for an answer."""
+    assert wire.RunnerWire().decode_held_parts(body) == parts
+
+
+def test_own_part_is_the_last_one():
+    raw = request(("X-Prefix-Hash", "aa:800,bb:410,cc:250"))
+
+    assert wire.decode_caller(raw).own_part == "cc"
