A list of held prompts that can't be read is logged

Cause: a status other than 200 left an empty list without a line. Change: it ends like other failures.

--- a/src/coltsfootarch/forwarding/prompt_holders.py
+++ b/src/coltsfootarch/forwarding/prompt_holders.py
@@ -113,11 +113,10 @@
                 self.wire.encode_held_parts(engine), b"", CALL_TIMEOUT_S
             )
             head = connection.read_part(CALL_TIMEOUT_S)
-            if (
-                not isinstance(head, messages.ResponseHead)
-                or head.status != 200
-            ):
-                return
+            if not isinstance(head, messages.ResponseHead):
+                raise client.BrokenConnectionError("no response head")
+            if head.status != 200:
+                raise client.BrokenConnectionError(f"status {head.status}")
             while len(body) <= MAX_LIST_BYTES:
                 part = connection.read_part(CALL_TIMEOUT_S)
                 if not isinstance(part, bytes):
