The soak runs two versions side by side and kills all hosts at once

Cause: no soak had upstreams of two versions, callers that take their streams up, or a kill of all hosts, so that joined streams were not noticed. Change: seeds that leave 2 when divided by 3 have four decode engines of two versions, which name theirs in their events; callers take broken streams up at any host, with Resumes; violations are events of two versions in an answer or over a caller's tries, and gaps. A fault kills all hosts.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -15,6 +15,7 @@
 from coltsfootarch.http1 import client
 from coltsfootarch.http1 import messages
 from coltsfootarch.http1 import readers
+from soak import take_ups
 
 if TYPE_CHECKING:
     from soak import processes
@@ -28,6 +29,9 @@
 CRASHING_SUFFIX = "x"
 # One of this many requests to decode engines has the part.
 CRASHING_INTERVAL = 8
+# Tries to take up a stream, and the pause between them, in seconds.
+TAKE_UP_TRIES = 3
+TAKE_UP_PAUSE_S = 0.5
 
 
 class Habits(NamedTuple):
@@ -121,6 +125,7 @@
 
     Attributes:
         observations: Records of all requests that have ended.
+        take_ups: Streams that were taken up after their connection broke.
         keys: API keys that the callers use.
     """
 
@@ -138,6 +143,7 @@
         self.generator = random.Random(seed)
         self.numbers = itertools.count()
         self.observations: list[Observation] = []
+        self.take_ups: list[take_ups.TakeUp] = []
         self.keys = ["key-a", "key-b"]
         self.stopping = False
         self.greenlets = [gevent.spawn(self.run) for _ in range(count)]
@@ -250,8 +256,61 @@
                 timeout_s,
             )
         )
+        if (
+            kind == "write"
+            and not response.complete
+            and not response.timed_out
+            and take_ups.numbers(response.body)
+        ):
+            self.take_up(line, fields, body, response.body)
         return response.complete and head is not None and head.keep_alive
 
+    def take_up(
+        self,
+        line: str,
+        fields: list[tuple[str, str]],
+        body: bytes,
+        received: bytes,
+    ) -> None:
+        """Goes on with a broken stream at any host, with a few tries.
+
+        Args:
+            line: Request line of the attempt that began it.
+            fields: Its header fields.
+            body: Its body.
+            received: What that attempt brought.
+        """
+        request_id = dict(fields)["X-Request-Id"]
+        last = take_ups.numbers(received)[-1]
+        for number in range(TAKE_UP_TRIES):
+            own = {
+                "X-Request-Id": f"{request_id}-{number}",
+                "Resumes": request_id,
+                "Last-Event-Id": str(last),
+            }
+            sock = gevent_socket.socket()
+            sock.settimeout(1.0)
+            host = self.generator.choice(self.hosts)
+            head = messages.render_head(
+                line, [*{**dict(fields), **own}.items()]
+            )
+            try:
+                sock.connect(client.split_address(host.listen))
+                sock.sendall(head + body)
+            except OSError:
+                gevent.sleep(TAKE_UP_PAUSE_S)
+                continue
+            timeout_s = self.habits.timeout_s
+            response = self.read(sock, timeout_s, timeout_s)
+            sock.close()
+            status = response.head.status if response.head else 0
+            if status == 200:
+                self.take_ups.append(
+                    take_ups.TakeUp(request_id, received, status, response.body)
+                )
+                return
+            gevent.sleep(TAKE_UP_PAUSE_S)
+
     def choose_timeout(self) -> float:
         """Returns how long the caller of the next request waits, in seconds."""
         habits = self.habits
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -22,6 +22,7 @@
 PLANNED = ("restart", *CONFIGURATION_CHANGES)
 UNPLANNED = (
     "kill_host",
+    "kill_hosts",
     "pause_host",
     "kill_runner",
     "pause_runner",
@@ -216,6 +217,17 @@
         host.start()
         self.reserved.discard(host.name)
 
+    def kill_hosts(self) -> None:
+        """Kills all hosts at once and starts them again."""
+        chosen = []
+        while (host := self.reserve_program(self.fleet.hosts)) is not None:
+            chosen.append(host)
+        for host in chosen:
+            host.kill()
+        for host in chosen:
+            host.start()
+            self.reserved.discard(host.name)
+
     def pause_host(self) -> None:
         self.suspend(self.reserve_program(self.fleet.hosts, spare=1))
 
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import time
+import types
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
@@ -23,6 +24,7 @@
 from soak import proxy
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
     from collections.abc import Sequence
 
 ROOT = pathlib.Path(__file__).parent.parent
@@ -55,6 +57,14 @@
     ("d-1", "llm", "decode"),
     ("d-2", "llm", "decode"),
 )
+# Runners of seeds with two versions, and the versions of some.
+RUNNERS_OF_TWO_VERSIONS = (
+    *RUNNERS,
+    ("d-3", "llm", "decode"),
+    ("d-4", "llm", "decode"),
+)
+SECOND_VERSION = {"d-2": "v2", "d-4": "v2"}
+NO_VERSIONS: Mapping[str, str] = types.MappingProxyType({})
 
 
 class RetryBudget(NamedTuple):
@@ -227,6 +237,7 @@
         store: str,
         folder: pathlib.Path,
         addresses: loopback.LoopbackAddresses,
+        version: str = "v1",
     ) -> None:
         self.service = service
         self.stage = stage
@@ -237,6 +248,7 @@
         arguments += ["--store", store, "--id", name, "--service", service]
         arguments += ["--advertise", self.proxy.address]
         arguments += ["--journal", str(folder / "runs.jsonl")]
+        arguments += ["--version", version]
         if stage:
             arguments += ["--stage", stage]
         super().__init__(name, arguments, folder / f"{name}.log")
@@ -249,6 +261,7 @@
         folder: Folder for settings and logs.
         hosts: Number of entry hosts.
         runners: Name, service and stage of each runner.
+        versions: Versions of runners that don't have the first one.
         budget: Retry budget of the hosts.
 
     Attributes:
@@ -262,6 +275,7 @@
         hosts: int,
         runners: Sequence[tuple[str, str, str]] = RUNNERS,
         budget: RetryBudget = DEFAULT_BUDGET,
+        versions: Mapping[str, str] = NO_VERSIONS,
     ) -> None:
         self.folder = folder
         self.crashing_part = ""
@@ -280,6 +294,7 @@
                 self.store_address,
                 folder,
                 self.addresses,
+                versions.get(name, "v1"),
             )
             for name, service, stage in runners
         ]
--- a/soak/run.py
+++ b/soak/run.py
@@ -16,6 +16,7 @@
 from soak import faults
 from soak import processes
 from soak import silences
+from soak import take_ups
 
 if TYPE_CHECKING:
     import pathlib
@@ -35,6 +36,9 @@
 # ones don't restart hosts, so that the end of no grace period is an excuse.
 SILENCE_EVERY = 5
 SILENCE_REMAINDER = 3
+# Seeds that leave this remainder have decode engines of two versions.
+VERSIONS_EVERY = 3
+VERSIONS_REMAINDER = 2
 ROUTE_HOST = "api.example"
 
 
@@ -45,18 +49,23 @@
         violations: A line for each violation of a guarantee.
         statuses: Number of requests by status; 0 without a response.
         faults: Number of faults by kind.
+        taken_up: Number of streams that went on after their connection broke.
     """
 
     violations: list[str]
     statuses: dict[int, int]
     faults: dict[str, int]
+    taken_up: int = 0
 
     def summary(self) -> str:
         """Returns the outcome in one line."""
         verdict = (
             f"{len(self.violations)} violations" if self.violations else "ok"
         )
-        return f"{verdict}; answers {self.statuses}; faults {self.faults}"
+        return (
+            f"{verdict}; answers {self.statuses}; streams taken up "
+            f"{self.taken_up}; faults {self.faults}"
+        )
 
 
 def configuration(
@@ -147,7 +156,15 @@
     """
     if silent or seed % SILENCE_EVERY == SILENCE_REMAINDER:
         return run_silences(seed, seconds, hosts, folder)
-    fleet = processes.Fleet(folder, hosts)
+    if seed % VERSIONS_EVERY == VERSIONS_REMAINDER:
+        fleet = processes.Fleet(
+            folder,
+            hosts,
+            processes.RUNNERS_OF_TWO_VERSIONS,
+            versions=processes.SECOND_VERSION,
+        )
+    else:
+        fleet = processes.Fleet(folder, hosts)
     build = configuration
     if seed % 2:
         build = functools.partial(configuration, added_routes=ADDED_ROUTES)
@@ -205,6 +222,12 @@
     violations += outdated_hosts(fleet, schedule.version)
     logged = {host.name: host.ended_requests() for host in fleet.hosts}
     violations += checks.find_forgotten(load.observations, logged, schedule)
+    bodies = [
+        (each.id, each.body)
+        for each in load.observations
+        if each.kind in ("write", "once")
+    ]
+    violations += take_ups.violations(bodies, load.take_ups)
     served = sum(each.status == 200 for each in load.observations)
     if not served:
         violations.append("no request succeeded")
@@ -213,6 +236,7 @@
         violations,
         dict(sorted(statuses.items())),
         dict(collections.Counter(schedule.applied)),
+        len(load.take_ups),
     )
 
 
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -100,6 +100,7 @@
         self.zone = zone
         self.state = "ready"
         self.version = "v1"
+        self.names_version = False
         self.slots = 8
         self.running = 0
         self.runs: list[dict[str, Any]] = []
@@ -424,6 +425,8 @@
         for number in range(start, self.events + 1):
             gevent.sleep(self.event_gap_s)
             data = f"id: {number}\ndata: token {number}\n\n".encode()
+            if self.names_version:
+                data = f": version {self.version}\n".encode() + data
             if self.silent_within_event and time.monotonic() < (
                 self.silent_until
             ):
@@ -492,6 +495,7 @@
 @click.option("--zone", default="north")
 @click.option("--advertise", default="", help="Address to register.")
 @click.option("--journal", default="", help="File that lists all runs.")
+@click.option("--version", default="v1", help="Version of its software.")
 @click.option("--work", default=0.01, help="Seconds for a call or a prompt.")
 def main(
     listen: str,
@@ -502,12 +506,16 @@
     zone: str,
     advertise: str,
     journal: str,
+    version: str,
     work: float,
 ) -> None:
     """Run a runner until it is killed."""
     runner = Runner(runner_id, service, stage, listen, zone)
     runner.advertised = advertise
     runner.journal = journal
+    runner.version = version
+    # The first version's events name none.
+    runner.names_version = version != "v1"
     runner.work_s = work
     runner.event_gap_s = work
     runner.start()
