Outdated rows are forgotten with their epoch; answers and version rows apart

Callers could miss an upstream for long after a second restoration: a row that counted as outdated was compared with its revision in the epoch before, which may be higher than all of the new one.

Cause: Departures kept revisions beyond their epoch. Change: a restoration clears them before it marks rows anew. Besides, without a change of behaviour, the types of the store's answers and of the rows of versions have modules of their own.

--- a/src/coltsfootarch/fleet/departures.py
+++ b/src/coltsfootarch/fleet/departures.py
@@ -63,6 +63,10 @@
         """Returns whether an upstream, listed as ready, drains or has left."""
         return upstream.ready and incarnation(upstream) in self.departed
 
+    def begin_epoch(self) -> None:
+        """Forgets the outdated rows of a history that was replaced."""
+        self.outdated.clear()
+
     def mark_outdated(self, upstream_id: str, revision: int) -> None:
         """Records that a row up to a revision is from before a departure."""
         self.outdated[upstream_id] = revision
--- a/src/coltsfootarch/fleet/service_versions.py
+++ b/src/coltsfootarch/fleet/service_versions.py
@@ -14,8 +14,6 @@
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
-from typing import NamedTuple
-from typing import Protocol
 
 import gevent
 import gevent.event
@@ -24,6 +22,7 @@
 from coltsfootarch import errors
 from coltsfootarch.fleet import policy
 from coltsfootarch.fleet import store_epochs
+from coltsfootarch.fleet import version_rows
 
 if TYPE_CHECKING:
     import random
@@ -54,86 +53,6 @@
 logger = structlog.get_logger(__name__)
 
 
-class VersionState(NamedTuple):
-    """Row of a service.
-
-    Attributes:
-        base: Version of streams that aren't recorded.
-        others: Other versions, with the instant at which each was added, by the
-            store's clock in milliseconds.
-        epoch: Epoch of the store in which the row was written.
-        uncertain_until_ms: Instant until which unrecorded streams may be of any
-            version, since a restoration of the store may have lost records; by
-            the store's clock.
-    """
-
-    base: str
-    others: dict[str, int]
-    epoch: int = 0
-    uncertain_until_ms: int = 0
-
-
-class StoredVersions(NamedTuple):
-    """Answer to the read of a service's row.
-
-    Attributes:
-        state: The row; None if there is none or it can't be decoded.
-        position: Position of the row in the store's history; revision 0 if
-            there is none.
-        now_ms: The store's clock, in milliseconds.
-    """
-
-    state: VersionState | None
-    position: store_epochs.Position
-    now_ms: int
-
-
-class VersionTable(Protocol):
-    """Durable rows of the services' versions."""
-
-    def read(self, service: str) -> StoredVersions:
-        """Returns the row of a service.
-
-        Raises:
-            errors.PlatformError: The store did not answer usably.
-        """
-
-    def replace(
-        self, service: str, state: VersionState, position: store_epochs.Position
-    ) -> bool:
-        """Writes the row of a service if it is still at a position.
-
-        Returns:
-            Whether it was written.
-
-        Raises:
-            errors.PlatformError: It may or may not have been written.
-        """
-
-
-class KnownVersions:
-    """What this host knows of a service's row.
-
-    Args:
-        state: The row.
-        clock_offset_ms: The store's clock less this host's monotonic one, in
-            milliseconds.
-        read_at: Instant of the read, in seconds.
-
-    Attributes:
-        absent_since: Instant since which no engine of a version has been
-            registered, in seconds, by version.
-    """
-
-    def __init__(
-        self, state: VersionState, clock_offset_ms: float, read_at: float
-    ) -> None:
-        self.state = state
-        self.clock_offset_ms = clock_offset_ms
-        self.read_at = read_at
-        self.absent_since: dict[str, float] = {}
-
-
 class ServiceVersions:
     """Keeps the rows of the services and answers questions about versions.
 
@@ -158,7 +77,7 @@
 
     def __init__(
         self,
-        table: VersionTable,
+        table: version_rows.VersionTable,
         directory: upstreams.UpstreamDirectory,
         policy_tracker: active_policy.PolicyTracker,
         peers: hosts.HostDirectory,
@@ -175,7 +94,7 @@
         self.clock = clock
         self.generator = generator
         self.unreachable_delay_s = unreachable_delay_s
-        self.services: dict[str, KnownVersions] = {}
+        self.services: dict[str, version_rows.KnownVersions] = {}
         self.due_at: dict[str, float] = {}
         self.on_change: list[Callable[[], object]] = []
         self.on_restored: list[Callable[[str], object]] = []
@@ -286,7 +205,7 @@
         )
         return max(LIFETIME_TIMEOUTS * longest, MIN_LIFETIME_S)
 
-    def store_now_ms(self, known: KnownVersions) -> float:
+    def store_now_ms(self, known: version_rows.KnownVersions) -> float:
         """Returns the store's clock, as far as this host knows it."""
         return self.clock.monotonic() * MS_PER_S + known.clock_offset_ms
 
@@ -355,7 +274,10 @@
         return READ_DELAY_S * (1.0 + self.generator.random())
 
     def note_absent(
-        self, known: KnownVersions, registered: set[str], now: float
+        self,
+        known: version_rows.KnownVersions,
+        registered: set[str],
+        now: float,
     ) -> None:
         """Records since when versions have had no registered engine."""
         for version in (known.state.base, *known.state.others):
@@ -367,7 +289,7 @@
     def needs_check(
         self,
         service: str,
-        known: KnownVersions | None,
+        known: version_rows.KnownVersions | None,
         registered: set[str],
         now: float,
     ) -> bool:
@@ -383,7 +305,7 @@
             return True
         return now - known.read_at > READ_INTERVAL_S
 
-    def expired(self, known: KnownVersions) -> set[str]:
+    def expired(self, known: version_rows.KnownVersions) -> set[str]:
         """Returns the versions whose streams can't be taken up any more."""
         oldest = self.clock.monotonic() - self.lifetime_s()
         return {
@@ -395,10 +317,10 @@
     def wanted_state(
         self,
         service: str,
-        known: KnownVersions | None,
-        stored: StoredVersions,
+        known: version_rows.KnownVersions | None,
+        stored: version_rows.StoredVersions,
         registered: set[str],
-    ) -> VersionState:
+    ) -> version_rows.VersionState:
         """Returns what the row should hold.
 
         Args:
@@ -416,7 +338,7 @@
             # Of several versions the oldest engine has the one of before.
             base = self.oldest_version(service)
             is_new = epoch <= store_epochs.FIRST_EPOCH
-            return VersionState(
+            return version_rows.VersionState(
                 base,
                 dict.fromkeys(registered - {base}, stored.now_ms),
                 epoch,
@@ -450,7 +372,9 @@
             if base in self.expired(known) and others:
                 base = self.most_common_version(service, others)
                 del others[base]
-        return VersionState(base, others, epoch, uncertain_until_ms)
+        return version_rows.VersionState(
+            base, others, epoch, uncertain_until_ms
+        )
 
     def oldest_version(self, service: str) -> str:
         """Returns the version of the engine that started first."""
@@ -475,7 +399,11 @@
         return max(counts, key=lambda version: (counts[version], version))
 
     def adopt(
-        self, service: str, state: VersionState, now_ms: int, is_written: bool
+        self,
+        service: str,
+        state: version_rows.VersionState,
+        now_ms: int,
+        is_written: bool,
     ) -> None:
         """Takes over a row that was read or written."""
         now = self.clock.monotonic()
@@ -483,7 +411,7 @@
         previous = known.state if known else None
         offset_ms = now_ms - now * MS_PER_S
         if known is None:
-            known = self.services[service] = KnownVersions(
+            known = self.services[service] = version_rows.KnownVersions(
                 state, offset_ms, now
             )
         known.state = state
--- a/src/coltsfootarch/fleet/upstreams.py
+++ b/src/coltsfootarch/fleet/upstreams.py
@@ -155,6 +155,7 @@
             self.position is not None and position.epoch > self.position.epoch
         )
         if is_restored or self.position is None:
+            self.departures.begin_epoch()
             for entry in entries.values():
                 if self.departures.has_left(entry):
                     self.departures.mark_outdated(
--- a/src/coltsfootarch/forwarding/platform_interface.py
+++ b/src/coltsfootarch/forwarding/platform_interface.py
@@ -10,10 +10,10 @@
 
     from coltsfootarch.fleet import followers
     from coltsfootarch.fleet import hosts
-    from coltsfootarch.fleet import service_versions
     from coltsfootarch.fleet import stage_orders
     from coltsfootarch.fleet import store_epochs
     from coltsfootarch.fleet import stream_records
+    from coltsfootarch.fleet import version_rows
     from coltsfootarch.forwarding import calls
 
 
@@ -45,5 +45,5 @@
     ready_path: str
     close: Callable[[], object]
     epochs: store_epochs.StoreEpochs
-    versions: service_versions.VersionTable
+    versions: version_rows.VersionTable
     streams: stream_records.RecordTable
--- a/src/coltsfootarch/platform/feeds.py
+++ b/src/coltsfootarch/platform/feeds.py
@@ -20,6 +20,7 @@
     from coltsfootarch.fleet import policy
     from coltsfootarch.fleet import store_epochs
     from coltsfootarch.fleet import upstreams
+    from coltsfootarch.platform import answers
     from coltsfootarch.platform import store
 
 # Tables of the store. The operator writes to the first, the runners write to
@@ -90,7 +91,7 @@
         """Ends a read whose answer has not begun; see `PolicySource`."""
         return self.client.abandon_silent_call()
 
-    def decode(self, rows: store.Rows) -> active_policy.PolicyReadResult:
+    def decode(self, rows: answers.Rows) -> active_policy.PolicyReadResult:
         """Returns the last valid policy among rows in order of change.
 
         An invalid one is logged. If the last one is invalid, the result is
@@ -156,7 +157,7 @@
             self.client.read_changes(RUNNER_TABLE, position, wait_s)
         )
 
-    def decode(self, rows: store.Rows) -> followers.UpstreamReadResult:
+    def decode(self, rows: answers.Rows) -> followers.UpstreamReadResult:
         """Returns the upstreams of rows in order of change.
 
         A row whose last value is invalid is logged and counts as removed.
--- a/src/coltsfootarch/platform/store.py
+++ b/src/coltsfootarch/platform/store.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import base64
-import binascii
 import urllib.parse
 from typing import TYPE_CHECKING
 from typing import Any
-from typing import NamedTuple
 
 import msgspec
 
@@ -16,6 +14,7 @@
 from coltsfootarch.http1 import client
 from coltsfootarch.http1 import messages
 from coltsfootarch.http1 import transfers
+from coltsfootarch.platform import answers
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -41,57 +40,6 @@
 MAX_EPOCH_DIGITS = 6
 
 
-class Row(NamedTuple):
-    """A stored row.
-
-    Attributes:
-        key: Key within its table.
-        value: Stored bytes; None if the row was removed.
-        revision: Revision of the row's last change.
-    """
-
-    key: str
-    value: bytes | None
-    revision: int = 0
-
-
-class Rows(NamedTuple):
-    """Rows of one answer of the store.
-
-    Attributes:
-        rows: The rows, ordered by key or by change.
-        revision: Newest revision of the store when it answered.
-        sent_at: Monotonic instant at which the call was sent, in seconds.
-        transfer: Size and duration of the answer.
-        epoch: Epoch of the store when it answered.
-    """
-
-    rows: tuple[Row, ...]
-    revision: int
-    sent_at: float
-    transfer: transfers.Transfer
-    epoch: int = 0
-
-    @property
-    def position(self) -> store_epochs.Position:
-        """Place in the store's history as of which the rows are current."""
-        return store_epochs.Position(self.epoch, self.revision)
-
-
-class StoredRow(NamedTuple):
-    """Answer to the read of one row.
-
-    Attributes:
-        row: The row; None if there is none.
-        now_ms: The store's clock, in milliseconds.
-        epoch: Epoch of the store when it answered.
-    """
-
-    row: Row | None
-    now_ms: int
-    epoch: int
-
-
 class StoreClient:
     """Calls the store over one connection, which is kept between calls.
 
@@ -143,7 +91,7 @@
             self.connection.close()
             self.connection = None
 
-    def read_table(self, table: str) -> Rows:
+    def read_table(self, table: str) -> answers.Rows:
         """Returns all rows of a table, read in pages of `ROWS_PER_CALL`.
 
         The revision is that of the last page and `sent_at` that of the first.
@@ -151,7 +99,7 @@
         Raises:
             errors.TableUnavailableError: The store did not answer usably.
         """
-        rows: list[Row] = []
+        rows: list[answers.Row] = []
         start = ""
         sent_at = None
         epoch = None
@@ -181,7 +129,7 @@
         position: store_epochs.Position,
         wait_s: float,
         max_bytes: int | None = None,
-    ) -> Rows:
+    ) -> answers.Rows:
         """Returns the rows that changed after a position, each version of them.
 
         Args:
@@ -211,7 +159,7 @@
             )
         return rows
 
-    def read_row(self, table: str, key: str) -> StoredRow:
+    def read_row(self, table: str, key: str) -> answers.StoredRow:
         """Returns one row.
 
         Raises:
@@ -231,7 +179,7 @@
                 "the store's answer to rows-get has no integer now_ms"
             )
         row = page.rows[0] if page.rows else None
-        return StoredRow(row, now_ms, page.epoch)
+        return answers.StoredRow(row, now_ms, page.epoch)
 
     def replace_row(
         self,
@@ -333,7 +281,7 @@
         query: dict[str, Any],
         timeout: float,
         max_bytes: int | None = None,
-    ) -> tuple[Rows, dict[str, Any]]:
+    ) -> tuple[answers.Rows, dict[str, Any]]:
         """Makes a read call.
 
         Args:
@@ -357,9 +305,9 @@
         transfer = self.transfer
         try:
             document = msgspec.json.decode(body)
-            rows = tuple(map(decode_row, document["rows"]))
+            rows = tuple(map(answers.decode_row, document["rows"]))
             revision = int(document["ver"])
-            return Rows(
+            return answers.Rows(
                 rows, revision, sent_at, transfer, self.answer_epoch
             ), document
         except (
@@ -538,17 +486,3 @@
             "the store's answer has no status line"
         )
     return answer, bytes(data)
-
-
-def decode_row(entry: dict[str, Any]) -> Row:
-    """Returns a row of an answer; a value that isn't base64 becomes empty."""
-    if entry.get("deleted"):
-        return Row(entry["key"], None)
-    revision = entry.get("ver", 0)
-    try:
-        value = base64.b64decode(entry["value"])
-    except (binascii.Error, KeyError, TypeError, ValueError):
-        # An empty value is not a valid document, so the reader of the row
-        # reports it as invalid.
-        value = b""
-    return Row(entry["key"], value, revision)
--- a/src/coltsfootarch/platform/stream_records.py
+++ b/src/coltsfootarch/platform/stream_records.py
@@ -7,8 +7,8 @@
 import msgspec
 import structlog
 
-from coltsfootarch.fleet import service_versions
 from coltsfootarch.fleet import store_epochs
+from coltsfootarch.fleet import version_rows
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -23,7 +23,7 @@
 
 
 class VersionTable:
-    """Implements `service_versions.VersionTable`.
+    """Implements `version_rows.VersionTable`.
 
     Args:
         client: Client of the store.
@@ -32,17 +32,17 @@
     def __init__(self, client: store.StoreClient) -> None:
         self.client = client
 
-    def read(self, service: str) -> service_versions.StoredVersions:
+    def read(self, service: str) -> version_rows.StoredVersions:
         """Returns the row of a service; an invalid one is only logged."""
         row, now_ms, epoch = self.client.read_row(VERSION_TABLE, service)
         if row is None:
             position = store_epochs.Position(epoch, 0)
-            return service_versions.StoredVersions(None, position, now_ms)
+            return version_rows.StoredVersions(None, position, now_ms)
         position = store_epochs.Position(epoch, row.revision)
         state = None
         try:
             state = msgspec.json.decode(
-                row.value or b"", type=service_versions.VersionState
+                row.value or b"", type=version_rows.VersionState
             )
         except msgspec.DecodeError as error:
             logger.warning(
@@ -50,12 +50,12 @@
                 service=service,
                 reason=str(error),
             )
-        return service_versions.StoredVersions(state, position, now_ms)
+        return version_rows.StoredVersions(state, position, now_ms)
 
     def replace(
         self,
         service: str,
-        state: service_versions.VersionState,
+        state: version_rows.VersionState,
         position: store_epochs.Position,
     ) -> bool:
         """Writes the row of a service if it is still at a position."""
--- a/tests/fleet/test_restored_registrations.py
+++ b/tests/fleet/test_restored_registrations.py
@@ -78,6 +78,21 @@
     assert serving(directory) == ["i-1", "i-2"]
 
 
+def test_upstream_that_registers_after_a_second_restoration_is_used(directory):
+    """Guards against a revision that is compared with one of before."""
+    directory.update([], ["i-1"], BEFORE)
+    directory.replace(copy_of("i-1", "i-2"), after(25), {"i-1": 25})
+    directory.replace(
+        copy_of("i-1", "i-2"), store_epochs.Position(3, 12), {"i-1": 11}
+    )
+    assert serving(directory) == ["i-2"]
+
+    position = store_epochs.Position(3, 14)
+    directory.update([entry("i-1")], [], position, {"i-1": 14})
+
+    assert serving(directory) == ["i-1", "i-2"]
+
+
 def test_upstream_that_starts_again_under_its_id_is_used(directory):
     directory.update([], ["i-1"], BEFORE)
     restarted = entry("i-1")._replace(started_ms=2000)
--- a/tests/fleet/test_service_versions.py
+++ b/tests/fleet/test_service_versions.py
@@ -14,6 +14,7 @@
 from coltsfootarch.fleet import service_versions
 from coltsfootarch.fleet import store_epochs
 from coltsfootarch.fleet import upstreams
+from coltsfootarch.fleet import version_rows
 from tests.fleet import builders
 
 LIFETIME_S = service_versions.MIN_LIFETIME_S
@@ -38,7 +39,7 @@
             raise errors.TableUnavailableError()
         self.reads += 1
         state, revision = self.rows.get(service, (None, 0))
-        return service_versions.StoredVersions(
+        return version_rows.StoredVersions(
             state,
             store_epochs.Position(self.epoch, revision),
             int(self.clock.monotonic() * 1000) + 500,
@@ -265,7 +266,7 @@
     host.versions.on_restored.append(again.append)
     host.register(d_1="v1", d_2="v2")
     host.step(OPEN_S)
-    restore(host, table, service_versions.VersionState("v1", {}, 1))
+    restore(host, table, version_rows.VersionState("v1", {}, 1))
     assert not host.versions.is_single("llm")
 
     host.step(1.0)
@@ -279,9 +280,7 @@
     assert not host.versions.is_uncertain("llm")
 
 
-@pytest.mark.parametrize(
-    "row", [None, service_versions.VersionState("v1", {}, 1)]
-)
+@pytest.mark.parametrize("row", [None, version_rows.VersionState("v1", {}, 1)])
 def test_restoration_with_one_version_loses_nothing(host, table, row):
     restore(host, table, row)
     host.step(1.0)
@@ -290,9 +289,7 @@
     assert table.rows["llm"][0].epoch == 2
 
 
-@pytest.mark.parametrize(
-    "row", [None, service_versions.VersionState("v1", {}, 1)]
-)
+@pytest.mark.parametrize("row", [None, version_rows.VersionState("v1", {}, 1)])
 def test_host_that_starts_on_a_copy_is_uncertain(
     host, table, manual_clock, row
 ):
@@ -313,7 +310,7 @@
     host.register(d_2="v2")
     host.step(LIFETIME_S + 2.0)
     assert host.versions.base("llm") == "v2"
-    old = service_versions.VersionState("v1", {"v2": 0}, 1)
+    old = version_rows.VersionState("v1", {"v2": 0}, 1)
 
     restore(host, table, old)
     host.step(1.0)
