--- a/src/coltsfootarch/fleet/service_versions.py
+++ b/src/coltsfootarch/fleet/service_versions.py
@@ -70,6 +70,7 @@
 
     Attributes:
         services: What is known, by service.
+        missing: Services whose row was missing once.
         on_change: Called after a change of what is known.
         on_restored: Called with a service whose row was written again after a
             restoration of the store.
@@ -96,6 +97,7 @@
         self.unreachable_delay_s = unreachable_delay_s
         self.services: dict[str, version_rows.KnownVersions] = {}
         self.due_at: dict[str, float] = {}
+        self.missing: set[str] = set()
         self.on_change: list[Callable[[], object]] = []
         self.on_restored: list[Callable[[str], object]] = []
         self.wake_event = gevent.event.Event()
@@ -249,11 +251,18 @@
         if not self.needs_check(service, known, registered, now):
             self.due_at.pop(service, None)
             return
-        if known is not None and now < self.due_at.setdefault(
-            service, now + self.read_delay_s()
-        ):
+        if known is not None:
+            self.due_at.setdefault(service, now + self.read_delay_s())
+        if now < self.due_at.get(service, now):
             return
         stored = self.table.read(service)
+        if stored.state is None and service not in self.missing:
+            # Of many hosts that start together one creates the row.
+            self.missing.add(service)
+            delay_s = self.read_delay_s()
+            if delay_s:
+                self.due_at[service] = now + delay_s
+                return
         wanted = self.wanted_state(service, known, stored, registered)
         is_written = wanted != stored.state
         if is_written and not self.table.replace(
--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -94,7 +94,7 @@
 # hosts admit more in that time.
 OVERDRAFT_FRACTION = 0.6
 OVERDRAFT_FRACTION_MANY_HOSTS = 0.2
-# Further fraction for requests that take up a stream.
+# Further fraction for requests that take up a stream; none among many hosts.
 TAKE_UP_FRACTION = 0.2
 # Fraction of the key confirmation time within which the confirmation must have
 # been renewed.
@@ -157,7 +157,7 @@
             self.find_account,
             self.overdraft,
             self.report_soon,
-            lambda: self.settings.limits.rate_slack * TAKE_UP_FRACTION,
+            self.take_up_overdraft,
         )
         self.versions = service_versions.ServiceVersions(
             platform.versions,
@@ -299,6 +299,12 @@
         )
         return self.settings.limits.rate_slack * fraction
 
+    def take_up_overdraft(self) -> float:
+        """Returns the further overdraft for streams that are taken up."""
+        if self.sampler.many_hosts:
+            return 0.0
+        return self.settings.limits.rate_slack * TAKE_UP_FRACTION
+
     def is_member(self) -> bool:
         """Returns whether a relay passes on the policy's confirmations."""
         return self.report_exchange.relayed.choice.relay is not None
--- a/tests/fleet/test_service_versions.py
+++ b/tests/fleet/test_service_versions.py
@@ -330,3 +330,29 @@
     host.step(OPEN_S + 1.0)
 
     assert host.versions.is_open(engine("v2"))
+
+
+def test_one_of_many_hosts_that_start_together_creates_the_row(
+    table, manual_clock
+):
+    """Guards against a write of each host of a large fleet."""
+    second = Host(table, manual_clock, "h2")
+    second.register(d_1="v1")
+    second.step()
+    assert table.writes == 0
+
+    first = Host(table, manual_clock)
+    first.register(d_1="v1")
+    first.step()
+    second.step(1.0)
+
+    assert table.writes == 1
+    assert second.versions.is_single("llm")
+
+
+def test_row_is_created_although_the_first_host_does_not(table, manual_clock):
+    second = Host(table, manual_clock, "h2")
+    second.register(d_1="v1")
+    second.step(1.0)
+
+    assert second.versions.is_single("llm")
