Placement doesn't look at versions while a service has one

Change: the answer for a whole service is kept until registrations or the row change; the services with streams are looked up once for each policy.

--- a/src/coltsfootarch/fleet/service_versions.py
+++ b/src/coltsfootarch/fleet/service_versions.py
@@ -103,7 +103,13 @@
         self.wake_event = gevent.event.Event()
         self.changed = gevent.event.Event()
         self.greenlet: gevent.Greenlet | None = None
+        # Whether `are_all_open` holds, and the services with streams of the
+        # policy for which they were looked up.
+        self.all_open: dict[str, bool] = {}
+        self.streaming: list[str] = []
+        self.streaming_policy: policy.Policy | None = None
         directory.on_change.append(self.wake_event.set)
+        directory.on_change.append(self.all_open.clear)
 
     def start(self) -> None:
         """Starts to check the rows."""
@@ -188,6 +194,19 @@
         )
         return self.store_now_ms(known) - added_ms >= delay_s * MS_PER_S
 
+    def are_all_open(self, service: str) -> bool:
+        """Returns whether streams may begin at all registered engines.
+
+        Placement asks it for each request, so that the answer is kept until
+        the registrations or the row change.
+        """
+        if service not in self.all_open:
+            known = self.services.get(service)
+            self.all_open[service] = known is not None and (
+                self.registered(service) <= {known.state.base}
+            )
+        return self.all_open[service]
+
     def registered(self, service: str) -> set[str]:
         """Returns the versions of a service's registered engines."""
         return {
@@ -218,13 +237,17 @@
         current = self.policy_tracker.policy
         if current is None:
             return
-        streaming = {
-            target.service
-            for route in current.routes
-            if route.repeat is policy.Repeat.STREAM
-            for target in route.targets
-        }
-        for service in sorted(streaming):
+        if current is not self.streaming_policy:
+            self.streaming_policy = current
+            self.streaming = sorted(
+                {
+                    target.service
+                    for route in current.routes
+                    if route.repeat is policy.Repeat.STREAM
+                    for target in route.targets
+                }
+            )
+        for service in self.streaming:
             try:
                 self.check_service(service)
             except errors.PlatformError as error:
@@ -445,6 +468,7 @@
             ),
             written=is_written,
         )
+        self.all_open.clear()
         self.changed.set()
         self.changed.clear()
         for notify_change in self.on_change:
--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -359,6 +359,7 @@
             ),
         )
         placer.may_begin = versions.may_begin
+        placer.are_all_open = self.versions.are_all_open
         notices = upstream_notices.UpstreamNotices(
             clock,
             upstream_limits.UpstreamLimits(
--- a/src/coltsfootarch/scheduling/engine_placement.py
+++ b/src/coltsfootarch/scheduling/engine_placement.py
@@ -137,6 +137,7 @@
 
     Attributes:
         may_begin: Returns whether a stream may begin at an engine's version.
+        are_all_open: Returns whether it may at all engines of a service.
     """
 
     def __init__(
@@ -149,6 +150,7 @@
         prefill_times: local_prefill.PrefillTimes,
     ) -> None:
         self.may_begin: Callable[[upstreams.Upstream], bool] = lambda _: True
+        self.are_all_open: Callable[[str], bool] = lambda _: True
         self.sampler = sampler
         self.prefill_times = prefill_times
         self.directory = directory
@@ -225,9 +227,9 @@
         memory = float("inf")
         if service.engine is not None:
             memory = service.engine.memory_tokens * MAX_MEMORY_FRACTION
-        fitting = [
-            engine for engine in engines if self.has_version(engine, demand)
-        ]
+        fitting = engines
+        if demand.version is not None or not self.are_all_open(service.name):
+            fitting = [each for each in engines if self.fits(each, demand)]
         candidates = []
         for engine in self.usable_engines(
             fitting, upstreams.Stage.DECODE, excluded
@@ -239,7 +241,7 @@
                 candidates.append(engine)
         return self.lowest_cost(candidates, demand.memory_tokens)
 
-    def has_version(self, engine: upstreams.Upstream, demand: Demand) -> bool:
+    def fits(self, engine: upstreams.Upstream, demand: Demand) -> bool:
         """Returns whether a stream may begin or go on at an engine."""
         if demand.version is None:
             return self.may_begin(engine)
