A policy that stood in the copy confirms only after the operator's rewrite

Callers could use a withdrawn key for longer than the limit: a withdrawal that was acknowledged just before the store went away was missing from the copy and known to no host, and the older policy of the copy, being the one in force, was confirmed as the newest.

Cause: a read confirms what the store holds, but a restored store doesn't hold the newest for a while. Change: a row keeps its revision in a copy. One with the revision of before the restoration confirms only if the read was sent 2 s after it; one that was written again confirms at once. Without a restoration nothing differs.

The three new tests fail without the change and pass; 208 tests of policies, followers, relays and platform pass.

--- a/src/coltsfootarch/fleet/active_policy.py
+++ b/src/coltsfootarch/fleet/active_policy.py
@@ -22,6 +22,9 @@
 # host was heard for the first time, and after a restoration of the store. It
 # covers several lost reports.
 ANNOUNCEMENT_S = 3.0
+# Time in which the operator writes again what a restored store has lost. Until
+# then a row of the copy doesn't show that there is no newer one.
+REWRITE_S = 2.0
 
 logger = structlog.get_logger(__name__)
 
@@ -42,6 +45,7 @@
         digest: Digest of the stored policy.
         complete: Whether all that the store holds was read, and not only
             changes.
+        row_revision: Revision of the policy's row.
     """
 
     policy: policy.Policy | None
@@ -54,6 +58,7 @@
     epoch: int = 0
     digest: int = 0
     complete: bool = False
+    row_revision: int = 0
 
     @property
     def position(self) -> store_epochs.Position:
@@ -107,6 +112,9 @@
             could not be decoded.
         confirmed_at: Instant, in seconds, as of which a read last confirmed
             this edition to be the newest; see `PolicyReadResult.sent_at`.
+        row: Position at which the row of this edition was last seen.
+        is_copied: Whether that row stood in the store before a restoration, so
+            that the operator's newest one may be lost.
         announced: Newest edition that other hosts have.
         unobtainable: Newest edition that a read did not bring.
         last_transfer: Size and duration of the answer with the policy.
@@ -122,6 +130,8 @@
         self.policy: policy.Policy | None = None
         self.edition = Edition()
         self.stored: Edition | None = None
+        self.row = store_epochs.Position(0, 0)
+        self.is_copied = False
         self.last_transfer = transfers.Transfer()
         self.confirmed_at = float("-inf")
         self.confirmed = gevent.event.Event()
@@ -155,9 +165,38 @@
             self.edition = max(self.edition, read)
         else:
             self.log_older(result, newer.version, self.edition.version)
-        if self.policy is not None and result.readable and not self.is_lost():
+        if newer is not None and read.has_content_of(self.edition):
+            self.note_row(result)
+        if (
+            self.policy is not None
+            and result.readable
+            and not self.is_lost()
+            and not self.may_be_lost(result.sent_at)
+        ):
             self.confirm(result.sent_at)
 
+    def note_row(self, result: PolicyReadResult) -> None:
+        """Notes whether the row of the policy was written again.
+
+        A row of the copy keeps its revision.
+        """
+        row = store_epochs.Position(result.epoch, result.row_revision)
+        if row.epoch > self.row.epoch:
+            self.is_copied = row.revision == self.row.revision
+        elif row != self.row:
+            self.is_copied = False
+        self.row = row
+
+    def may_be_lost(self, sent_at: float) -> bool:
+        """Returns whether a newer policy may be missing from the store.
+
+        Args:
+            sent_at: Instant at which the read was sent, in seconds.
+        """
+        return self.is_copied and (
+            sent_at < self.epochs.restored_at + REWRITE_S
+        )
+
     def is_lost(self) -> bool:
         """Returns whether the store held an older policy at the last read.
 
@@ -176,6 +215,8 @@
         previous = self.policy.version if self.policy else None
         self.policy = newer
         self.edition = edition
+        self.row = store_epochs.Position(result.epoch, result.row_revision)
+        self.is_copied = False
         self.activated_at = now
         self.announce_until = now + ANNOUNCEMENT_S
         logger.info(
--- a/src/coltsfootarch/platform/feeds.py
+++ b/src/coltsfootarch/platform/feeds.py
@@ -99,6 +99,7 @@
         """
         newest: policy.Policy | None = None
         digest = 0
+        row_revision = 0
         readable = True
         started = self.client.clock.monotonic()
         for row in rows.rows:
@@ -107,6 +108,7 @@
             try:
                 newest = configuration.decode(row.value)
                 digest = xxhash.xxh64_intdigest(row.value)
+                row_revision = row.revision
                 readable = True
             except decoding.UnreadableDocumentError as error:
                 readable = False
@@ -127,6 +129,7 @@
             self.client.clock.monotonic() - started,
             rows.epoch,
             digest,
+            row_revision=row_revision,
         )
 
 
--- a/tests/fleet/test_restored_policies.py
+++ b/tests/fleet/test_restored_policies.py
@@ -66,6 +66,44 @@
     assert tracker.age() == 0.0
 
 
+@pytest.mark.parametrize(
+    ("row_revision", "is_confirmed"), [(5, False), (4, True)]
+)
+def test_row_of_the_copy_does_not_show_that_there_is_no_newer_one(
+    tracker, manual_clock, epochs, row_revision, is_confirmed
+):
+    """Guards against a withdrawn key: its withdrawal may be lost for now."""
+    now = manual_clock.monotonic()
+    tracker.apply(read_result(7, sent_at=now)._replace(row_revision=5))
+    advance(manual_clock, 1.0)
+    epochs.observe(2, "test")
+    now = advance(manual_clock, 0.1)
+
+    copied = read_result(7, 2, now)._replace(row_revision=row_revision)
+    tracker.apply(copied)
+    tracker.apply(read_result(None, 2, now, digest=0))
+    assert (tracker.age() == 0.0) is is_confirmed
+
+    now = advance(manual_clock, active_policy.REWRITE_S)
+    tracker.apply(read_result(None, 2, now, digest=0))
+    assert tracker.age() == 0.0
+
+
+def test_row_that_is_written_again_after_the_copy_was_read_confirms(
+    tracker, manual_clock, epochs
+):
+    now = manual_clock.monotonic()
+    tracker.apply(read_result(7, sent_at=now)._replace(row_revision=5))
+    epochs.observe(2, "test")
+    now = advance(manual_clock, 0.1)
+    tracker.apply(read_result(7, 2, now)._replace(row_revision=5))
+    now = advance(manual_clock, 0.1)
+
+    tracker.apply(read_result(7, 2, now)._replace(row_revision=9))
+
+    assert tracker.age() == 0.0
+
+
 def test_store_that_has_lost_the_policy_confirms_nothing(tracker, manual_clock):
     tracker.apply(read_result(7, sent_at=manual_clock.monotonic()))
     now = advance(manual_clock, 4.0)
