--- /dev/null
+++ b/review/lib2/__init__.py
@@ -0,0 +1,1 @@
+"""Programs, clients and stand-ins of the cases of the second review."""
