Show that streams go on at another version after a drill of the store

Cause: until a host has read a service's row again, it takes a record that the restored store has lost for one that was never needed.

--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -241,6 +241,14 @@
         """Sets attributes of the store."""
         call(self.store_address, "POST", "/standin/set", values)
 
+    def restore_store(self, age_s: float) -> None:
+        """Lets the store come back from a copy that is so old.
+
+        What the operator and the runners wrote is written again by them.
+        """
+        self.set_store(restore=age_s)
+        self.set_store(mode="serve")
+
     def restart_host(self, host: Host) -> None:
         """Starts a host that has ended."""
         host.start(str(ROOT / "target/deps"))
@@ -249,6 +257,13 @@
         """Sets attributes of a runner."""
         call(self.runner_addresses[name], "POST", "/standin/set", values)
 
+    def remove_runner(self, name: str) -> None:
+        """Ends a runner that has drained; its entry is removed."""
+        self.runners.pop(name).close()
+        del self.runner_addresses[name]
+        row = {"table": "servers", "key": name, "value": None}
+        call(self.store_address, "POST", "/standin/put", row)
+
     def runs(self, name: str) -> list[dict[str, Any]]:
         """Returns the requests that a runner has begun to run."""
         _, body = call(self.runner_addresses[name], "GET", "/standin/runs")
