--- a/review/6/case.py
+++ b/review/6/case.py
@@ -152,9 +152,7 @@
         asyncio.run(play(clients, deployment))
         broken, lines = judge(clients)
         lines += [each.line() for each in clients.answers]
-        for name in deployment.runner_addresses:
-            for run in deployment.runs(name):
-                lines.append(f"run at {name}: {run['id']} {run['target']}")
+        lines += deployment.run_lines()
         record.write_text("\n".join(lines) + "\n")
         print("\n".join(lines[:6]))
         if os.environ.get("KEEP_LOGS"):
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""A stream goes on at another software version after a drill of the store.
+"""After a release, streams of a killed host can't be taken up.
 
 See `claim.txt`. Exits with 1 if the rule was broken, with 0 if it held, with 2
 if the case couldn't run.
@@ -18,20 +18,27 @@
 
 FOLDER = pathlib.Path(__file__).parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-VERSIONS = {"llm-1": "v1", "llm-2": "v1", "llm-3": "v2", "llm-4": "v2"}
-# The store is away so long, and comes back from a copy of that age.
-AWAY_AT_S = float(os.environ.get("AWAY_AT_S", "6"))
-AWAY_S = float(os.environ.get("AWAY_S", "0.5"))
-COPY_AGE_S = 5.0
-# One of three hosts is killed so long after the return of the store.
-KILL_AFTER_S = float(os.environ.get("KILL_AFTER_S", "0.15"))
-LENGTH_S = 9.0
+# Engines of the old and the new version of the software.
+OLD = ("llm-1", "llm-2")
+NEW = ("llm-3", "llm-4", "llm-5")
+# Instants since the start of the traffic, in seconds: the old engines drain,
+# and are gone.
+DRAIN_AT_S = 1.0
+GONE_AT_S = 6.0
+# One of three hosts is killed so long after the old engines are gone.
+KILL_AFTER_S = float(os.environ.get("KILL_AFTER_S", "34"))
+KILL_AT_S = GONE_AT_S + KILL_AFTER_S
+# Traffic begins anew this long before the kill, and ends after it.
+SECOND_TRAFFIC_S = 8.0
+LENGTH_S = KILL_AT_S + 3.0
 # Streams a second at each host, as in a burst; clients are spread unevenly.
-STREAMS_PER_S = (3.0, 3.0, 6.0)
+STREAMS_PER_S = (6.0, 3.0, 3.0)
 DEADLINE_MS = 14000
 EVENTS = 70
 SLOTS = 64
 EVENT_GAP_S = 0.05
+# Fewest streams taken up for which the rule holds.
+MIN_TAKEN_UP = 12
 
 
 async def send(
@@ -44,6 +51,9 @@
     tasks = []
     number = 0
     while clients.now() < LENGTH_S:
+        if DRAIN_AT_S < clients.now() < KILL_AT_S - SECOND_TRAFFIC_S:
+            # One stream a second keeps the case small.
+            await asyncio.sleep(1.0)
         number += 1
         fields = (
             ("X-Model", "m"),
@@ -61,24 +71,32 @@
     ended += await asyncio.gather(*tasks)
 
 
+async def release(
+    clients: client_module.Clients,
+    deployment: deployments.Deployment,
+    events: list[str],
+) -> None:
+    """Ends the engines of the old version, as a release does."""
+    await asyncio.sleep(DRAIN_AT_S - clients.now())
+    for name in OLD:
+        await asyncio.to_thread(deployment.set_runner, name, state="draining")
+    events.append(f"{clients.now():.3f} s: engines of v1 drain")
+    await asyncio.sleep(GONE_AT_S - clients.now())
+    for name in OLD:
+        await asyncio.to_thread(deployment.remove_runner, name)
+    events.append(f"{clients.now():.3f} s: engines of v1 are gone")
+
+
 async def disturb(
     clients: client_module.Clients,
     deployment: deployments.Deployment,
     events: list[str],
 ) -> None:
-    """Plays the drill and kills a host."""
-    await asyncio.sleep(AWAY_AT_S - clients.now())
+    """Kills a host."""
+    await asyncio.sleep(KILL_AT_S - clients.now())
     if TROUBLE:
-        await asyncio.to_thread(deployment.set_store, mode="reset")
-        events.append(f"{clients.now():.3f} s: store away")
-        await asyncio.sleep(AWAY_S)
-        await asyncio.to_thread(deployment.restore_store, COPY_AGE_S)
-        events.append(f"{clients.now():.3f} s: store back from its copy")
-        await asyncio.sleep(KILL_AFTER_S)
-    else:
-        await asyncio.sleep(AWAY_S + KILL_AFTER_S)
-    deployment.hosts[2].signal(signal.SIGKILL)
-    events.append(f"{clients.now():.3f} s: host edge-2 killed")
+        deployment.hosts[0].signal(signal.SIGKILL)
+        events.append(f"{clients.now():.3f} s: host edge-0 killed")
 
 
 async def play(
@@ -90,52 +108,62 @@
     listen = [host.listen for host in deployment.hosts]
     ended: list[list[streams.Attempt]] = []
     await asyncio.gather(
+        release(clients, deployment, events),
         disturb(clients, deployment, events),
         send(clients, [listen[0], listen[1]], STREAMS_PER_S[0], ended),
-        send(clients, [listen[1], listen[0]], STREAMS_PER_S[1], ended),
+        send(clients, [listen[1], listen[2]], STREAMS_PER_S[1], ended),
         send(clients, [listen[2], listen[1]], STREAMS_PER_S[2], ended),
     )
     return ended
 
 
-def is_mixed(attempts: list[streams.Attempt]) -> bool:
-    """Returns whether a stream holds events of two software versions."""
-    return len({VERSIONS[each.runner] for each in attempts if each.events}) > 1
-
-
 def main() -> int:
     """Runs the case; returns the exit status."""
     deployment = deployments.Deployment(hosts=3)
     record = pathlib.Path(os.environ.get("RECORD", FOLDER / "record.txt"))
     try:
-        for name, version in VERSIONS.items():
+        for name in (*OLD, *NEW):
             deployment.add_runner(
                 name,
                 "summary-llm",
                 "standins.runner",
-                *("--stage", "decode", "--version", version),
-                *("--work", str(EVENT_GAP_S)),
+                *("--stage", "decode", "--work", str(EVENT_GAP_S)),
+                *("--version", "v1" if name in OLD else "v2"),
             )
         deployment.start(deployments.configuration())
-        for name in VERSIONS:
+        for name in (*OLD, *NEW):
             deployment.set_runner(name, events=EVENTS, slots=SLOTS)
         clients = client_module.Clients()
         events = [f"trouble: {TROUBLE}"]
         ended = asyncio.run(play(clients, deployment, events))
-        taken_up = [each for each in ended if len(each) > 1]
-        mixed = [each for each in ended if is_mixed(each)]
-        broken = len(mixed) > 2
-        whole = sum(each[-1].complete for each in ended)
+        # Taken up again after the kill: the stream had begun.
+        taken_up = [
+            each
+            for each in ended
+            if len(each) > 1 and each[0].events and each[1].sent_at >= KILL_AT_S
+        ]
+        went_on = sum(bool(each[1].events) for each in taken_up)
+        new = [each for each in ended if each[0].sent_at >= KILL_AT_S]
+        begun = sum(bool(each[-1].events) for each in new)
+        share = went_on / max(len(taken_up), 1)
+        new_share = begun / max(len(new), 1)
+        broken = len(taken_up) >= MIN_TAKEN_UP and share < new_share / 2
         events += [
-            f"streams: {len(ended)}, complete at last: {whole}",
-            f"taken up: {len(taken_up)}",
-            f"with events of two software versions: {len(mixed)}",
-            f"ORDER broken: {broken}",
+            f"streams taken up after the kill: {len(taken_up)}",
+            f"of these went on: {went_on} ({share:.2f})",
+            f"new streams since the kill: {len(new)}",
+            f"of these begun: {begun} ({new_share:.2f})",
+            f"LOST broken: {broken}",
         ]
         print("\n".join(events))
         for each in ended:
-            kind = "mixed" if each in mixed else "sound"
+            kind = "earlier"
+            if each in taken_up:
+                kind = "taken up"
+            elif each in new:
+                kind = "new"
             events += [f"{kind}: {attempt.line()}" for attempt in each]
+        events += deployment.run_lines()
         record.write_text("\n".join(events) + "\n")
         if os.environ.get("KEEP_LOGS"):
             for host in deployment.hosts:
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""After a release, streams of a killed host can't be taken up.
+"""A withdrawn key works again after a drill of the store and a kill of all.
 
 See `claim.txt`. Exits with 1 if the rule was broken, with 0 if it held, with 2
 if the case couldn't run.
@@ -14,159 +14,149 @@
 
 from review.lib2 import clients as client_module
 from review.lib2 import deployment as deployments
-from review.lib2 import streams
 
 FOLDER = pathlib.Path(__file__).parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-# Engines of the old and the new version of the software.
-OLD = ("llm-1", "llm-2")
-NEW = ("llm-3", "llm-4", "llm-5")
-# Instants since the start of the traffic, in seconds: the old engines drain,
-# and are gone.
-DRAIN_AT_S = 1.0
-GONE_AT_S = 6.0
-# One of three hosts is killed so long after the old engines are gone.
-KILL_AFTER_S = float(os.environ.get("KILL_AFTER_S", "34"))
-KILL_AT_S = GONE_AT_S + KILL_AFTER_S
-# Traffic begins anew this long before the kill, and ends after it.
-SECOND_TRAFFIC_S = 8.0
-LENGTH_S = KILL_AT_S + 3.0
-# Streams a second at each host, as in a burst; clients are spread unevenly.
-STREAMS_PER_S = (6.0, 3.0, 3.0)
-DEADLINE_MS = 14000
-EVENTS = 70
-SLOTS = 64
-EVENT_GAP_S = 0.05
-# Fewest streams taken up for which the rule holds.
-MIN_TAKEN_UP = 12
+WITHDRAWN_KEY = "key-that-is-taken-away"
+# Instants since the start of the traffic, in seconds. The key is taken away at
+# the first one.
+REVOKED_AT_S = 2.0
+# The store is away for 2 s, as in the pages' example of a drill, and comes back
+# from a copy that was made 7 s earlier.
+AWAY_AT_S = 8.0
+BACK_AT_S = 10.0
+COPY_AGE_S = 7.0
+# All hosts are killed while it is away; the platform starts them again.
+KILLED_AT_S = 8.3
+STARTED_AT_S = 8.8
+# The operator writes its newest configuration again so long after the return
+# of the store.
+REWRITE_S = float(os.environ.get("REWRITE_S", "1.5"))
+LENGTH_S = 16.0
+# `revoke_ms`.
+REVOKE_S = 5.0
+PER_S = 10.0
+DEADLINE_MS = 4000
+
+
+async def sleep_until(clients: client_module.Clients, at: float) -> None:
+    """Waits for an instant of the case, in seconds."""
+    await asyncio.sleep(max(at - clients.now(), 0.0))
 
 
 async def send(
-    clients: client_module.Clients,
-    addresses: list[str],
-    per_s: float,
-    ended: list[list[streams.Attempt]],
+    clients: client_module.Clients, host: deployments.Host, key: str, path: str
 ) -> None:
-    """Asks for streams again and again; they don't wait for others."""
+    """Asks for the stock again and again."""
     tasks = []
-    number = 0
     while clients.now() < LENGTH_S:
-        if DRAIN_AT_S < clients.now() < KILL_AT_S - SECOND_TRAFFIC_S:
-            # One stream a second keeps the case small.
-            await asyncio.sleep(1.0)
-        number += 1
-        fields = (
-            ("X-Model", "m"),
-            ("X-Token-Count", "1200,70"),
-            ("X-Prefix-Hash", f"5c1e07a2:200,{id(addresses) + number:x}:1000"),
-        )
         tasks.append(
             asyncio.create_task(
-                streams.run_stream(
-                    clients, addresses, "/referral/1", DEADLINE_MS, fields
-                )
+                clients.send(host.listen, "GET", path, DEADLINE_MS, key=key)
             )
         )
-        await asyncio.sleep(1 / per_s)
-    ended += await asyncio.gather(*tasks)
+        await asyncio.sleep(1 / PER_S)
+    await asyncio.gather(*tasks)
 
 
-async def release(
-    clients: client_module.Clients,
-    deployment: deployments.Deployment,
-    events: list[str],
-) -> None:
-    """Ends the engines of the old version, as a release does."""
-    await asyncio.sleep(DRAIN_AT_S - clients.now())
-    for name in OLD:
-        await asyncio.to_thread(deployment.set_runner, name, state="draining")
-    events.append(f"{clients.now():.3f} s: engines of v1 drain")
-    await asyncio.sleep(GONE_AT_S - clients.now())
-    for name in OLD:
-        await asyncio.to_thread(deployment.remove_runner, name)
-    events.append(f"{clients.now():.3f} s: engines of v1 are gone")
-
-
-async def disturb(
+async def operate(
     clients: client_module.Clients,
     deployment: deployments.Deployment,
     events: list[str],
 ) -> None:
-    """Kills a host."""
-    await asyncio.sleep(KILL_AT_S - clients.now())
-    if TROUBLE:
-        deployment.hosts[0].signal(signal.SIGKILL)
-        events.append(f"{clients.now():.3f} s: host edge-0 killed")
+    """Takes the key away; then come the drill and the kill."""
+    newest = deployments.configuration(2)
+    await sleep_until(clients, REVOKED_AT_S)
+    await asyncio.to_thread(deployment.put, "config", newest)
+    events.append(f"{clients.now():.3f} s: key taken away, acknowledged")
+    if not TROUBLE:
+        return
+    await sleep_until(clients, AWAY_AT_S)
+    await asyncio.to_thread(deployment.set_store, mode="reset")
+    events.append(f"{clients.now():.3f} s: store away")
+    await sleep_until(clients, KILLED_AT_S)
+    for host in deployment.hosts:
+        host.signal(signal.SIGKILL)
+    events.append(f"{clients.now():.3f} s: all hosts killed")
+    await sleep_until(clients, STARTED_AT_S)
+    for host in deployment.hosts:
+        deployment.restart_host(host)
+    await sleep_until(clients, BACK_AT_S)
+    age = clients.now() - AWAY_AT_S + COPY_AGE_S
+    await asyncio.to_thread(deployment.set_store, restore=age)
+    await asyncio.to_thread(deployment.set_store, mode="serve")
+    events.append(f"{clients.now():.3f} s: store back from its copy")
+    await asyncio.sleep(REWRITE_S)
+    await asyncio.to_thread(deployment.put, "config", newest)
+    events.append(f"{clients.now():.3f} s: operator has written again")
 
 
 async def play(
     clients: client_module.Clients,
     deployment: deployments.Deployment,
     events: list[str],
-) -> list[list[streams.Attempt]]:
-    """Plays traffic and trouble; returns the attempts of each stream."""
-    listen = [host.listen for host in deployment.hosts]
-    ended: list[list[streams.Attempt]] = []
+) -> None:
+    """Plays traffic and trouble."""
     await asyncio.gather(
-        release(clients, deployment, events),
-        disturb(clients, deployment, events),
-        send(clients, [listen[0], listen[1]], STREAMS_PER_S[0], ended),
-        send(clients, [listen[1], listen[2]], STREAMS_PER_S[1], ended),
-        send(clients, [listen[2], listen[1]], STREAMS_PER_S[2], ended),
+        operate(clients, deployment, events),
+        *(
+            send(clients, host, key, path)
+            for host in deployment.hosts
+            for key, path in (
+                (deployments.KEY, "/stock/valid"),
+                (WITHDRAWN_KEY, "/stock/withdrawn"),
+            )
+        ),
     )
-    return ended
+
+
+def judge(
+    clients: client_module.Clients, deployment: deployments.Deployment
+) -> list[client_module.Answer]:
+    """Returns the requests with the withdrawn key that have run too late."""
+    runs = {
+        run["id"]
+        for name in deployment.runners
+        for run in deployment.runs(name)
+    }
+    return [
+        each
+        for each in clients.answers
+        if each.path == "/stock/withdrawn"
+        and each.sent_at > REVOKED_AT_S + 0.5 + REVOKE_S
+        and each.request_id in runs
+    ]
 
 
 def main() -> int:
     """Runs the case; returns the exit status."""
-    deployment = deployments.Deployment(hosts=3)
+    deployment = deployments.Deployment(hosts=2)
     record = pathlib.Path(os.environ.get("RECORD", FOLDER / "record.txt"))
     try:
-        for name in (*OLD, *NEW):
+        for name in ("app-1", "app-2"):
             deployment.add_runner(
-                name,
-                "summary-llm",
-                "standins.runner",
-                *("--stage", "decode", "--work", str(EVENT_GAP_S)),
-                *("--version", "v1" if name in OLD else "v2"),
+                name, "loans-app", "standins.runner", "--work", "0.06"
             )
-        deployment.start(deployments.configuration())
-        for name in (*OLD, *NEW):
-            deployment.set_runner(name, events=EVENTS, slots=SLOTS)
+        deployment.start(
+            deployments.configuration(1, (deployments.KEY, WITHDRAWN_KEY))
+        )
         clients = client_module.Clients()
         events = [f"trouble: {TROUBLE}"]
-        ended = asyncio.run(play(clients, deployment, events))
-        # Taken up again after the kill: the stream had begun.
-        taken_up = [
-            each
-            for each in ended
-            if len(each) > 1 and each[0].events and each[1].sent_at >= KILL_AT_S
-        ]
-        went_on = sum(bool(each[1].events) for each in taken_up)
-        new = [each for each in ended if each[0].sent_at >= KILL_AT_S]
-        begun = sum(bool(each[-1].events) for each in new)
-        share = went_on / max(len(taken_up), 1)
-        new_share = begun / max(len(new), 1)
-        broken = len(taken_up) >= MIN_TAKEN_UP and share < new_share / 2
-        events += [
-            f"streams taken up after the kill: {len(taken_up)}",
-            f"of these went on: {went_on} ({share:.2f})",
-            f"new streams since the kill: {len(new)}",
-            f"of these begun: {begun} ({new_share:.2f})",
-            f"LOST broken: {broken}",
-        ]
+        asyncio.run(play(clients, deployment, events))
+        late = judge(clients, deployment)
+        events.append(f"run with the withdrawn key, too late: {len(late)}")
+        events.append(f"CONFIG broken: {bool(late)}")
         print("\n".join(events))
-        for each in ended:
-            if each in taken_up or each in new:
-                kind = "taken up" if each in taken_up else "new"
-                events += [f"{kind}: {attempt.line()}" for attempt in each]
+        events += [f"run: {each.line()}" for each in late]
+        events += [each.line() for each in clients.answers]
+        events += deployment.run_lines()
         record.write_text("\n".join(events) + "\n")
         if os.environ.get("KEEP_LOGS"):
             for host in deployment.hosts:
                 pathlib.Path(os.environ["KEEP_LOGS"], host.name).write_bytes(
                     host.log.read_bytes()
                 )
-        return int(broken)
+        return int(bool(late))
     except (OSError, RuntimeError) as error:
         record.write_text(f"the case could not run: {error}\n")
         return 2
--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -270,6 +270,15 @@
         runs: list[dict[str, Any]] = json.loads(body)
         return runs
 
+    def run_lines(self) -> list[str]:
+        """Returns a line for the record for each request that was run."""
+        return [
+            f"run at {name}: {run['id']} {run['method']} {run['target']}, "
+            f"after event {run['fields'].get('last-event-id', 'none')}"
+            for name in self.runners
+            for run in self.runs(name)
+        ]
+
     def close(self) -> None:
         """Kills all processes and removes the folder."""
         for program in (*self.hosts, *self.runners.values(), self.store):
