--- a/review/8/case.py
+++ b/review/8/case.py
@@ -21,12 +21,13 @@
 # Engines of the old and the new version of the software.
 OLD = ("llm-1", "llm-2")
 NEW = ("llm-3", "llm-4", "llm-5")
-# Instants since the start of the traffic, in seconds: the old engines drain,
-# and are gone.
-DRAIN_AT_S = 1.0
-GONE_AT_S = 6.0
+# Instants since the start of the traffic, in seconds: the new engines start,
+# the old ones drain, and are gone.
+NEW_AT_S = 1.0
+DRAIN_AT_S = 9.0
+GONE_AT_S = 16.1
 # One of three hosts is killed so long after the old engines are gone.
-KILL_AFTER_S = float(os.environ.get("KILL_AFTER_S", "34"))
+KILL_AFTER_S = float(os.environ.get("KILL_AFTER_S", "35.1"))
 KILL_AT_S = GONE_AT_S + KILL_AFTER_S
 # Traffic begins anew this long before the kill, and ends after it.
 SECOND_TRAFFIC_S = 8.0
@@ -71,12 +72,37 @@
     ended += await asyncio.gather(*tasks)
 
 
+def add_engine(
+    deployment: deployments.Deployment, name: str, version: str
+) -> None:
+    """Adds an engine."""
+    deployment.add_runner(
+        name,
+        "summary-llm",
+        "standins.runner",
+        *("--stage", "decode", "--work", str(EVENT_GAP_S)),
+        *("--version", version),
+    )
+
+
+def start_engine(deployment: deployments.Deployment, name: str) -> None:
+    """Starts an engine that was added after the start."""
+    deployment.start_runner(name)
+    deployment.set_runner(name, events=EVENTS, slots=SLOTS)
+
+
 async def release(
     clients: client_module.Clients,
     deployment: deployments.Deployment,
     events: list[str],
 ) -> None:
-    """Ends the engines of the old version, as a release does."""
+    """Replaces the engines of the old version, as a release does."""
+    await asyncio.sleep(NEW_AT_S - clients.now())
+    for name in NEW:
+        add_engine(deployment, name, "v2")
+    for name in NEW:
+        await asyncio.to_thread(start_engine, deployment, name)
+    events.append(f"{clients.now():.3f} s: engines of v2 have started")
     await asyncio.sleep(DRAIN_AT_S - clients.now())
     for name in OLD:
         await asyncio.to_thread(deployment.set_runner, name, state="draining")
@@ -122,16 +148,10 @@
     deployment = deployments.Deployment(hosts=3)
     record = pathlib.Path(os.environ.get("RECORD", FOLDER / "record.txt"))
     try:
-        for name in (*OLD, *NEW):
-            deployment.add_runner(
-                name,
-                "summary-llm",
-                "standins.runner",
-                *("--stage", "decode", "--work", str(EVENT_GAP_S)),
-                *("--version", "v1" if name in OLD else "v2"),
-            )
+        for name in OLD:
+            add_engine(deployment, name, "v1")
         deployment.start(deployments.configuration())
-        for name in (*OLD, *NEW):
+        for name in OLD:
             deployment.set_runner(name, events=EVENTS, slots=SLOTS)
         clients = client_module.Clients()
         events = [f"trouble: {TROUBLE}"]
--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -18,6 +18,10 @@
 # Where `review/build-2.sh` puts the stand-ins.
 if ROOT.name == "review-2":
     ROOT = ROOT.parents[1]
+# Python path of the stand-ins.
+STANDINS_PATH = os.pathsep.join(
+    str(ROOT / part) for part in ("target/review-2", "target/deps")
+)
 START_TIMEOUT_S = 20.0
 HOST_NAME = "clinic.example"
 KEY = "key-of-the-clinic"
@@ -204,12 +208,10 @@
 
     def start(self, configuration: Any) -> None:
         """Starts all programs and waits until all hosts are ready."""
-        parts = ["target/review-2", "target/deps"]
-        path = os.pathsep.join(str(ROOT / part) for part in parts)
-        self.store.start(path)
+        self.store.start(STANDINS_PATH)
         wait_until(lambda: self.put("config", configuration), "the store")
         for program in self.runners.values():
-            program.start(path)
+            program.start(STANDINS_PATH)
         wait_until(
             lambda: all(map(self.is_running, self.runners)), "the runners"
         )
@@ -257,6 +259,11 @@
         """Sets attributes of a runner."""
         call(self.runner_addresses[name], "POST", "/standin/set", values)
 
+    def start_runner(self, name: str) -> None:
+        """Starts a runner that was added late; waits until it answers."""
+        self.runners[name].start(STANDINS_PATH)
+        wait_until(lambda: self.is_running(name), name)
+
     def remove_runner(self, name: str) -> None:
         """Ends a runner that has drained; its entry is removed."""
         self.runners.pop(name).close()
