Let a script of the review that is ended end its processes

Cause: a script that got SIGTERM left its hosts and stand-ins behind.

Done: SIGTERM ends it as one that could not run, with all its processes.

--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -10,10 +10,15 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
+from typing import TYPE_CHECKING
 from typing import Any
 
+if TYPE_CHECKING:
+    import types
+
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 # Where `review/build-2.sh` puts the stand-ins.
 if ROOT.name == "review-2":
@@ -171,6 +176,8 @@
     """
 
     def __init__(self, hosts: int) -> None:
+        # A script that is ended ends its processes as well.
+        signal.signal(signal.SIGTERM, exit_on_signal)
         self.folder_owner = tempfile.TemporaryDirectory(prefix="review-")
         self.folder = pathlib.Path(self.folder_owner.name)
         self.addresses = Addresses()
@@ -294,6 +301,12 @@
         self.folder_owner.cleanup()
 
 
+def exit_on_signal(number: int, frame: types.FrameType | None) -> None:
+    """Ends the script as one that could not run."""
+    del number, frame
+    sys.exit(2)
+
+
 def wait_until(condition: Any, name: str) -> None:
     """Waits until a condition holds.
 
