--- a/review/6/case.py
+++ b/review/6/case.py
@@ -9,7 +9,6 @@
 import asyncio
 import os
 import pathlib
-import sys
 
 from review.lib2 import clients as client_module
 from review.lib2 import deployment as deployments
@@ -206,4 +205,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    deployments.exit_with(main)
--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -13,11 +13,14 @@
 import sys
 import tempfile
 import time
+import traceback
 from typing import TYPE_CHECKING
 from typing import Any
+from typing import NoReturn
 
 if TYPE_CHECKING:
     import types
+    from collections.abc import Callable
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 # Where `review/build-2.sh` puts the stand-ins.
@@ -301,6 +304,19 @@
         self.folder_owner.cleanup()
 
 
+def exit_with(main: Callable[[], int]) -> NoReturn:
+    """Ends the script with the status of its main function.
+
+    An unexpected error shows nothing about the rule: status 2.
+    """
+    try:
+        status = main()
+    except Exception:
+        traceback.print_exc()
+        status = 2
+    sys.exit(status)
+
+
 def exit_on_signal(number: int, frame: types.FrameType | None) -> None:
     """Ends the script as one that could not run."""
     del number, frame
