Search an incomplete event once, not again for each part

Cause: EventSplitter copied and searched the whole incomplete event for each part of it, which is quadratic in its size, so that the limit of 1 MiB came late. EventParser of the product's interface did the same.

Change: one buffer, searched from where the last search ended; both interfaces use it (moved to http1).

--- a/src/coltsfootarch/forwarding/decode_stage.py
+++ b/src/coltsfootarch/forwarding/decode_stage.py
@@ -12,10 +12,10 @@
 from coltsfootarch.forwarding import attempts
 from coltsfootarch.forwarding import calls
 from coltsfootarch.forwarding import crash_checks
-from coltsfootarch.forwarding import events
 from coltsfootarch.forwarding import silence_watch
 from coltsfootarch.forwarding import upstream_exchange
 from coltsfootarch.http1 import client
+from coltsfootarch.http1 import events
 from coltsfootarch.scheduling import crashing_parts
 
 if TYPE_CHECKING:
--- a/src/coltsfootarch/forwarding/events.py
+++ b/src/coltsfootarch/http1/events.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import re
 from typing import NamedTuple
 
 MAX_EVENT_BYTES = 1024 * 1024
+# Empty line that ends an event.
+EVENT_END = re.compile(rb"\r\n\r\n|\n\n")
+MAX_SEPARATOR_BYTES = 4
 
 
 class Event(NamedTuple):
@@ -28,11 +32,14 @@
     """
 
     def __init__(self) -> None:
-        self.incomplete = b""
+        self.incomplete = bytearray()
+        # Start of the bytes in which no end of the event was looked for.
+        self.unsearched = 0
 
     def clear(self) -> None:
         """Drops the incomplete event."""
-        self.incomplete = b""
+        self.incomplete.clear()
+        self.unsearched = 0
 
     def feed(self, data: bytes) -> list[Event]:
         """Adds bytes and returns the events that they complete.
@@ -40,23 +47,20 @@
         Raises:
             ValueError: An event is longer than 1 MiB.
         """
-        buffer = self.incomplete + data
+        buffer = self.incomplete
+        buffer += data
         events = []
         start = 0
-        while True:
-            lf_start = buffer.find(b"\n\n", start)
-            crlf_start = buffer.find(b"\r\n\r\n", start)
-            if crlf_start >= 0 and (lf_start < 0 or crlf_start < lf_start):
-                stop = crlf_start + 4
-            elif lf_start >= 0:
-                stop = lf_start + 2
-            else:
-                break
-            part = buffer[start:stop]
+        # The end of the event may have arrived in part.
+        search = max(self.unsearched - MAX_SEPARATOR_BYTES + 1, 0)
+        while end := EVENT_END.search(buffer, search):
+            part = bytes(buffer[start : end.end()])
             events.append(Event(event_id(part), part))
-            start = stop
-        self.incomplete = buffer[start:]
-        if len(self.incomplete) > MAX_EVENT_BYTES:
+            start = search = end.end()
+        if start:
+            del buffer[:start]
+        self.unsearched = len(buffer)
+        if len(buffer) > MAX_EVENT_BYTES:
             raise ValueError("event longer than 1 MiB")
         return events
 
--- a/src/coltsfootarch/upstreams/event_stream.py
+++ b/src/coltsfootarch/upstreams/event_stream.py
@@ -6,16 +6,13 @@
 from typing import NamedTuple
 
 from coltsfootarch import errors
+from coltsfootarch.http1 import events
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from coltsfootarch.upstreams import connection
 
-# Limit in bytes for an incomplete event, so that an upstream that never ends an
-# event can't exhaust the memory of the host.
-MAX_EVENT_BYTES = 1024 * 1024
-
 
 class ServerSentEvent(NamedTuple):
     """A server-sent event.
@@ -33,22 +30,24 @@
     """Incremental parser of server-sent events; it skips comments."""
 
     def __init__(self) -> None:
-        self.buffer = b""
+        self.splitter = events.EventSplitter()
 
     def feed(self, data: bytes) -> Iterator[ServerSentEvent]:
         """Yields the events that are complete after adding `data`.
 
         Raises:
-            UpstreamError: An event exceeds `MAX_EVENT_BYTES`.
+            UpstreamError: An event is longer than 1 MiB.
         """
-        self.buffer += data.replace(b"\r", b"")
-        while b"\n\n" in self.buffer:
-            block, _, self.buffer = self.buffer.partition(b"\n\n")
+        try:
+            complete = self.splitter.feed(data.replace(b"\r", b""))
+        except ValueError as error:
+            raise errors.UpstreamError(
+                "an upstream sent an oversized event"
+            ) from error
+        for _, block in complete:
             event = parse_event(block)
             if event is not None:
                 yield event
-        if len(self.buffer) > MAX_EVENT_BYTES:
-            raise errors.UpstreamError("an upstream sent an oversized event")
 
 
 def parse_event(block: bytes) -> ServerSentEvent | None:
--- a/tests/forwarding/test_freed_requests.py
+++ b/tests/forwarding/test_freed_requests.py
@@ -7,9 +7,9 @@
 import pytest
 
 from coltsfootarch.forwarding import calls
-from coltsfootarch.forwarding import events
 from coltsfootarch.forwarding import limited_reader
 from coltsfootarch.forwarding import upstream_exchange
+from coltsfootarch.http1 import events
 
 # What holds the bytes of requests and responses.
 HOLDERS = (
