Bound what one connection takes before others run

Cause: a read that finds bytes returns without a switch to another greenlet, and so does an accept. The loop from read to read kept all others, and the timers of the reader's own timeout, from running.

Change: a connection has turns. It holds for responses of upstreams and of the store, the events of a stream, callers' requests, the rest that is read before a close, accepts, and for http.client and pywsgi, which read by themselves. sleep(0) would not do: it polls no sockets.

--- a/src/coltsfootarch/forwarding/caller_connection.py
+++ b/src/coltsfootarch/forwarding/caller_connection.py
@@ -23,6 +23,7 @@
 from coltsfootarch.http1 import client
 from coltsfootarch.http1 import readers
 from coltsfootarch.http1 import shortages
+from coltsfootarch.http1 import turns
 
 if TYPE_CHECKING:
     from gevent import socket as gevent_socket
@@ -80,6 +81,7 @@
         )
         # Received and not parsed yet.
         self.pipelined = pipelined_bytes.PipelinedBytes()
+        self.turn = turns.ReadTurn(listener.clock)
         self.closed = False
         self.surplus = False
         self.rejected = False
@@ -180,8 +182,10 @@
         reader = self.reader
         clock = self.listener.clock
         try:
+            self.turn.share()
             since = self.idle_since = clock.monotonic()
             while not reader.complete:
+                self.turn.share()
                 reader.settle()
                 if reader.error is not None:
                     self.pipelined.clear()
@@ -198,6 +202,7 @@
                         return None
                     if not reader.in_progress:
                         since = clock.monotonic()
+                    self.turn.record(len(data))
                     self.pipelined.append(data, clock.monotonic())
                 self.idle = False
                 reader.read(*self.pipelined.take(PARSED_BYTES))
--- a/src/coltsfootarch/forwarding/caller_socket.py
+++ b/src/coltsfootarch/forwarding/caller_socket.py
@@ -12,6 +12,7 @@
 from coltsfootarch.http1 import client
 from coltsfootarch.http1 import readers
 from coltsfootarch.http1 import shortages
+from coltsfootarch.http1 import turns
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -133,11 +134,15 @@
         is_closed: Returns whether this host has closed it meanwhile.
     """
     deadline = clock.monotonic() + LINGER_S
+    turn = turns.ReadTurn(clock)
     try:
         sock.shutdown(socket.SHUT_WR)
         while (left := deadline - clock.monotonic()) > 0 and not is_closed():
-            if not shortages.receive(sock, readers.READ_SIZE, left, clock):
+            data = shortages.receive(sock, readers.READ_SIZE, left, clock)
+            if not data:
                 return
+            turn.record(len(data))
+            turn.share()
     except (OSError, shortages.ShortageError):
         # The caller has gone, or sends longer than the host waits.
         return
--- a/src/coltsfootarch/forwarding/decode_stage.py
+++ b/src/coltsfootarch/forwarding/decode_stage.py
@@ -244,6 +244,7 @@
                 if generation.version is None:
                     self.begin(generation, exchange)
                 self.send_event(generation, response, event)
+                exchange.share_turn()
             exchange.hold(len(splitter.incomplete))
         exchange.finish()
         if splitter.incomplete:
--- a/src/coltsfootarch/forwarding/listener.py
+++ b/src/coltsfootarch/forwarding/listener.py
@@ -16,6 +16,7 @@
 from coltsfootarch.forwarding import caller_socket
 from coltsfootarch.forwarding import close_reasons
 from coltsfootarch.http1 import client
+from coltsfootarch.http1 import turns
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -132,7 +133,9 @@
 
     def accept_all(self, sock: gevent_socket.socket) -> None:
         """Accepts connections until the greenlet is killed."""
+        turn = turns.ReadTurn(self.clock)
         while True:
+            turn.share()
             try:
                 if self.budget and self.surplus >= self.budget.max_surplus:
                     gevent.sleep(ACCEPT_RETRY_S)
--- a/src/coltsfootarch/forwarding/upstream_exchange.py
+++ b/src/coltsfootarch/forwarding/upstream_exchange.py
@@ -370,6 +370,11 @@
                 return self.part_reader.read(self.connection, deadline)
             return self.connection.read_part(deadline - self.clock.monotonic())
 
+    def share_turn(self) -> None:
+        """Lets other greenlets run if the connection has had its turn."""
+        if self.connection is not None:
+            self.connection.turn.share()
+
     @property
     def lacks_memory(self) -> bool:
         """Whether this host has lacked memory for the exchange."""
--- a/src/coltsfootarch/gateway/server.py
+++ b/src/coltsfootarch/gateway/server.py
@@ -14,7 +14,9 @@
 from gevent import pool
 from gevent import pywsgi
 
+from coltsfootarch import clock as clocks
 from coltsfootarch.gateway import request_checks
+from coltsfootarch.http1 import fair_streams
 from coltsfootarch.http1 import readers
 
 if TYPE_CHECKING:
@@ -116,6 +118,7 @@
     """Handles one connection with a timeout on every read and write."""
 
     MessageClass = staticmethod(read_headers)
+    rfile: Any
     wsgi_input: Any
 
     def __init__(self, sock: Any, address: Any, server: Any) -> None:
@@ -124,6 +127,7 @@
         # body would wait for the caller's delayed acknowledgement.
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         super().__init__(sock, address, server)
+        self.rfile = fair_streams.FairStream(self.rfile, clocks.SystemClock())
 
     def handle(self) -> None:
         """Serves the connection's requests until it closes or times out."""
--- a/src/coltsfootarch/http1/client.py
+++ b/src/coltsfootarch/http1/client.py
@@ -18,6 +18,7 @@
 from coltsfootarch.http1 import messages
 from coltsfootarch.http1 import readers
 from coltsfootarch.http1 import shortages
+from coltsfootarch.http1 import turns
 
 if TYPE_CHECKING:
     from coltsfootarch import clock as clocks
@@ -145,6 +146,7 @@
             if it announced none.
         lacked_memory: Whether this host has lacked memory for the last request
             or its response.
+        turn: What the connection may take before others run.
     """
 
     def __init__(self, address: str, clock: clocks.Clock) -> None:
@@ -160,6 +162,7 @@
         self.late_bytes = 0
         self.lacked_memory = False
         self.body_sender: gevent.Greenlet | None = None
+        self.turn = turns.ReadTurn(clock)
 
     def start(self, timeout: float) -> None:
         """Opens the connection.
@@ -278,8 +281,11 @@
             BrokenConnectionError: The response can't be completed.
         """
         deadline = self.clock.monotonic() + timeout
+        self.turn.share()
         while not self.reader.parts:
             self.receive(deadline - self.clock.monotonic())
+            if not self.reader.parts:
+                self.turn.share()
         return self.reader.parts.popleft()
 
     def receive(self, timeout: float) -> None:
@@ -317,6 +323,7 @@
                 raise self.timeout_error() from error
             self.close()
             raise BrokenConnectionError(f"{self.address}: {error}") from error
+        self.turn.record(len(data))
         try:
             if data:
                 self.reader.feed(data)
--- a/src/coltsfootarch/storage/http_channel.py
+++ b/src/coltsfootarch/storage/http_channel.py
@@ -11,6 +11,7 @@
 import urllib3
 
 from coltsfootarch import clock as clocks
+from coltsfootarch.http1 import fair_streams
 from coltsfootarch.http1 import transfers
 
 if TYPE_CHECKING:
@@ -74,6 +75,7 @@
             maxsize=MAX_IDLE_CONNECTIONS,
             retries=False,
         )
+        self.pool.ConnectionCls = fair_streams.FairConnection
 
     def call(
         self,
--- a/src/coltsfootarch/upstreams/connection.py
+++ b/src/coltsfootarch/upstreams/connection.py
@@ -10,9 +10,9 @@
 
 import gevent
 import urllib3
-import urllib3.connection
 
 from coltsfootarch import errors
+from coltsfootarch.http1 import fair_streams
 
 if TYPE_CHECKING:
     import datetime
@@ -91,7 +91,7 @@
     def __init__(self, address: str, timeout: datetime.timedelta) -> None:
         host, _, port = address.rpartition(":")
         self.address = address
-        self.connection = urllib3.connection.HTTPConnection(
+        self.connection = fair_streams.FairConnection(
             host, int(port), timeout=timeout.total_seconds()
         )
         self.response: urllib3.BaseHTTPResponse | None = None
