Record all streams until all hosts know a new base version

Cause: the first host by name made the newer version the base and stopped recording its streams at once. Others read the row up to 10 s later, found no record and took the streams for ones of the old base. The other direction is a fault as well: a host with the row of before begins streams at the old base, if that is back, which others take for the new base's.

Change: a change of the base makes unrecorded streams uncertain for the greatest age of a copy (20 s) and the lifetime of a stream. All streams are recorded for so long. A host that learns of the change records what it remembers of the old base.

test_base_changes_when_its_streams_can_not_be_taken_up_any_more expected no records from the change on, which is the fault; it expects them for the time above, and none afterwards.

--- a/src/coltsfootarch/fleet/service_versions.py
+++ b/src/coltsfootarch/fleet/service_versions.py
@@ -8,7 +8,10 @@
 
 A version is added to the row before a stream begins at it, and streams begin at
 it only after all hosts have seen it. The base changes when its engines have
-been gone for longer than a stream can last.
+been gone for longer than a stream can last. Other hosts see the change up to
+`MAX_COPY_AGE_S` later and may begin unrecorded streams at the base of before if
+that is back. Until those can't be taken up any more, all streams are recorded
+and what isn't recorded may be of any version.
 """
 
 from __future__ import annotations
@@ -43,6 +46,9 @@
 # Interval at which a row with several versions is read again, as another host
 # may have changed it.
 READ_INTERVAL_S = 10.0
+# Age that the copy of a row at any host doesn't exceed, as long as that reaches
+# the store: the interval, delays and tries that fail.
+MAX_COPY_AGE_S = 2 * READ_INTERVAL_S
 RETRY_S = 0.5
 # Callers take a stream up within their deadline, which can exceed the timeout
 # of the route a little. A stream lasts for at most so many timeouts.
@@ -74,6 +80,7 @@
         on_change: Called after a change of what is known.
         on_restored: Called with a service whose row was written again after a
             restoration of the store.
+        on_base_changed: Called with a service and the base version that it had.
     """
 
     def __init__(
@@ -100,6 +107,7 @@
         self.missing: set[str] = set()
         self.on_change: list[Callable[[], object]] = []
         self.on_restored: list[Callable[[str], object]] = []
+        self.on_base_changed: list[Callable[[str, str], object]] = []
         self.wake_event = gevent.event.Event()
         self.changed = gevent.event.Event()
         self.greenlet: gevent.Greenlet | None = None
@@ -381,8 +389,9 @@
             version: min(added_ms, stored.now_ms)
             for version, added_ms in state.others.items()
         }
+        base_change_ms = lifetime_ms + int(MAX_COPY_AGE_S * MS_PER_S)
         uncertain_until_ms = min(
-            state.uncertain_until_ms, stored.now_ms + lifetime_ms
+            state.uncertain_until_ms, stored.now_ms + base_change_ms
         )
         if known is not None:
             for version in {known.state.base, *known.state.others} - {
@@ -394,7 +403,9 @@
         if state.epoch < epoch and (
             known is None or others or known.state.others
         ):
-            uncertain_until_ms = stored.now_ms + lifetime_ms
+            uncertain_until_ms = max(
+                uncertain_until_ms, stored.now_ms + lifetime_ms
+            )
         for version in registered - {state.base}:
             others.setdefault(version, stored.now_ms)
         base = state.base
@@ -404,6 +415,7 @@
             if base in self.expired(known) and others:
                 base = self.most_common_version(service, others)
                 del others[base]
+                uncertain_until_ms = stored.now_ms + base_change_ms
         return version_rows.VersionState(
             base, others, epoch, uncertain_until_ms
         )
@@ -473,6 +485,11 @@
         self.changed.clear()
         for notify_change in self.on_change:
             notify_change()
-        if previous is not None and previous.epoch < state.epoch:
-            for notify in self.on_restored:
-                notify(service)
+        if previous is None:
+            return
+        if previous.epoch < state.epoch:
+            for notify_restored in self.on_restored:
+                notify_restored(service)
+        elif previous.base != state.base:
+            for notify_base in self.on_base_changed:
+                notify_base(service, previous.base)
--- a/src/coltsfootarch/fleet/stream_records.py
+++ b/src/coltsfootarch/fleet/stream_records.py
@@ -207,6 +207,15 @@
             if stream.service == service:
                 self.write(key, stream.version)
 
+    def write_version(self, service: str, version: str) -> None:
+        """Writes the remembered streams of a version that was the base.
+
+        They were certain without a record until then.
+        """
+        for key, stream in self.remembered.items():
+            if stream.service == service and stream.version == version:
+                self.write(key, stream.version)
+
     def find(self, key: str) -> str | None:
         """Returns the version of a stream; None if it isn't recorded.
 
--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -178,6 +178,7 @@
             lambda: self.hosts.rank() == 0,
         )
         self.versions.on_restored.append(self.records.write_again)
+        self.versions.on_base_changed.append(self.records.write_version)
         self.context = self.build_context(limits)
         self.confirmation_s = (
             limits.key_confirmation.total_seconds()
--- a/tests/fleet/test_service_versions.py
+++ b/tests/fleet/test_service_versions.py
@@ -212,7 +212,12 @@
     host.step(2.0)
 
     assert host.versions.base("llm") == "v2"
+    assert host.versions.needs_record("llm", "v2")
+    host.step(LIFETIME_S + service_versions.MAX_COPY_AGE_S - 3.0)
+    assert not host.versions.is_single("llm")
+    host.step(3.0)
     assert host.versions.is_single("llm")
+    assert not host.versions.needs_record("llm", "v2")
 
 
 def test_version_that_left_is_forgotten(host):
--- /dev/null
+++ b/tests/forwarding/version_fleet.py
@@ -0,0 +1,139 @@
+"""Hosts that share the rows of versions and of streams, in stepped time."""
+
+from __future__ import annotations
+
+import datetime
+import types
+
+from coltsfootarch import errors
+from coltsfootarch.fleet import stream_records
+from coltsfootarch.forwarding import stream_versions
+from tests.fleet import builders
+from tests.fleet import test_service_versions as version_tests
+
+ACCOUNT = "acme"
+
+
+class RecordTable:
+    """Records in the store of a table of versions."""
+
+    def __init__(self, versions):
+        self.versions = versions
+        self.records = {}
+
+    def write(self, records, removed):
+        self.check()
+        self.records.update(records)
+        for key in removed:
+            self.records.pop(key, None)
+
+    def find(self, key):
+        self.check()
+        return self.records.get(key)
+
+    def keys(self):
+        return list(self.records)
+
+    def check(self):
+        if self.versions.is_failing:
+            raise errors.TableUnavailableError()
+
+
+class Holders:
+    """Knows the versions of the engines that hold a part of a prompt."""
+
+    def __init__(self):
+        self.held = {}
+
+    def versions(self, service, part):
+        return self.held.get(part, set())
+
+
+class Host(version_tests.Host):
+    """A host that begins streams and takes them up."""
+
+    def __init__(self, fleet, name):
+        super().__init__(fleet.table, fleet.clock, name)
+        self.records = stream_records.StreamRecords(
+            fleet.records,
+            fleet.clock,
+            self.versions.lifetime_s,
+            lambda: False,
+        )
+        self.versions.on_restored.append(self.records.write_again)
+        self.versions.on_base_changed.append(self.records.write_version)
+        self.streams = stream_versions.StreamVersions(
+            self.versions, self.records, fleet.holders
+        )
+
+    def step(self, seconds=0.0):
+        super().step(seconds)
+        self.flush()
+
+    def flush(self):
+        """Writes pending records, as its greenlet does within milliseconds."""
+        try:
+            self.records.flush()
+        except errors.PlatformError:
+            self.records.failing_until = self.clock.monotonic() + 1.0
+
+    def begin(self, request_id, version):
+        """Begins a stream; returns whether its first event may be sent."""
+        engine = builders.decode("d-9", version=version)
+        if not self.streams.may_begin(engine):
+            return False
+        call = types.SimpleNamespace(
+            account=ACCOUNT,
+            service="llm",
+            version_record=None,
+            route=types.SimpleNamespace(resumable=True),
+            request=types.SimpleNamespace(id=request_id, takes_up=False),
+        )
+        self.streams.announce(call, engine)
+        self.flush()
+        return self.streams.confirm(call, engine)
+
+    def take_up(self, request_id, part=""):
+        """Returns the version at which a stream goes on, or the refusal."""
+        request = types.SimpleNamespace(
+            id="later", resumed_id=request_id, own_part=part
+        )
+        try:
+            return self.streams.resolve(request, ACCOUNT, "llm")
+        except errors.RefusedError as error:
+            return error.code.name
+
+
+class Fleet:
+    """Two hosts; the first by name has the duties."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.table = version_tests.Table(clock)
+        self.records = RecordTable(self.table)
+        self.holders = Holders()
+        self.first = Host(self, "h1")
+        self.second = Host(self, "h2")
+        self.register(d_1="v1")
+        self.step(1.0)
+
+    def register(self, **versions):
+        """Registers engines, which both hosts see at once."""
+        for host in (self.first, self.second):
+            host.register(**versions)
+
+    def step(self, seconds=0.0, hosts=None):
+        """Advances the clock; all or some hosts check their rows."""
+        hosts = hosts or (self.first, self.second)
+        until = self.clock.monotonic() + seconds
+        while True:
+            for host in hosts:
+                host.step()
+            if self.clock.monotonic() >= until:
+                return
+            self.clock.advance(datetime.timedelta(seconds=0.25))
+
+    def restore(self, records=None):
+        """Restores the store; its rows of versions are as they were."""
+        self.table.epoch += 1
+        self.records.records = dict(records or {})
