Judge a lookup by a row of its own epoch

Cause: a host knows of the restoration with any answer, but reads the row of versions again 0.3 to 0.85 s later. In between "no record" was judged by the row of before, which does not say that records may be lost. The lookup itself may be what shows the new epoch.

Change: a lookup states the epoch of the store that answered. If the row is of an earlier one, it is read, and written as uncertain if no host has done so, before anything is concluded. Take-ups that wait for the same read share it and its failure.

Ruled out: an uncertain time that is too short; kills later than that joined nothing.

--- a/src/coltsfootarch/fleet/service_versions.py
+++ b/src/coltsfootarch/fleet/service_versions.py
@@ -21,6 +21,7 @@
 import gevent
 import gevent.event
 import structlog
+from gevent import lock
 
 from coltsfootarch import errors
 from coltsfootarch.fleet import policy
@@ -50,6 +51,8 @@
 # the store: the interval, delays and tries that fail.
 MAX_COPY_AGE_S = 2 * READ_INTERVAL_S
 RETRY_S = 0.5
+# Tries to read and change a row that other hosts change at the same time.
+MAX_REFRESHES = 3
 # Callers take a stream up within their deadline, which can exceed the timeout
 # of the route a little. A stream lasts for at most so many timeouts.
 LIFETIME_TIMEOUTS = 2.0
@@ -77,6 +80,7 @@
     Attributes:
         services: What is known, by service.
         missing: Services whose row was missing once.
+        failures: Last read that failed, by service.
         on_change: Called after a change of what is known.
         on_restored: Called with a service whose row was written again after a
             restoration of the store.
@@ -111,6 +115,9 @@
         self.wake_event = gevent.event.Event()
         self.changed = gevent.event.Event()
         self.greenlet: gevent.Greenlet | None = None
+        # Calls of the table must not run concurrently.
+        self.table_lock = lock.BoundedSemaphore()
+        self.failures: dict[str, version_rows.ReadFailure] = {}
         # Whether `are_all_open` holds, and the services with streams of the
         # policy for which they were looked up.
         self.all_open: dict[str, bool] = {}
@@ -286,23 +293,72 @@
             self.due_at.setdefault(service, now + self.read_delay_s())
         if now < self.due_at.get(service, now):
             return
-        stored = self.table.read(service)
-        if stored.state is None and service not in self.missing:
-            # Of many hosts that start together one creates the row.
-            self.missing.add(service)
-            delay_s = self.read_delay_s()
-            if delay_s:
-                self.due_at[service] = now + delay_s
-                return
-        wanted = self.wanted_state(service, known, stored, registered)
-        is_written = wanted != stored.state
-        if is_written and not self.table.replace(
-            service, wanted, stored.position
-        ):
-            self.due_at[service] = now + RETRY_S * self.generator.random()
-            return
+        with self.table_lock:
+            self.update(service)
+
+    def refresh(self, service: str) -> version_rows.KnownVersions | None:
+        """Reads the row of a service, so that it is as of this call or later.
+
+        Calls that wait for the same read share it.
+
+        Returns:
+            What is known; None if there is no row yet.
+
+        Raises:
+            errors.PlatformError: The store did not answer usably.
+        """
+        called_at = self.clock.monotonic()
+        with self.table_lock:
+            for _ in range(MAX_REFRESHES):
+                known = self.services.get(service)
+                if known is not None and known.read_at > called_at:
+                    return known
+                failure = self.failures.get(service)
+                if failure is not None and failure.read_at > called_at:
+                    raise errors.TableUnavailableError(failure.reason)
+                if self.update(service):
+                    break
+        return self.services.get(service)
+
+    def update(self, service: str) -> bool:
+        """Reads the row of a service and changes it if that is needed.
+
+        Returns:
+            Whether the row is known as of this read.
+
+        Raises:
+            errors.PlatformError: The store did not answer usably.
+        """
+        now = self.clock.monotonic()
+        try:
+            stored = self.table.read(service)
+            if stored.state is None and service not in self.missing:
+                # Of many hosts that start together one creates the row.
+                self.missing.add(service)
+                delay_s = self.read_delay_s()
+                if delay_s:
+                    self.due_at[service] = now + delay_s
+                    return False
+            wanted = self.wanted_state(
+                service,
+                self.services.get(service),
+                stored,
+                self.registered(service),
+            )
+            is_written = wanted != stored.state
+            if is_written and not self.table.replace(
+                service, wanted, stored.position
+            ):
+                self.due_at[service] = now + RETRY_S * self.generator.random()
+                return False
+        except errors.PlatformError as error:
+            self.failures[service] = version_rows.ReadFailure(
+                now, error.message
+            )
+            raise
         self.due_at.pop(service, None)
-        self.adopt(service, wanted, stored.now_ms, is_written)
+        self.adopt(service, wanted, stored.now_ms, is_written, now)
+        return True
 
     def read_delay_s(self) -> float:
         """Returns how long this host leaves changes to the first one by name.
@@ -448,19 +504,28 @@
         state: version_rows.VersionState,
         now_ms: int,
         is_written: bool,
+        read_at: float,
     ) -> None:
-        """Takes over a row that was read or written."""
+        """Takes over a row that was read or written.
+
+        Args:
+            service: The service.
+            state: The row.
+            now_ms: The store's clock, in milliseconds.
+            is_written: Whether this host has written it.
+            read_at: Instant at which the read was sent, in seconds.
+        """
         now = self.clock.monotonic()
         known = self.services.get(service)
         previous = known.state if known else None
         offset_ms = now_ms - now * MS_PER_S
         if known is None:
             known = self.services[service] = version_rows.KnownVersions(
-                state, offset_ms, now
+                state, offset_ms, read_at
             )
         known.state = state
         known.clock_offset_ms = offset_ms
-        known.read_at = now
+        known.read_at = read_at
         versions = {state.base, *state.others}
         known.absent_since = {
             version: since
--- a/src/coltsfootarch/fleet/stream_records.py
+++ b/src/coltsfootarch/fleet/stream_records.py
@@ -40,6 +40,18 @@
 logger = structlog.get_logger(__name__)
 
 
+class StoredRecord(NamedTuple):
+    """Answer to the lookup of a stream's record.
+
+    Attributes:
+        version: Version of the stream; None if it isn't recorded.
+        epoch: Epoch of the store that answered; 0 if it wasn't asked.
+    """
+
+    version: str | None
+    epoch: int
+
+
 class RecordTable(Protocol):
     """Durable records: a version by the key of a stream."""
 
@@ -50,8 +62,8 @@
             errors.PlatformError: That may or may not have been done.
         """
 
-    def find(self, key: str) -> str | None:
-        """Returns the version of a stream; None if it isn't recorded.
+    def find(self, key: str) -> StoredRecord:
+        """Looks up a stream.
 
         Raises:
             errors.PlatformError: The store did not answer usably.
@@ -216,15 +228,15 @@
             if stream.service == service and stream.version == version:
                 self.write(key, stream.version)
 
-    def find(self, key: str) -> str | None:
-        """Returns the version of a stream; None if it isn't recorded.
+    def find(self, key: str) -> StoredRecord:
+        """Looks up a stream in memory, then in the store.
 
         Raises:
             errors.PlatformError: The store did not answer usably.
         """
         stream = self.remembered.get(key)
         if stream is not None:
-            return stream.version
+            return StoredRecord(stream.version, 0)
         if not self.lookup_lock.acquire(timeout=LOOKUP_TURN_S):
             raise errors.TableUnavailableError("lookups of streams are waiting")
         try:
--- a/src/coltsfootarch/fleet/version_rows.py
+++ b/src/coltsfootarch/fleet/version_rows.py
@@ -44,6 +44,18 @@
     now_ms: int
 
 
+class ReadFailure(NamedTuple):
+    """A read of a row that failed.
+
+    Attributes:
+        read_at: Instant at which it was sent, in seconds.
+        reason: What failed.
+    """
+
+    read_at: float
+    reason: str
+
+
 class VersionTable(Protocol):
     """Durable rows of the services' versions."""
 
@@ -74,7 +86,7 @@
         state: The row.
         clock_offset_ms: The store's clock less this host's monotonic one, in
             milliseconds.
-        read_at: Instant of the read, in seconds.
+        read_at: Instant at which the last read was sent, in seconds.
 
     Attributes:
         absent_since: Instant since which no engine of a version has been
--- a/src/coltsfootarch/forwarding/stream_versions.py
+++ b/src/coltsfootarch/forwarding/stream_versions.py
@@ -96,11 +96,8 @@
             found = base
         elif request_id:
             try:
-                found = self.records.find(key)
+                found = self.look_up(key, service)
                 reason = "records may have been lost"
-                # The row may have changed during the lookup.
-                if found is None and not versions.is_uncertain(service):
-                    found = versions.base(service)
             except errors.PlatformError as error:
                 reason = error.message
         if found is None:
@@ -126,6 +123,32 @@
             raise errors.RefusedError(results.STREAM_VERSION_GONE)
         return found
 
+    def look_up(self, key: str, service: str) -> str | None:
+        """Returns the version of a stream by its record or the lack of one.
+
+        Returns:
+            None if that tells nothing.
+
+        Raises:
+            errors.PlatformError: The store did not answer usably.
+        """
+        versions = self.versions
+        record = self.records.find(key)
+        if record.version is not None:
+            return record.version
+        known = versions.services.get(service)
+        if known is not None and known.state.epoch < record.epoch:
+            # A restoration, of which the row doesn't know yet, may have lost
+            # the record.
+            known = versions.refresh(service)
+        if (
+            known is None
+            or known.state.epoch < record.epoch
+            or versions.is_uncertain(service)
+        ):
+            return None
+        return known.state.base
+
     def find_holder(self, service: str, part: str) -> str | None:
         """Returns the version of the engines that hold a part of a prompt.
 
--- a/src/coltsfootarch/platform/stream_records.py
+++ b/src/coltsfootarch/platform/stream_records.py
@@ -8,6 +8,7 @@
 import structlog
 
 from coltsfootarch.fleet import store_epochs
+from coltsfootarch.fleet import stream_records
 from coltsfootarch.fleet import version_rows
 
 if TYPE_CHECKING:
@@ -88,12 +89,14 @@
             removed,
         )
 
-    def find(self, key: str) -> str | None:
-        """Returns the version of a stream; None if it isn't recorded."""
-        row = self.reader.read_row(STREAM_TABLE, key).row
+    def find(self, key: str) -> stream_records.StoredRecord:
+        """Looks up a stream."""
+        row, _, epoch = self.reader.read_row(STREAM_TABLE, key)
         if row is None or row.value is None:
-            return None
-        return row.value.decode(errors="replace")
+            return stream_records.StoredRecord(None, epoch)
+        return stream_records.StoredRecord(
+            row.value.decode(errors="replace"), epoch
+        )
 
     def keys(self) -> list[str]:
         """Returns the keys of all records."""
--- a/tests/fleet/test_stream_records.py
+++ b/tests/fleet/test_stream_records.py
@@ -36,7 +36,7 @@
         if self.is_failing:
             raise errors.TableUnavailableError()
         self.finds += 1
-        return self.records.get(key)
+        return stream_records.StoredRecord(self.records.get(key), 1)
 
     def keys(self):
         return list(self.records)
@@ -72,13 +72,13 @@
     assert ticket.done.wait(1.0)
 
     assert ticket.succeeded
-    assert make_records(table, manual_clock).find("k") == "v2"
+    assert make_records(table, manual_clock).find("k").version == "v2"
 
 
 def test_stream_that_this_host_began_is_found_without_a_call(records, table):
     records.remember("k", "llm", "v1")
 
-    assert records.find("k") == "v1"
+    assert records.find("k").version == "v1"
     assert table.finds == 0
 
 
--- a/tests/forwarding/test_old_version_rows.py
+++ b/tests/forwarding/test_old_version_rows.py
@@ -54,3 +54,32 @@
 
     assert not fleet.first.versions.needs_record("llm", "v2")
     assert fleet.second.take_up("unrecorded") == "v2"
+
+
+@pytest.mark.parametrize(
+    ("held", "expected"),
+    [(set(), "stream-version-unknown"), ({"v2"}, "v2")],
+)
+def test_lookup_after_a_restoration_is_not_judged_by_the_row_of_before(
+    fleet, held, expected
+):
+    """Guards against joined streams whose records a restoration has lost."""
+    fleet.register(d_1="v1", d_2="v2")
+    fleet.step(2.0)
+    assert fleet.second.begin("s1", "v2")
+    fleet.holders.held["part"] = held
+
+    fleet.restore()
+
+    assert fleet.first.take_up("s1", "part") == expected
+
+
+def test_streams_go_on_by_their_records_after_a_restoration(fleet):
+    """Guards against take-ups that are all refused after a restoration."""
+    fleet.register(d_1="v1", d_2="v2")
+    fleet.step(2.0)
+    assert fleet.second.begin("s1", "v2")
+    fleet.restore()
+    fleet.step(1.0)
+
+    assert fleet.first.take_up("s1") == "v2"
--- a/tests/forwarding/version_fleet.py
+++ b/tests/forwarding/version_fleet.py
@@ -14,12 +14,33 @@
 ACCOUNT = "acme"
 
 
+class VersionTable:
+    """Rows of versions, whose answers tell a host the epoch of the store."""
+
+    def __init__(self, table):
+        self.table = table
+        self.epochs = None
+
+    @property
+    def epoch(self):
+        return self.table.epoch
+
+    def read(self, service):
+        stored = self.table.read(service)
+        self.epochs.observe(self.table.epoch, "test")
+        return stored
+
+    def replace(self, service, state, position):
+        return self.table.replace(service, state, position)
+
+
 class RecordTable:
-    """Records in the store of a table of versions."""
+    """Records in the store, whose answers tell a host its epoch."""
 
-    def __init__(self, versions):
+    def __init__(self, versions, records, epochs):
         self.versions = versions
-        self.records = {}
+        self.records = records
+        self.epochs = epochs
 
     def write(self, records, removed):
         self.check()
@@ -29,7 +50,9 @@
 
     def find(self, key):
         self.check()
-        return self.records.get(key)
+        return stream_records.StoredRecord(
+            self.records.get(key), self.versions.epoch
+        )
 
     def keys(self):
         return list(self.records)
@@ -37,6 +60,7 @@
     def check(self):
         if self.versions.is_failing:
             raise errors.TableUnavailableError()
+        self.epochs.observe(self.versions.epoch, "test")
 
 
 class Holders:
@@ -53,9 +77,11 @@
     """A host that begins streams and takes them up."""
 
     def __init__(self, fleet, name):
-        super().__init__(fleet.table, fleet.clock, name)
+        table = VersionTable(fleet.table)
+        super().__init__(table, fleet.clock, name)
+        table.epochs = self.epochs
         self.records = stream_records.StreamRecords(
-            fleet.records,
+            RecordTable(fleet.table, fleet.records, self.epochs),
             fleet.clock,
             self.versions.lifetime_s,
             lambda: False,
@@ -67,6 +93,9 @@
         )
 
     def step(self, seconds=0.0):
+        # Other calls of the host have told it of a restoration.
+        if not self.versions.table.table.is_failing:
+            self.epochs.observe(self.versions.table.epoch, "test")
         super().step(seconds)
         self.flush()
 
@@ -110,7 +139,7 @@
     def __init__(self, clock):
         self.clock = clock
         self.table = version_tests.Table(clock)
-        self.records = RecordTable(self.table)
+        self.records = {}
         self.holders = Holders()
         self.first = Host(self, "h1")
         self.second = Host(self, "h2")
@@ -136,4 +165,5 @@
     def restore(self, records=None):
         """Restores the store; its rows of versions are as they were."""
         self.table.epoch += 1
-        self.records.records = dict(records or {})
+        self.records.clear()
+        self.records.update(records or {})
