Read the row of versions at each take-up

Cause: a host decided by its copy of the row and its list of engines, however old. While both named one version, a take-up went on at it without a lookup. A host that had been out of step also began unrecorded streams under a row of long ago, and took a version for absent that was back.

Change: a take-up reads the row, then the record; concurrent ones share the read of the row. Without the store the copy counts only while the host hears all others (0.4 s) and knows of no further version; else engines are asked. A copy that was confirmed more than 20 s ago makes a host record all streams. Absence counts by registrations of the last 2 s. A take-up waits up to 1 s for engines that the host may not know yet. While the store fails and records are uncertain, streams begin at the base version.

Ruled out: streams that begin before the row names their version; an answer by a recently confirmed copy, see docs/platform.md.

--- a/src/coltsfootarch/fleet/hosts.py
+++ b/src/coltsfootarch/fleet/hosts.py
@@ -267,6 +267,17 @@
             return self.reached() >= self.count()
         return all(map(self.is_reachable, self.peers.values()))
 
+    def all_heard(self, within_s: float) -> bool:
+        """Returns whether this host hears all known peers, each directly.
+
+        Args:
+            within_s: Greatest age of the last report of each, in seconds.
+        """
+        oldest = self.clock.monotonic() - within_s
+        return self.passed is None and all(
+            peer.last_report_at >= oldest for peer in self.peers.values()
+        )
+
     def rank(self) -> int:
         """Returns the number of hosts that precede this one in duties.
 
--- a/src/coltsfootarch/fleet/service_versions.py
+++ b/src/coltsfootarch/fleet/service_versions.py
@@ -50,6 +50,12 @@
 # Age that the copy of a row at any host doesn't exceed, as long as that reaches
 # the store: the interval, delays and tries that fail.
 MAX_COPY_AGE_S = 2 * READ_INTERVAL_S
+# Greatest age of the registrations by which versions count as absent.
+MAX_DIRECTORY_AGE_S = 2.0
+# Greatest age of the reports by which this host has heard of all versions at
+# which streams may begin elsewhere; less than `OPEN_DELAY_S` by the time in
+# which a host that has seen a version reports it.
+IN_STEP_S = 0.4
 RETRY_S = 0.5
 # Tries to read and change a row that other hosts change at the same time.
 MAX_REFRESHES = 3
@@ -123,7 +129,9 @@
         self.all_open: dict[str, bool] = {}
         self.streaming: list[str] = []
         self.streaming_policy: policy.Policy | None = None
+        self.registrations_changed = gevent.event.Event()
         directory.on_change.append(self.wake_event.set)
+        directory.on_change.append(self.notify_registrations)
         directory.on_change.append(self.all_open.clear)
 
     def start(self) -> None:
@@ -162,6 +170,38 @@
                 return
             self.changed.wait(remaining)
 
+    def wait_registered(
+        self, service: str, version: str, timeout: float
+    ) -> bool:
+        """Waits until a version has a ready engine, as this host knows.
+
+        Args:
+            service: The service.
+            version: The version.
+            timeout: Longest wait in seconds.
+
+        Returns:
+            Whether it has one.
+        """
+        with gevent.Timeout(timeout, False):
+            while not self.has_member(service, version):
+                self.registrations_changed.wait()
+        return self.has_member(service, version)
+
+    def has_member(self, service: str, version: str) -> bool:
+        """Returns whether a version has a ready engine."""
+        return any(
+            engine.version == version
+            for engine in self.directory.members(service)
+        )
+
+    def has_recent_registrations(self) -> bool:
+        """Returns whether this host has heard of new engines."""
+        return (
+            not self.directory.outdated
+            and self.directory.age() <= MAX_DIRECTORY_AGE_S
+        )
+
     def base(self, service: str) -> str | None:
         """Returns the base version of a service; None if it isn't known."""
         known = self.services.get(service)
@@ -178,6 +218,30 @@
             and self.registered(service) <= {known.state.base}
         )
 
+    def is_in_step(self, service: str) -> bool:
+        """Returns whether any other host knows no more of a service's versions.
+
+        Without the store only that shows that the copy of the row is current:
+        no host begins streams at a version before `OPEN_DELAY_S`, in which its
+        reports tell of the registrations.
+        """
+        known = self.services.get(service)
+        return (
+            known is not None
+            and not known.is_outdated
+            and not self.directory.outdated
+            and self.peers.known
+            and self.peers.all_heard(IN_STEP_S)
+        )
+
+    def is_current(self, known: version_rows.KnownVersions) -> bool:
+        """Returns whether another base can't have come into force since."""
+        return (
+            known.state.epoch >= self.epochs.epoch
+            and not known.is_outdated
+            and self.clock.monotonic() - known.confirmed_at <= MAX_COPY_AGE_S
+        )
+
     def is_uncertain(self, service: str) -> bool:
         """Returns whether records of a service may have been lost."""
         known = self.services.get(service)
@@ -189,7 +253,9 @@
         """Returns whether streams that begin at a version are recorded."""
         known = self.services.get(service)
         return known is not None and (
-            version != known.state.base or self.is_uncertain(service)
+            version != known.state.base
+            or self.is_uncertain(service)
+            or not self.is_current(known)
         )
 
     def is_open(self, engine: upstreams.Upstream) -> bool:
@@ -245,6 +311,11 @@
         """Returns the store's clock, as far as this host knows it."""
         return self.clock.monotonic() * MS_PER_S + known.clock_offset_ms
 
+    def notify_registrations(self) -> None:
+        """Wakes those who wait for a change of the registrations."""
+        self.registrations_changed.set()
+        self.registrations_changed.clear()
+
     # Keeping the rows.
 
     def check(self) -> None:
@@ -286,6 +357,7 @@
         known = self.services.get(service)
         if known is not None:
             self.note_absent(known, registered, now)
+            self.confirm(known, registered)
         if not self.needs_check(service, known, registered, now):
             self.due_at.pop(service, None)
             return
@@ -307,6 +379,8 @@
         Raises:
             errors.PlatformError: The store did not answer usably.
         """
+        if not self.registered(service):
+            return self.services.get(service)
         called_at = self.clock.monotonic()
         with self.table_lock:
             for _ in range(MAX_REFRESHES):
@@ -382,6 +456,24 @@
             else:
                 known.absent_since.setdefault(version, now)
 
+    def confirm(
+        self, known: version_rows.KnownVersions, registered: set[str]
+    ) -> None:
+        """Confirms the copy of a row of one version by the registrations.
+
+        The base changes only while another version is registered, which this
+        host sees unless it was out of step meanwhile.
+        """
+        if registered - {known.state.base, *known.state.others}:
+            known.is_outdated = True
+        read_at = self.directory.read_at
+        if (
+            not known.state.others
+            and not known.is_outdated
+            and read_at - known.confirmed_at <= MAX_COPY_AGE_S
+        ):
+            known.confirmed_at = max(known.confirmed_at, read_at)
+
     def needs_check(
         self,
         service: str,
@@ -393,16 +485,18 @@
         if known is None or known.state.epoch < self.epochs.epoch:
             return True
         state = known.state
-        if registered - {state.base, *state.others}:
+        if registered - {state.base, *state.others} or known.is_outdated:
             return True
         if not state.others:
-            return False
+            return self.directory.read_at - known.confirmed_at > MAX_COPY_AGE_S
         if self.peers.rank() == 0 and self.expired(known):
             return True
         return now - known.read_at > READ_INTERVAL_S
 
     def expired(self, known: version_rows.KnownVersions) -> set[str]:
         """Returns the versions whose streams can't be taken up any more."""
+        if self.directory.age() > MAX_DIRECTORY_AGE_S:
+            return set()
         oldest = self.clock.monotonic() - self.lifetime_s()
         return {
             version
@@ -525,7 +619,8 @@
             )
         known.state = state
         known.clock_offset_ms = offset_ms
-        known.read_at = read_at
+        known.read_at = known.confirmed_at = read_at
+        known.is_outdated = False
         versions = {state.base, *state.others}
         known.absent_since = {
             version: since
--- a/src/coltsfootarch/fleet/version_rows.py
+++ b/src/coltsfootarch/fleet/version_rows.py
@@ -91,6 +91,10 @@
     Attributes:
         absent_since: Instant since which no engine of a version has been
             registered, in seconds, by version.
+        confirmed_at: Instant, in seconds, as of which the base is known to be
+            the row's: that of the last read, or a later one at which no other
+            version had been registered.
+        is_outdated: Whether a version has been registered that it lacks.
     """
 
     def __init__(
@@ -100,3 +104,5 @@
         self.clock_offset_ms = clock_offset_ms
         self.read_at = read_at
         self.absent_since: dict[str, float] = {}
+        self.confirmed_at = read_at
+        self.is_outdated = False
--- a/src/coltsfootarch/forwarding/stream_versions.py
+++ b/src/coltsfootarch/forwarding/stream_versions.py
@@ -26,6 +26,11 @@
 # versions yet, in seconds.
 MAX_START_WAIT_S = 0.3
 
+# Longest wait of a take-up for the engines of its version at a host whose list
+# of registered engines isn't recent, in seconds. Reads of the list that failed
+# are tried again after 0.8 s at most.
+MAX_REGISTRATION_WAIT_S = 1.0
+
 logger = structlog.get_logger(__name__)
 
 
@@ -65,10 +70,7 @@
     def has_base_engine(self, service: str) -> bool:
         """Returns whether an engine of the base version takes requests."""
         base = self.versions.base(service)
-        return any(
-            engine.version == base
-            for engine in self.versions.directory.members(service)
-        )
+        return base is not None and self.versions.has_member(service, base)
 
     def resolve(
         self, request: calls.CallerRequest, account: str, service: str
@@ -89,17 +91,16 @@
         key = stream_records.stream_key(account, service, request_id)
         found: str | None = None
         reason = "not named"
-        base = versions.base(service)
         if request_id and key in self.records.remembered:
             found = self.records.remembered[key].version
-        elif base is not None and versions.is_single(service):
-            found = base
-        elif request_id:
+        else:
             try:
-                found = self.look_up(key, service)
-                reason = "records may have been lost"
+                found = self.look_up(key if request_id else None, service)
+                reason = "records may have been lost" if request_id else reason
             except errors.PlatformError as error:
                 reason = error.message
+                if versions.is_single(service) and versions.is_in_step(service):
+                    found = versions.base(service)
         if found is None:
             found = self.find_holder(service, request.own_part)
         if found is None:
@@ -110,22 +111,46 @@
                 service=service,
                 reason=reason,
             )
-            raise errors.RefusedError(
-                results.STREAM_VERSION_UNKNOWN,
-                retry_after=UNKNOWN_RETRY_AFTER_S,
-            )
+            raise unknown_version()
         if request_id:
             self.records.remember(key, service, found)
-        if not any(
-            engine.version == found
-            for engine in versions.directory.members(service)
-        ):
-            raise errors.RefusedError(results.STREAM_VERSION_GONE)
+        if not versions.has_member(service, found):
+            self.await_engine(request, service, found)
         return found
 
-    def look_up(self, key: str, service: str) -> str | None:
+    def await_engine(
+        self, request: calls.CallerRequest, service: str, version: str
+    ) -> None:
+        """Waits for engines of a version that this host may not know yet.
+
+        Raises:
+            errors.RefusedError: There is none, or this host can't know.
+        """
+        if self.versions.has_recent_registrations():
+            raise errors.RefusedError(results.STREAM_VERSION_GONE)
+        if self.versions.wait_registered(
+            service, version, MAX_REGISTRATION_WAIT_S
+        ):
+            return
+        logger.info(
+            "engines of a stream's version not known",
+            request_id=request.id,
+            service=service,
+            version=version,
+            age_s=round(self.versions.directory.age(), 1),
+        )
+        raise unknown_version()
+
+    def look_up(self, key: str | None, service: str) -> str | None:
         """Returns the version of a stream by its record or the lack of one.
 
+        The row is read first, since this host's copy may be older than the
+        stream.
+
+        Args:
+            key: Key of the stream; None if it isn't named.
+            service: Its service.
+
         Returns:
             None if that tells nothing.
 
@@ -133,11 +158,15 @@
             errors.PlatformError: The store did not answer usably.
         """
         versions = self.versions
+        known = versions.refresh(service)
+        if known is None:
+            return None
+        if key is None:
+            return known.state.base if versions.is_single(service) else None
         record = self.records.find(key)
         if record.version is not None:
             return record.version
-        known = versions.services.get(service)
-        if known is not None and known.state.epoch < record.epoch:
+        if known.state.epoch < record.epoch:
             # A restoration, of which the row doesn't know yet, may have lost
             # the record.
             known = versions.refresh(service)
@@ -219,3 +248,10 @@
         return stream_records.stream_key(
             call.account, call.service, call.request.id
         )
+
+
+def unknown_version() -> errors.RefusedError:
+    """Returns the refusal of a take-up whose version isn't known now."""
+    return errors.RefusedError(
+        results.STREAM_VERSION_UNKNOWN, retry_after=UNKNOWN_RETRY_AFTER_S
+    )
--- a/tests/fleet/test_service_versions.py
+++ b/tests/fleet/test_service_versions.py
@@ -61,6 +61,7 @@
 
     def __init__(self, table, clock, name="h1"):
         self.clock = clock
+        self.hears_other = True
         self.epochs = store_epochs.StoreEpochs(clock)
         self.epochs.observe(table.epoch, "test")
         self.directory = upstreams.UpstreamDirectory(clock, self.epochs)
@@ -93,7 +94,9 @@
         until = self.clock.monotonic() + seconds
         while True:
             other = "h2" if self.peers.own.name == "h1" else "h1"
-            self.peers.record_report(other, record(other).address, 1)
+            if self.hears_other:
+                self.peers.record_report(other, record(other).address, 1)
+            self.directory.record_read()
             self.versions.check()
             if self.clock.monotonic() >= until:
                 return
--- a/tests/forwarding/edge_host.py
+++ b/tests/forwarding/edge_host.py
@@ -114,7 +114,16 @@
 
 
 class EdgeHost:
-    """One entry host with a metadata store and upstreams as stand-ins."""
+    """One entry host with a metadata store and upstreams as stand-ins.
+
+    Attributes:
+        host_name: Name of the host.
+        store_address: Address at which it reaches the store; empty for that of
+            the store itself.
+    """
+
+    host_name = "host-1"
+    store_address = ""
 
     def __init__(self):
         self.store = metadata_store.MetadataStore()
@@ -156,12 +165,12 @@
         (reports,) = free_addresses(1, socket.SOCK_DGRAM)
         values = edge_settings.Limits(**limits)
         settings = edge_settings.EdgeSettings(
-            "host-1",
+            self.host_name,
             "north",
             listen,
             ready,
             reports,
-            self.store.address,
+            self.store_address or self.store.address,
             metrics,
             limits=values,
         )
--- a/tests/forwarding/version_fleet.py
+++ b/tests/forwarding/version_fleet.py
@@ -17,30 +17,32 @@
 class VersionTable:
     """Rows of versions, whose answers tell a host the epoch of the store."""
 
-    def __init__(self, table):
+    def __init__(self, table, host):
         self.table = table
-        self.epochs = None
+        self.host = host
 
     @property
     def epoch(self):
         return self.table.epoch
 
     def read(self, service):
+        self.host.check_connected()
         stored = self.table.read(service)
-        self.epochs.observe(self.table.epoch, "test")
+        self.host.epochs.observe(self.table.epoch, "test")
         return stored
 
     def replace(self, service, state, position):
+        self.host.check_connected()
         return self.table.replace(service, state, position)
 
 
 class RecordTable:
     """Records in the store, whose answers tell a host its epoch."""
 
-    def __init__(self, versions, records, epochs):
+    def __init__(self, versions, records, host):
         self.versions = versions
         self.records = records
-        self.epochs = epochs
+        self.host = host
 
     def write(self, records, removed):
         self.check()
@@ -58,9 +60,10 @@
         return list(self.records)
 
     def check(self):
+        self.host.check_connected()
         if self.versions.is_failing:
             raise errors.TableUnavailableError()
-        self.epochs.observe(self.versions.epoch, "test")
+        self.host.epochs.observe(self.versions.epoch, "test")
 
 
 class Holders:
@@ -74,14 +77,17 @@
 
 
 class Host(version_tests.Host):
-    """A host that begins streams and takes them up."""
+    """A host that begins streams and takes them up.
+
+    Attributes:
+        is_cut_off: Whether it doesn't reach the store.
+    """
 
     def __init__(self, fleet, name):
-        table = VersionTable(fleet.table)
-        super().__init__(table, fleet.clock, name)
-        table.epochs = self.epochs
+        self.is_cut_off = False
+        super().__init__(VersionTable(fleet.table, self), fleet.clock, name)
         self.records = stream_records.StreamRecords(
-            RecordTable(fleet.table, fleet.records, self.epochs),
+            RecordTable(fleet.table, fleet.records, self),
             fleet.clock,
             self.versions.lifetime_s,
             lambda: False,
@@ -94,11 +100,17 @@
 
     def step(self, seconds=0.0):
         # Other calls of the host have told it of a restoration.
-        if not self.versions.table.table.is_failing:
-            self.epochs.observe(self.versions.table.epoch, "test")
+        table = self.versions.table.table
+        if not (table.is_failing or self.is_cut_off):
+            self.epochs.observe(table.epoch, "test")
+            self.directory.record_read()
         super().step(seconds)
         self.flush()
 
+    def check_connected(self):
+        if self.is_cut_off:
+            raise errors.TableUnavailableError()
+
     def flush(self):
         """Writes pending records, as its greenlet does within milliseconds."""
         try:
@@ -152,8 +164,10 @@
             host.register(**versions)
 
     def step(self, seconds=0.0, hosts=None):
-        """Advances the clock; all or some hosts check their rows."""
+        """Advances the clock; both hosts run, or only one, out of touch."""
         hosts = hosts or (self.first, self.second)
+        for host in hosts:
+            host.hears_other = len(hosts) > 1
         until = self.clock.monotonic() + seconds
         while True:
             for host in hosts:
