Ask the engines for prompts after a take-up, not before it

What callers would see: a stream that is looked for at the engines goes on at another version, or is refused though an engine holds its prompt. Found while the age of what take-ups are judged by was looked through.

Cause: a list of held prompts was used for 5 s and could be older than the stream; an engine without an answer counted as holding nothing, for 5 s; and while one take-up waited for the lists, others saw empty ones.

Change: a take-up waits for a round of questions that begins after it, which concurrent ones share. An engine that doesn't answer may hold any prompt.

--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -356,7 +356,7 @@
             self.versions,
             self.records,
             prompt_holders.PromptHolders(
-                self.upstreams, self.platform.wire, clock
+                self.upstreams, self.platform.wire, clock, self.hosts.count
             ),
         )
         placer.may_begin = versions.may_begin
--- a/src/coltsfootarch/forwarding/prompt_holders.py
+++ b/src/coltsfootarch/forwarding/prompt_holders.py
@@ -12,6 +12,7 @@
 
 import gevent
 import structlog
+from gevent import lock
 
 from coltsfootarch.fleet import upstreams
 from coltsfootarch.http1 import client
@@ -19,30 +20,37 @@
 from coltsfootarch.scheduling import engine_placement
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable
 
     from coltsfootarch import clock as clocks
     from coltsfootarch.forwarding import calls
 
 CALL_TIMEOUT_S = 0.3
 MAX_LIST_BYTES = 1_000_000
-# Time for which a list is used. Streams whose records were lost began before
-# this host started, so that a list needn't be recent.
-LIST_VALIDITY_S = 5.0
+# Interval of the rounds in which this host asks all engines of a service: at
+# least so many seconds, and so many for each host of the fleet, since all of
+# them may ask at once.
+MIN_INTERVAL_S = 0.5
+INTERVAL_PER_HOST_S = 0.02
+# Longest wait for the next round, in seconds.
+MAX_PAUSE_S = 1.0
 
 logger = structlog.get_logger(__name__)
 
 
-class HeldParts(NamedTuple):
-    """Parts of prompts that an engine held at an instant.
+class Round(NamedTuple):
+    """Answers of all decode engines of a service.
 
     Attributes:
-        parts: Ids of the parts; empty if the engine didn't answer.
-        at: The instant, in seconds.
+        started_at: Instant at which the engines were asked, in seconds.
+        engines: The engines by name; see `name_of`.
+        parts: Ids of the parts that an engine holds, by its name; None if it
+            may hold any.
     """
 
-    parts: frozenset[str]
-    at: float
+    started_at: float
+    engines: dict[str, upstreams.Upstream]
+    parts: dict[str, frozenset[str] | None]
 
 
 class PromptHolders:
@@ -52,9 +60,10 @@
         directory: Registered upstreams.
         wire: Wire format of upstreams.
         clock: Source of time.
+        host_count: Returns the number of hosts that may be serving.
 
     Attributes:
-        held: Lists by the incarnation of an engine.
+        rounds: Last round by service.
     """
 
     def __init__(
@@ -62,49 +71,82 @@
         directory: upstreams.UpstreamDirectory,
         wire: calls.UpstreamProtocol,
         clock: clocks.Clock,
+        host_count: Callable[[], int] = lambda: 1,
     ) -> None:
         self.directory = directory
         self.wire = wire
         self.clock = clock
-        self.held: dict[str, HeldParts] = {}
+        self.host_count = host_count
+        self.rounds: dict[str, Round] = {}
+        self.round_lock = lock.BoundedSemaphore()
 
     def versions(self, service: str, part: str) -> set[str]:
-        """Returns the versions of the decode engines that hold a part.
+        """Returns the versions of the decode engines that may hold a part.
+
+        The engines are asked after this call: a prompt of the same session may
+        have been read at another version since an earlier round.
 
         Args:
             service: Name of the service.
             part: Id of the part.
+
+        Returns:
+            No version if no engine has stated that it holds the part.
         """
-        engines = [
-            upstream
-            for upstream in self.directory.upstreams.values()
-            if upstream.service == service
-            and engine_placement.stage_of(upstream) is upstreams.Stage.DECODE
-        ]
-        self.refresh(engines)
+        answers = self.ask_all(service)
+        if answers is None or not any(
+            held is not None and part in held for held in answers.parts.values()
+        ):
+            return set()
         return {
-            engine.version
-            for engine in engines
-            if part in self.held[name_of(engine)].parts
+            answers.engines[name].version
+            for name, held in answers.parts.items()
+            if held is None or part in held
         }
 
-    def refresh(self, engines: Iterable[upstreams.Upstream]) -> None:
-        """Asks the engines whose list is missing or too old, all at once."""
-        now = self.clock.monotonic()
-        self.held = {
-            name: held
-            for name, held in self.held.items()
-            if now - held.at < LIST_VALIDITY_S
-        }
-        missing = [each for each in engines if name_of(each) not in self.held]
-        for engine in missing:
-            # Other take-ups meanwhile wait for the same answers.
-            self.held[name_of(engine)] = HeldParts(frozenset(), now)
-        asked = [gevent.spawn(self.ask, engine) for engine in missing]
-        gevent.joinall(asked)
-
-    def ask(self, engine: upstreams.Upstream) -> None:
-        """Asks one engine; a failure leaves an empty list."""
+    def ask_all(self, service: str) -> Round | None:
+        """Asks all engines of a service; concurrent calls share a round.
+
+        Returns:
+            A round that began after this call; None if that would be too late.
+        """
+        called_at = self.clock.monotonic()
+        with self.round_lock:
+            last = self.rounds.get(service)
+            if last is not None and last.started_at >= called_at:
+                return last
+            if last is not None:
+                interval_s = max(
+                    MIN_INTERVAL_S, INTERVAL_PER_HOST_S * self.host_count()
+                )
+                pause_s = last.started_at + interval_s - self.clock.monotonic()
+                if pause_s > MAX_PAUSE_S:
+                    return None
+                gevent.sleep(max(pause_s, 0.0))
+            engines = {
+                name_of(upstream): upstream
+                for upstream in self.directory.upstreams.values()
+                if upstream.service == service
+                and engine_placement.stage_of(upstream)
+                is upstreams.Stage.DECODE
+            }
+            started_at = self.clock.monotonic()
+            asked = {
+                name: gevent.spawn(self.ask, engine)
+                for name, engine in engines.items()
+            }
+            gevent.joinall(asked.values())
+            parts = {name: greenlet.value for name, greenlet in asked.items()}
+            answers = self.rounds[service] = Round(started_at, engines, parts)
+            return answers
+
+    def ask(self, engine: upstreams.Upstream) -> frozenset[str] | None:
+        """Asks one engine.
+
+        Returns:
+            Ids of the parts that it holds: none if it accepts no connection,
+            as one that has crashed; None if it doesn't answer.
+        """
         connection = client.Connection(engine.address, self.clock)
         body = bytearray()
         try:
@@ -130,12 +172,11 @@
             logger.info(
                 "held parts not read", upstream=engine.id, reason=str(error)
             )
-            return
+            is_refused = isinstance(error.__cause__, ConnectionRefusedError)
+            return frozenset() if is_refused else None
         finally:
             connection.close()
-        self.held[name_of(engine)] = HeldParts(
-            self.wire.decode_held_parts(bytes(body)), self.clock.monotonic()
-        )
+        return self.wire.decode_held_parts(bytes(body))
 
 
 def name_of(engine: upstreams.Upstream) -> str:
