Ignore the offer of another protocol, not the request's body

Cause: the parser ends such a message behind its head, whatever body follows, and raises its error after that. The request had been passed on by then, and its body was refused as a request.

Change: the head is parsed again without the offer, then the rest. A request for a tunnel is refused before it is passed on.

Ruled out: the forwarding of header fields; the body is missing before.

--- a/src/coltsfootarch/forwarding/limited_reader.py
+++ b/src/coltsfootarch/forwarding/limited_reader.py
@@ -148,10 +148,10 @@
         super().on_message_begin()
         self.needed_head_bytes = self.needed_body_bytes = 0
 
-    def on_message_complete(self) -> None:
+    def add_complete(self) -> None:
         """Appends the finished request to `complete` or `held`."""
         is_held = bool(self.held) or self.excess() is not None
-        super().on_message_complete()
+        super().add_complete()
         if is_held:
             self.held.append(
                 HeldRequest(
--- a/src/coltsfootarch/http1/readers.py
+++ b/src/coltsfootarch/http1/readers.py
@@ -101,9 +101,7 @@
         if not self.in_body:
             self.head_bytes += len(data)
         try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade as error:
-            raise MalformedMessageError("upgrade is not supported") from error
+            self.parse(data)
         except httptools.HttpParserCallbackError as error:
             callback_error = error.__context__
             if isinstance(callback_error, MalformedMessageError):
@@ -114,6 +112,48 @@
         if not self.in_body and self.head_bytes > self.max_header_bytes:
             self.check_head(self.head_bytes)
 
+    def parse(self, data: bytes) -> None:
+        """Parses bytes; ignores offers of another protocol.
+
+        Raises:
+            MalformedMessageError: The request asks for a tunnel.
+        """
+        while data:
+            try:
+                self.parser.feed_data(data)
+            except httptools.HttpParserUpgrade as error:
+                data = data[error.args[0] :]
+                self.drop_offer()
+            else:
+                return
+
+    def drop_offer(self) -> None:
+        """Parses the head again, without the offer of another protocol.
+
+        A server that doesn't speak the protocol handles the request as if
+        nothing was offered (RFC 9110, section 7.8), but the parser takes it for
+        complete behind its head.
+
+        Raises:
+            MalformedMessageError: The request asks for a tunnel.
+        """
+        method = self.parser.get_method().decode("latin-1")
+        if method == "CONNECT":
+            raise MalformedMessageError("tunnels are not supported")
+        target = self.target.decode("latin-1")
+        version = self.parser.get_http_version()
+        head = messages.render_head(
+            f"{method} {target} HTTP/{version}",
+            [each for each in self.fields if each[0].lower() != "upgrade"],
+        )
+        self.in_body = False
+        self.parser = httptools.HttpRequestParser(self)
+        now, self.now = self.now, self.started_at
+        try:
+            self.parser.feed_data(head)
+        finally:
+            self.now = now
+
     def check_head(self, size: int) -> None:
         """Checks the size of a head in bytes.
 
@@ -176,6 +216,11 @@
         self.check_body(len(self.body))
 
     def on_message_complete(self) -> None:
+        """Appends the finished request; see `drop_offer` for the others."""
+        if not self.parser.should_upgrade():
+            self.add_complete()
+
+    def add_complete(self) -> None:
         """Appends the finished request to `complete`."""
         self.in_progress = self.in_body = False
         self.expects_continue = False
--- a/tests/http1/test_readers.py
+++ b/tests/http1/test_readers.py
@@ -183,3 +183,68 @@
             b"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\n"
             b"Upgrade: x\r\n\r\n"
         )
+
+
+OFFER = (
+    b"POST /book HTTP/1.1\r\nHost: x\r\nConnection: keep-alive, Upgrade\r\n"
+    b"Upgrade: h2c\r\nX-Request-Id: a\r\n"
+)
+OFFERS = {
+    "sized": OFFER + b"Content-Length: 5\r\n\r\nhello",
+    "chunked": OFFER
+    + b"Transfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("size", [1, 7, 1000])
+@pytest.mark.parametrize("request_bytes", OFFERS.values(), ids=OFFERS)
+def test_request_that_offers_another_protocol_keeps_its_body(
+    request_bytes, size
+):
+    """Guards against a booking without its body and a 400 to no request."""
+    reader = readers.RequestReader(4096, 4096)
+    following = b"GET /next HTTP/1.1\r\nHost: x\r\n\r\n"
+    data = request_bytes * 2 + following
+
+    for start in range(0, len(data), size):
+        reader.feed(data[start : start + size], float(start))
+
+    assert [(each.target, each.body) for each in reader.complete] == [
+        ("/book", b"hello"),
+        ("/book", b"hello"),
+        ("/next", b""),
+    ]
+    first = reader.complete[0]
+    assert first.method == "POST"
+    assert first.received_at == 0.0
+    assert first.keep_alive
+    assert ("X-Request-Id", "a") in first.fields
+    assert "upgrade" not in [name.lower() for name, _ in first.fields]
+
+
+def test_offer_without_a_body_is_one_request():
+    """Guards against a second copy of a request that is parsed again."""
+    reader = readers.RequestReader(4096, 4096)
+    reader.feed(
+        b"GET /a HTTP/1.1\r\nHost: x\r\nConnection: upgrade\r\n"
+        b"Upgrade: websocket\r\n\r\n",
+        0.0,
+    )
+
+    assert [each.target for each in reader.complete] == ["/a"]
+    assert not reader.in_progress
+
+
+def test_oversized_body_behind_an_offer_is_rejected():
+    """Guards against a limit that an offer switches off."""
+    reader = readers.RequestReader(4096, 4)
+    with pytest.raises(readers.BodyTooLargeError):
+        reader.feed(OFFERS["chunked"], 0.0)
+
+
+def test_tunnel_is_rejected():
+    """Guards against bytes of a tunnel that are taken for requests."""
+    reader = readers.RequestReader(4096, 4096)
+    with pytest.raises(readers.MalformedMessageError):
+        reader.feed(b"CONNECT x:80 HTTP/1.1\r\nHost: x\r\n\r\n", 0.0)
+    assert not reader.complete
