Don't let each take-up wait for a store that is silent

Cause: since a take-up reads the row of versions, each one waited for a silent store for up to 1.3 s, though the copy is certain while the host hears all others.

Change: for 5 s after a read that failed, the copy is used at once where it is certain; else the store is asked as before.

Evidence: test_take_ups_do_not_each_wait_for_a_store_that_is_away; the other tests of versions and take-ups pass.

--- a/src/coltsfootarch/fleet/service_versions.py
+++ b/src/coltsfootarch/fleet/service_versions.py
@@ -57,6 +57,8 @@
 # which a host that has seen a version reports it.
 IN_STEP_S = 0.4
 RETRY_S = 0.5
+# Time after a read that failed in which the store counts as failing.
+FAILING_S = 5.0
 # Tries to read and change a row that other hosts change at the same time.
 MAX_REFRESHES = 3
 # Callers take a stream up within their deadline, which can exceed the timeout
@@ -221,9 +223,9 @@
     def is_in_step(self, service: str) -> bool:
         """Returns whether any other host knows no more of a service's versions.
 
-        Without the store only that shows that the copy of the row is current:
-        no host begins streams at a version before `OPEN_DELAY_S`, in which its
-        reports tell of the registrations.
+        While the store fails only that shows that the copy of the row is
+        current: no host begins streams at a version before `OPEN_DELAY_S`, in
+        which its reports tell of the registrations.
         """
         known = self.services.get(service)
         return (
@@ -234,6 +236,16 @@
             and self.peers.all_heard(IN_STEP_S)
         )
 
+    def is_failing(self, service: str) -> bool:
+        """Returns whether the last read of a row failed a moment ago."""
+        failure = self.failures.get(service)
+        known = self.services.get(service)
+        return (
+            failure is not None
+            and (known is None or failure.read_at > known.read_at)
+            and self.clock.monotonic() - failure.read_at <= FAILING_S
+        )
+
     def is_current(self, known: version_rows.KnownVersions) -> bool:
         """Returns whether another base can't have come into force since."""
         return (
--- a/src/coltsfootarch/forwarding/stream_versions.py
+++ b/src/coltsfootarch/forwarding/stream_versions.py
@@ -93,14 +93,16 @@
         reason = "not named"
         if request_id and key in self.records.remembered:
             found = self.records.remembered[key].version
-        else:
+        elif versions.is_failing(service):
+            # Take-ups don't each wait for a store that is silent.
+            found = self.certain_base(service)
+        if found is None:
             try:
                 found = self.look_up(key if request_id else None, service)
                 reason = "records may have been lost" if request_id else reason
             except errors.PlatformError as error:
                 reason = error.message
-                if versions.is_single(service) and versions.is_in_step(service):
-                    found = versions.base(service)
+                found = self.certain_base(service)
         if found is None:
             found = self.find_holder(service, request.own_part)
         if found is None:
@@ -118,6 +120,16 @@
             self.await_engine(request, service, found)
         return found
 
+    def certain_base(self, service: str) -> str | None:
+        """Returns the only version of a service; None if that isn't certain.
+
+        It needs no call of the store.
+        """
+        versions = self.versions
+        if versions.is_single(service) and versions.is_in_step(service):
+            return versions.base(service)
+        return None
+
     def await_engine(
         self, request: calls.CallerRequest, service: str, version: str
     ) -> None:
--- a/tests/forwarding/test_old_version_rows.py
+++ b/tests/forwarding/test_old_version_rows.py
@@ -130,6 +130,15 @@
     assert fleet.first.take_up("s1") == "v1"
 
 
+def test_take_ups_do_not_each_wait_for_a_store_that_is_away(fleet):
+    """Guards against take-ups that time out one after the other."""
+    fleet.table.is_failing = True
+    assert fleet.first.take_up("s1") == "v1"
+    fleet.first.versions.refresh = lambda service: pytest.fail("asked again")
+
+    assert fleet.first.take_up("s2") == "v1"
+
+
 def test_version_that_was_seen_for_a_moment_is_looked_up(fleet):
     """Guards against trust in a row that was never read again."""
     fleet.second.is_cut_off = True
