Let streams at a host that has just started wait for its versions

Cause: a host begins no stream before it has read the versions of the service. Where the registrations arrived before the policy, it read them 0.25 s later, and placement found no engine meanwhile.

Change: the policy's arrival lets the rows be read at once, and streams wait for them for up to 0.3 s, as take-ups did.

--- a/src/coltsfootarch/fleet/service_versions.py
+++ b/src/coltsfootarch/fleet/service_versions.py
@@ -134,6 +134,7 @@
         self.registrations_changed = gevent.event.Event()
         directory.on_change.append(self.wake_event.set)
         directory.on_change.append(self.notify_registrations)
+        policy_tracker.on_change.append(self.notify_policy)
         directory.on_change.append(self.all_open.clear)
 
     def start(self) -> None:
@@ -323,6 +324,10 @@
         """Returns the store's clock, as far as this host knows it."""
         return self.clock.monotonic() * MS_PER_S + known.clock_offset_ms
 
+    def notify_policy(self, _: policy.Policy) -> None:
+        """Lets the rows of a new policy's services be read at once."""
+        self.wake_event.set()
+
     def notify_registrations(self) -> None:
         """Wakes those who wait for a change of the registrations."""
         self.registrations_changed.set()
--- a/src/coltsfootarch/forwarding/forwarder.py
+++ b/src/coltsfootarch/forwarding/forwarder.py
@@ -225,10 +225,12 @@
         account = self.authenticate(current, route, request)
         service = route.choose_service(self.generator)
         version = None
-        if request.takes_up and route.repeat is policies.Repeat.STREAM:
-            version = self.context.stream_versions.resolve(
-                request, account.name if account else "", service
-            )
+        if route.repeat is policies.Repeat.STREAM:
+            self.context.stream_versions.wait_known(service)
+            if request.takes_up:
+                version = self.context.stream_versions.resolve(
+                    request, account.name if account else "", service
+                )
         tokens = 0
         if account is not None:
             tokens = request.prompt_tokens + request.output_tokens
--- a/src/coltsfootarch/forwarding/stream_versions.py
+++ b/src/coltsfootarch/forwarding/stream_versions.py
@@ -22,7 +22,7 @@
 MAX_RECORD_WAIT_S = 0.5
 # `Retry-After` of a take-up whose version can't be found out now, in seconds.
 UNKNOWN_RETRY_AFTER_S = 0.5
-# Longest wait of a take-up at a host that has just started and doesn't know the
+# Longest wait of a stream at a host that has just started and doesn't know the
 # versions yet, in seconds.
 MAX_START_WAIT_S = 0.3
 
@@ -67,6 +67,13 @@
             return True
         return not self.has_base_engine(engine.service)
 
+    def wait_known(self, service: str) -> None:
+        """Waits a moment at a host that has just started.
+
+        It begins no stream before it knows the versions of the service.
+        """
+        self.versions.wait_known(service, MAX_START_WAIT_S)
+
     def has_base_engine(self, service: str) -> bool:
         """Returns whether an engine of the base version takes requests."""
         base = self.versions.base(service)
@@ -86,7 +93,6 @@
             errors.RefusedError: It isn't known now, or no engine has it.
         """
         versions = self.versions
-        versions.wait_known(service, MAX_START_WAIT_S)
         request_id = request.resumed_id
         key = stream_records.stream_key(account, service, request_id)
         found: str | None = None
