Begin streams at the base version while the store is away

What callers would see: with several versions and a store that is away for more than 20 s, or right after a restoration or a change of the base, no stream begins anywhere.

Cause: placement took the base version for one that needs a record like any other. And a record whose write had failed counted as one of another version, so that the first event waited for the second try and was then refused.

Change: streams begin at the base version while the store fails. Only a record of another version has to be replaced before the first event.

Evidence: test_streams_begin_at_the_base_while_the_store_is_away_for_long failed before both changes; the tests of versions and take-ups pass (65).

--- a/src/coltsfootarch/fleet/service_versions.py
+++ b/src/coltsfootarch/fleet/service_versions.py
@@ -222,7 +222,7 @@
         )
 
     def is_in_step(self, service: str) -> bool:
-        """Returns whether any other host knows no more of a service's versions.
+        """Returns whether no other host knows of further versions.
 
         While the store fails only that shows that the copy of the row is
         current: no host begins streams at a version before `OPEN_DELAY_S`, in
--- a/src/coltsfootarch/forwarding/stream_versions.py
+++ b/src/coltsfootarch/forwarding/stream_versions.py
@@ -65,7 +65,9 @@
             engine.service, engine.version
         ):
             return True
-        return not self.has_base_engine(engine.service)
+        return engine.version == self.versions.base(
+            engine.service
+        ) or not self.has_base_engine(engine.service)
 
     def wait_known(self, service: str) -> None:
         """Waits a moment at a host that has just started.
@@ -241,7 +243,9 @@
         if ticket is None or ticket.succeeded:
             return True
         base = self.versions.base(call.service)
-        has_other_record = previous is not None and previous is not ticket
+        has_other_record = (
+            previous is not None and previous.version != engine.version
+        )
         if not has_other_record and (
             engine.version == base
             or base not in self.versions.registered(call.service)
--- a/tests/forwarding/test_old_version_rows.py
+++ b/tests/forwarding/test_old_version_rows.py
@@ -178,3 +178,15 @@
     fleet.first.versions.check()
 
     assert fleet.table.rows["llm"][0].base == "v1"
+
+
+def test_streams_begin_at_the_base_while_the_store_is_away_for_long(fleet):
+    """Guards against a store whose failure ends all streams of a service."""
+    fleet.register(d_1="v1", d_2="v2")
+    fleet.step(2.0)
+    fleet.table.is_failing = True
+    fleet.step(service_versions.MAX_COPY_AGE_S + 5.0)
+
+    assert fleet.first.begin("s1", "v1")
+    assert fleet.first.begin("s2", "v1")
+    assert not fleet.first.begin("s3", "v2")
