Keep unfinished heads as bytes and free refused connections at once

Callers saw nothing at first: a host before 400 callers with heads beyond `max_header_bytes` grew until a small machine would have ended it.

Cause: each header line was kept as two strings and a tuple, some 200 bytes for a line of four, while the host asked for a newer policy. A refusal's exception kept the frames that had read the bytes, and its reader kept the exception, so that only the garbage collector freed a refused connection. 64 KiB were read at a time, and the last of them were kept while the next were awaited, also after the refusal.

Change: lines are kept as sent until the request is complete and taken (`http1/field_lines.py`), a request beyond a limit isn't decoded while it waits for a policy, a closed reader drops its parser and errors, callers are read from in pieces of 16 KiB, and a request isn't kept beyond its response. No limit changes. Tests before crowds are marked `crowd` and run one by one.

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,8 @@
 	$(BIN)/ruff check --fix .
 
 test: $(STAMP)
-	$(BIN)/pytest -n 5 --dist loadfile -q
+	$(BIN)/pytest -n 5 --dist loadfile -q -m "not crowd"
+	$(BIN)/pytest -q -m crowd
 
 matrix: $(STAMP)
 	$(BIN)/pytest -n 5 --dist loadfile -q -m matrix --matrix
--- a/src/coltsfootarch/forwarding/caller_connection.py
+++ b/src/coltsfootarch/forwarding/caller_connection.py
@@ -161,10 +161,8 @@
         """Handles requests until the connection ends."""
         reason = close_reasons.CloseReason.ERROR
         try:
-            while not self.closed:
-                request = self.read_request()
-                if request is None or not self.serve(request):
-                    break
+            while not self.closed and self.serve_next():
+                pass
             reason = close_reasons.CloseReason.ANNOUNCED
             if not self.closed:
                 self.linger()
@@ -177,6 +175,15 @@
         finally:
             self.close(reason)
 
+    def serve_next(self) -> bool:
+        """Serves the next request, which isn't kept beyond its response.
+
+        Returns:
+            Whether the connection stays open.
+        """
+        request = self.read_request()
+        return request is not None and self.serve(request)
+
     def read_request(self) -> messages.Request | None:
         """Returns the next request; None if the connection ends before it."""
         reader = self.reader
@@ -197,13 +204,10 @@
                         reader.expects_continue = False
                         self.send(b"HTTP/1.1 100 Continue\r\n\r\n")
                     self.idle = not reader.has_requests
-                    data = self.receive(since)
-                    if not data:
+                    if not self.receive_more(since):
                         return None
                     if not reader.in_progress:
                         since = clock.monotonic()
-                    self.turn.record(len(data))
-                    self.pipelined.append(data, clock.monotonic())
                 self.idle = False
                 reader.read(*self.pipelined.take(PARSED_BYTES))
         except readers.MalformedMessageError as error:
@@ -229,6 +233,20 @@
         self.idle = False
         return reader.complete.popleft()
 
+    def receive_more(self, since: float) -> bool:
+        """Receives bytes; returns False once the connection is closed.
+
+        They are kept in `pipelined` only, which is freed with the connection.
+
+        Args:
+            since: Instant from which the timeout counts, in seconds.
+        """
+        data = self.receive(since)
+        if data:
+            self.turn.record(len(data))
+            self.pipelined.append(data, self.listener.clock.monotonic())
+        return bool(data)
+
     def receive(self, since: float) -> bytes:
         """Returns bytes from the caller; none once the connection is closed.
 
--- a/src/coltsfootarch/forwarding/caller_socket.py
+++ b/src/coltsfootarch/forwarding/caller_socket.py
@@ -10,7 +10,6 @@
 
 from coltsfootarch.forwarding import close_reasons
 from coltsfootarch.http1 import client
-from coltsfootarch.http1 import readers
 from coltsfootarch.http1 import shortages
 from coltsfootarch.http1 import turns
 
@@ -21,6 +20,8 @@
 
     from coltsfootarch import clock as clocks
 
+# Largest number of bytes read from a caller at once. A host has many callers.
+READ_BYTES = 16 * 1024
 # Timeout of writing to a caller that doesn't read, in seconds. Its connection
 # is then closed.
 SEND_TIMEOUT_S = 10.0
@@ -94,8 +95,8 @@
     """
     try:
         if timeout <= 0:
-            return client.read_arrived(sock)
-        return shortages.receive(sock, readers.READ_SIZE, timeout, clock)
+            return client.read_arrived(sock, READ_BYTES)
+        return shortages.receive(sock, READ_BYTES, timeout, clock)
     except (OSError, shortages.ShortageError) as error:
         if is_timeout(error):
             return None
@@ -138,10 +139,11 @@
     try:
         sock.shutdown(socket.SHUT_WR)
         while (left := deadline - clock.monotonic()) > 0 and not is_closed():
-            data = shortages.receive(sock, readers.READ_SIZE, left, clock)
-            if not data:
+            # Only the number is kept while the next bytes are awaited.
+            size = len(shortages.receive(sock, READ_BYTES, left, clock))
+            if not size:
                 return
-            turn.record(len(data))
+            turn.record(size)
             turn.share()
     except (OSError, shortages.ShortageError):
         # The caller has gone, or sends longer than the host waits.
--- a/src/coltsfootarch/forwarding/close_reports.py
+++ b/src/coltsfootarch/forwarding/close_reports.py
@@ -7,6 +7,7 @@
 import structlog
 
 from coltsfootarch.forwarding import close_reasons
+from coltsfootarch.forwarding import limited_reader
 from coltsfootarch.http1 import client
 
 if TYPE_CHECKING:
@@ -66,13 +67,16 @@
     reader = connection.reader
     responder = connection.responder
     # The first of the held requests is the one that was refused, if any.
-    held = [each.request for each in reader.held][connection.rejected :]
+    held = [each.request.lines for each in reader.held][connection.rejected :]
+    if reader.in_progress and not connection.rejected:
+        held.append(reader.lines)
     request_ids = [
-        connection.request_id(request.fields)
-        for request in (*reader.complete, *held)
+        connection.request_id(fields)
+        for fields in (
+            *(request.fields for request in reader.complete),
+            *(limited_reader.first_fields(lines) for lines in held),
+        )
     ]
-    if reader.in_progress and not connection.rejected:
-        request_ids.append(connection.request_id(tuple(reader.fields)))
     # The end of a request whose caller has left is logged anyway.
     if not (
         responder is None
--- a/src/coltsfootarch/forwarding/limited_reader.py
+++ b/src/coltsfootarch/forwarding/limited_reader.py
@@ -13,23 +13,33 @@
 
     from coltsfootarch import clock as clocks
     from coltsfootarch.fleet import policy
+    from coltsfootarch.http1 import field_lines
     from coltsfootarch.http1 import messages
 
 
+# Fields among which the id of a request is looked for that can't be read.
+MAX_NAMED_FIELDS = 64
+
+
 class HeldRequest(NamedTuple):
     """A complete request that exceeds a limit, or follows one that does.
 
     Attributes:
-        request: The request.
+        request: The request; its fields would take many times its size.
         head_bytes: Size of its head.
         body_bytes: Size of its body.
     """
 
-    request: messages.Request
+    request: readers.RawRequest
     head_bytes: int
     body_bytes: int
 
 
+def first_fields(lines: field_lines.FieldLines) -> messages.Fields:
+    """Returns the header fields that may hold the id of a request."""
+    return lines.decode(MAX_NAMED_FIELDS)
+
+
 class LimitedReader(readers.RequestReader):
     """Parses requests under the limits of the active policy.
 
@@ -73,10 +83,10 @@
         return self.in_progress or bool(self.complete or self.held)
 
     def next_fields(self) -> messages.Fields:
-        """Returns the header fields of the first held or unfinished request."""
+        """Returns the first fields of the held or unfinished request."""
         if self.held:
-            return self.held[0].request.fields
-        return tuple(self.fields)
+            return first_fields(self.held[0].request.lines)
+        return first_fields(self.lines)
 
     def read(self, data: bytes, received_at: float | None = None) -> None:
         """Parses bytes; appends to `complete` or sets `error`; see `settle`.
@@ -122,7 +132,7 @@
     def release(self) -> None:
         """Moves the held requests to `complete` up to one that is too long."""
         while self.held and self.excess() is None:
-            self.complete.append(self.held.popleft().request)
+            self.complete.append(self.held.popleft().request.decode())
 
     def excess(self) -> readers.MalformedMessageError | None:
         """Returns how the next request exceeds a limit; None if it doesn't."""
@@ -150,16 +160,16 @@
 
     def add_complete(self) -> None:
         """Appends the finished request to `complete` or `held`."""
-        is_held = bool(self.held) or self.excess() is not None
-        super().add_complete()
-        if is_held:
+        if self.held or self.excess() is not None:
             self.held.append(
                 HeldRequest(
-                    self.complete.pop(),
+                    self.finish(),
                     self.needed_head_bytes,
                     self.needed_body_bytes,
                 )
             )
+        else:
+            super().add_complete()
         self.needed_head_bytes = self.needed_body_bytes = 0
 
     def apply(self, limits: policy.CallerLimits) -> None:
@@ -172,6 +182,11 @@
         self.max_body_bytes = body_bytes
 
     def clear(self) -> None:
-        """Drops all bytes; see `RequestReader.clear`."""
+        """Drops all bytes; see `RequestReader.clear`.
+
+        The errors refer to the frames that read the bytes, and these to the
+        reader.
+        """
         super().clear()
         self.held.clear()
+        self.error = self.parse_error = None
--- a/src/coltsfootarch/http1/readers.py
+++ b/src/coltsfootarch/http1/readers.py
@@ -5,13 +5,13 @@
 import collections
 import re
 from typing import Any
+from typing import NamedTuple
 
 import httptools
 
+from coltsfootarch.http1 import field_lines
 from coltsfootarch.http1 import messages
 
-# Bytes of a header line in addition to the field's name and value.
-FIELD_OVERHEAD = len(": \r\n")
 # Largest number of bytes read from a socket at once.
 READ_SIZE = 65536
 # Largest number of successive bytes of a response that yield neither a head nor
@@ -57,6 +57,37 @@
     return True
 
 
+class RawRequest(NamedTuple):
+    """A completely received request whose head isn't decoded.
+
+    Attributes:
+        method: Method as received.
+        target: Path and query string as received.
+        lines: Header lines in order.
+        body: Decoded body, without chunk framing.
+        keep_alive: Whether the client keeps the connection open.
+        received_at: Clock time in seconds at which its first byte was read.
+    """
+
+    method: bytes
+    target: bytes
+    lines: field_lines.FieldLines
+    body: bytes
+    keep_alive: bool
+    received_at: float
+
+    def decode(self) -> messages.Request:
+        """Returns the request with its header fields."""
+        return messages.Request(
+            self.method.decode("latin-1"),
+            self.target.decode("latin-1"),
+            self.lines.decode(),
+            self.body,
+            self.keep_alive,
+            self.received_at,
+        )
+
+
 class RequestReader:
     """Parses the requests that arrive on one connection.
 
@@ -79,13 +110,19 @@
         self.in_progress = False
         self.in_body = False
         self.target = b""
-        self.fields: list[tuple[str, str]] = []
+        self.lines = field_lines.FieldLines()
+        self.length = self.expected = b""
         self.body = bytearray()
         self.head_bytes = 0
         self.started_at = 0.0
         self.now = 0.0
         self.parser: Any = httptools.HttpRequestParser(self)
 
+    @property
+    def fields(self) -> list[tuple[str, str]]:
+        """Header fields of the request that has been received in part."""
+        return list(self.lines.decode())
+
     def feed(self, data: bytes, now: float) -> None:
         """Parses bytes and appends complete requests to `complete`.
 
@@ -173,16 +210,23 @@
             raise BodyTooLargeError("the body is too long")
 
     def clear(self) -> None:
-        """Drops the bytes of all requests that were not taken."""
+        """Drops the bytes of all requests; nothing can be parsed any more.
+
+        The parser refers to the reader, so that only the garbage collector
+        would free them.
+        """
         self.complete.clear()
-        self.fields = []
+        self.target = b""
+        self.lines = field_lines.FieldLines()
         self.body = bytearray()
+        self.parser = None
 
     def on_message_begin(self) -> None:
         """Starts a request."""
         self.in_progress = True
         self.target = b""
-        self.fields = []
+        self.lines = field_lines.FieldLines()
+        self.length = self.expected = b""
         self.body = bytearray()
         self.started_at = self.now
 
@@ -192,23 +236,21 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header field."""
-        self.fields.append((name.decode("latin-1"), value.decode("latin-1")))
+        self.lines.append(name, value)
+        lower_name = name.lower()
+        if lower_name == b"content-length":
+            self.length = self.length or value
+        elif lower_name == b"expect":
+            self.expected = self.expected or value
 
     def on_headers_complete(self) -> None:
         """Checks the size of the head and the declared size of the body."""
-        size = len(self.target) + sum(
-            len(name) + len(value) + FIELD_OVERHEAD
-            for name, value in self.fields
-        )
-        self.check_head(size)
+        self.check_head(len(self.target) + self.lines.size)
         self.in_body = True
         self.head_bytes = 0
-        fields = tuple(self.fields)
-        length = messages.field_value(fields, "content-length")
-        if length.isdecimal():
-            self.check_body(int(length))
-        expected = messages.field_value(fields, "expect").lower()
-        self.expects_continue = expected == "100-continue"
+        if self.length.isdigit():
+            self.check_body(int(self.length))
+        self.expects_continue = self.expected.lower() == b"100-continue"
 
     def on_body(self, data: bytes) -> None:
         """Appends to the body and checks its size."""
@@ -222,19 +264,23 @@
 
     def add_complete(self) -> None:
         """Appends the finished request to `complete`."""
+        self.complete.append(self.finish().decode())
+
+    def finish(self) -> RawRequest:
+        """Returns the finished request; the next one begins."""
         self.in_progress = self.in_body = False
         self.expects_continue = False
-        self.complete.append(
-            messages.Request(
-                self.parser.get_method().decode("latin-1"),
-                self.target.decode("latin-1"),
-                tuple(self.fields),
-                bytes(self.body),
-                bool(self.parser.should_keep_alive()),
-                self.started_at,
-            )
+        request = RawRequest(
+            self.parser.get_method(),
+            self.target,
+            self.lines,
+            bytes(self.body),
+            bool(self.parser.should_keep_alive()),
+            self.started_at,
         )
+        self.lines = field_lines.FieldLines()
         self.body = bytearray()
+        return request
 
 
 class ResponseReader:
--- a/tests/forwarding/test_caller_memory.py
+++ b/tests/forwarding/test_caller_memory.py
@@ -14,6 +14,8 @@
 from soak import run
 from tests.forwarding import test_process_memory
 
+pytestmark = pytest.mark.crowd
+
 # Three quarters of the memory of the smallest users' machine.
 MAX_BYTES = 96 * 1024 * 1024
 CALLERS = 100
--- /dev/null
+++ b/tests/forwarding/test_client_crowds.py
@@ -0,0 +1,46 @@
+"""Measures a host's process while many callers send beyond or up to limits.
+
+Each test starts the processes of a fleet and asserts what doesn't depend on the
+speed of the machine: the host lives, its memory and descriptors stay bounded,
+and an ordinary request is answered afterwards.
+"""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.fakes import crowds
+from tests.fakes import crowds_host
+
+pytestmark = pytest.mark.crowd
+
+REFUSED_CALLERS = 400
+
+
+@pytest.fixture
+def host(tmp_path, monkeypatch):
+    started = crowds_host.CrowdedHost(tmp_path, monkeypatch)
+    started.start()
+    yield started
+    started.close()
+
+
+@pytest.mark.parametrize(
+    "form",
+    [
+        crowds.Form("many lines", crowds.POST, b"a:b\r\n"),
+        crowds.Form("one line", crowds.POST + b"a: ", b"b"),
+        crowds.Form("long target", b"GET /read/", b"x"),
+        crowds.Form(
+            "ended beyond the limit",
+            crowds.POST + b"a:b\r\n" * 3500 + b"\r\n",
+            b"",
+        ),
+    ],
+    ids=str,
+)
+def test_heads_beyond_the_limit_do_not_fill_a_host(host, form):
+    """Guards against heads whose parsed lines are kept for every caller."""
+    host.run(crowds.Floods(host.address, REFUSED_CALLERS, form))
+
+    host.check()
--- a/tests/forwarding/test_freed_requests.py
+++ b/tests/forwarding/test_freed_requests.py
@@ -86,3 +86,32 @@
     ]
     kept = [(list(each.held), bytes(each.body), each.fields) for each in closed]
     assert kept == [([], b"", [])] * len(closed)
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [
+        b"GET /read/a HTTP/1.1\r\nHost: api.example\r\n" + b"a:b\r\n" * 4000,
+        b"\r\n" * 10000,
+        b"not HTTP\r\n\r\n",
+    ],
+    ids=["head", "empty lines", "malformed"],
+)
+def test_refused_connection_is_freed_at_once(engines, without_collector, sent):
+    """Guards against refused callers that leave a reader for each of them."""
+    listener = engines.daemon.caller_listener
+    known = sum(
+        type(each) is limited_reader.LimitedReader for each in gc.get_objects()
+    )
+    caller = engines.caller()
+    caller.send_raw(sent)
+    answer = caller.read()
+    assert answer.status in (400, 431)
+
+    caller.close()
+    engines.wait(lambda: not listener.connections)
+
+    kept = sum(
+        type(each) is limited_reader.LimitedReader for each in gc.get_objects()
+    )
+    assert kept == known
--- a/tests/forwarding/test_process_memory.py
+++ b/tests/forwarding/test_process_memory.py
@@ -15,6 +15,8 @@
 from soak import run
 from standins import runner as standin
 
+pytestmark = pytest.mark.crowd
+
 # Smallest memory of a users' machine.
 MACHINE_BYTES = 128 * 1024 * 1024
 CALLERS = 100
--- a/tests/http1/test_readers.py
+++ b/tests/http1/test_readers.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import tracemalloc
+
 import pytest
 
 from coltsfootarch.http1 import messages
@@ -248,3 +250,29 @@
     with pytest.raises(readers.MalformedMessageError):
         reader.feed(b"CONNECT x:80 HTTP/1.1\r\nHost: x\r\n\r\n", 0.0)
     assert not reader.complete
+
+
+@pytest.mark.parametrize("line", [b"a:\r\n", b"a:b\r\n", b"ab: cd\r\n"])
+def test_head_of_short_lines_takes_little_more_than_its_bytes(line):
+    """Guards against lines that are kept as many times their bytes."""
+    reader = readers.RequestReader(16384, 4096)
+    head = b"GET /a HTTP/1.1\r\n" + line * (12000 // len(line))
+    tracemalloc.start()
+    try:
+        reader.feed(head, 0.0)
+        held, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+
+    assert reader.in_progress
+    assert held < 5 * len(head)
+
+    reader.feed(b"\r\n", 0.0)
+    (request,) = reader.complete
+    assert len(request.fields) == 12000 // len(line)
+    assert set(request.fields) == {
+        (
+            line.partition(b":")[0].decode(),
+            line.partition(b":")[2].strip().decode(),
+        )
+    }
