Let empty lines before a request not extend the idle timeout

Callers that send empty lines in front of a request without end filled a host (98 and 97 MB before 400 of them, bound 96 MB) and kept a connection for as long as they liked: each line restarted the idle timeout, and a request that came within the wait for a newer policy restarted that wait.

The time was counted from each read that found no request begun, and the wait for a newer policy was one of each read, not of the idle time.

Change: the time of a request counts from its first byte that isn't an empty line, and one wait for a newer policy belongs to one idle time.

--- a/src/coltsfootarch/forwarding/caller_connection.py
+++ b/src/coltsfootarch/forwarding/caller_connection.py
@@ -91,6 +91,8 @@
         self.idle_since = listener.clock.monotonic()
         self.cancellation: cancellations.Cancellation | None = None
         self.watcher: Any = None
+        # Waits for a newer policy once the idle timeout is over.
+        self.policy_waiter: gevent.Greenlet | None = None
         self.responder: responders.ConnectionResponder | None = None
 
     @property
@@ -191,6 +193,7 @@
         try:
             self.turn.share()
             since = self.idle_since = clock.monotonic()
+            self.policy_waiter = None
             while not reader.complete:
                 self.turn.share()
                 reader.settle()
@@ -206,10 +209,12 @@
                     self.idle = not reader.has_requests
                     if not self.receive_more(since):
                         return None
-                    if not reader.in_progress:
-                        since = clock.monotonic()
                 self.idle = False
+                begun = reader.in_progress
                 reader.read(*self.pipelined.take(PARSED_BYTES))
+                if reader.in_progress and not begun:
+                    # Empty lines before a request don't begin it.
+                    since = clock.monotonic()
         except readers.MalformedMessageError as error:
             code, reason = read_refusals.refusal_of(error)
             logger.info(
@@ -254,15 +259,15 @@
             since: Instant from which the timeout counts, in seconds.
         """
         awaited = False
-        waiter: gevent.Greenlet | None = None
         while True:
             limit, reason = self.time_limit()
             remaining = since + limit - self.listener.clock.monotonic()
             is_kept = not (self.reader.in_progress or self.surplus)
             if remaining <= 0 and is_kept:
+                waiter = self.policy_waiter
                 remaining = self.listener.keep_idle_s()
                 if remaining:
-                    awaited = False
+                    self.policy_waiter = None
                 elif waiter is not None and not waiter.ready():
                     remaining = POLICY_POLL_S
             data = self.read_socket(remaining)
@@ -273,14 +278,14 @@
             if remaining > 0:
                 # A newer policy may have raised the timeout meanwhile.
                 continue
-            if not awaited and (is_kept or self.reader.in_progress):
-                # Callers may know a raised limit before this host does.
+            # Callers may know a raised limit before this host does.
+            if is_kept and self.policy_waiter is None:
+                # A request that arrives meanwhile must not wait for it.
+                self.policy_waiter = gevent.spawn(self.await_policy)
+                continue
+            if self.reader.in_progress and not awaited:
                 awaited = True
-                if is_kept:
-                    # A request that arrives meanwhile must not wait for it.
-                    waiter = gevent.spawn(self.await_policy)
-                else:
-                    self.listener.await_policy()
+                self.listener.await_policy()
                 continue
             if self.reader.in_progress:
                 self.reject(results.HEADER_TIMEOUT, reason)
--- a/tests/forwarding/test_client_crowds.py
+++ b/tests/forwarding/test_client_crowds.py
@@ -44,3 +44,12 @@
     host.run(crowds.Floods(host.address, REFUSED_CALLERS, form))
 
     host.check()
+
+
+@pytest.mark.parametrize("line", [b"\r\n", b"\n"], ids=["crlf", "lf"])
+def test_empty_lines_before_a_request_do_not_fill_a_host(host, line):
+    """Guards against refused connections that keep what they received."""
+    form = crowds.Form("empty lines", b"", line)
+    host.run(crowds.Floods(host.address, REFUSED_CALLERS, form))
+
+    host.check()
--- a/tests/forwarding/test_idle_closes.py
+++ b/tests/forwarding/test_idle_closes.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+
 import gevent
 import pytest
 
@@ -40,6 +42,26 @@
         assert caller.read() is None
 
 
+def test_empty_lines_do_not_keep_a_connection_open(short):
+    """Guards against connections that hold a descriptor and send no request."""
+    caller = short.caller()
+    assert caller.ask("/read/a").status == 200
+
+    with gevent.Timeout(4.5), contextlib.suppress(ConnectionError):
+        while True:
+            caller.send_raw(b"\r\n")
+            gevent.sleep(SHORT_MS / 4000)
+
+
+def test_request_behind_an_empty_line_has_its_own_time(short):
+    """Guards against a head whose time counts from a line before it."""
+    caller = short.caller()
+    caller.send_raw(b"\r\n")
+    gevent.sleep(SHORT_MS / 2000)
+
+    assert caller.ask("/read/a").status == 200
+
+
 def test_idle_timeout_that_the_host_learns_later_holds(short, monkeypatch):
     """Guards against a close by a host that is behind its callers."""
     listener = short.daemon.caller_listener
