Bound trailers and chunk framing, and don't take them for fields

A host before five callers whose trailers had no end took 881 MB, and its process was ended on a machine of 128 MB. Trailers also replaced fields that decide on a request: one behind the body passed for one of the head.

Cause: `RequestReader.on_header` added trailers to the fields of the head. They counted neither as head nor as body, and neither did chunk sizes with leading zeros and chunk extensions.

Change: trailers are dropped, which a recipient may do (RFC 9110, section 6.5). Trailers, and the bytes since the last part of a body, have the limit of a head each. A request beyond it gets 431 like a long head, after the host has asked for a newer policy; it isn't complete and so has never run.

A body of one-byte chunks with extensions at `max_body_bytes` is still taken.

--- a/src/coltsfootarch/forwarding/limited_reader.py
+++ b/src/coltsfootarch/forwarding/limited_reader.py
@@ -140,7 +140,9 @@
         if self.held:
             _, head_bytes, body_bytes = self.held[0]
         if head_bytes > self.max_header_bytes:
-            return readers.HeaderTooLargeError("the head is too long")
+            return readers.HeaderTooLargeError(
+                "the head or the trailers are too long"
+            )
         if body_bytes > self.max_body_bytes:
             return readers.BodyTooLargeError("the body is too long")
         return None
@@ -149,6 +151,10 @@
         """Records the size of a head; `settle` decides on it."""
         self.needed_head_bytes = size
 
+    def check_trailers(self, size: int) -> None:
+        """Records the size of trailers; they have the limit of the head."""
+        self.needed_head_bytes = max(self.needed_head_bytes, size)
+
     def check_body(self, size: int) -> None:
         """Records the size of a body; `settle` decides on it."""
         self.needed_body_bytes = max(self.needed_body_bytes, size)
--- a/src/coltsfootarch/http1/readers.py
+++ b/src/coltsfootarch/http1/readers.py
@@ -91,8 +91,12 @@
 class RequestReader:
     """Parses the requests that arrive on one connection.
 
+    Trailers are dropped, since a recipient may do so (RFC 9110, section 6.5)
+    and they would otherwise count as fields of the head.
+
     Args:
-        max_header_bytes: Largest size of a head, in bytes.
+        max_header_bytes: Largest size of a head in bytes, and by itself of the
+            trailers and of what frames one chunk.
         max_body_bytes: Largest size of a body, in bytes.
 
     Attributes:
@@ -114,6 +118,11 @@
         self.length = self.expected = b""
         self.body = bytearray()
         self.head_bytes = 0
+        # Bytes behind the head since the last part of the body: chunk sizes,
+        # their extensions and trailers.
+        self.framing_bytes = 0
+        self.trailer_bytes = 0
+        self.progressed = False
         self.started_at = 0.0
         self.now = 0.0
         self.parser: Any = httptools.HttpRequestParser(self)
@@ -137,6 +146,7 @@
         self.now = now
         if not self.in_body:
             self.head_bytes += len(data)
+        self.progressed = False
         try:
             self.parse(data)
         except httptools.HttpParserCallbackError as error:
@@ -146,8 +156,12 @@
             raise
         except httptools.HttpParserError as error:
             raise MalformedMessageError(str(error)) from error
-        if not self.in_body and self.head_bytes > self.max_header_bytes:
-            self.check_head(self.head_bytes)
+        if not self.in_body:
+            if self.head_bytes > self.max_header_bytes:
+                self.check_head(self.head_bytes)
+        elif not self.progressed:
+            self.framing_bytes += len(data)
+            self.check_trailers(self.framing_bytes)
 
     def parse(self, data: bytes) -> None:
         """Parses bytes; ignores offers of another protocol.
@@ -200,6 +214,15 @@
         if size > self.max_header_bytes:
             raise HeaderTooLargeError("the head is too long")
 
+    def check_trailers(self, size: int) -> None:
+        """Checks the size in bytes of trailers, or of the framing of a chunk.
+
+        Raises:
+            HeaderTooLargeError: It exceeds the limit for a head.
+        """
+        if size > self.max_header_bytes:
+            raise HeaderTooLargeError("the trailers are too long")
+
     def check_body(self, size: int) -> None:
         """Checks the size of a body in bytes, as declared or received.
 
@@ -227,6 +250,7 @@
         self.target = b""
         self.lines = field_lines.FieldLines()
         self.length = self.expected = b""
+        self.trailer_bytes = 0
         self.body = bytearray()
         self.started_at = self.now
 
@@ -235,7 +259,13 @@
         self.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Adds a header field."""
+        """Adds a header field; drops those behind the body."""
+        if self.in_body:
+            self.trailer_bytes += (
+                len(name) + len(value) + field_lines.FIELD_OVERHEAD
+            )
+            self.check_trailers(self.trailer_bytes)
+            return
         self.lines.append(name, value)
         lower_name = name.lower()
         if lower_name == b"content-length":
@@ -248,6 +278,7 @@
         self.check_head(len(self.target) + self.lines.size)
         self.in_body = True
         self.head_bytes = 0
+        self.record_progress()
         if self.length.isdigit():
             self.check_body(int(self.length))
         self.expects_continue = self.expected.lower() == b"100-continue"
@@ -255,8 +286,14 @@
     def on_body(self, data: bytes) -> None:
         """Appends to the body and checks its size."""
         self.body += data
+        self.record_progress()
         self.check_body(len(self.body))
 
+    def record_progress(self) -> None:
+        """Records that a part of the request has arrived."""
+        self.progressed = True
+        self.framing_bytes = 0
+
     def on_message_complete(self) -> None:
         """Appends the finished request; see `drop_offer` for the others."""
         if not self.parser.should_upgrade():
--- a/tests/forwarding/test_caller_connections.py
+++ b/tests/forwarding/test_caller_connections.py
@@ -203,3 +203,34 @@
     assert [response.status for response in responses] == [200] * 5
     runs = [run for runner in app.runners.values() for run in runner.runs]
     assert [len(run["body"]) for run in runs] == [BODY_BYTES] * 5
+
+
+BOOKING = (
+    b"POST /book/a HTTP/1.1\r\nHost: api.example\r\nX-Request-Id: r1\r\n"
+    b"Authorization: Bearer %s\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"1\r\nx\r\n0\r\n"
+) % documents.KEY.encode()
+
+
+def test_booking_whose_trailers_are_refused_has_not_run(app, limits):
+    """Guards against a refused request that an upstream executes."""
+    limits(header_bytes=1000)
+    caller = app.caller()
+    caller.send_raw(BOOKING + b"a:b\r\n" * 1000 + b"\r\n")
+
+    assert caller.read().status == 431
+
+    assert not [run for runner in app.runners.values() for run in runner.runs]
+
+
+def test_trailers_change_no_field_that_is_forwarded(app, limits):
+    """Guards against a field behind the body that passes for one before it."""
+    limits()
+    caller = app.caller()
+    caller.send_raw(BOOKING + b"X-Model: other\r\nA: b\r\n\r\n")
+
+    assert caller.read().status == 200
+
+    (run,) = (run for runner in app.runners.values() for run in runner.runs)
+    assert run["body"] == "x"
+    assert "x-model" not in run["fields"]
--- a/tests/forwarding/test_client_crowds.py
+++ b/tests/forwarding/test_client_crowds.py
@@ -15,6 +15,7 @@
 pytestmark = pytest.mark.crowd
 
 REFUSED_CALLERS = 400
+TRAILER_CALLERS = 40
 
 
 @pytest.fixture
@@ -53,3 +54,20 @@
     host.run(crowds.Floods(host.address, REFUSED_CALLERS, form))
 
     host.check()
+
+
+@pytest.mark.parametrize(
+    "form",
+    [
+        crowds.Form("many lines", crowds.CHUNKED + b"0\r\n", b"a:b\r\n"),
+        crowds.Form("one line", crowds.CHUNKED + b"0\r\na: ", b"b"),
+        crowds.Form("chunk extension", crowds.CHUNKED + b"1;", b"a"),
+        crowds.Form("size of zeros", crowds.CHUNKED, b"0"),
+    ],
+    ids=str,
+)
+def test_lines_behind_a_body_do_not_fill_a_host(host, form):
+    """Guards against trailers and chunk framing without a bound."""
+    host.run(crowds.Floods(host.address, TRAILER_CALLERS, form))
+
+    host.check()
--- a/tests/http1/test_readers.py
+++ b/tests/http1/test_readers.py
@@ -276,3 +276,59 @@
             line.partition(b":")[2].strip().decode(),
         )
     }
+
+
+CHUNKED = b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def feed_parts(reader, data, size):
+    for start in range(0, len(data), size):
+        reader.feed(data[start : start + size], 0.0)
+
+
+def test_trailers_are_no_fields_of_the_request():
+    """Guards against a field behind the body that overrides one before it."""
+    reader = make_request_reader()
+
+    reader.feed(CHUNKED + b"1\r\nx\r\n0\r\n", 0.0)
+    reader.feed(b"Authorization: Bearer x\r\nExpect: 100-continue\r\n", 0.0)
+    assert not reader.complete
+    reader.feed(b"\r\n", 0.0)
+
+    (request,) = reader.complete
+    assert request.fields == (("Transfer-Encoding", "chunked"),)
+    assert not reader.expects_continue
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [
+        b"1\r\nx\r\n0\r\n" + b"a:b\r\n" * 300,
+        b"1\r\nx\r\n0\r\na: " + b"b" * 6000,
+        b"1;" + b"a" * 1200,
+        b"0" * 1200,
+    ],
+    ids=["lines", "line", "extension", "zeros"],
+)
+@pytest.mark.parametrize("size", [1, 100, 4096])
+def test_chunk_framing_beyond_the_limit_of_a_head_is_rejected(sent, size):
+    """Guards against bytes behind a head that no limit counts."""
+    reader = make_request_reader()
+    reader.feed(CHUNKED, 0.0)
+
+    with pytest.raises(readers.HeaderTooLargeError):
+        feed_parts(reader, sent, size)
+    assert not reader.complete
+
+
+@pytest.mark.parametrize("size", [1, 100, 4096])
+def test_body_of_small_chunks_and_trailers_at_the_limit_is_complete(size):
+    """Guards against a limit that a request within the others meets."""
+    reader = make_request_reader(max_body_bytes=1000)
+    chunk = b"00000001;extension=1\r\nx\r\n"
+    sent = CHUNKED + chunk * 1000 + b"0\r\n" + b"a:b\r\n" * 166 + b"\r\n"
+
+    feed_parts(reader, sent, size)
+
+    (request,) = reader.complete
+    assert request.body == b"x" * 1000
