Bound the memory of all callers' requests together

Cause: the limits hold for one request. Nothing bounded what all callers together made a host hold: heads and bodies that are read, requests that wait for a newer policy, pipelined bytes, and heads that are handled, whose fields take 200 bytes each.

Change: `forwarding/request_memory.py` counts all of it for each connection, 16 MiB together and 16 MiB more for requests up to 32 KiB. Beyond that the largest request that isn't handled is dropped and refused with 503, as overloaded and not run, so that a usual request doesn't yield to a large one, and a single large one is always taken. Pipelined bytes stay in the socket while that memory is full, and beyond 16 KiB of a connection in place of 64. All listeners of a host on a platform share the memory. New: metrics request_bytes and abandoned_requests_total, a log line for each request given up.

--- a/src/coltsfootarch/forwarding/caller_connection.py
+++ b/src/coltsfootarch/forwarding/caller_connection.py
@@ -33,7 +33,7 @@
 
 # Bytes of pipelined requests that are buffered while one is handled. The rest
 # stays in the socket, so that the caller has to wait.
-MAX_PIPELINED_BYTES = 65536
+MAX_PIPELINED_BYTES = 16384
 # Interval at which a disconnect behind that is looked for, in seconds.
 END_POLL_S = 0.1
 # Bytes that are parsed at a time. A request of a few bytes takes many times its
@@ -81,6 +81,7 @@
         )
         # Received and not parsed yet.
         self.pipelined = pipelined_bytes.PipelinedBytes()
+        self.holding = listener.memory.open(self.give_up)
         self.turn = turns.ReadTurn(listener.clock)
         self.closed = False
         self.surplus = False
@@ -116,12 +117,37 @@
                 "close of a caller's connection not reported",
                 reason=reason.value,
             )
-        self.pipelined.clear()
-        self.reader.clear()
+        self.drop_requests()
+        if not self.holding.handled:
+            self.holding.close()
         with contextlib.suppress(OSError):
             self.sock.shutdown(socket.SHUT_RDWR)
         self.sock.close()
 
+    def drop_requests(self) -> None:
+        """Drops what has been read and isn't handled."""
+        self.pipelined.clear()
+        self.reader.clear()
+
+    def give_up(self) -> None:
+        """Drops what has been read; it is refused when more arrives."""
+        memory = self.listener.memory
+        logger.warning(
+            "request given up: memory for requests is full",
+            request_id=self.request_id(self.reader.next_fields()),
+            bytes=self.holding.size,
+            used_bytes=memory.used,
+            limit_bytes=memory.capacity,
+        )
+        self.drop_requests()
+
+    def record_held(self) -> None:
+        """Records the memory of what has been read and isn't handled.
+
+        Others may be given up for it, or it for others.
+        """
+        self.holding.resize(len(self.pipelined) + self.reader.held_bytes())
+
     def set_surplus(self, surplus: bool) -> None:
         """Sets whether the listener has no room for the connection."""
         self.listener.surplus += surplus - self.surplus
@@ -184,7 +210,18 @@
             Whether the connection stays open.
         """
         request = self.read_request()
-        return request is not None and self.serve(request)
+        if request is None:
+            return False
+        self.holding.handled = True
+        try:
+            stays_open = self.serve(request)
+        finally:
+            del request
+            self.holding.handled = False
+            if self.closed:
+                self.holding.close()
+        self.record_held()
+        return stays_open
 
     def read_request(self) -> messages.Request | None:
         """Returns the next request; None if the connection ends before it."""
@@ -196,6 +233,11 @@
             self.policy_waiter = None
             while not reader.complete:
                 self.turn.share()
+                if self.holding.given_up:
+                    self.refuse_unread(
+                        results.OVERLOADED, close_reasons.CloseReason.NO_MEMORY
+                    )
+                    return None
                 reader.settle()
                 if reader.error is not None:
                     self.pipelined.clear()
@@ -209,9 +251,11 @@
                     self.idle = not reader.has_requests
                     if not self.receive_more(since):
                         return None
+                    continue
                 self.idle = False
                 begun = reader.in_progress
-                reader.read(*self.pipelined.take(PARSED_BYTES))
+                reader.parse_next(*self.pipelined.take(PARSED_BYTES))
+                self.record_held()
                 if reader.in_progress and not begun:
                     # Empty lines before a request don't begin it.
                     since = clock.monotonic()
@@ -409,7 +453,7 @@
 
     def watch(self) -> Any:
         """Watches for a disconnect; returns None if that isn't possible."""
-        if len(self.pipelined) >= MAX_PIPELINED_BYTES:
+        if self.may_not_buffer():
             gevent.spawn(self.watch_for_end)
             return None
         try:
@@ -421,10 +465,21 @@
             return None
         return watcher
 
+    def may_not_buffer(self) -> bool:
+        """Returns whether bytes behind a request stay in the socket."""
+        return (
+            len(self.pipelined) >= MAX_PIPELINED_BYTES
+            or not self.listener.memory.has_room
+        )
+
     def on_readable(self, watcher: object) -> None:
         """Detects a disconnected caller; buffers pipelined requests."""
         if self.closed:
             return
+        if self.may_not_buffer():
+            watcher.stop()  # type: ignore[attr-defined]
+            gevent.spawn(self.watch_for_end)
+            return
         room = MAX_PIPELINED_BYTES - len(self.pipelined)
         try:
             data = client.read_arrived(self.sock, room)
@@ -437,7 +492,8 @@
             return
         if data:
             self.pipelined.append(data, self.listener.clock.monotonic())
-            if len(self.pipelined) < MAX_PIPELINED_BYTES:
+            self.holding.resize(self.holding.size + len(data))
+            if not self.may_not_buffer():
                 return
             gevent.spawn(self.watch_for_end)
         watcher.stop()  # type: ignore[attr-defined]
--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -32,6 +32,7 @@
 from coltsfootarch.forwarding import listener
 from coltsfootarch.forwarding import prompt_holders
 from coltsfootarch.forwarding import recent_limits
+from coltsfootarch.forwarding import request_memory
 from coltsfootarch.forwarding import response_memory
 from coltsfootarch.forwarding import status
 from coltsfootarch.forwarding import stream_versions
@@ -266,6 +267,9 @@
         self.policy_tracker.on_change.append(
             lambda _: self.recent_limits.record_change()
         )
+        self.request_memory = request_memory.RequestMemory(
+            self.context.metrics.abandoned_requests.inc
+        )
         self.caller_listener = listener.CallerListener(
             settings.listen,
             self.forwarder,
@@ -278,6 +282,7 @@
             self.await_policy,
             descriptors.DescriptorBudget(clock),
             self.recent_limits.keep_idle_s,
+            self.request_memory,
         )
         self.internal_listeners = self.build_listeners()
         self.housekeeper = periodic.PeriodicTask(
@@ -436,6 +441,7 @@
                 ready,
                 self.clock,
                 self.recent_limits.current,
+                memory=self.request_memory,
             )
         ]
         if self.settings.metrics:
@@ -448,6 +454,7 @@
                     metrics,
                     self.clock,
                     self.recent_limits.current,
+                    memory=self.request_memory,
                 )
             )
         return listeners
@@ -488,6 +495,7 @@
         for follower in self.followers:
             metrics.read_failures.labels(follower.name).set(follower.failures)
         metrics.response_bytes.set(self.context.response_memory.used)
+        metrics.request_bytes.set(self.request_memory.used)
         metrics.reached_share.set(self.hosts.share())
         metrics.fallback_reads.set(self.status_reporter.fallback_reads())
         metrics.registrations_age.set(self.upstreams.age())
--- a/src/coltsfootarch/forwarding/limited_reader.py
+++ b/src/coltsfootarch/forwarding/limited_reader.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
+from coltsfootarch.forwarding import request_memory
 from coltsfootarch.http1 import readers
 
 if TYPE_CHECKING:
@@ -88,9 +89,26 @@
             return first_fields(self.held[0].request.lines)
         return first_fields(self.lines)
 
+    def held_bytes(self) -> int:
+        """Returns the memory of all requests that were not taken, in bytes."""
+        size = self.lines.held_bytes + len(self.target) + len(self.body)
+        size += sum(map(request_memory.request_bytes, self.complete))
+        return size + sum(
+            each.request.lines.held_bytes + len(each.request.body)
+            for each in self.held
+        )
+
     def read(self, data: bytes, received_at: float | None = None) -> None:
         """Parses bytes; appends to `complete` or sets `error`; see `settle`.
 
+        The arguments are those of `parse_next`.
+        """
+        self.parse_next(data, received_at)
+        self.settle()
+
+    def parse_next(self, data: bytes, received_at: float | None = None) -> None:
+        """Parses bytes; `settle` decides on a request beyond a limit.
+
         Args:
             data: Received bytes.
             received_at: Instant at which they arrived, in seconds; now if not
@@ -105,7 +123,6 @@
             except Exception as error:
                 # It is logged when the complete requests are answered.
                 self.parse_error = error
-        self.settle()
 
     def settle(self) -> None:
         """Decides on requests beyond a limit once those before are taken.
--- a/src/coltsfootarch/forwarding/listener.py
+++ b/src/coltsfootarch/forwarding/listener.py
@@ -15,6 +15,7 @@
 from coltsfootarch.forwarding import caller_connection
 from coltsfootarch.forwarding import caller_socket
 from coltsfootarch.forwarding import close_reasons
+from coltsfootarch.forwarding import request_memory
 from coltsfootarch.http1 import client
 from coltsfootarch.http1 import turns
 
@@ -86,6 +87,7 @@
         budget: Bounds the number of connections; None for no bound.
         keep_idle_s: Returns for how long idle connections must be kept beyond
             their timeout, in seconds.
+        memory: Bounds the memory of requests; one of its own if not given.
 
     Attributes:
         draining: Whether each connection closes after its next response.
@@ -104,6 +106,7 @@
         await_policy: Callable[[], object] = await_nothing,
         budget: descriptors.DescriptorBudget | None = None,
         keep_idle_s: Callable[[], float] = keep_nothing,
+        memory: request_memory.RequestMemory | None = None,
     ) -> None:
         self.address = address
         self.handler = handler
@@ -114,6 +117,7 @@
         self.await_policy = await_policy
         self.budget = budget
         self.keep_idle_s = keep_idle_s
+        self.memory = memory or request_memory.RequestMemory()
         self.draining = False
         self.surplus = 0
         self.connections: set[caller_connection.CallerConnection] = set()
--- a/src/coltsfootarch/forwarding/read_refusals.py
+++ b/src/coltsfootarch/forwarding/read_refusals.py
@@ -2,12 +2,22 @@
 
 from __future__ import annotations
 
+import http
+from typing import TYPE_CHECKING
+
 import msgspec
 
 from coltsfootarch import results
 from coltsfootarch.forwarding import close_reasons
 from coltsfootarch.http1 import readers
 
+if TYPE_CHECKING:
+    from coltsfootarch.http1 import messages
+
+# `Retry-After` of a request that this host has no memory to read, in seconds.
+# Another host may take it.
+RETRY_AFTER_S = 0.2
+
 
 def refusal_of(
     error: readers.MalformedMessageError,
@@ -21,6 +31,14 @@
     return results.MALFORMED_REQUEST, reasons.MALFORMED
 
 
+def fields(code: results.ResultCode) -> messages.Fields:
+    """Returns the header fields of the refusal."""
+    content_type = ("Content-Type", "application/json")
+    if code.http_status != http.HTTPStatus.SERVICE_UNAVAILABLE:
+        return (content_type,)
+    return (content_type, ("Retry-After", str(RETRY_AFTER_S)))
+
+
 def body(code: results.ResultCode) -> bytes:
     """Returns the body of the refusal."""
     return msgspec.json.encode(
--- a/src/coltsfootarch/observability/registry.py
+++ b/src/coltsfootarch/observability/registry.py
@@ -69,6 +69,12 @@
         self.abandoned_responses = self.counter(
             "abandoned_responses", "responses given up for lack of memory"
         )
+        self.request_bytes = self.gauge(
+            "request_bytes", "memory of requests that are read or handled"
+        )
+        self.abandoned_requests = self.counter(
+            "abandoned_requests", "requests given up for lack of memory"
+        )
         self.reached_share = self.gauge(
             "reached_share", "part of the limits that the reached hosts have"
         )
--- a/tests/forwarding/test_client_crowds.py
+++ b/tests/forwarding/test_client_crowds.py
@@ -14,8 +14,10 @@
 
 pytestmark = pytest.mark.crowd
 
+# Callers that are refused, and callers whose requests are taken.
 REFUSED_CALLERS = 400
 TRAILER_CALLERS = 40
+LEGAL_CALLERS = 400
 
 
 @pytest.fixture
@@ -71,3 +73,24 @@
     host.run(crowds.Floods(host.address, TRAILER_CALLERS, form))
 
     host.check()
+
+
+@pytest.mark.parametrize(
+    "line", [b"a:\r\n", b"ab:cd\r\n", b"a: \t \t b\r\n"], ids=repr
+)
+def test_open_heads_of_many_lines_do_not_fill_a_host(host, line):
+    """Guards against parsed lines that take many times their bytes."""
+    head = crowds.legal_head(line)[: -len(line) - 2]
+    form = crowds.Form("open head", head, b"")
+    host.run(crowds.Floods(host.address, LEGAL_CALLERS, form))
+
+    host.check()
+
+
+@pytest.mark.parametrize("together", [1, 8])
+@pytest.mark.parametrize("line", [b"a:\r\n", b"ab:cd\r\n"], ids=repr)
+def test_requests_of_many_lines_do_not_fill_a_host(host, line, together):
+    """Guards against heads within the limit that have no bound together."""
+    host.run(crowds.Requests(host.address, LEGAL_CALLERS, line, together))
+
+    host.check()
