Bound heads, framing and all requests of the product's interface

A host of the product's interface before 100 callers took 611 MB for heads of 90 long lines, 148 MB for bodies without their last byte and 150 MB for chunked ones. Trailers or chunk extensions without end were read for as long as they came, and kept the connection and its descriptor after the caller had left.

Cause: pywsgi and http.client bound a line (8 and 64 KiB) and the number of header lines, but not their sum, and neither the number of trailers nor that of chunks with extensions. A body is bounded by itself only, and the rest of a refused one was discarded in one piece of up to 1 MiB.

Heads and bodies count against a `RequestMemory`, which moves to `http1`, while they are read in pieces of 16 KiB and until their response has ended; without room they are refused with 503, as overloaded and not run. `BodyInput` moves to a module of its own.

--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -32,11 +32,11 @@
 from coltsfootarch.forwarding import listener
 from coltsfootarch.forwarding import prompt_holders
 from coltsfootarch.forwarding import recent_limits
-from coltsfootarch.forwarding import request_memory
 from coltsfootarch.forwarding import response_memory
 from coltsfootarch.forwarding import status
 from coltsfootarch.forwarding import stream_versions
 from coltsfootarch.http1 import pool
+from coltsfootarch.http1 import request_memory
 from coltsfootarch.limits import shared_bucket
 from coltsfootarch.limits import upstream_limits
 from coltsfootarch.observability import registry
--- a/src/coltsfootarch/forwarding/limited_reader.py
+++ b/src/coltsfootarch/forwarding/limited_reader.py
@@ -6,8 +6,8 @@
 from typing import TYPE_CHECKING
 from typing import NamedTuple
 
-from coltsfootarch.forwarding import request_memory
 from coltsfootarch.http1 import readers
+from coltsfootarch.http1 import request_memory
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/coltsfootarch/forwarding/listener.py
+++ b/src/coltsfootarch/forwarding/listener.py
@@ -15,8 +15,8 @@
 from coltsfootarch.forwarding import caller_connection
 from coltsfootarch.forwarding import caller_socket
 from coltsfootarch.forwarding import close_reasons
-from coltsfootarch.forwarding import request_memory
 from coltsfootarch.http1 import client
+from coltsfootarch.http1 import request_memory
 from coltsfootarch.http1 import turns
 
 if TYPE_CHECKING:
--- a/src/coltsfootarch/gateway/request_checks.py
+++ b/src/coltsfootarch/gateway/request_checks.py
@@ -10,12 +10,19 @@
 
 from coltsfootarch import errors
 from coltsfootarch import results
+from coltsfootarch.gateway import body_input
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from coltsfootarch.http1 import request_memory
+
 BODY_TIMEOUT = datetime.timedelta(seconds=30)
 MAX_HEADER_CHARACTERS = 4096
+# `Retry-After` of a request that there is no memory for, in seconds.
+MEMORY_RETRY_AFTER_S = 1.0
+# WSGI key of the holding that counts the memory of a request.
+REQUEST_MEMORY = "coltsfootarch.request_memory"
 # WSGI key that the server sets on requests with ambiguous headers.
 AMBIGUOUS_HEADERS = "coltsfootarch.ambiguous_headers"
 # Headers that determine the caller, the body or the target of a request. A WSGI
@@ -74,14 +81,14 @@
 
     Raises:
         RefusedError: The body is too large, malformed or not received within
-            `BODY_TIMEOUT`.
+            `BODY_TIMEOUT`, or the memory for requests is full.
     """
     if int(environ.get("CONTENT_LENGTH") or 0) > limit:
         raise errors.RefusedError(results.BODY_TOO_LARGE)
     timeout = gevent.Timeout(BODY_TIMEOUT.total_seconds())
     with timeout:
         try:
-            body: bytes = environ["wsgi.input"].read(limit + 1)
+            body = read_pieces(environ, limit + 1)
         except gevent.Timeout as expired:
             if expired is not timeout:
                 raise
@@ -100,6 +107,30 @@
     return body
 
 
+def read_pieces(environ: Mapping[str, Any], most: int) -> bytes:
+    """Returns up to `most` bytes of a body.
+
+    Raises:
+        RefusedError: The memory for requests is full.
+        OSError: The body is malformed or incomplete.
+    """
+    holding: request_memory.Holding | None = environ.get(REQUEST_MEMORY)
+    head_bytes = holding.size if holding is not None else 0
+    body = bytearray()
+    known = -1
+    while known < len(body) < most:
+        known = len(body)
+        size = min(body_input.PIECE_BYTES, most - known)
+        body += environ["wsgi.input"].read(size)
+        if holding is not None and not holding.take(head_bytes + len(body)):
+            raise errors.RefusedError(
+                results.OVERLOADED,
+                "The host has no memory for the body; nothing was run.",
+                MEMORY_RETRY_AFTER_S,
+            )
+    return bytes(body)
+
+
 def upstream_headers(
     environ: Mapping[str, Any], account: str, request_id: str
 ) -> tuple[tuple[str, str], ...]:
--- a/src/coltsfootarch/gateway/server.py
+++ b/src/coltsfootarch/gateway/server.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import datetime
+import http
 import socket
 from typing import TYPE_CHECKING
 from typing import Any
@@ -15,9 +16,12 @@
 from gevent import pywsgi
 
 from coltsfootarch import clock as clocks
+from coltsfootarch.gateway import body_input
 from coltsfootarch.gateway import request_checks
 from coltsfootarch.http1 import fair_streams
+from coltsfootarch.http1 import messages
 from coltsfootarch.http1 import readers
+from coltsfootarch.http1 import request_memory
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -28,66 +32,75 @@
 # Limit for all headers of a request. `SOCKET_TIMEOUT` alone would let a caller
 # hold a connection by sending single bytes of a header.
 HEADER_TIMEOUT = datetime.timedelta(seconds=30)
-# Limits for reading the rest of a body after its request was answered.
-DISCARD_TIMEOUT = datetime.timedelta(seconds=1)
-DISCARD_BYTES = 1024 * 1024
+# Largest size of the header lines of a request in bytes.
+MAX_HEAD_BYTES = 64 * 1024
 BACKLOG = 1024
 
 logger = structlog.get_logger(__name__)
 
 
-class BodyInput(pywsgi.Input):  # type: ignore[misc]
-    """Body of a request, with a limit on discarding its unread rest.
+class HeadRefusedError(Exception):
+    """The head of a request is too long, or there is no memory for it.
 
-    A refused request can leave much of its body unread.
-
-    Attributes:
-        synchronized: Whether the next request on the connection can be found.
+    Args:
+        status: HTTP status of the refusal.
+        reason: What was exceeded.
     """
 
-    send_100_continue_enabled: bool
-    synchronized = True
+    def __init__(self, status: http.HTTPStatus, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
 
-    def _discard(self) -> None:
-        """Discards a short rest of the body so that the connection is reusable.
-
-        pywsgi would read it without limit. A connection whose rest is long,
-        slow or malformed is closed instead, because the start of its next
-        request can't be found.
-        """
-        self.synchronized = False
-        self.send_100_continue_enabled = False
-        timeout = DISCARD_TIMEOUT.total_seconds()
-        with contextlib.suppress(OSError), gevent.Timeout(timeout, False):
-            # After a chunk error the end of the body can't be found.
-            if not self._chunked_input_error:
-                self.synchronized = (
-                    len(self.read(DISCARD_BYTES)) < DISCARD_BYTES
-                )
+    def response(self) -> bytes:
+        """Returns the refusal as sent to the caller."""
+        fields = [("Connection", "close"), ("Content-Length", "0")]
+        if self.status is http.HTTPStatus.SERVICE_UNAVAILABLE:
+            fields.append(("Retry-After", "1"))
+        return messages.render_head(messages.status_line(self.status), fields)
 
 
 class LineRecorder:
-    """Reads lines from a stream and records them.
+    """Reads header lines from a stream and records them.
 
     Args:
         stream: Source of the lines.
+        holding: Counts the memory of the request.
 
     Attributes:
         lines: Lines read so far.
+        size: Their size in bytes.
     """
 
-    def __init__(self, stream: Any) -> None:
+    def __init__(self, stream: Any, holding: request_memory.Holding) -> None:
         self.stream = stream
+        self.holding = holding
         self.lines: list[bytes] = []
+        self.size = 0
 
     def readline(self, size: int = -1) -> bytes:
-        """Returns the next line, of `size` bytes at most."""
+        """Returns the next line, of `size` bytes at most.
+
+        Raises:
+            HeadRefusedError: The head is too long, or the memory for requests
+                is full.
+        """
         line: bytes = self.stream.readline(size)
         self.lines.append(line)
+        self.size += len(line)
+        if self.size > MAX_HEAD_BYTES:
+            raise HeadRefusedError(
+                http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+                f"the header lines exceed {MAX_HEAD_BYTES} bytes",
+            )
+        if not self.holding.take(self.size):
+            raise HeadRefusedError(
+                http.HTTPStatus.SERVICE_UNAVAILABLE,
+                f"all requests exceed {self.holding.memory.capacity} bytes",
+            )
         return line
 
 
-def read_headers(stream: Any, *arguments: Any) -> Any:
+def read_headers(recorder: LineRecorder, *arguments: Any) -> Any:
     """Returns the headers of a request, marked as ambiguous if they are.
 
     With ambiguous headers two servers could find different ends of the body and
@@ -96,7 +109,6 @@
     and all but one of several lengths, and its parser accepts folded lines, a
     space before a colon and control characters.
     """
-    recorder = LineRecorder(stream)
     headers = pywsgi.headers_factory(recorder, *arguments)
     lengths = headers.get_all("content-length", [])
     codings = headers.get_all("transfer-encoding", [])
@@ -117,7 +129,6 @@
 class ConnectionHandler(pywsgi.WSGIHandler):  # type: ignore[misc]
     """Handles one connection with a timeout on every read and write."""
 
-    MessageClass = staticmethod(read_headers)
     rfile: Any
     wsgi_input: Any
 
@@ -128,11 +139,20 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         super().__init__(sock, address, server)
         self.rfile = fair_streams.FairStream(self.rfile, clocks.SystemClock())
+        self.holding = server.gateway.memory.open(request_memory.drop_nothing)
+
+    def MessageClass(self, stream: Any, *arguments: Any) -> Any:  # noqa: N802
+        """Reads the headers of a request; pywsgi gives the name."""
+        recorder = LineRecorder(stream, self.holding)
+        return read_headers(recorder, *arguments)
 
     def handle(self) -> None:
         """Serves the connection's requests until it closes or times out."""
-        with contextlib.suppress(TimeoutError):
-            super().handle()
+        try:
+            with contextlib.suppress(TimeoutError):
+                super().handle()
+        finally:
+            self.holding.close()
 
     def get_environ(self) -> dict[str, Any]:
         """Returns the WSGI environment, with the path as sent in `RAW_PATH`."""
@@ -142,10 +162,11 @@
         if self.headers.ambiguous:
             environ[request_checks.AMBIGUOUS_HEADERS] = True
             self.close_connection = True
-        self.wsgi_input = BodyInput(
+        self.wsgi_input = body_input.BodyInput(
             body.rfile, body.content_length, body.socket, body.chunked_input
         )
         environ["wsgi.input"] = self.wsgi_input
+        environ[request_checks.REQUEST_MEMORY] = self.holding
         return environ
 
     def read_requestline(self) -> str:
@@ -163,11 +184,21 @@
 
     def handle_one_response(self) -> None:
         """Answers a request; closes the connection if it can't be reused."""
-        with self.server.gateway.track_response():
-            super().handle_one_response()
+        try:
+            with self.server.gateway.track_response():
+                super().handle_one_response()
+        finally:
+            self.holding.resize(0)
         if not self.wsgi_input.synchronized:
             self.close_connection = True
 
+    def _handle_client_error(self, ex: Exception) -> Any:
+        """Answers a request that can't be read."""
+        if not isinstance(ex, HeadRefusedError):
+            return super()._handle_client_error(ex)
+        logger.info("request head refused", reason=str(ex))
+        return str(ex.status.value), ex.response()
+
     def log_request(self) -> None:
         """Logs nothing, because the application logs requests."""
 
@@ -199,6 +230,7 @@
             in the listen backlog.
 
     Attributes:
+        memory: Bounds the memory of requests.
         draining: Whether connections close after their next response.
         active_responses: Number of responses being written.
         idle: Set while no response is being written.
@@ -214,6 +246,7 @@
         self.application = application
         self.draining = False
         self.connections = pool.Pool(max_connections)
+        self.memory = request_memory.RequestMemory()
         self.active_responses = 0
         self.idle = gevent.event.Event()
         self.idle.set()
--- a/src/coltsfootarch/forwarding/request_memory.py
+++ b/src/coltsfootarch/http1/request_memory.py
@@ -67,11 +67,25 @@
         """Records the present size; drops the largest holdings if full."""
         self.memory.resize(self, size)
 
+    def take(self, size: int) -> bool:
+        """Records the size of what can't be dropped for others.
+
+        Returns:
+            Whether there is room for it; without room the request must end.
+        """
+        self.handled = True
+        self.resize(size)
+        return not self.memory.is_beyond_bound(self)
+
     def close(self) -> None:
         """Frees the memory."""
         self.memory.remove(self)
 
 
+def drop_nothing() -> None:
+    """Drops nothing, for holdings that are never given up."""
+
+
 class RequestMemory:
     """Memory of all requests that a host reads or handles.
 
--- a/tests/gateway/test_application.py
+++ b/tests/gateway/test_application.py
@@ -16,6 +16,7 @@
 import pytest
 
 from coltsfootarch import results
+from coltsfootarch.gateway import body_input
 from coltsfootarch.gateway import completions
 from coltsfootarch.gateway import request_checks
 from coltsfootarch.gateway import server
@@ -171,7 +172,7 @@
 def test_invalid_request_is_refused_without_side_effects(
     gateway, monkeypatch, name
 ):
-    monkeypatch.setattr(server, "DISCARD_TIMEOUT", SHORT)
+    monkeypatch.setattr(body_input, "DISCARD_TIMEOUT", SHORT)
     fields, body, code = INVALID_REQUESTS[name]
 
     answer, data = gateway.send_raw(
@@ -215,7 +216,7 @@
     "fields", [[CHUNKED], ["Content-Length: 9999999"]], ids=str
 )
 def test_unread_body_is_never_parsed_as_a_request(gateway, monkeypatch, fields):
-    monkeypatch.setattr(server, "DISCARD_TIMEOUT", SHORT)
+    monkeypatch.setattr(body_input, "DISCARD_TIMEOUT", SHORT)
     hidden = gateway.request_head("GET", "/stock/hidden")
     sock = gateway.connect()
 
@@ -239,7 +240,7 @@
     gateway, monkeypatch, sent
 ):
     monkeypatch.setattr(request_checks, "BODY_TIMEOUT", SHORT)
-    monkeypatch.setattr(server, "DISCARD_TIMEOUT", SHORT)
+    monkeypatch.setattr(body_input, "DISCARD_TIMEOUT", SHORT)
     head = gateway.request_head("POST", COMPLETIONS, "Content-Length: 100")
 
     answer, data = gateway.send_raw(head, sent)
--- a/tests/forwarding/test_request_memory.py
+++ b/tests/http1/test_request_memory.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from coltsfootarch.forwarding import request_memory
 from coltsfootarch.http1 import messages
+from coltsfootarch.http1 import request_memory
 
 KIB = 1024
 MIB = 1024 * KIB
