Split the request parser and the watch of a caller off their modules

Change: `RequestReader` moves to http1/request_reader.py, the watch for a disconnect and its buffering to forwarding/disconnect_watch.py, with explicit start and close. Behaviour stays. A test that made the watch fail patches the new class in place of a method of the connection; it asserts the same.

--- a/src/coltsfootarch/forwarding/caller_connection.py
+++ b/src/coltsfootarch/forwarding/caller_connection.py
@@ -5,7 +5,6 @@
 import contextlib
 import socket
 from typing import TYPE_CHECKING
-from typing import Any
 
 import gevent
 import structlog
@@ -16,13 +15,12 @@
 from coltsfootarch.forwarding import cancellation as cancellations
 from coltsfootarch.forwarding import close_reasons
 from coltsfootarch.forwarding import close_reports
+from coltsfootarch.forwarding import disconnect_watch
 from coltsfootarch.forwarding import limited_reader
 from coltsfootarch.forwarding import pipelined_bytes
 from coltsfootarch.forwarding import read_refusals
 from coltsfootarch.forwarding import responder as responders
-from coltsfootarch.http1 import client
 from coltsfootarch.http1 import readers
-from coltsfootarch.http1 import shortages
 from coltsfootarch.http1 import turns
 
 if TYPE_CHECKING:
@@ -31,11 +29,6 @@
     from coltsfootarch.forwarding import listener as listeners
     from coltsfootarch.http1 import messages
 
-# Bytes of pipelined requests that are buffered while one is handled. The rest
-# stays in the socket, so that the caller has to wait.
-MAX_PIPELINED_BYTES = 16384
-# Interval at which a disconnect behind that is looked for, in seconds.
-END_POLL_S = 0.1
 # Bytes that are parsed at a time. A request of a few bytes takes many times its
 # size once it is parsed.
 PARSED_BYTES = 4096
@@ -91,7 +84,6 @@
         self.idle = True
         self.idle_since = listener.clock.monotonic()
         self.cancellation: cancellations.Cancellation | None = None
-        self.watcher: Any = None
         # Waits for a newer policy once the idle timeout is over.
         self.policy_waiter: gevent.Greenlet | None = None
         self.responder: responders.ConnectionResponder | None = None
@@ -148,6 +140,11 @@
         """
         self.holding.resize(len(self.pipelined) + self.reader.held_bytes())
 
+    def buffer(self, data: bytes) -> None:
+        """Keeps bytes behind the request that is handled."""
+        self.pipelined.append(data, self.listener.clock.monotonic())
+        self.holding.resize(self.holding.size + len(data))
+
     def set_surplus(self, surplus: bool) -> None:
         """Sets whether the listener has no room for the connection."""
         self.listener.surplus += surplus - self.surplus
@@ -427,7 +424,8 @@
             self.set_surplus(False)
         responder.surplus = self.surplus
         self.served += 1
-        watcher = self.watcher = self.watch()
+        watch = disconnect_watch.DisconnectWatch(self, cancellation)
+        watch.start()
         try:
             self.listener.handler.handle(request, responder, cancellation)
         except (Exception, gevent.Timeout):
@@ -439,10 +437,7 @@
                     results.INTERNAL_ERROR, close_reasons.CloseReason.ERROR
                 )
         finally:
-            self.watcher = None
-            if watcher is not None:
-                watcher.stop()
-                watcher.close()
+            watch.close()
         if not responder.finished:
             self.abort()
         self.cancellation = None
@@ -450,73 +445,3 @@
             self.close(close_reasons.CloseReason.CALLER_CLOSED)
         self.responder = None
         return responder.keep_alive and not self.closed
-
-    def watch(self) -> Any:
-        """Watches for a disconnect; returns None if that isn't possible."""
-        if self.may_not_buffer():
-            gevent.spawn(self.watch_for_end)
-            return None
-        try:
-            watcher = gevent.get_hub().loop.io(self.sock.fileno(), 1)
-            watcher.start(self.on_readable, watcher)
-        except Exception:
-            # The request is handled anyway.
-            logger.exception("caller connection failed")
-            return None
-        return watcher
-
-    def may_not_buffer(self) -> bool:
-        """Returns whether bytes behind a request stay in the socket."""
-        return (
-            len(self.pipelined) >= MAX_PIPELINED_BYTES
-            or not self.listener.memory.has_room
-        )
-
-    def on_readable(self, watcher: object) -> None:
-        """Detects a disconnected caller; buffers pipelined requests."""
-        if self.closed:
-            return
-        if self.may_not_buffer():
-            watcher.stop()  # type: ignore[attr-defined]
-            gevent.spawn(self.watch_for_end)
-            return
-        room = MAX_PIPELINED_BYTES - len(self.pipelined)
-        try:
-            data = client.read_arrived(self.sock, room)
-        except OSError as error:
-            if shortages.is_shortage(error):
-                self.pause_watch(watcher)
-                return
-            data = b""
-        if data is None:
-            return
-        if data:
-            self.pipelined.append(data, self.listener.clock.monotonic())
-            self.holding.resize(self.holding.size + len(data))
-            if not self.may_not_buffer():
-                return
-            gevent.spawn(self.watch_for_end)
-        watcher.stop()  # type: ignore[attr-defined]
-        if not data and self.cancellation is not None:
-            self.cancellation.cancel()
-
-    def watch_for_end(self) -> None:
-        """Looks for a disconnect behind bytes that stay in the socket."""
-        cancellation = self.cancellation
-        while cancellation is not None and cancellation is self.cancellation:
-            if self.closed:
-                return
-            if caller_socket.has_hung_up(self.sock):
-                cancellation.cancel()
-                return
-            gevent.sleep(END_POLL_S)
-
-    def pause_watch(self, watcher: Any) -> None:
-        """Stops a watcher for a moment, since the bytes stay readable."""
-        watcher.stop()
-
-        def resume() -> None:
-            if self.watcher is watcher:
-                watcher.start(self.on_readable, watcher)
-
-        gevent.spawn_later(shortages.RETRY_S, resume)
--- a/src/coltsfootarch/forwarding/limited_reader.py
+++ b/src/coltsfootarch/forwarding/limited_reader.py
@@ -8,6 +8,7 @@
 
 from coltsfootarch.http1 import readers
 from coltsfootarch.http1 import request_memory
+from coltsfootarch.http1 import request_reader
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -31,7 +32,7 @@
         body_bytes: Size of its body.
     """
 
-    request: readers.RawRequest
+    request: request_reader.RawRequest
     head_bytes: int
     body_bytes: int
 
@@ -41,7 +42,7 @@
     return lines.decode(MAX_NAMED_FIELDS)
 
 
-class LimitedReader(readers.RequestReader):
+class LimitedReader(request_reader.RequestReader):
     """Parses requests under the limits of the active policy.
 
     A request beyond a limit is parsed on, so that nothing is lost if a newer
--- a/standins/http.py
+++ b/standins/http.py
@@ -15,6 +15,7 @@
 from coltsfootarch.http1 import client
 from coltsfootarch.http1 import messages
 from coltsfootarch.http1 import readers
+from coltsfootarch.http1 import request_reader
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -125,7 +126,7 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = Connection(sock)
         self.connections.add(connection)
-        reader = readers.RequestReader(MAX_BYTES, MAX_BYTES)
+        reader = request_reader.RequestReader(MAX_BYTES, MAX_BYTES)
         worker: gevent.Greenlet | None = None
         try:
             while connection.open:
--- a/tests/forwarding/test_caller_connections.py
+++ b/tests/forwarding/test_caller_connections.py
@@ -9,6 +9,7 @@
 
 from coltsfootarch.fleet import policy
 from coltsfootarch.forwarding import caller_connection
+from coltsfootarch.forwarding import disconnect_watch
 from tests.platform import documents
 
 CLOSED = "connection of caller closed"
@@ -183,7 +184,7 @@
     sender.kill()
     assert connection.served > 1
     assert largest <= (
-        caller_connection.MAX_PIPELINED_BYTES
+        disconnect_watch.MAX_PIPELINED_BYTES
         + caller_connection.PARSED_BYTES
         + len(request)
     )
--- a/tests/forwarding/test_reading_errors.py
+++ b/tests/forwarding/test_reading_errors.py
@@ -8,6 +8,7 @@
 import pytest
 import structlog
 
+from coltsfootarch.forwarding import disconnect_watch
 from coltsfootarch.forwarding import limited_reader
 from tests.platform import documents
 
@@ -110,11 +111,8 @@
 
 
 def test_error_before_the_handling_of_a_request_is_answered(app, monkeypatch):
-    listener = app.daemon.caller_listener
     caller = app.caller()
-    app.wait(lambda: listener.connections)
-    (connection,) = listener.connections
-    monkeypatch.setattr(connection, "watch", fail)
+    monkeypatch.setattr(disconnect_watch.DisconnectWatch, "start", fail)
 
     response = caller.ask("/read/a")
 
--- a/tests/http1/test_readers.py
+++ b/tests/http1/test_readers.py
@@ -11,10 +11,11 @@
 
 from coltsfootarch.http1 import messages
 from coltsfootarch.http1 import readers
+from coltsfootarch.http1 import request_reader
 
 
 def make_request_reader(max_header_bytes=1000, max_body_bytes=100):
-    return readers.RequestReader(max_header_bytes, max_body_bytes)
+    return request_reader.RequestReader(max_header_bytes, max_body_bytes)
 
 
 def test_request_that_arrives_byte_by_byte_is_complete():
@@ -204,7 +205,7 @@
     request_bytes, size
 ):
     """Guards against a booking without its body and a 400 to no request."""
-    reader = readers.RequestReader(4096, 4096)
+    reader = request_reader.RequestReader(4096, 4096)
     following = b"GET /next HTTP/1.1\r\nHost: x\r\n\r\n"
     data = request_bytes * 2 + following
 
@@ -226,7 +227,7 @@
 
 def test_offer_without_a_body_is_one_request():
     """Guards against a second copy of a request that is parsed again."""
-    reader = readers.RequestReader(4096, 4096)
+    reader = request_reader.RequestReader(4096, 4096)
     reader.feed(
         b"GET /a HTTP/1.1\r\nHost: x\r\nConnection: upgrade\r\n"
         b"Upgrade: websocket\r\n\r\n",
@@ -239,14 +240,14 @@
 
 def test_oversized_body_behind_an_offer_is_rejected():
     """Guards against a limit that an offer switches off."""
-    reader = readers.RequestReader(4096, 4)
+    reader = request_reader.RequestReader(4096, 4)
     with pytest.raises(readers.BodyTooLargeError):
         reader.feed(OFFERS["chunked"], 0.0)
 
 
 def test_tunnel_is_rejected():
     """Guards against bytes of a tunnel that are taken for requests."""
-    reader = readers.RequestReader(4096, 4096)
+    reader = request_reader.RequestReader(4096, 4096)
     with pytest.raises(readers.MalformedMessageError):
         reader.feed(b"CONNECT x:80 HTTP/1.1\r\nHost: x\r\n\r\n", 0.0)
     assert not reader.complete
@@ -255,7 +256,7 @@
 @pytest.mark.parametrize("line", [b"a:\r\n", b"a:b\r\n", b"ab: cd\r\n"])
 def test_head_of_short_lines_takes_little_more_than_its_bytes(line):
     """Guards against lines that are kept as many times their bytes."""
-    reader = readers.RequestReader(16384, 4096)
+    reader = request_reader.RequestReader(16384, 4096)
     head = b"GET /a HTTP/1.1\r\n" + line * (12000 // len(line))
     tracemalloc.start()
     try:
