--- a/tests/forwarding/test_caller_limits.py
+++ b/tests/forwarding/test_caller_limits.py
@@ -1,13 +1,24 @@
-"""Serves single requests at the limits, in odd forms, in calm."""
+"""Serves single requests at the limits, in odd forms, in calm.
+
+Also bounds what one connection keeps in the system's buffers.
+"""
 
 from __future__ import annotations
 
+import contextlib
+import fcntl
+import struct
+import termios
+
+import gevent
 import pytest
 
 from tests.fakes import crowds
 from tests.platform import documents
 
 MAX_BODY_BYTES = 4 * 1024 * 1024
+# Bytes that one connection may keep unread.
+MAX_UNREAD_BYTES = 128 * 1024
 HEAD = (
     b"POST /read/a HTTP/1.1\r\nHost: api.example\r\nX-Request-Id: r1\r\n"
     b"X-Deadline-Ms: 8000\r\nAuthorization: Bearer %s\r\n"
@@ -68,3 +79,30 @@
 
     (run,) = limited.runners["i-1"].runs
     assert len(run["body"]) == MAX_BODY_BYTES
+
+
+def send_until_blocked(sock):
+    """Sends as much as the host takes; returns the number of bytes."""
+    sock.setblocking(False)
+    sent = 0
+    for _ in range(30):
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                sent += sock._sock.send(b"x" * 65536)
+        gevent.sleep(0.02)
+    queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, b"\0" * 4)
+    return sent - struct.unpack("i", queued)[0]
+
+
+def test_bytes_that_are_not_read_stay_with_their_caller(limited):
+    """Guards against buffers that fill a machine on which they count."""
+    body = b"Content-Length: %d\r\n\r\n%b"
+    caller = limited.caller()
+    for _ in range(8):
+        # The system enlarges the buffer of a connection that sends much.
+        caller.send_raw(HEAD + body % (MAX_BODY_BYTES, b"x" * MAX_BODY_BYTES))
+        assert caller.read().status == 200
+    limited.runners["i-1"].work_s = 3.0
+    caller.send_raw(HEAD + body % (0, b""))
+
+    assert send_until_blocked(caller.sock) < MAX_UNREAD_BYTES
