Refuse whatever was given up, and keep receive buffers small everywhere

Cause: a connection whose pipelined bytes were given up before a request of them had begun was closed without a response, though its caller may take a refusal for "not run" and come back. The receive buffer of 32 KiB was set on one of the two interfaces.

Change: bytes that were given up are always answered with 503 and `Retry-After`; the server of the product's interface sets the buffer, too.

--- a/src/coltsfootarch/forwarding/caller_connection.py
+++ b/src/coltsfootarch/forwarding/caller_connection.py
@@ -231,7 +231,7 @@
             while not reader.complete:
                 self.turn.share()
                 if self.holding.given_up:
-                    self.refuse_unread(
+                    self.reject(
                         results.OVERLOADED, close_reasons.CloseReason.NO_MEMORY
                     )
                     return None
--- a/src/coltsfootarch/forwarding/listener.py
+++ b/src/coltsfootarch/forwarding/listener.py
@@ -30,9 +30,6 @@
     from coltsfootarch.http1 import messages
 
 BACKLOG = 1024
-# Bytes of a caller that the system keeps until they are read. On some machines
-# they count as memory of the process.
-RECEIVE_BUFFER_BYTES = 32 * 1024
 # Pause after a failure to accept a connection, in seconds.
 ACCEPT_RETRY_S = 0.05
 # Failures to accept after which a host that ends gives up the rest.
@@ -134,7 +131,9 @@
         sock.bind(client.split_address(self.address))
         # Connections take it over. The system would let it grow to megabytes.
         sock.setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+            socket.SOL_SOCKET,
+            socket.SO_RCVBUF,
+            request_memory.RECEIVE_BUFFER_BYTES,
         )
         sock.listen(BACKLOG)
         host, port = sock.getsockname()
--- a/src/coltsfootarch/gateway/server.py
+++ b/src/coltsfootarch/gateway/server.py
@@ -283,6 +283,12 @@
 
     def start(self) -> None:
         """Binds the socket and starts to accept connections."""
+        self.server.init_socket()
+        self.server.socket.setsockopt(
+            socket.SOL_SOCKET,
+            socket.SO_RCVBUF,
+            request_memory.RECEIVE_BUFFER_BYTES,
+        )
         self.server.start()
 
     @contextlib.contextmanager
--- a/src/coltsfootarch/http1/request_memory.py
+++ b/src/coltsfootarch/http1/request_memory.py
@@ -25,6 +25,9 @@
 REQUEST_BYTES = 512
 FIELD_BYTES = 200
 HEAD_COPIES = 2
+# Bytes of one caller that the system keeps until they are read. On some
+# machines they count as memory of the process.
+RECEIVE_BUFFER_BYTES = 32 * 1024
 
 
 def request_bytes(request: messages.Request) -> int:
