Bound the connections of all callers, also where descriptors abound

Callers that only open connections filled a small machine: 5,000 of them took a host to 106 MB, and to 109 MB with the first byte of a request, since each takes 14 KiB and a process may have 8,192 descriptors.

Cause: the number of connections was bounded by descriptors only, once these had run out. Surplus ones were counted when their greenlet first ran, so that several hundred were accepted at a time beyond that bound.

What happens beyond the bound stays as it is.

--- a/src/coltsfootarch/forwarding/descriptors.py
+++ b/src/coltsfootarch/forwarding/descriptors.py
@@ -1,4 +1,4 @@
-"""Shares a process's descriptors between callers and upstreams.
+"""Bounds callers' connections by the memory and descriptors of a process.
 
 A connection of a caller is of no use if none is left for an upstream, and the
 request that was read on it has to be refused. The limit is known from the
@@ -23,6 +23,8 @@
 # with a prefill need a second one for a part of their time.
 CALLER_FRACTION = 0.5
 MIN_CALLERS = 8
+# Connections of callers in any case. Each takes 14 KiB, also if it is idle.
+MAX_CALLERS = 3000
 # Connections beyond the bound that are accepted at a time, to refuse their
 # requests, as a fraction of the bound.
 SURPLUS_FRACTION = 0.125
@@ -37,15 +39,15 @@
         clock: Source of time.
 
     Attributes:
-        max_callers: Number of connections of callers that may be open; infinite
-            until a shortage was observed.
+        max_callers: Number of connections of callers that may be open;
+            `MAX_CALLERS` until a shortage of descriptors was observed.
     """
 
     def __init__(self, clock: clocks.Clock) -> None:
         self.clock = clock
         self.highest = 0
         self.observed_at = -math.inf
-        self.max_callers = math.inf
+        self.max_callers = MAX_CALLERS
 
     @property
     def max_surplus(self) -> float:
@@ -56,7 +58,7 @@
         """Records the descriptor of a new connection."""
         self.highest = max(self.highest, descriptor)
         if self.clock.monotonic() - self.observed_at >= OBSERVATION_S:
-            self.max_callers = math.inf
+            self.max_callers = MAX_CALLERS
 
     def record_shortage(self) -> None:
         """Records that no descriptor could be had.
@@ -67,6 +69,5 @@
         self.observed_at = self.clock.monotonic()
         limit = self.highest + 1
         reserved = min(RESERVED, int(limit * MAX_RESERVED_FRACTION))
-        self.max_callers = max(
-            MIN_CALLERS, int((limit - reserved) * CALLER_FRACTION)
-        )
+        callers = int((limit - reserved) * CALLER_FRACTION)
+        self.max_callers = min(MAX_CALLERS, max(MIN_CALLERS, callers))
--- a/src/coltsfootarch/forwarding/listener.py
+++ b/src/coltsfootarch/forwarding/listener.py
@@ -120,6 +120,8 @@
         self.memory = memory or request_memory.RequestMemory()
         self.draining = False
         self.surplus = 0
+        # Accepted connections whose greenlet hasn't run yet.
+        self.starting = 0
         self.connections: set[caller_connection.CallerConnection] = set()
         self.sock: gevent_socket.socket | None = None
         self.acceptor: gevent.Greenlet | None = None
@@ -147,15 +149,23 @@
         while True:
             turn.share()
             try:
-                if self.budget and self.surplus >= self.budget.max_surplus:
+                if self.is_surplus_full():
                     gevent.sleep(ACCEPT_RETRY_S)
                     continue
                 accepted, _ = sock.accept()
                 gevent.spawn(self.serve, accepted)
+                self.starting += 1
             except Exception as error:
                 self.handle_accept_error(error)
                 gevent.sleep(ACCEPT_RETRY_S)
 
+    def is_surplus_full(self) -> bool:
+        """Returns whether more connections wait until others have ended."""
+        return (
+            self.budget is not None
+            and self.surplus + self.starting >= self.budget.max_surplus
+        )
+
     def handle_accept_error(self, error: Exception) -> None:
         """Logs an error; makes room if no descriptor was left."""
         max_callers = None
@@ -229,6 +239,7 @@
 
     def serve(self, sock: gevent_socket.socket) -> None:
         """Serves one connection until it ends."""
+        self.starting -= 1
         try:
             connection = caller_connection.CallerConnection(sock, self)
         except Exception:
@@ -294,6 +305,7 @@
                 self.handle_accept_error(error)
             else:
                 gevent.spawn(self.serve, accepted)
+                self.starting += 1
         sock.close()
 
     def close(self) -> None:
--- a/tests/forwarding/test_client_crowds.py
+++ b/tests/forwarding/test_client_crowds.py
@@ -18,6 +18,7 @@
 REFUSED_CALLERS = 400
 TRAILER_CALLERS = 40
 LEGAL_CALLERS = 400
+IDLE_CALLERS = 5000
 
 
 @pytest.fixture
@@ -94,3 +95,12 @@
     host.run(crowds.Requests(host.address, LEGAL_CALLERS, line, together))
 
     host.check()
+
+
+@pytest.mark.parametrize("sent", [b"", b"G"], ids=["idle", "begun"])
+def test_open_connections_do_not_fill_a_host(host, sent):
+    """Guards against connections that are bounded by descriptors only."""
+    form = crowds.Form("open", sent, b"")
+    host.run(crowds.Floods(host.address, IDLE_CALLERS, form))
+
+    host.check()
