--- a/src/coltsfootarch/http1/request_memory.py
+++ b/src/coltsfootarch/http1/request_memory.py
@@ -26,8 +26,9 @@
 FIELD_BYTES = 200
 HEAD_COPIES = 2
 # Bytes of one caller that the system keeps until they are read. On some
-# machines they count as memory of the process.
-RECEIVE_BUFFER_BYTES = 32 * 1024
+# machines they count as memory of the process. The end of a connection is
+# noticed behind no more than these.
+RECEIVE_BUFFER_BYTES = 64 * 1024
 
 
 def request_bytes(request: messages.Request) -> int:
