Don't count a connection as idle before its bytes are parsed

Cause: with the bounds on callers a connection lets others run between reading and parsing, and counted as idle until it parsed. A host that closes idle connections at that moment, when it drains or has no room, would have closed one whose request it had read.

Change: it isn't idle from the read on.

Result: test_connection_with_unparsed_bytes_is_not_idle fails without the change, and passes with 30 others of the connections with it.

--- a/src/coltsfootarch/forwarding/caller_connection.py
+++ b/src/coltsfootarch/forwarding/caller_connection.py
@@ -249,7 +249,6 @@
                     if not self.receive_more(since):
                         return None
                     continue
-                self.idle = False
                 begun = reader.in_progress
                 reader.parse_next(*self.pipelined.take(PARSED_BYTES))
                 self.record_held()
@@ -289,6 +288,7 @@
         """
         data = self.receive(since)
         if data:
+            self.idle = False
             self.turn.record(len(data))
             self.pipelined.append(data, self.listener.clock.monotonic())
         return bool(data)
--- a/tests/forwarding/test_caller_connections.py
+++ b/tests/forwarding/test_caller_connections.py
@@ -235,3 +235,22 @@
     (run,) = (run for runner in app.runners.values() for run in runner.runs)
     assert run["body"] == "x"
     assert "x-model" not in run["fields"]
+
+
+def test_connection_with_unparsed_bytes_is_not_idle(app, monkeypatch):
+    """Guards against a close for idleness behind a request that was read."""
+    listener = app.daemon.caller_listener
+    caller = app.caller()
+    app.wait(lambda: listener.connections)
+    (connection,) = listener.connections
+    idle = []
+    monkeypatch.setattr(
+        connection.turn,
+        "share",
+        lambda: idle.append(connection.idle and len(connection.pipelined) > 0),
+    )
+
+    assert caller.ask("/read/a").status == 200
+
+    assert idle
+    assert not any(idle)
