--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,4 +1,4 @@
-"""A withdrawn key at machines that start on a store restored from a copy."""
+"""A request that crashes runners, at machines added while the store is away."""
 
 from __future__ import annotations
 
@@ -15,34 +15,34 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 RECORD = pathlib.Path(__file__).parent / "record.txt"
-WITHDRAWN_KEY, OTHER_KEY = "3d3zji9n73hh2b9wu3fe", "9c41d07be2a35f68x7kq"
-HOSTS = 4
-# `revoke_ms`.
-REVOKE_S = 5.0
-WITHDRAWN_AT_S = 3.0
-RESTORED_AT_S = 9.5
-# As in the day on the news page: a copy of 9 s before, away for 2 s.
-COPY_AGE_S = 9.0
-AWAY_S = 2.0
-RESTART_S = 0.3
-# Time in which the operator has written again what was lost.
-REWRITE_S = 1.5
-END_S = 22.0
-EVERY_S = 0.05
+KEY = "3d3zji9n73hh2b9wu3fe"
+OLD_HOSTS, NEW_HOSTS = 4, 3
+# `stable_window_ms` and the most retries that the rule allows.
+STABLE_S = 3.0
+MAX_RETRIES = 3
+# Length of the outage; the site files have up to 4.8 s.
+OUTAGE_S = 2.0
+# "The runner is back after some seconds."
+DOWN_S = 2.0
+ADDED_AT_S = 8.0
+END_S = 26.0
+CRASHING_EVERY_S = 0.5
+SOUND_EVERY_S = 0.05
+CRASHING_TARGET = "/book/crashing"
 
 
 class Clients:
-    """Clients that use a withdrawn key, and others with a valid one."""
+    """Clients with sound requests, and one whose request crashes runners."""
 
     def __init__(self, stack: stacks.Stack) -> None:
         self.stack = stack
         self.began = time.monotonic()
         self.ends = threading.Event()
-        self.sent_at: dict[str, float] = {}
+        self.hosts = stack.hosts[:OLD_HOSTS]
         self.answers: list[tuple[float, str, str, int]] = []
         self.threads = [
-            threading.Thread(target=self.run, args=("old", WITHDRAWN_KEY)),
-            threading.Thread(target=self.run, args=("new", OTHER_KEY)),
+            threading.Thread(target=self.run, args=("bad", CRASHING_EVERY_S)),
+            threading.Thread(target=self.run, args=("good", SOUND_EVERY_S)),
         ]
 
     def start(self) -> None:
@@ -56,110 +56,116 @@
         for thread in self.threads:
             thread.join()
 
-    def run(self, name: str, key: str) -> None:
-        """Sends requests with a key to the machines in turn."""
+    def run(self, name: str, interval_s: float) -> None:
+        """Sends requests to the machines in turn."""
         count = 0
-        while not self.ends.wait(EVERY_S):
+        while not self.ends.wait(interval_s):
             count += 1
-            host = self.stack.hosts[count % len(self.stack.hosts)]
+            host = self.hosts[count % len(self.hosts)]
             threading.Thread(
-                target=self.send, args=(host, f"{name}-{count}", key)
+                target=self.send, args=(host, f"{name}-{count}", name == "bad")
             ).start()
 
-    def send(self, host: stacks.Host, request_id: str, key: str) -> None:
-        """Sends one booking."""
-        sent_at = self.sent_at[request_id] = time.monotonic()
+    def send(self, host: stacks.Host, request_id: str, crashing: bool) -> None:
+        """Sends one booking; a crashing one always has the same content."""
+        sent_at = time.monotonic()
         answer = stacks.call(
             host.listen,
             "POST",
-            "/book/sheet",
-            b"",
+            CRASHING_TARGET if crashing else "/book/sound",
+            b"the same rod" if crashing else request_id.encode(),
             {
                 "Host": config.ROUTE_HOST,
                 "X-Request-Id": request_id,
                 "X-Deadline-Ms": "2500",
-                "Authorization": f"Bearer {key}",
+                "Authorization": f"Bearer {KEY}",
             },
             2.5,
         )
         self.answers.append((sent_at, host.name, request_id, answer.status))
 
 
-def configuration(version: int, keys: list[str]) -> dict[str, object]:
-    """Returns the operator's configuration with some keys of one tenant."""
-    tenant = config.tenant("rods", OTHER_KEY)
-    tenant["api_keys"] = keys
-    return config.configuration(
-        version,
-        [config.route("book", "non_idempotent", "app")],
-        [config.plain_service("app")],
-        [tenant],
-    )
-
-
-def wait_until(at: float) -> None:
-    """Waits until an instant, in seconds."""
-    time.sleep(max(at - time.monotonic(), 0.0))
+def add_machines(stack: stacks.Stack, clients: Clients) -> float:
+    """Adds machines, with an outage of the store as they start.
 
-
-def restore(stack: stacks.Stack) -> None:
-    """Restores the store from a copy while all machines are killed."""
-    stack.set_store(mode="silent")
-    for host in stack.hosts:
-        host.kill()
-    back_at = time.monotonic() + AWAY_S
-    time.sleep(RESTART_S)
-    for host in stack.hosts:
+    Returns:
+        Instant from which all machines and the store have been sound for
+        `STABLE_S`, in seconds.
+    """
+    added = stack.hosts[OLD_HOSTS:]
+    if TROUBLE:
+        stack.set_store(mode="busy")
+    for host in added:
         host.start()
-    wait_until(back_at)
-    stack.set_store(restore=COPY_AGE_S, mode="serve")
-    wait_until(back_at + REWRITE_S)
-    stack.put("op", "config", configuration(2, [OTHER_KEY]))
+    time.sleep(OUTAGE_S)
+    stack.set_store(mode="serve")
+    sound_from = time.monotonic()
+    deadline = sound_from + stacks.START_TIMEOUT_S
+    while not all(host.is_ready() for host in added):
+        if time.monotonic() > deadline:
+            raise stacks.CannotRunError("an added host did not become ready")
+        time.sleep(0.05)
+    clients.hosts = stack.hosts
+    return sound_from + STABLE_S
 
 
 def play(stack: stacks.Stack) -> int:
     """Plays the case; returns the exit code."""
-    stack.start(configuration(1, [WITHDRAWN_KEY, OTHER_KEY]))
+    stack.start(
+        config.configuration(
+            1,
+            [config.route("book", "non_idempotent", "app")],
+            [config.plain_service("app")],
+            [config.tenant("rods", KEY)],
+        ),
+        OLD_HOSTS,
+    )
+    stack.set_runners(crashing_target=CRASHING_TARGET, down_s=DOWN_S)
     clients = Clients(stack)
     clients.start()
     try:
-        wait_until(clients.began + WITHDRAWN_AT_S)
-        stack.put("op", "config", configuration(2, [OTHER_KEY]))
-        withdrawn_at = time.monotonic()
-        wait_until(clients.began + RESTORED_AT_S)
-        if TROUBLE:
-            restore(stack)
-        wait_until(clients.began + END_S)
+        time.sleep(ADDED_AT_S)
+        in_touch_from = add_machines(stack, clients)
+        time.sleep(max(clients.began + END_S - time.monotonic(), 0.0))
     finally:
         clients.close()
     time.sleep(0.5)
+    crashes = sorted(
+        (at, runner, request_id)
+        for request_id, runner, at in stack.runs()
+        if request_id.startswith("bad-")
+    )
+    counted_from = in_touch_from
+    if len(crashes) >= MAX_RETRIES:
+        third_at = crashes[MAX_RETRIES - 1][0]
+        counted_from = max(counted_from, third_at + STABLE_S)
+    retries = [each for each in crashes if each[0] > counted_from]
     began = clients.began
-    late = [
-        (sent_at, request_id, runner)
-        for request_id, runner, _ in stack.runs()
-        if request_id.startswith("old-")
-        and (sent_at := clients.sent_at[request_id]) > withdrawn_at + REVOKE_S
-    ]
+    sound = [each for each in clients.answers if each[2].startswith("good-")]
     with RECORD.open("w") as file:
         print(f"trouble: {TROUBLE}", file=file)
         print(
-            f"key withdrawn, acknowledged at {withdrawn_at - began:.2f} s; "
-            f"requests with it that were sent more than {REVOKE_S} s later "
-            f"and ran: {len(late)}; allowed: 0",
+            f"runs of the crashing request, each of which crashed its runner: "
+            f"{len(crashes)}; later than {counted_from - began:.2f} s: "
+            f"{len(retries)}; allowed then: {MAX_RETRIES}",
+            file=file,
+        )
+        print(
+            f"sound bookings {len(sound)}, not answered with 200: "
+            f"{sum(each[3] != 200 for each in sound)}",
             file=file,
         )
-        for sent_at, request_id, runner in sorted(late):
-            print(
-                f"{sent_at - began:.3f} {request_id} ran at {runner}", file=file
-            )
+        for at, runner, request_id in crashes:
+            print(f"{at - began:.3f} {request_id} crashed {runner}", file=file)
         for at, host, request_id, status in sorted(clients.answers):
             print(f"{at - began:.3f} {request_id} {host} {status}", file=file)
-    return 1 if late else 0
+    return 1 if len(retries) > MAX_RETRIES else 0
 
 
 def main() -> int:
     """Runs the case; returns 2 if it can't run."""
-    return stacks.run(HOSTS, [("a-1", "app", ""), ("a-2", "app", "")], play)
+    runners = [(f"a-{number}", "app", "") for number in range(5)]
+    return stacks.run(OLD_HOSTS + NEW_HOSTS, runners, play)
 
 
 if __name__ == "__main__":
--- a/review/lib3/stack.py
+++ b/review/lib3/stack.py
@@ -19,12 +19,14 @@
 import sys
 import tempfile
 import time
+import types
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import NamedTuple
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Mapping
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 START_TIMEOUT_S = 20.0
@@ -46,6 +48,7 @@
 key_confirmation = "5000ms"
 """
 LOCK_PORT = 19998
+NO_VERSIONS: Mapping[str, str] = types.MappingProxyType({})
 
 
 class CannotRunError(Exception):
@@ -153,7 +156,7 @@
     Args:
         hosts: Number of entry hosts.
         runners: Id, service and stage ("" for none) of each runner.
-        store_module: Module of the store's stand-in.
+        versions: Software version of runners that don't have "v1".
         work_s: Seconds for a call, a prompt or an event.
     """
 
@@ -161,7 +164,7 @@
         self,
         hosts: int,
         runners: list[tuple[str, str, str]],
-        store_module: str = "review.lib3.store",
+        versions: Mapping[str, str] = NO_VERSIONS,
         work_s: float = 0.01,
     ) -> None:
         if not (ROOT / "target" / "deps" / "coltsfootarch").is_dir():
@@ -173,7 +176,7 @@
         self.store_address = f"{self.prefix}.1:8361"
         self.store = Program(
             "store",
-            [store_module, "--listen", self.store_address],
+            ["review.lib3.store", "--listen", self.store_address],
             self.folder / "store.log",
         )
         self.runners: list[Program] = []
@@ -186,6 +189,7 @@
             arguments += ["--store", self.store_address]
             arguments += ["--service", service, "--work", str(work_s)]
             arguments += ["--journal", str(self.journal)]
+            arguments += ["--version", versions.get(name, "v1")]
             if stage:
                 arguments += ["--stage", stage]
             log = self.folder / f"{name}.log"
@@ -234,12 +238,18 @@
         if answer.status != 200:
             raise CannotRunError("the store doesn't take a row")
 
-    def start(self, configuration: Any, hosts: int | None = None) -> None:
+    def start(
+        self,
+        configuration: Any,
+        hosts: int | None = None,
+        runners: int | None = None,
+    ) -> None:
         """Starts all processes and waits until the hosts are ready.
 
         Args:
             configuration: The operator's first configuration.
             hosts: Number of hosts that start now; all if not given.
+            runners: The same of runners.
         """
         started = self.hosts[:hosts]
         self.store.start()
@@ -252,7 +262,7 @@
                 if time.monotonic() > deadline:
                     raise
                 time.sleep(0.05)
-        for program in (*self.runners, *started):
+        for program in (*self.runners[:runners], *started):
             program.start()
         while not all(host.is_ready() for host in started):
             if time.monotonic() > deadline:
@@ -288,6 +298,7 @@
     hosts: int,
     runners: list[tuple[str, str, str]],
     play: Callable[[Stack], int],
+    versions: Mapping[str, str] = NO_VERSIONS,
 ) -> int:
     """Builds a stack, plays a case with it and ends all processes.
 
@@ -295,7 +306,7 @@
         The exit code of the case; 2 if it couldn't run.
     """
     try:
-        stack = Stack(hosts, runners)
+        stack = Stack(hosts, runners, versions)
     except (CannotRunError, OSError) as error:
         print(f"can't run: {error}")
         return 2
--- a/review/lib3/store.py
+++ b/review/lib3/store.py
@@ -1,15 +1,15 @@
-"""Metadata store of the third review: some of its tables can be unavailable.
+"""Metadata store of the third review, which can carry out writes late.
 
     python3 -m review.lib3.store --listen 127.0.0.1:7000
 
-It is the project's stand-in. `POST /standin/set` with the key "down_tables", a
-list of names, makes calls for these tables answer 503, which means that nothing
-was done; the other tables are served.
+It is the project's stand-in. `POST /standin/set` with the key "late_share"
+makes that share of the transactions get no answer: their connection is reset,
+and they are carried out "late_s" seconds later if their conditions hold then.
 """
 
 from __future__ import annotations
 
-import urllib.parse
+import random
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -24,39 +24,34 @@
     from standins import http
 
 
-def tables_of(request: messages.Request) -> set[str]:
-    """Returns the names of the tables that a call reads or writes."""
-    _, _, query = request.target.partition("?")
-    arguments = dict(urllib.parse.parse_qsl(query))
-    if "table" in arguments:
-        return {arguments["table"]}
-    if not request.target.endswith("/rows-tx"):
-        return set()
-    document: dict[str, Any] = msgspec.json.decode(request.body)
-    return {
-        row["table"]
-        for key in ("expected", "writes", "remove")
-        for row in document.get(key, ())
-    }
-
-
-class PartialStore(metadata_store.MetadataStore):
-    """Store of which some tables can be unavailable.
+class LateStore(metadata_store.MetadataStore):
+    """Store that can lose the answers of writes and carry these out late.
 
     Attributes:
-        down_tables: Names of the tables that are unavailable.
+        late_share: Share of the transactions that are late, from 0 to 1.
+        late_s: Seconds after which they are carried out.
+        late: Number of transactions that were late.
     """
 
     def __init__(self, address: str) -> None:
         super().__init__(address)
-        self.down_tables: list[str] = []
+        self.late_share = 0.0
+        self.late_s = 3.0
+        self.generator = random.Random(53)
+        self.late = 0
 
     def handle(
         self, request: messages.Request, connection: http.Connection
     ) -> None:
-        """Handles a call, unless one of its tables is unavailable."""
-        if tables_of(request) & set(self.down_tables):
-            connection.respond(503, self.era_fields())
+        """Handles a call, or resets its connection if it is to be late."""
+        if (
+            request.target.endswith("/rows-tx")
+            and self.generator.random() < self.late_share
+        ):
+            self.late += 1
+            document: dict[str, Any] = msgspec.json.decode(request.body)
+            gevent.spawn_later(self.late_s, self.transact, document)
+            connection.reset()
             return
         super().handle(request, connection)
 
@@ -65,7 +60,7 @@
 @click.option("--listen", required=True)
 def main(listen: str) -> None:
     """Run the store until it is killed."""
-    store = PartialStore(listen)
+    store = LateStore(listen)
     store.start()
     gevent.wait()
 
