--- a/review/lib3/stack.py
+++ b/review/lib3/stack.py
@@ -305,6 +305,8 @@
     Returns:
         The exit code of the case; 2 if it couldn't run.
     """
+    # Ends what was started also if the script itself is ended.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         stack = Stack(hosts, runners, versions)
     except (CannotRunError, OSError) as error:
