--- a/review/lib3/stack.py
+++ b/review/lib3/stack.py
@@ -19,6 +19,7 @@
 import sys
 import tempfile
 import time
+import traceback
 import types
 from typing import TYPE_CHECKING
 from typing import Any
@@ -317,5 +318,9 @@
     except CannotRunError as error:
         print(f"can't run: {error}")
         return 2
+    except Exception:
+        # An error of the script itself says nothing about the rule.
+        traceback.print_exc()
+        return 2
     finally:
         stack.close()
