Record the version of a stream only once it has begun there

Cause: a record named the version of an attempt, not of the stream. It was written without a condition when the engine was chosen. If its answer was lost, the stream began at another engine, and the late write replaced the record of that one. Also without any late write: StreamVersions.announce took the ticket of the new engine before `confirm` compared it with the previous one, so that a stream began at the base while the store still had the record of the earlier attempt.

Change: before its first event a stream has a placeholder, a record without a version that is only created and never replaces one. The version is written once the stream has begun at it. So every write of a version names the right one, however late it is done, and a host that finds a placeholder doesn't guess: it asks the engines that hold the prompt, or refuses. Streams at the base still begin while the store is away.

Weighed: records replaced under a condition on their revision; then a stream whose earlier write has no known outcome can't begin while the store is away (test_stream_begins_at_the_base_version_while_the_store_is_away failed).

--- a/src/coltsfootarch/fleet/stream_records.py
+++ b/src/coltsfootarch/fleet/stream_records.py
@@ -1,4 +1,10 @@
-"""Records which software version began a stream, for take-ups at any host."""
+"""Records which software version began a stream, for take-ups at any host.
+
+A write without an answer may be carried out seconds later, when the stream has
+begun at another engine. So a record gets its version only once the stream has
+begun there. Before, a placeholder is created: a record without a version, whose
+stream may be of any. A placeholder never replaces a record.
+"""
 
 from __future__ import annotations
 
@@ -17,6 +23,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Collection
     from collections.abc import Iterable
     from collections.abc import Mapping
 
@@ -24,9 +31,13 @@
 
 # Streams whose version this host remembers at most.
 MAX_REMEMBERED = 20_000
-# Rows that one transaction writes and removes at most; the store takes 100.
+# Entries of a transaction for records that it writes and removes at most; the
+# store takes 100. A placeholder needs a second entry for its condition.
 MAX_WRITES = 60
 MAX_REMOVALS = 40
+PLACEHOLDER_ENTRIES = 2
+# Version of a placeholder.
+NO_VERSION = ""
 # Pause after a write that failed, in seconds. While it lasts, the store counts
 # as failing.
 RETRY_S = 0.5
@@ -44,7 +55,8 @@
     """Answer to the lookup of a stream's record.
 
     Attributes:
-        version: Version of the stream; None if it isn't recorded.
+        version: Version of the stream; `NO_VERSION` for a placeholder; None if
+            there is no record.
         epoch: Epoch of the store that answered; 0 if it wasn't asked.
     """
 
@@ -55,9 +67,23 @@
 class RecordTable(Protocol):
     """Durable records: a version by the key of a stream."""
 
-    def write(self, records: Mapping[str, str], removed: Iterable[str]) -> None:
+    def write(
+        self,
+        records: Mapping[str, str],
+        placeholders: Collection[str],
+        removed: Iterable[str],
+    ) -> Collection[str]:
         """Writes records and removes others in one transaction.
 
+        Args:
+            records: Versions by key.
+            placeholders: Keys of records to create without a version.
+            removed: Keys of records to remove.
+
+        Returns:
+            Empty if that was done. If records of placeholders exist, nothing
+            was done; then their keys.
+
         Raises:
             errors.PlatformError: That may or may not have been done.
         """
@@ -95,7 +121,7 @@
     """A write that is waited for.
 
     Attributes:
-        version: Version that is written.
+        version: Version that is written; `NO_VERSION` for a placeholder.
         done: Set when the write has succeeded or failed.
         succeeded: Whether it has succeeded.
     """
@@ -209,6 +235,10 @@
         self.work.set()
         return ticket
 
+    def reserve(self, key: str) -> Ticket:
+        """Begins to create a placeholder for a stream that may begin."""
+        return self.pending.get(key) or self.write(key, NO_VERSION)
+
     def write_again(self, service: str) -> None:
         """Writes all remembered streams of a service.
 
@@ -274,30 +304,65 @@
                 be written stays pending; nobody waits for it any more.
         """
         while True:
-            batch = dict(list(self.pending.items())[:MAX_WRITES])
+            batch = self.next_batch()
             removed = self.expired()
             if not batch and not removed:
                 return
-            versions = {key: each.version for key, each in batch.items()}
             try:
-                self.table.write(versions, removed)
+                existing = self.table.write(
+                    {
+                        key: ticket.version
+                        for key, ticket in batch.items()
+                        if ticket.version != NO_VERSION
+                    },
+                    [
+                        key
+                        for key, ticket in batch.items()
+                        if ticket.version == NO_VERSION
+                    ],
+                    removed,
+                )
             except errors.PlatformError:
                 for ticket in batch.values():
                     ticket.end(succeeded=False)
                 self.forget_old()
                 raise
             self.failing_until = float("-inf")
-            now = self.clock.monotonic()
-            self.has_records = self.has_records or bool(batch)
+            if existing:
+                logger.info(
+                    "placeholders of streams exist already",
+                    records=len(existing),
+                )
+                self.complete({key: batch[key] for key in existing})
+                continue
             for key in removed:
                 self.written.pop(key, None)
                 self.swept.pop(key, None)
-            for key, ticket in batch.items():
-                self.written.pop(key, None)
-                self.written[key] = now
-                if self.pending.get(key) is ticket:
-                    del self.pending[key]
-                ticket.end(succeeded=True)
+            self.complete(batch)
+
+    def next_batch(self) -> dict[str, Ticket]:
+        """Returns the writes of the next transaction, the oldest first."""
+        batch = {}
+        entries = 0
+        for key, ticket in self.pending.items():
+            entries += (
+                PLACEHOLDER_ENTRIES if ticket.version == NO_VERSION else 1
+            )
+            if entries > MAX_WRITES:
+                break
+            batch[key] = ticket
+        return batch
+
+    def complete(self, batch: Mapping[str, Ticket]) -> None:
+        """Notes that records are in the store."""
+        now = self.clock.monotonic()
+        self.has_records = self.has_records or bool(batch)
+        for key, ticket in batch.items():
+            self.written.pop(key, None)
+            self.written[key] = now
+            if self.pending.get(key) is ticket:
+                del self.pending[key]
+            ticket.end(succeeded=True)
 
     def forget_old(self) -> None:
         """Gives up writes of streams that can't be taken up any more."""
--- a/src/coltsfootarch/forwarding/calls.py
+++ b/src/coltsfootarch/forwarding/calls.py
@@ -294,8 +294,8 @@
         self.sent_upstream = False
         # Whether it is sent once in spite of a prompt part that is refused.
         self.is_trial = False
-        # Write of the software version at which its stream begins.
-        self.version_record: stream_records.Ticket | None = None
+        # Placeholder for the record of the version at which its stream begins.
+        self.placeholder: stream_records.Ticket | None = None
         limit = route.timeout_s
         if request.deadline_s is not None:
             limit = min(limit, request.deadline_s)
--- a/src/coltsfootarch/forwarding/stream_versions.py
+++ b/src/coltsfootarch/forwarding/stream_versions.py
@@ -107,7 +107,7 @@
         if found is None:
             try:
                 found = self.look_up(key if request_id else None, service)
-                reason = "records may have been lost" if request_id else reason
+                reason = "record lost or incomplete" if request_id else reason
             except errors.PlatformError as error:
                 reason = error.message
                 found = self.certain_base(service)
@@ -185,7 +185,7 @@
             return known.state.base if versions.is_single(service) else None
         record = self.records.find(key)
         if record.version is not None:
-            return record.version
+            return record.version or None
         if known.state.epoch < record.epoch:
             # A restoration, of which the row doesn't know yet, may have lost
             # the record.
@@ -210,55 +210,56 @@
         return holding.pop()
 
     def announce(self, call: calls.Call, engine: upstreams.Upstream) -> None:
-        """Begins to record the version at which a stream is about to begin."""
-        if not self.is_recorded(call):
-            return
-        ticket = call.version_record
-        if ticket is None and not self.versions.needs_record(
-            call.service, engine.version
+        """Begins to note that a stream may begin at an engine's version."""
+        if not self.is_recorded(call) or (
+            self.versions.base(call.service) in (None, engine.version)
         ):
             return
-        if (
-            ticket is None
-            or ticket.version != engine.version
-            or ticket.has_failed
-        ):
-            call.version_record = self.records.write(
-                self.key(call), engine.version
-            )
+        ticket = call.placeholder
+        if ticket is None or ticket.has_failed:
+            call.placeholder = self.records.reserve(self.key(call))
 
     def confirm(self, call: calls.Call, engine: upstreams.Upstream) -> bool:
         """Returns whether the first event of a stream may be sent.
 
-        It waits for the record as long as the stream could be taken for one of
-        the base version without it.
+        It waits for the placeholder as long as the stream could be taken for
+        one of the base version without it. Then it begins to record the
+        version. Until that is written, other hosts don't know the version.
         """
         if not self.is_recorded(call):
             return True
-        key = self.key(call)
-        self.records.remember(key, call.service, engine.version)
-        previous = call.version_record
         self.announce(call, engine)
-        ticket = call.version_record
-        if ticket is None or ticket.succeeded:
-            return True
-        base = self.versions.base(call.service)
-        has_other_record = (
-            previous is not None and previous.version != engine.version
-        )
-        if not has_other_record and (
-            engine.version == base
-            or base not in self.versions.registered(call.service)
+        ticket = call.placeholder
+        if (
+            ticket is not None
+            and self.needs_placeholder(engine)
+            and not self.await_placeholder(ticket)
         ):
-            return True
-        ticket.done.wait(MAX_RECORD_WAIT_S)
-        if not ticket.succeeded:
             logger.warning(
                 "stream not begun: its version could not be recorded",
                 request_id=call.request.id,
                 upstream=engine.id,
                 version=engine.version,
             )
+            return False
+        key = self.key(call)
+        if ticket is not None or self.versions.needs_record(
+            call.service, engine.version
+        ):
+            self.records.write(key, engine.version)
+        self.records.remember(key, call.service, engine.version)
+        return True
+
+    def needs_placeholder(self, engine: upstreams.Upstream) -> bool:
+        """Returns whether a stream without one is taken for another version."""
+        base = self.versions.base(engine.service)
+        return engine.version != base and base in self.versions.registered(
+            engine.service
+        )
+
+    def await_placeholder(self, ticket: stream_records.Ticket) -> bool:
+        """Returns whether a placeholder is in the store, after a wait."""
+        ticket.done.wait(MAX_RECORD_WAIT_S)
         return ticket.succeeded
 
     def is_recorded(self, call: calls.Call) -> bool:
--- a/src/coltsfootarch/platform/store.py
+++ b/src/coltsfootarch/platform/store.py
@@ -15,6 +15,7 @@
 from coltsfootarch.http1 import messages
 from coltsfootarch.http1 import transfers
 from coltsfootarch.platform import answers
+from coltsfootarch.platform import transactions
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -239,17 +240,40 @@
         Raises:
             errors.TableUnavailableError: That may or may not have been done.
         """
-        written = [
-            {
-                "table": table,
-                "part": "",
-                "key": key,
-                "value": base64.b64encode(value).decode("ascii"),
-            }
-            for key, value in writes.items()
+        self.transact(transactions.changes(table, writes, removed))
+
+    def replace_rows(
+        self,
+        table: str,
+        writes: Mapping[str, bytes],
+        revisions: Mapping[str, int],
+        removed: Iterable[str] = (),
+    ) -> tuple[answers.Row, ...]:
+        """Writes and removes rows in one transaction under a condition.
+
+        Args:
+            table: Name of the table.
+            writes: New bytes by key.
+            revisions: Revision that a row must have, by key; 0 for no row.
+            removed: Keys of rows to remove.
+
+        Returns:
+            Nothing if that was done. If a row has another revision, nothing
+            was done; then the rows of `revisions` that exist.
+
+        Raises:
+            errors.TableUnavailableError: That may or may not have been done.
+        """
+        document = transactions.changes(table, writes, removed)
+        document["expected"] = [
+            {"table": table, "part": "", "key": key, "ver": revision}
+            for key, revision in revisions.items()
         ]
-        dropped = [{"table": table, "part": "", "key": key} for key in removed]
-        self.transact({"expected": [], "writes": written, "remove": dropped})
+        try:
+            self.transact(document)
+        except transactions.RowConflictError as error:
+            return transactions.decode_conflict(error.body)
+        return ()
 
     def remove_row(self, table: str, key: str) -> None:
         """Removes a row.
@@ -267,7 +291,7 @@
             document: Its `expected` revisions, `writes` and rows to `remove`.
 
         Raises:
-            errors.TransactionConflictError: A row has another revision than
+            transactions.RowConflictError: A row has another revision than
                 expected; nothing was written.
             errors.TableUnavailableError: The transaction may or may not have
                 been applied.
@@ -334,7 +358,7 @@
 
         Raises:
             errors.HistoryLostError: Status 410.
-            errors.TransactionConflictError: Status 412.
+            transactions.RowConflictError: Status 412.
             errors.TableAnswerTooLargeError: The answer is larger than
                 `max_bytes`.
             errors.TableUnavailableError: Another status than 200, or no
@@ -368,9 +392,7 @@
                 "the store no longer has the changes after the revision"
             )
         if head.status == 412:
-            raise errors.TransactionConflictError(
-                "a row has another revision than expected"
-            )
+            raise transactions.RowConflictError(data)
         if head.status != 200:
             raise errors.TableUnavailableError(
                 f"the store answered {method} with status {head.status}"
--- a/src/coltsfootarch/platform/stream_records.py
+++ b/src/coltsfootarch/platform/stream_records.py
@@ -12,6 +12,7 @@
 from coltsfootarch.fleet import version_rows
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
     from collections.abc import Iterable
     from collections.abc import Mapping
 
@@ -19,6 +20,8 @@
 
 VERSION_TABLE = "coltsfootarch-versions"
 STREAM_TABLE = "coltsfootarch-streams"
+# Value of the row of a stream that may be of any version.
+PLACEHOLDER = stream_records.NO_VERSION.encode()
 
 logger = structlog.get_logger(__name__)
 
@@ -81,13 +84,19 @@
         self.writer = writer
         self.reader = reader
 
-    def write(self, records: Mapping[str, str], removed: Iterable[str]) -> None:
+    def write(
+        self,
+        records: Mapping[str, str],
+        placeholders: Collection[str],
+        removed: Iterable[str],
+    ) -> Collection[str]:
         """Writes records and removes others in one transaction."""
-        self.writer.change_rows(
-            STREAM_TABLE,
-            {key: version.encode() for key, version in records.items()},
-            removed,
+        values = {key: version.encode() for key, version in records.items()}
+        values |= dict.fromkeys(placeholders, PLACEHOLDER)
+        rows = self.writer.replace_rows(
+            STREAM_TABLE, values, dict.fromkeys(placeholders, 0), removed
         )
+        return {row.key for row in rows}
 
     def find(self, key: str) -> stream_records.StoredRecord:
         """Looks up a stream."""
--- a/tests/fleet/test_stream_records.py
+++ b/tests/fleet/test_stream_records.py
@@ -9,6 +9,7 @@
 
 from coltsfootarch import errors
 from coltsfootarch.fleet import stream_records
+from tests.fakes import record_rows
 
 LIFETIME_S = 30.0
 
@@ -17,20 +18,20 @@
     """Records in memory; it can fail and counts its calls."""
 
     def __init__(self):
-        self.records = {}
+        self.records = record_rows.RecordRows()
         self.is_failing = False
         self.batches = []
+        self.placeholders = []
         self.finds = 0
 
-    def write(self, records, removed):
+    def write(self, records, placeholders, removed):
         gevent.sleep(0.01)
         if self.is_failing:
             raise errors.TableUnavailableError()
         removed = list(removed)
         self.batches.append((dict(records), removed))
-        self.records.update(records)
-        for key in removed:
-            self.records.pop(key, None)
+        self.placeholders.append(list(placeholders))
+        return self.records.write(records, placeholders, removed)
 
     def find(self, key):
         if self.is_failing:
@@ -90,6 +91,54 @@
     assert [len(written) for written, _ in table.batches] == [60, 40]
 
 
+def test_transaction_has_at_most_100_entries(records, table, manual_clock):
+    """Guards against transactions that the store refuses for their size."""
+    for number in range(50):
+        assert records.write(f"old{number}", "v2").done.wait(1.0)
+    advance(manual_clock, LIFETIME_S + 1.0)
+    table.batches.clear()
+    table.placeholders.clear()
+    tickets = [records.reserve(f"p{number}") for number in range(100)]
+    tickets += [records.write(f"k{number}", "v2") for number in range(100)]
+    for ticket in tickets:
+        assert ticket.done.wait(1.0)
+
+    sizes = [
+        len(written) + 2 * len(created) + len(removed)
+        for (written, removed), created in zip(
+            table.batches, table.placeholders, strict=True
+        )
+    ]
+    assert max(sizes) <= 100
+    assert len(sizes) <= 6
+
+
+def test_placeholder_that_exists_does_not_hold_up_other_writes(records, table):
+    """Guards against a transaction that is refused for one of its records."""
+    table.records["p1"] = ""
+    tickets = [
+        records.reserve("p1"),
+        records.reserve("p2"),
+        records.write("k", "v2"),
+    ]
+    for ticket in tickets:
+        assert ticket.done.wait(1.0)
+
+    assert all(ticket.succeeded for ticket in tickets)
+    assert table.records == {"p1": "", "p2": "", "k": "v2"}
+
+
+def test_placeholder_does_not_replace_a_record(records, table):
+    """Guards against a version that is lost after a stream has begun."""
+    table.records["k"] = "v2"
+
+    ticket = records.reserve("k")
+
+    assert ticket.done.wait(1.0)
+    assert ticket.succeeded
+    assert table.records == {"k": "v2"}
+
+
 def test_failed_write_is_told_and_made_up_for(records, table):
     table.is_failing = True
     records.remember("k", "llm", "v2")
--- a/tests/forwarding/version_fleet.py
+++ b/tests/forwarding/version_fleet.py
@@ -8,6 +8,7 @@
 from coltsfootarch import errors
 from coltsfootarch.fleet import stream_records
 from coltsfootarch.forwarding import stream_versions
+from tests.fakes import record_rows
 from tests.fleet import builders
 from tests.fleet import test_service_versions as version_tests
 
@@ -44,11 +45,9 @@
         self.records = records
         self.host = host
 
-    def write(self, records, removed):
+    def write(self, records, placeholders, removed):
         self.check()
-        self.records.update(records)
-        for key in removed:
-            self.records.pop(key, None)
+        return self.records.write(records, placeholders, removed)
 
     def find(self, key):
         self.check()
@@ -76,6 +75,17 @@
         return self.held.get(part, set())
 
 
+def make_call(request_id):
+    """Returns a call that begins a stream."""
+    return types.SimpleNamespace(
+        account=ACCOUNT,
+        service="llm",
+        placeholder=None,
+        route=types.SimpleNamespace(resumable=True),
+        request=types.SimpleNamespace(id=request_id, takes_up=False),
+    )
+
+
 class Host(version_tests.Host):
     """A host that begins streams and takes them up.
 
@@ -123,16 +133,12 @@
         engine = builders.decode("d-9", version=version)
         if not self.streams.may_begin(engine):
             return False
-        call = types.SimpleNamespace(
-            account=ACCOUNT,
-            service="llm",
-            version_record=None,
-            route=types.SimpleNamespace(resumable=True),
-            request=types.SimpleNamespace(id=request_id, takes_up=False),
-        )
+        call = make_call(request_id)
         self.streams.announce(call, engine)
         self.flush()
-        return self.streams.confirm(call, engine)
+        may_begin = self.streams.confirm(call, engine)
+        self.flush()
+        return may_begin
 
     def take_up(self, request_id, part=""):
         """Returns the version at which a stream goes on, or the refusal."""
@@ -151,7 +157,7 @@
     def __init__(self, clock):
         self.clock = clock
         self.table = version_tests.Table(clock)
-        self.records = {}
+        self.records = record_rows.RecordRows()
         self.holders = Holders()
         self.first = Host(self, "h1")
         self.second = Host(self, "h2")
