Repeat a transaction of stream records whose answer was lost

Cause: one lost answer ended all writes of its transaction as failed, and the streams that waited for their placeholder gave up their engine.

Change: such a transaction is repeated once at once, on a new connection. A placeholder that exists by then counts as created. A store that has refused the call (429, 503, no connection) isn't called again at once.

--- a/src/coltsfootarch/errors.py
+++ b/src/coltsfootarch/errors.py
@@ -61,6 +61,10 @@
     default_code = results.TABLE_UNAVAILABLE
 
 
+class TableRefusedError(TableUnavailableError):
+    """The table service refused a call or wasn't reached; nothing was done."""
+
+
 class TableAnswerTooLargeError(TableUnavailableError):
     """The answer of the table service is larger than the caller wants."""
 
--- a/src/coltsfootarch/fleet/stream_records.py
+++ b/src/coltsfootarch/fleet/stream_records.py
@@ -299,10 +299,14 @@
     def flush(self) -> None:
         """Writes what is pending and removes what has expired.
 
+        A transaction without an answer is repeated once at once, as streams
+        wait for it.
+
         Raises:
             errors.PlatformError: The store did not answer usably. What was to
                 be written stays pending; nobody waits for it any more.
         """
+        is_repeated = False
         while True:
             batch = self.next_batch()
             removed = self.expired()
@@ -322,11 +326,22 @@
                     ],
                     removed,
                 )
-            except errors.PlatformError:
+            except errors.PlatformError as error:
+                if not is_repeated and not isinstance(
+                    error, errors.TableRefusedError
+                ):
+                    logger.info(
+                        "write of stream versions repeated",
+                        reason=error.message,
+                        records=len(batch),
+                    )
+                    is_repeated = True
+                    continue
                 for ticket in batch.values():
                     ticket.end(succeeded=False)
                 self.forget_old()
                 raise
+            is_repeated = False
             self.failing_until = float("-inf")
             if existing:
                 logger.info(
--- a/src/coltsfootarch/platform/store.py
+++ b/src/coltsfootarch/platform/store.py
@@ -39,6 +39,8 @@
 # copy, after which it gives out revisions again.
 STORE_ERA = "store-era"
 MAX_EPOCH_DIGITS = 6
+# Statuses of calls that the store has refused without doing anything.
+REFUSALS = (429, 503)
 
 
 class StoreClient:
@@ -361,6 +363,7 @@
             transactions.RowConflictError: Status 412.
             errors.TableAnswerTooLargeError: The answer is larger than
                 `max_bytes`.
+            errors.TableRefusedError: Status 429 or 503, or no connection.
             errors.TableUnavailableError: Another status than 200, or no
                 complete answer.
         """
@@ -380,7 +383,12 @@
         ) as error:
             self.close()
             reason = str(error) or type(error).__name__
-            raise errors.TableUnavailableError(
+            failure = (
+                errors.TableRefusedError
+                if isinstance(error, client.ConnectError)
+                else errors.TableUnavailableError
+            )
+            raise failure(
                 f"{method} {target.partition('?')[0]} failed: {reason} "
                 f"({self.transfer})"
             ) from error
@@ -394,7 +402,12 @@
         if head.status == 412:
             raise transactions.RowConflictError(data)
         if head.status != 200:
-            raise errors.TableUnavailableError(
+            failure = (
+                errors.TableRefusedError
+                if head.status in REFUSALS
+                else errors.TableUnavailableError
+            )
+            raise failure(
                 f"the store answered {method} with status {head.status}"
             )
         return data
--- a/tests/forwarding/test_late_records.py
+++ b/tests/forwarding/test_late_records.py
@@ -133,3 +133,24 @@
 
     assert not host.streams.confirm(call, OTHER)
     assert not host.records.remembered
+
+
+def test_stream_begins_though_one_answer_of_the_store_is_lost(
+    host, server, call
+):
+    """Guards against an attempt given up for a single lost answer."""
+    server.answers_to_lose = 1
+    host.streams.announce(call, OTHER)
+    flush(host)
+
+    assert host.streams.confirm(call, OTHER)
+
+
+def test_refused_write_is_not_repeated_at_once(host, server, call):
+    """Guards against further calls to a store that refuses for its load."""
+    server.mode = "busy"
+    server.calls.clear()
+    host.streams.announce(call, OTHER)
+
+    assert not flush(host)
+    assert server.calls == ["rows-tx"]
