Count a host as listed only once the store has acknowledged its row

Cause: HostRenewer.write raises the number of renewals before the call, and `step` took a number above 0 for a row that is written and a list that is read. After a first write that failed, the second step was the one that reads in large fleets only, and the next came 10 s later. The same after a first read that failed, after a lost answer, and after a rewrite for a restoration before the first step; a renewal whose read failed counted for the schedule of reads.

Change: a host has joined once its row was acknowledged and the rows were read after that, so that of two that start together one finds the other. While its writes fail it reads nevertheless, and its reports tell the others of it. Until it has joined it tries again within 1 s. Renewals count when all of one has succeeded. A line `hosts known` says when a host has joined.

--- a/src/coltsfootarch/fleet/hosts.py
+++ b/src/coltsfootarch/fleet/hosts.py
@@ -41,6 +41,9 @@
 # Sites of 73 and 380 hosts may make 1,200 and more calls that write.
 REWRITES_PER_S = 100.0
 RETRY_INTERVAL = datetime.timedelta(seconds=2)
+# The same for a host that has just started, which doesn't know the others yet,
+# plus up to as much again at random.
+START_RETRY_S = 0.5
 # A host whose last report is older counts as unreachable. Reports are sent at
 # least every half second.
 REPORT_TIMEOUT_S = 1.2
@@ -318,6 +321,11 @@
         directory: Directory to update.
         clock: Source of time.
         generator: Source of randomness.
+
+    Attributes:
+        is_listed: Whether the store has acknowledged this host's row.
+        has_joined: Whether the rows were read after that.
+        renewals: Number of renewals that have succeeded.
     """
 
     def __init__(
@@ -332,6 +340,9 @@
         self.clock = clock
         self.generator = generator
         self.failing = False
+        self.is_listed = False
+        self.has_joined = False
+        self.renewals = 0
         self.just_started = True
         # Calls of the registry must not run concurrently.
         self.registry_lock = lock.BoundedSemaphore()
@@ -385,9 +396,13 @@
         self.directory.own = own._replace(renewals=own.renewals + 1)
         with self.registry_lock:
             self.registry.write(self.directory.own)
+        self.is_listed = True
 
     def pause(self) -> datetime.timedelta:
         """Returns the time until the next renewal."""
+        if self.failing and not self.has_joined:
+            seconds = START_RETRY_S * (1 + self.generator.random())
+            return datetime.timedelta(seconds=seconds)
         if self.failing:
             return RETRY_INTERVAL
         directory = self.directory
@@ -411,12 +426,12 @@
             self.failing = True
 
     def step(self) -> None:
-        """Renews; the second time only reads, and only in a large fleet.
+        """Joins, then renews; the second step only reads, in a large fleet.
 
         Of many hosts that start together none finds all others at first.
         """
-        if not self.directory.own.renewals:
-            self.renew()
+        if not self.has_joined:
+            self.join()
         elif self.just_started:
             self.just_started = False
             if self.directory.is_large():
@@ -424,19 +439,45 @@
         else:
             self.renew()
 
+    def join(self) -> None:
+        """Writes this host's record, then reads those of the others.
+
+        Of two hosts that start together at least one finds the other if both
+        read after their rows were written. A host that can't write its row
+        reads the others nevertheless; its reports tell them of it.
+        """
+        if not self.is_listed:
+            try:
+                self.write()
+            except errors.PlatformError:
+                if not self.directory.known:
+                    self.read()
+                raise
+        self.read()
+        self.has_joined = True
+        self.renewals += 1
+        logger.info("hosts known", peers=len(self.directory.peers))
+
     def renew(self) -> None:
         """Writes this host's record; reads all records if due."""
         self.write()
-        renewals = self.directory.own.renewals
+        if self.is_read_due(self.renewals + 1):
+            self.read()
+        self.renewals += 1
+
+    def is_read_due(self, renewal: int) -> bool:
+        """Returns whether a renewal reads the records.
+
+        Args:
+            renewal: Its number since the start.
+        """
         # A large fleet has read the rows a second time since the start.
         at_start = 1 if self.directory.is_large() else RENEWALS_AT_START
-        if (
-            renewals > at_start
-            and renewals % RENEWALS_PER_READ
-            and self.directory.all_reachable()
-        ):
-            return
-        self.read()
+        return (
+            renewal <= at_start
+            or not renewal % RENEWALS_PER_READ
+            or not self.directory.all_reachable()
+        )
 
     def read(self) -> None:
         """Reads the records of all hosts; removes a stale one."""
