Serve requests only once a host knows and has heard the others

What others have seen crash or have used arrives after the first reports only.

Change: a host without a list allows for 12 hosts, reaches and hears none for sure, and has no duties. The row of versions is created at once while the first host isn't known; it is written under a condition.

Tests: test_host_without_a_list_does_not_take_itself_for_the_only_one fails before; the controllers of test_stage_orders get a list that was read, as running hosts have one; they assert as much.

--- a/src/coltsfootarch/fleet/hosts.py
+++ b/src/coltsfootarch/fleet/hosts.py
@@ -55,12 +55,15 @@
 PASSED_COUNTS_VALIDITY_S = REPORT_TIMEOUT_S
 # Time for which the size of the fleet that another host stated is valid.
 TOLD_VALIDITY_S = 5.0
-# Rank of hosts that don't relay, behind all relays.
+# Rank of hosts that don't relay, behind all relays, and of hosts that don't
+# know the others.
 MEMBER_RANK = 1_000_000
 
 # Fleets of up to this size exchange reports directly. A host of 12 sends and
 # receives about as many messages then as a relay among hundreds.
 MAX_DIRECT_HOSTS = 12
+# Hosts for which a host allows while it hasn't read the rows.
+UNKNOWN_COUNT = MAX_DIRECT_HOSTS
 
 logger = structlog.get_logger(__name__)
 
@@ -127,6 +130,9 @@
 class HostDirectory:
     """Directory of the other hosts, by name.
 
+    Until the rows are read, a host allows for others that it doesn't know: it
+    uses a small part of each limit and takes on no duties.
+
     Args:
         own: Record of this host.
         clock: Source of time.
@@ -135,6 +141,7 @@
         peers: The other hosts by name.
         stale: Names of hosts whose rows should be removed.
         known: Whether the rows were read.
+        known_at: Instant at which they were read first, in seconds.
         generation: Number of changes of the peers' names and records.
         passed: Latest counts through relays; None if hosts report directly.
         told: Size of the fleet that another host stated last; a host that has
@@ -149,6 +156,7 @@
         self.peers: dict[str, Peer] = {}
         self.stale: list[str] = []
         self.known = False
+        self.known_at = float("inf")
         self.generation = 0
         self.passed: PassedCounts | None = None
         self.told: PassedCounts | None = None
@@ -157,7 +165,9 @@
     def apply(self, records: list[HostRecord]) -> None:
         """Updates the peers from a complete read of all records."""
         now = self.clock.monotonic()
-        self.known = True
+        if not self.known:
+            self.known = True
+            self.known_at = now
         self.generation += 1
         present = set()
         for record in records:
@@ -265,32 +275,39 @@
             self.told = PassedCounts(self.clock.monotonic(), 0, expected)
 
     def all_reachable(self) -> bool:
-        """Returns whether all known peers are reachable."""
+        """Returns whether all peers are known and reachable."""
         if self.passed is not None:
             return self.reached() >= self.count()
-        return all(map(self.is_reachable, self.peers.values()))
+        return self.known and all(map(self.is_reachable, self.peers.values()))
 
     def all_heard(self, within_s: float) -> bool:
-        """Returns whether this host hears all known peers, each directly.
+        """Returns whether this host knows and hears all peers, each directly.
 
         Args:
             within_s: Greatest age of the last report of each, in seconds.
         """
         oldest = self.clock.monotonic() - within_s
-        return self.passed is None and all(
-            peer.last_report_at >= oldest for peer in self.peers.values()
+        return (
+            self.known
+            and self.passed is None
+            and all(
+                peer.last_report_at >= oldest for peer in self.peers.values()
+            )
         )
 
     def rank(self) -> int:
         """Returns the number of hosts that precede this one in duties.
 
         These are the reachable hosts before this one by name. If there are
-        relays, only they have duties.
+        relays, only they have duties; a host that doesn't know the others has
+        none.
         """
         if self.passed is not None:
             if self.relays is None:
                 return MEMBER_RANK
             return self.relays.index(self.own.name)
+        if not self.known:
+            return MEMBER_RANK
         return sum(
             name < self.own.name and self.is_reachable(peer)
             for name, peer in self.peers.items()
@@ -310,7 +327,7 @@
         )
         if passed is not None and passed.received_at >= oldest:
             return max(known, passed.expected)
-        return known
+        return known if self.known else max(known, UNKNOWN_COUNT)
 
 
 class HostRenewer:
--- a/src/coltsfootarch/fleet/service_versions.py
+++ b/src/coltsfootarch/fleet/service_versions.py
@@ -454,9 +454,10 @@
     def read_delay_s(self) -> float:
         """Returns how long this host leaves changes to the first one by name.
 
-        It is in seconds.
+        It is in seconds. A host that doesn't know the others yet can't tell
+        which is the first; changes are conditional.
         """
-        if self.peers.rank() == 0:
+        if not self.peers.known or self.peers.rank() == 0:
             return 0.0
         return READ_DELAY_S * (1.0 + self.generator.random())
 
--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -27,6 +27,7 @@
 from coltsfootarch.forwarding import context
 from coltsfootarch.forwarding import crash_checks
 from coltsfootarch.forwarding import descriptors
+from coltsfootarch.forwarding import fleet_join
 from coltsfootarch.forwarding import forwarder
 from coltsfootarch.forwarding import host_status
 from coltsfootarch.forwarding import listener
@@ -186,6 +187,7 @@
             if limits.key_confirmation
             else None
         )
+        self.join = fleet_join.FleetJoin(self.hosts, self.policy_tracker, clock)
         self.forwarder = forwarder.Forwarder(
             self.context,
             platform.callers,
@@ -193,6 +195,7 @@
             self.buckets,
             random.Random(),
             self.confirmation_s,
+            self.join,
         )
         self.report_exchange = report_exchange.ReportExchange(
             self.hosts,
@@ -473,7 +476,7 @@
         current = self.policy_tracker.usable_policy()
         if self.stopping.is_set() or current is None:
             return False
-        if not self.upstreams.upstreams:
+        if not self.upstreams.upstreams or not self.join.is_complete():
             return False
         if self.confirmation_s is None or not current.accounts:
             return True
--- a/src/coltsfootarch/forwarding/forwarder.py
+++ b/src/coltsfootarch/forwarding/forwarder.py
@@ -26,6 +26,7 @@
     from coltsfootarch import clock as clocks
     from coltsfootarch.fleet import active_policy
     from coltsfootarch.forwarding import context
+    from coltsfootarch.forwarding import fleet_join
     from coltsfootarch.http1 import messages
     from coltsfootarch.limits import shared_bucket
 
@@ -81,6 +82,7 @@
         confirmation_s: Time in seconds for which keys are accepted after the
             policy was last confirmed to be current, which bounds how long a
             withdrawn key still works; None to accept them always.
+        join: Tells whether this host may serve after its start.
 
     Attributes:
         refuse_from: Instant from which new requests are refused, in seconds.
@@ -97,6 +99,7 @@
         buckets: shared_bucket.SharedBuckets,
         generator: random.Random,
         confirmation_s: float | None,
+        join: fleet_join.FleetJoin,
     ) -> None:
         self.context = context
         self.protocol = protocol
@@ -104,6 +107,7 @@
         self.buckets = buckets
         self.generator = generator
         self.confirmation_s = confirmation_s
+        self.join = join
         self.refuse_from = math.inf
         self.in_progress = 0
         self.calls: set[calls.Call] = set()
@@ -216,6 +220,11 @@
                 results.NO_CONFIGURATION,
                 retry_after=UNCONFIRMED_RETRY_AFTER_S,
             )
+        if not self.join.wait():
+            raise errors.RefusedError(
+                results.HOST_LIST_UNAVAILABLE,
+                retry_after=UNCONFIRMED_RETRY_AFTER_S,
+            )
         route = self.find_route(current, request)
         if current.accounts and not route.public:
             self.confirm_keys(request)
--- a/tests/fleet/test_hosts.py
+++ b/tests/fleet/test_hosts.py
@@ -189,3 +189,23 @@
 
     assert max(instants) - min(instants) > 3.0
     assert max(instants) < 3.81
+
+
+def test_host_without_a_list_does_not_take_itself_for_the_only_one(
+    manual_clock,
+):
+    """Guards against hosts that each use a whole limit or act as the first."""
+    directory = hosts.HostDirectory(record("h1"), manual_clock)
+
+    assert directory.share() <= 1 / hosts.MAX_DIRECT_HOSTS
+    assert directory.count() >= hosts.MAX_DIRECT_HOSTS
+    assert directory.rank() > 0
+    assert not directory.all_reachable()
+    assert not directory.all_heard(1.0)
+
+    directory.apply([record("h1")])
+
+    assert directory.share() == 1.0
+    assert directory.rank() == 0
+    assert directory.all_reachable()
+    assert directory.all_heard(1.0)
--- a/tests/fleet/test_stage_orders.py
+++ b/tests/fleet/test_stage_orders.py
@@ -80,6 +80,7 @@
         )
         own = hosts.HostRecord(name, "10.0.0.1:1", "north", 1, 0)
         peer_directory = hosts.HostDirectory(own, manual_clock)
+        peer_directory.apply([own])
         for peer in peers:
             peer_directory.record_report(peer, "10.0.0.2:1", 1)
         return stage_orders.StageController(
