Write and remove the rows of hosts at their known revision only

What callers could see: a host that starts reads the address of an earlier start of another host, or doesn't find it, until that renews its row (10 s, in a large fleet 30 s), and knows nothing of what it has seen crash or has used.

Cause: HostTable.write and remove had no condition. A write of an earlier start that is done late replaced the row of the new one, and a late removal took away the row of a host that was back.

Change: HostTable, in a module of its own, keeps the revisions that it read or was answered, and writes and removes at these only; a conflict names the row's revision, with which the write is repeated. A renewal stays one call, the first write after a restart of a host takes two.

--- a/src/coltsfootarch/platform/attachment.py
+++ b/src/coltsfootarch/platform/attachment.py
@@ -7,6 +7,7 @@
 from coltsfootarch.fleet import store_epochs
 from coltsfootarch.forwarding import platform_interface
 from coltsfootarch.platform import feeds
+from coltsfootarch.platform import host_rows
 from coltsfootarch.platform import orders
 from coltsfootarch.platform import store
 from coltsfootarch.platform import stream_records
@@ -41,7 +42,7 @@
     return platform_interface.PlatformInterface(
         feeds.PolicyFeed(clients[0]),
         feeds.UpstreamFeed(clients[1]),
-        feeds.HostTable(clients[2]),
+        host_rows.HostTable(clients[2]),
         orders.ClaimTable(clients[3], clock),
         orders.RunnerOrders(clock),
         wire.CallerWire(),
--- a/src/coltsfootarch/platform/feeds.py
+++ b/src/coltsfootarch/platform/feeds.py
@@ -1,17 +1,15 @@
-"""Reads policy, upstreams and hosts from the platform's store."""
+"""Reads policy and upstreams from the platform's store."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-import msgspec
 import structlog
 import xxhash
 
 from coltsfootarch import errors
 from coltsfootarch.fleet import active_policy
 from coltsfootarch.fleet import followers
-from coltsfootarch.fleet import hosts
 from coltsfootarch.platform import configuration
 from coltsfootarch.platform import decoding
 from coltsfootarch.platform import registrations
@@ -24,10 +22,9 @@
     from coltsfootarch.platform import store
 
 # Tables of the store. The operator writes to the first, the runners write to
-# the second, entry hosts to the third.
+# the second.
 OPERATOR_TABLE = "op"
 RUNNER_TABLE = "servers"
-HOST_TABLE = "coltsfootarch-hosts"
 CONFIGURATION_KEY = "config"
 # An answer about changes holds each version since the last read, one about the
 # whole table only the newest. An answer about changes may hold several large
@@ -190,40 +187,3 @@
             rows.epoch,
             {row.key: row.revision for row in rows.rows if row.key in found},
         )
-
-
-class HostTable:
-    """Rows by which hosts discover each other.
-
-    Implements `hosts.HostRegistry`.
-
-    Args:
-        client: Client of the store.
-    """
-
-    def __init__(self, client: store.StoreClient) -> None:
-        self.client = client
-
-    def write(self, record: hosts.HostRecord) -> None:
-        """Writes this host's row."""
-        self.client.write_row(
-            HOST_TABLE, record.name, msgspec.json.encode(record)
-        )
-
-    def remove(self, name: str) -> None:
-        """Removes a host's row."""
-        self.client.remove_row(HOST_TABLE, name)
-
-    def read(self) -> list[hosts.HostRecord]:
-        """Returns the records of all hosts; invalid ones are only logged."""
-        records = []
-        for row in self.client.read_table(HOST_TABLE).rows:
-            try:
-                records.append(
-                    msgspec.json.decode(row.value or b"", type=hosts.HostRecord)
-                )
-            except msgspec.DecodeError as error:
-                logger.warning(
-                    "invalid host row ignored", row=row.key, reason=str(error)
-                )
-        return records
--- a/src/coltsfootarch/platform/store.py
+++ b/src/coltsfootarch/platform/store.py
@@ -225,32 +225,13 @@
             )
         return True
 
-    def write_row(self, table: str, key: str, value: bytes) -> None:
-        """Writes a row unconditionally.
-
-        Raises:
-            errors.TableUnavailableError: The row may or may not have been
-                written.
-        """
-        self.change_rows(table, {key: value}, ())
-
-    def change_rows(
-        self, table: str, writes: Mapping[str, bytes], removed: Iterable[str]
-    ) -> None:
-        """Writes and removes rows of a table in one transaction.
-
-        Raises:
-            errors.TableUnavailableError: That may or may not have been done.
-        """
-        self.transact(transactions.changes(table, writes, removed))
-
     def replace_rows(
         self,
         table: str,
         writes: Mapping[str, bytes],
         revisions: Mapping[str, int],
         removed: Iterable[str] = (),
-    ) -> tuple[answers.Row, ...]:
+    ) -> transactions.Outcome:
         """Writes and removes rows in one transaction under a condition.
 
         Args:
@@ -259,10 +240,6 @@
             revisions: Revision that a row must have, by key; 0 for no row.
             removed: Keys of rows to remove.
 
-        Returns:
-            Nothing if that was done. If a row has another revision, nothing
-            was done; then the rows of `revisions` that exist.
-
         Raises:
             errors.TableUnavailableError: That may or may not have been done.
         """
@@ -272,22 +249,16 @@
             for key, revision in revisions.items()
         ]
         try:
-            self.transact(document)
+            body = self.transact(document)
         except transactions.RowConflictError as error:
-            return transactions.decode_conflict(error.body)
-        return ()
-
-    def remove_row(self, table: str, key: str) -> None:
-        """Removes a row.
-
-        Raises:
-            errors.TableUnavailableError: The row may or may not have been
-                removed.
-        """
-        self.change_rows(table, {}, (key,))
+            rows = transactions.decode_conflict(error.body)
+            return transactions.Outcome(is_done=False, rows=rows)
+        return transactions.Outcome(
+            is_done=True, revision=transactions.decode_revision(body)
+        )
 
-    def transact(self, document: dict[str, Any]) -> None:
-        """Sends a transaction.
+    def transact(self, document: dict[str, Any]) -> bytes:
+        """Sends a transaction; returns the body of the answer.
 
         Args:
             document: Its `expected` revisions, `writes` and rows to `remove`.
@@ -299,7 +270,7 @@
                 been applied.
         """
         body = msgspec.json.encode(document)
-        self.call("POST", "/api/rows-tx", body, CALL_TIMEOUT_S)
+        return self.call("POST", "/api/rows-tx", body, CALL_TIMEOUT_S)
 
     def fetch(
         self,
--- a/src/coltsfootarch/platform/stream_records.py
+++ b/src/coltsfootarch/platform/stream_records.py
@@ -7,6 +7,7 @@
 import msgspec
 import structlog
 
+from coltsfootarch import errors
 from coltsfootarch.fleet import store_epochs
 from coltsfootarch.fleet import stream_records
 from coltsfootarch.fleet import version_rows
@@ -93,10 +94,14 @@
         """Writes records and removes others in one transaction."""
         values = {key: version.encode() for key, version in records.items()}
         values |= dict.fromkeys(placeholders, PLACEHOLDER)
-        rows = self.writer.replace_rows(
+        outcome = self.writer.replace_rows(
             STREAM_TABLE, values, dict.fromkeys(placeholders, 0), removed
         )
-        return {row.key for row in rows}
+        if not outcome.is_done and not outcome.rows:
+            raise errors.TableUnavailableError(
+                "the store refused placeholders of which none exists"
+            )
+        return {row.key for row in outcome.rows}
 
     def find(self, key: str) -> stream_records.StoredRecord:
         """Looks up a stream."""
--- a/tests/forwarding/test_restored_store.py
+++ b/tests/forwarding/test_restored_store.py
@@ -5,7 +5,7 @@
 import gevent
 import pytest
 
-from coltsfootarch.platform import feeds
+from coltsfootarch.platform import host_rows
 from tests.platform import documents
 
 NEW_ROUTE = documents.route("new", "/new/", "idempotent", "app", public=True)
@@ -53,7 +53,7 @@
     edge_host.add_runner("i-1", "app")
     copied = edge_host.store.revision
     edge_host.start()
-    row = (feeds.HOST_TABLE, "", "host-1")
+    row = (host_rows.HOST_TABLE, "", "host-1")
     edge_host.wait(lambda: row in edge_host.store.rows)
 
     edge_host.store.restore(copied)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -12,6 +12,7 @@
 from coltsfootarch.fleet import hosts
 from coltsfootarch.fleet import store_epochs
 from coltsfootarch.platform import feeds
+from coltsfootarch.platform import host_rows
 from coltsfootarch.platform import orders
 from coltsfootarch.platform import store
 from standins import metadata_store
@@ -264,7 +265,7 @@
 
 
 def test_host_records_are_written_read_and_removed(client):
-    table = feeds.HostTable(client)
+    table = host_rows.HostTable(client)
     record = hosts.HostRecord("h1", "10.0.0.1:7500", "north", 5, 1)
 
     table.write(record)
