Move HostRenewer to a module of its own

Cause: hosts.py had grown to over 500 lines with two jobs, what a host believes about the others and how it keeps its row.

Change: HostRenewer and its intervals are in fleet/host_renewal.py; nothing else changes. The tests name the new module.

--- a/src/coltsfootarch/forwarding/daemon.py
+++ b/src/coltsfootarch/forwarding/daemon.py
@@ -17,6 +17,7 @@
 from coltsfootarch.config import edge_settings
 from coltsfootarch.fleet import active_policy
 from coltsfootarch.fleet import followers
+from coltsfootarch.fleet import host_renewal
 from coltsfootarch.fleet import hosts
 from coltsfootarch.fleet import policy
 from coltsfootarch.fleet import report_exchange
@@ -249,7 +250,7 @@
                 self.clock.monotonic(), "the store was restored"
             )
         )
-        self.renewer = hosts.HostRenewer(
+        self.renewer = host_renewal.HostRenewer(
             platform.hosts, self.hosts, clock, self.generator
         )
         platform.epochs.on_restored.append(self.renewer.write_again)
--- a/tests/fleet/test_host_starts.py
+++ b/tests/fleet/test_host_starts.py
@@ -7,6 +7,7 @@
 import pytest
 
 from coltsfootarch import errors
+from coltsfootarch.fleet import host_renewal
 from coltsfootarch.fleet import hosts
 from tests.fleet import test_hosts
 
@@ -50,7 +51,7 @@
 
 
 def make_renewer(registry, clock, name="h1"):
-    return hosts.HostRenewer(
+    return host_renewal.HostRenewer(
         registry,
         hosts.HostDirectory(record(name), clock),
         clock,
--- a/tests/fleet/test_hosts.py
+++ b/tests/fleet/test_hosts.py
@@ -8,6 +8,7 @@
 import pytest
 
 from coltsfootarch import errors
+from coltsfootarch.fleet import host_renewal
 from coltsfootarch.fleet import hosts
 
 
@@ -111,7 +112,7 @@
 def test_rows_are_read_rarely_while_all_hosts_are_reachable(manual_clock):
     registry = Registry()
     directory = hosts.HostDirectory(record("h1"), manual_clock)
-    renewer = hosts.HostRenewer(
+    renewer = host_renewal.HostRenewer(
         registry, directory, manual_clock, random.Random(1)
     )
 
@@ -119,14 +120,14 @@
         renewer.renew()
 
     assert registry.rows["h1"].renewals == 8
-    assert registry.reads == hosts.RENEWALS_AT_START + 2
+    assert registry.reads == host_renewal.RENEWALS_AT_START + 2
 
 
 def test_rows_are_read_at_each_renewal_with_an_unreachable_host(manual_clock):
     registry = Registry()
     registry.write(record("h2"))
     directory = hosts.HostDirectory(record("h1"), manual_clock)
-    renewer = hosts.HostRenewer(
+    renewer = host_renewal.HostRenewer(
         registry, directory, manual_clock, random.Random(1)
     )
 
@@ -164,7 +165,7 @@
 ):
     """Guards against hosts that new ones can't find for up to 30 s."""
     registry = FailingRegistry(failures)
-    renewer = hosts.HostRenewer(
+    renewer = host_renewal.HostRenewer(
         registry, directory, manual_clock, random.Random(1)
     )
 
@@ -180,7 +181,7 @@
     directory.apply([record(f"h{number}") for number in range(1, 381)])
     instants = []
     for seed in range(50):
-        renewer = hosts.HostRenewer(
+        renewer = host_renewal.HostRenewer(
             FailingRegistry(0), directory, manual_clock, random.Random(seed)
         )
         started = manual_clock.monotonic()
