Tell the writes of stream records that are given up

What callers could see: while the store fails, a stream at another version than the base waits 0.5 s for its placeholder at each further attempt, and begins at none.

Cause: a failed transaction ended its own writes only. StreamRecords.forget_old dropped the others, more than 30 placeholders at a time, without an outcome, so that `announce` took them for still under way. Before placeholders, a stream was remembered first and its write kept.

Change: writes that are given up have failed.

Result: test_placeholders_that_are_given_up_are_told fails before.

--- a/src/coltsfootarch/fleet/stream_records.py
+++ b/src/coltsfootarch/fleet/stream_records.py
@@ -383,7 +383,7 @@
         """Gives up writes of streams that can't be taken up any more."""
         for key in tuple(self.pending):
             if key not in self.remembered:
-                del self.pending[key]
+                self.pending.pop(key).end(succeeded=False)
 
     def expired(self) -> list[str]:
         """Returns the keys of records that aren't needed any more."""
--- a/tests/fleet/test_stream_records.py
+++ b/tests/fleet/test_stream_records.py
@@ -128,6 +128,16 @@
     assert table.records == {"p1": "", "p2": "", "k": "v2"}
 
 
+def test_placeholders_that_are_given_up_are_told(records, table):
+    """Guards against streams that never try again to be recorded."""
+    table.is_failing = True
+
+    tickets = [records.reserve(f"k{number}") for number in range(100)]
+
+    assert all(ticket.done.wait(1.0) for ticket in tickets)
+    assert all(ticket.has_failed for ticket in tickets)
+
+
 def test_placeholder_does_not_replace_a_record(records, table):
     """Guards against a version that is lost after a stream has begun."""
     table.records["k"] = "v2"
